--- /dev/null
+++ b/components/admission/src/lib.rs
@@ -0,0 +1,7 @@
+//! Whether a job can meet its deadline, from measured service times and what waits ahead of it.
+
+mod estimate;
+mod service_times;
+
+pub use estimate::{Load, estimate};
+pub use service_times::ServiceTimes;
--- /dev/null
+++ b/components/agent/src/lib.rs
@@ -0,0 +1,13 @@
+//! The decisions of an agent: the process beside a target, which alone starts work on it.
+//!
+//! No clock, socket or thread in here: [`Agent::handle`] takes a time and an event and gives the
+//! actions that follow.
+
+mod agent;
+mod counters;
+mod event;
+mod sessions;
+
+pub use agent::{Agent, Setup};
+pub use counters::Counters;
+pub use event::{Action, CallId, Event, News, Reply, Request};
--- /dev/null
+++ b/components/agent/src/sessions.rs
@@ -0,0 +1,99 @@
+//! The sessions of entries at an agent: leases and waiting token exchanges.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use execution::Session;
+use model::Time;
+use wire::SyncReply;
+
+use crate::CallId;
+
+/// A token exchange that waits for news.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Waiting {
+    /// The call to answer.
+    pub call: CallId,
+    /// When to answer it without news.
+    pub until: Time,
+}
+
+/// One entry's session.
+#[derive(Clone, Debug)]
+pub(crate) struct SessionState {
+    /// When the entry was last heard of on it.
+    pub heard: Time,
+    /// The exchange that waits, if any.
+    pub waiting: Option<Waiting>,
+    /// News that no exchange took yet.
+    pub news: SyncReply,
+}
+
+impl SessionState {
+    /// Whether there is something to tell.
+    pub fn has_news(&self) -> bool {
+        self.news != SyncReply::default()
+    }
+}
+
+/// All sessions, by number.
+#[derive(Debug, Default)]
+pub(crate) struct Sessions {
+    open: BTreeMap<Session, SessionState>,
+}
+
+impl Sessions {
+    /// Opens a session, or hears of an open one.
+    pub fn open(&mut self, session: Session, now: Time) {
+        let fresh = SessionState {
+            heard: now,
+            waiting: None,
+            news: SyncReply::default(),
+        };
+        self.open.entry(session).or_insert(fresh).heard = now;
+    }
+
+    /// Notes a frame on a session; false for one that is not open.
+    pub fn hear(&mut self, session: Session, now: Time) -> bool {
+        match self.open.get_mut(&session) {
+            Some(state) => {
+                state.heard = now;
+                true
+            }
+            None => false,
+        }
+    }
+
+    pub fn get_mut(&mut self, session: Session) -> Option<&mut SessionState> {
+        self.open.get_mut(&session)
+    }
+
+    pub fn close(&mut self, session: Session) -> bool {
+        self.open.remove(&session).is_some()
+    }
+
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (Session, &mut SessionState)> {
+        self.open
+            .iter_mut()
+            .map(|(session, state)| (*session, state))
+    }
+
+    /// Sessions silent for longer than the lease.
+    pub fn silent(&self, lease: Duration, now: Time) -> Vec<Session> {
+        let silent = |(_, state): &(&Session, &SessionState)| state.heard + lease <= now;
+        self.open
+            .iter()
+            .filter(silent)
+            .map(|(session, _)| *session)
+            .collect()
+    }
+
+    /// The next moment at which something is due.
+    pub fn next_timer(&self, lease: Duration) -> Option<Time> {
+        let due = |state: &SessionState| match state.waiting {
+            Some(waiting) => waiting.until,
+            None => state.heard + lease,
+        };
+        self.open.values().map(due).min()
+    }
+}
--- /dev/null
+++ b/components/api/src/answer.rs
@@ -0,0 +1,126 @@
+//! Answers to callers.
+
+use std::sync::Arc;
+
+use model::{Code, Failure, SubmissionId, Verdict};
+use serde::Serialize;
+
+/// The header that says whether the work ran.
+pub const VERDICT_HEADER: &str = "dockpass-verdict";
+
+/// An HTTP answer, ready to be written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The status code.
+    pub status: u16,
+    /// The verdict header, on everything but a whole answer.
+    pub verdict: Option<Verdict>,
+    /// The `Retry-After` header, in seconds.
+    pub retry_after: Option<u64>,
+    /// The JSON body.
+    pub body: String,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum Outcome {
+    Complete,
+    Failed,
+}
+
+#[derive(Serialize)]
+struct CompleteBody<'a> {
+    submission: SubmissionText,
+    outcome: Outcome,
+    answers: &'a [Arc<str>],
+}
+
+#[derive(Serialize)]
+struct FailedBody<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    submission: Option<SubmissionText>,
+    outcome: Outcome,
+    code: Code,
+    verdict: Verdict,
+    message: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+/// A submission id as callers write it.
+struct SubmissionText(SubmissionId);
+
+impl Serialize for SubmissionText {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(&self.0)
+    }
+}
+
+/// Writes the outcome of a request: every answer in task order, or why there is none.
+pub fn write_outcome(
+    submission: Option<SubmissionId>,
+    outcome: &Result<Arc<[Arc<str>]>, Failure>,
+) -> Answer {
+    match (outcome, submission) {
+        (Ok(answers), Some(id)) => write_answers(id, answers),
+        (Ok(_), None) => unreachable!("only submissions have answers"),
+        (Err(failure), submission) => write_failure(submission, failure),
+    }
+}
+
+fn write_answers(submission: SubmissionId, answers: &[Arc<str>]) -> Answer {
+    let submission = SubmissionText(submission);
+    let body = CompleteBody {
+        submission,
+        outcome: Outcome::Complete,
+        answers,
+    };
+    Answer {
+        status: 200,
+        verdict: None,
+        retry_after: None,
+        body: to_json(&body),
+    }
+}
+
+fn write_failure(submission: Option<SubmissionId>, failure: &Failure) -> Answer {
+    let body = FailedBody {
+        submission: submission.map(SubmissionText),
+        outcome: Outcome::Failed,
+        code: failure.code,
+        verdict: failure.verdict,
+        message: &failure.message,
+        retry_after_ms: failure.retry_after_ms,
+    };
+    Answer {
+        status: status(failure.code, failure.verdict),
+        verdict: Some(failure.verdict),
+        retry_after: failure.retry_after_ms.map(|millis| millis.div_ceil(1_000)),
+        body: to_json(&body),
+    }
+}
+
+fn to_json<T: Serialize>(body: &T) -> String {
+    serde_json::to_string(body).expect("plain structs and strings become JSON")
+}
+
+/// The status of a failure. 503 is kept for what is proven not to have run.
+fn status(code: Code, verdict: Verdict) -> u16 {
+    match code {
+        Code::BadBody | Code::BadId | Code::IdTooNew => 400,
+        Code::NoSuchPath | Code::UnknownService | Code::UnknownKind | Code::UnknownId => 404,
+        Code::IdConflict => 409,
+        Code::IdTooOld | Code::AnswerDropped => 410,
+        Code::TooLarge => 413,
+        Code::TargetFailed | Code::TargetLost | Code::OwnerLost => 502,
+        Code::DeadlinePassed | Code::NoQuorum => 504,
+        Code::ServiceStopped
+        | Code::Overloaded
+        | Code::OverQuota
+        | Code::NoTarget
+        | Code::NotReady => match verdict {
+            Verdict::NotRun => 503,
+            Verdict::MayHaveRun | Verdict::Ran => 502,
+        },
+    }
+}
--- /dev/null
+++ b/components/entry/src/entry.rs
@@ -0,0 +1,365 @@
+//! The entry's state machine: its parts, and which part takes which event.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use claims::{Member, View, Views, Window};
+use model::{Code, NodeRef, SubmissionId, Time};
+use settings::{Catalog, Fleet};
+use telemetry::{Breach, Decision, MessageKind, Step};
+use wire::RelayReply;
+
+use crate::claiming::Inquiry;
+use crate::job::Job;
+use crate::kinds::Kinds;
+use crate::service::Service;
+use crate::table::{Due, Table};
+use crate::targets::Targets;
+use crate::{Action, Counters, Event, News};
+
+/// What an entry knows of itself at its start.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Its life.
+    pub node: NodeRef,
+    /// Its data hall.
+    pub hall: String,
+}
+
+/// The state machine of one life of an entry.
+#[derive(Debug)]
+pub struct Entry {
+    pub(crate) setup: Setup,
+    pub(crate) catalog: Option<Arc<Catalog>>,
+    pub(crate) views: Views,
+    pub(crate) confirmed: Time,
+    pub(crate) stale: bool,
+    pub(crate) entries: u32,
+    pub(crate) table: Table,
+    pub(crate) inquiries: HashMap<SubmissionId, Inquiry>,
+    pub(crate) targets: Targets,
+    pub(crate) services: HashMap<String, Service>,
+    pub(crate) kinds: Kinds,
+    pub(crate) counters: Counters,
+    pub(crate) arrivals: u64,
+    now: Time,
+    expired: Time,
+}
+
+impl Entry {
+    /// An entry that knows no settings and no agent yet.
+    pub fn new(setup: Setup) -> Self {
+        Self {
+            setup,
+            catalog: None,
+            views: Views::default(),
+            confirmed: Time::default(),
+            stale: false,
+            entries: 1,
+            table: Table::default(),
+            inquiries: HashMap::new(),
+            targets: Targets::default(),
+            services: HashMap::new(),
+            kinds: Kinds::default(),
+            counters: Counters::default(),
+            arrivals: 0,
+            now: Time::default(),
+            expired: Time::default(),
+        }
+    }
+
+    /// Takes an event and adds the actions that follow.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        self.now = now;
+        match event {
+            Event::Submit {
+                ticket,
+                request,
+                relayed,
+            } => {
+                self.submit(now, ticket, request, relayed, out);
+            }
+            Event::Fetch {
+                ticket,
+                submission,
+                relayed,
+            } => {
+                self.fetch(now, ticket, submission, relayed, out);
+            }
+            Event::Up { connection, info } => self.up(now, connection, &info, out),
+            Event::Down { agent, connection } => self.down(&agent, connection, out),
+            Event::Dead { agent } => self.dead(now, &agent, out),
+            Event::Leaving { agent } => self.leaving(&agent, out),
+            Event::Claimed {
+                holder,
+                submission,
+                reply,
+            } => {
+                let vote = reply
+                    .as_ref()
+                    .map_or(claims::Vote::None, claims::Vote::from);
+                self.vote(now, &holder, submission, vote, out);
+            }
+            Event::LookedUp {
+                holder,
+                submission,
+                reply,
+            } => {
+                let vote = reply
+                    .as_ref()
+                    .map_or(claims::Vote::None, claims::Vote::from);
+                self.vote(now, &holder, submission, vote, out);
+            }
+            Event::Started {
+                agent,
+                connection,
+                key,
+                reply,
+            } => {
+                self.started(now, &agent, connection, key, reply, out);
+            }
+            Event::Settled { agent, key, reply } => self.settled(now, &agent, key, reply, out),
+            Event::Synced {
+                agent,
+                connection,
+                reply,
+            } => {
+                self.synced(now, &agent, connection, reply, out);
+            }
+            Event::Relayed { submission, reply } => self.relayed(submission, reply, out),
+            Event::Settings { catalog } => self.settings(now, catalog, out),
+            Event::Confirmed { at } => self.confirmed = self.confirmed.max(at),
+            Event::Entries { count } => self.entries = count.max(1),
+            Event::Tick => {}
+        }
+        self.tick(now, out);
+    }
+
+    /// When the next tick is due.
+    pub fn next_timer(&self) -> Option<Time> {
+        self.table.next_timer()
+    }
+
+    /// Counters and present sizes.
+    pub fn counters(&self) -> Counters {
+        let services = self.services.values();
+        Counters {
+            active: self.table.active() as u64,
+            kept: self.table.kept() as u64,
+            kept_bytes: self.table.kept_bytes() as u64,
+            answers_dropped: self.table.dropped(),
+            queued: services
+                .clone()
+                .map(|service| service.queue.tasks() as u64)
+                .sum(),
+            idle: services.map(|service| u64::from(service.pool.idle())).sum(),
+            ..self.counters
+        }
+    }
+
+    /// The version of the settings in force here; none before the first.
+    pub fn settings_version(&self) -> Option<u64> {
+        self.catalog.as_ref().map(|catalog| catalog.version())
+    }
+
+    /// Whether it can take work: it has settings, and a target for every service with targets.
+    pub fn is_ready(&self, now: Time) -> bool {
+        let reachable = self
+            .services
+            .values()
+            .any(|service| !service.pool.is_empty());
+        self.catalog.is_some() && !self.settings_are_stale(now) && reachable
+    }
+
+    /// Whether every submission has its outcome.
+    pub fn is_idle(&self) -> bool {
+        self.table.active() == 0
+    }
+
+    pub(crate) fn window(fleet: &Fleet) -> Window {
+        Window {
+            retention: fleet.retention,
+            clock_skew: fleet.clock_skew,
+        }
+    }
+
+    pub(crate) fn settings_are_stale(&self, now: Time) -> bool {
+        let bound = |catalog: &Arc<Catalog>| catalog.fleet().settings_age_max;
+        self.catalog
+            .as_ref()
+            .map(bound)
+            .is_none_or(|bound| now.since(self.confirmed) > bound)
+    }
+
+    fn settings(&mut self, now: Time, catalog: Arc<Catalog>, out: &mut Vec<Action>) {
+        if let Some(have) = self
+            .settings_version()
+            .filter(|have| *have > catalog.version())
+        {
+            let breach = Breach::SettingsWentBack {
+                have,
+                got: catalog.version(),
+            };
+            return self.breach(breach, out);
+        }
+        self.views = views(catalog.fleet());
+        out.push(Action::News(News::Settings(catalog.version())));
+        self.catalog = Some(catalog);
+        self.confirmed = self.confirmed.max(now);
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        while let Some((id, due)) = self.table.next_due(now) {
+            match due {
+                Due::Round => self.round_over(now, id, out),
+                Due::Deadline => self.deadline_passed(id, out),
+            }
+        }
+        if now.since(self.expired) < Duration::from_secs(1) {
+            return;
+        }
+        self.expired = now;
+        self.table.expire(now);
+        self.end_silent_leases(now, out);
+        let stale = self.settings_are_stale(now);
+        if stale != self.stale {
+            self.stale = stale;
+            out.push(Action::News(News::SettingsStale(stale)));
+        }
+    }
+
+    /// Gives a submission its outcome and tells everyone who waits for it.
+    pub(crate) fn finish(&mut self, id: SubmissionId, reply: RelayReply, out: &mut Vec<Action>) {
+        let Some(reply) = self.checked(id, reply, out) else {
+            return;
+        };
+        self.leave_queue(id);
+        let Some(job) = self.table.get_mut(id) else {
+            return;
+        };
+        for ticket in std::mem::take(&mut job.waiters) {
+            out.push(Action::Respond {
+                ticket,
+                reply: reply.clone(),
+            });
+        }
+        match &reply {
+            Ok(_) => self.counters.completed += 1,
+            Err(failure) => {
+                self.counters.failed += 1;
+                let code = failure.code;
+                self.decide(id, Step::Refuse { code }, Duration::ZERO, out);
+            }
+        }
+        let Some(fleet) = self.catalog.as_ref().map(|catalog| catalog.fleet()) else {
+            return;
+        };
+        let until = Self::window(fleet).kept_until(id);
+        self.table.finish(id, reply, until, fleet.answer_bytes_max);
+    }
+
+    /// The outcome, corrected where it would say "not run" of work that may have run.
+    fn checked(
+        &mut self,
+        id: SubmissionId,
+        reply: RelayReply,
+        out: &mut Vec<Action>,
+    ) -> Option<RelayReply> {
+        let job = self.table.get(id)?;
+        let Err(mut failure) = reply else {
+            return Some(reply);
+        };
+        let known = job.gather().map(|gather| gather.verdict());
+        let not_run = model::Verdict::NotRun;
+        if failure.verdict == not_run && known.is_some_and(|known| known != not_run) {
+            failure.verdict = model::Verdict::MayHaveRun;
+            self.breach(Breach::FalseNotRun(id), out);
+        }
+        Some(Err(failure))
+    }
+
+    /// Answers everyone who waits for a submission and forgets it: nothing of it started here.
+    pub(crate) fn dismiss(&mut self, id: SubmissionId, reply: &RelayReply, out: &mut Vec<Action>) {
+        if let Err(failure) = reply {
+            self.decide(id, Step::Refuse { code: failure.code }, Duration::ZERO, out);
+        }
+        let Some(job) = self.table.remove(id) else {
+            return;
+        };
+        for ticket in job.waiters {
+            out.push(Action::Respond {
+                ticket,
+                reply: reply.clone(),
+            });
+        }
+    }
+
+    /// Reports a decision on a known submission.
+    pub(crate) fn decide(
+        &mut self,
+        id: SubmissionId,
+        step: Step,
+        estimate: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(job) = self.table.get(id) else {
+            return;
+        };
+        out.push(Action::Decide(self.decision(id, job, step, estimate)));
+    }
+
+    pub(crate) fn decision(
+        &self,
+        submission: SubmissionId,
+        job: &Job,
+        step: Step,
+        estimate: Duration,
+    ) -> Decision {
+        let service = job
+            .kind
+            .as_ref()
+            .and_then(|kind| self.services.get(&kind.service));
+        Decision {
+            time: self.now,
+            submission,
+            team: job.team.clone(),
+            kind: job.label.clone(),
+            step,
+            queue: service.map_or(0, |service| service.queue.tasks()),
+            estimate,
+        }
+    }
+
+    pub(crate) fn breach(&mut self, breach: Breach, out: &mut Vec<Action>) {
+        self.counters.breaches += 1;
+        out.push(Action::News(News::Breach(breach)));
+    }
+
+    pub(crate) fn sent(&mut self, kind: MessageKind) {
+        self.counters.messages.sent(kind);
+    }
+
+    pub(crate) fn count_refusal(&mut self, code: Code) {
+        debug_assert_ne!(code, Code::OwnerLost, "a lost owner is no refusal");
+        self.counters.refused += 1;
+    }
+}
+
+/// The claim views that a version of the settings asks for.
+fn views(fleet: &Fleet) -> Views {
+    let view = |members: &[String]| {
+        let members: Vec<Member> = members
+            .iter()
+            .filter_map(|text| text.parse().ok())
+            .collect();
+        View::new(&members)
+    };
+    let previous = (!fleet.previous_claim_view.is_empty()).then(|| {
+        (
+            view(&fleet.previous_claim_view),
+            fleet.previous_claim_view_until,
+        )
+    });
+    Views::new(view(&fleet.claim_view), previous)
+}
--- /dev/null
+++ b/components/entry/src/intake.rs
@@ -0,0 +1,321 @@
+//! Requests as they arrive: joined, checked, claimed or refused.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use admission::{Load, estimate};
+use claims::{Age, Round};
+use model::{Code, Digest, Failure, SubmissionId, Time, Verdict};
+use settings::{Catalog, KindSettings, ServiceState};
+use wire::{RelayReply, RelayRequest};
+
+use crate::claiming::Inquiry;
+use crate::gather::Gather;
+use crate::job::{Job, Phase};
+use crate::{Action, Entry, Ticket};
+
+/// Deadline of a request whose kind is unknown, while its refusal is being proved.
+const REFUSAL_DEADLINE: Duration = Duration::from_secs(2);
+/// When to come back after a refusal that names no better time, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+impl Entry {
+    /// Takes a submission: joins a known one, else claims it or proves its refusal.
+    pub(crate) fn submit(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        request: RelayRequest,
+        relayed: bool,
+        out: &mut Vec<Action>,
+    ) {
+        self.counters.submitted += 1;
+        let texts = request.tasks.iter().map(|text| &**text);
+        let digest = Digest::of(&request.service, &request.kind, request.repeatable, texts);
+        if self.table.get(request.submission).is_some() {
+            return self.join(now, ticket, digest, request, out);
+        }
+        let Some(catalog) = self.catalog.clone() else {
+            let failure = Failure::new(Code::NotReady, Verdict::MayHaveRun, "no settings yet");
+            return respond(ticket, Err(failure.retry_after(RETRY_AFTER_MS)), out);
+        };
+        if let Err(failure) = check_age(request.submission, &catalog, now) {
+            self.count_refusal(failure.code);
+            return respond(ticket, Err(failure), out);
+        }
+        let checked = self.check(now, &catalog, &request);
+        let job = self.new_job(now, ticket, digest, &catalog, &request);
+        if request.repeatable {
+            return self.take_repeatable(now, job, &request, checked, out);
+        }
+        self.take_once(now, job, request, relayed, checked, out);
+    }
+
+    /// Takes a submission that is known here already.
+    fn join(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        digest: Digest,
+        request: RelayRequest,
+        out: &mut Vec<Action>,
+    ) {
+        self.counters.joined += 1;
+        let id = request.submission;
+        let Some(job) = self.table.get_mut(id) else {
+            return;
+        };
+        if job.digest != digest {
+            return respond(ticket, Err(conflict(id)), out);
+        }
+        match &mut job.phase {
+            Phase::Done(reply) => respond(ticket, reply.clone(), out),
+            Phase::Undecided => self.claim_again(now, ticket, request, out),
+            _ => job.waiters.push(ticket),
+        }
+    }
+
+    /// Whether a request can be taken here and now; the failure's verdict is still to be proved.
+    fn check(
+        &self,
+        now: Time,
+        catalog: &Catalog,
+        request: &RelayRequest,
+    ) -> Result<Arc<KindSettings>, Failure> {
+        let refuse = |code, message: String| Err(Failure::new(code, Verdict::MayHaveRun, message));
+        let (service, kind) = (&request.service, &request.kind);
+        let Some(settings) = catalog.kind(service, kind) else {
+            if catalog.has_service(service) {
+                return refuse(Code::UnknownKind, format!("{service} has no kind '{kind}'"));
+            }
+            return refuse(Code::UnknownService, format!("no service '{service}'"));
+        };
+        check_size(settings, request)?;
+        if self.settings_are_stale(now) {
+            return refuse(Code::NotReady, "settings can't be confirmed".to_owned())
+                .map_err(|failure: Failure| failure.retry_after(RETRY_AFTER_MS));
+        }
+        if settings.state == ServiceState::Stopped {
+            return refuse(Code::ServiceStopped, format!("{service}/{kind} is stopped"));
+        }
+        self.check_load(catalog, settings, request)?;
+        Ok(settings.clone())
+    }
+
+    /// Whether the job can meet its deadline.
+    fn check_load(
+        &self,
+        catalog: &Catalog,
+        kind: &KindSettings,
+        request: &RelayRequest,
+    ) -> Result<(), Failure> {
+        let Some(service) = self
+            .services
+            .get(&kind.service)
+            .filter(|service| service.slots > 0)
+        else {
+            let message = format!("no target takes work of {}", kind.service);
+            let failure = Failure::new(Code::NoTarget, Verdict::MayHaveRun, message);
+            return Err(failure.retry_after(RETRY_AFTER_MS));
+        };
+        let Some(times) = self.kinds.times(kind) else {
+            return Ok(());
+        };
+        let weight = catalog.team(&kind.team).weight;
+        let load = Load {
+            tasks_ahead: service.queue.tasks_ahead(&kind.team, weight),
+            idle: service.pool.idle(),
+            slots: service.slots_to_count_on(self.entries),
+        };
+        let estimate = estimate(times, load, request.tasks.len());
+        let deadline = deadline(kind, request);
+        if estimate <= deadline {
+            return Ok(());
+        }
+        let message = format!(
+            "would take about {} ms of {} ms",
+            estimate.as_millis(),
+            deadline.as_millis()
+        );
+        let wait = u64::try_from((estimate - deadline).as_millis()).unwrap_or(RETRY_AFTER_MS);
+        Err(Failure::new(Code::Overloaded, Verdict::MayHaveRun, message).retry_after(wait.max(1)))
+    }
+
+    fn new_job(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        digest: Digest,
+        catalog: &Catalog,
+        request: &RelayRequest,
+    ) -> Job {
+        let kind = catalog.kind(&request.service, &request.kind).cloned();
+        self.arrivals += 1;
+        let team = kind.as_ref().map_or("", |kind| kind.team.as_str());
+        Job {
+            digest,
+            repeatable: request.repeatable,
+            team: Arc::from(team),
+            label: Arc::from(format!("{}/{}", request.service, request.kind)),
+            arrival: self.arrivals,
+            deadline: now
+                + kind
+                    .as_ref()
+                    .map_or(REFUSAL_DEADLINE, |kind| deadline(kind, request)),
+            kind,
+            claimed_before: false,
+            may_relay: true,
+            waiters: vec![ticket],
+            phase: Phase::Undecided,
+        }
+    }
+
+    /// A repeatable request needs no claim: running twice does no harm.
+    fn take_repeatable(
+        &mut self,
+        now: Time,
+        mut job: Job,
+        request: &RelayRequest,
+        checked: Result<Arc<KindSettings>, Failure>,
+        out: &mut Vec<Action>,
+    ) {
+        let id = request.submission;
+        match checked {
+            Ok(kind) => {
+                self.kinds.get_mut(&kind).earn(kind.retry_share);
+                job.phase = Phase::Active(Gather::new(&request.tasks));
+                self.table.insert(id, job);
+                self.enqueue(now, id, out);
+            }
+            Err(mut failure) => {
+                self.count_refusal(failure.code);
+                failure.verdict = Verdict::NotRun;
+                self.table.insert(id, job);
+                self.dismiss(id, &Err(failure), out);
+            }
+        }
+    }
+
+    /// Any other request is claimed; or the holders are asked, so that its refusal is proved.
+    fn take_once(
+        &mut self,
+        now: Time,
+        mut job: Job,
+        request: RelayRequest,
+        relayed: bool,
+        checked: Result<Arc<KindSettings>, Failure>,
+        out: &mut Vec<Action>,
+    ) {
+        let id = request.submission;
+        let round = Round::new(self.views.holders(id, now));
+        let request = Arc::new(request);
+        job.may_relay = !relayed;
+        job.phase = match checked {
+            Ok(_) => Phase::Claiming { round, request },
+            Err(failure) => Phase::Refusing {
+                round,
+                request,
+                failure,
+            },
+        };
+        self.table.insert(id, job);
+        self.ask_holders(now, id, out);
+    }
+
+    /// Takes a question for the outcome of a submission.
+    pub(crate) fn fetch(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        submission: SubmissionId,
+        relayed: bool,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(job) = self.table.get_mut(submission) {
+            match &job.phase {
+                Phase::Done(reply) => return respond(ticket, reply.clone(), out),
+                Phase::Undecided => {}
+                _ => return job.waiters.push(ticket),
+            }
+        }
+        if relayed {
+            let message = "its owner does not know the submission";
+            let failure = Failure::new(Code::UnknownId, Verdict::MayHaveRun, message);
+            return respond(ticket, Err(failure), out);
+        }
+        let Some(catalog) = self.catalog.clone() else {
+            let failure = Failure::new(Code::NotReady, Verdict::MayHaveRun, "no settings yet");
+            return respond(ticket, Err(failure.retry_after(RETRY_AFTER_MS)), out);
+        };
+        if let Err(failure) = check_age(submission, &catalog, now) {
+            return respond(ticket, Err(failure), out);
+        }
+        if let Some(inquiry) = self.inquiries.get_mut(&submission) {
+            return inquiry.tickets.push(ticket);
+        }
+        let round = Round::new(self.views.holders(submission, now));
+        self.inquiries
+            .insert(submission, Inquiry::new(round, ticket));
+        self.ask_holders(now, submission, out);
+    }
+}
+
+/// Answers one caller.
+pub(crate) fn respond(ticket: Ticket, reply: RelayReply, out: &mut Vec<Action>) {
+    out.push(Action::Respond { ticket, reply });
+}
+
+/// The failure of a submission whose id was used with other work.
+pub(crate) fn conflict(id: SubmissionId) -> Failure {
+    let message = format!("{id} was used before with other work");
+    Failure::new(Code::IdConflict, Verdict::MayHaveRun, message)
+}
+
+fn deadline(kind: &KindSettings, request: &RelayRequest) -> Duration {
+    request
+        .deadline_ms
+        .map_or(kind.deadline, Duration::from_millis)
+}
+
+fn check_age(id: SubmissionId, catalog: &Catalog, now: Time) -> Result<(), Failure> {
+    let (code, verdict, message) = match Entry::window(catalog.fleet()).age(id, now) {
+        Age::Known => return Ok(()),
+        Age::TooOld => (
+            Code::IdTooOld,
+            Verdict::MayHaveRun,
+            "the id was made too long ago to know whether it ran",
+        ),
+        Age::TooNew => (
+            Code::IdTooNew,
+            Verdict::MayHaveRun,
+            "the id's time is ahead of this entry's clock",
+        ),
+        Age::Impossible => (
+            Code::IdTooNew,
+            Verdict::NotRun,
+            "the id's time is far ahead of every entry's clock",
+        ),
+    };
+    Err(Failure::new(code, verdict, message))
+}
+
+fn check_size(kind: &KindSettings, request: &RelayRequest) -> Result<(), Failure> {
+    let tasks = request.tasks.len();
+    let too_large = |message| Err(Failure::new(Code::TooLarge, Verdict::MayHaveRun, message));
+    if tasks > kind.tasks_max {
+        return too_large(format!("{tasks} tasks, at most {}", kind.tasks_max));
+    }
+    let longest = request
+        .tasks
+        .iter()
+        .map(|text| text.len())
+        .max()
+        .unwrap_or(0);
+    if longest > kind.task_bytes_max {
+        return too_large(format!(
+            "a task of {longest} bytes, at most {}",
+            kind.task_bytes_max
+        ));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/components/execution/src/ledger.rs
@@ -0,0 +1,252 @@
+//! Slot tokens: who may start work on this target without asking.
+//!
+//! Each idle slot is free, or lent to exactly one entry's session as a token. Tokens travel on
+//! messages that flow anyway: a start spends one, its answer gives it back.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::waiters::Waiters;
+
+/// One connection of one entry, numbered by the agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Session(pub u64);
+
+/// What a session has.
+#[derive(Clone, Copy, Debug, Default)]
+struct Account {
+    /// Tokens lent and not spent.
+    idle: u32,
+    /// Tasks running.
+    busy: u32,
+    /// Tokens asked for and not yet lent.
+    wanted: u32,
+    /// Tokens asked back and not yet returned.
+    recalled: u32,
+}
+
+impl Account {
+    fn total(self) -> u32 {
+        self.idle + self.busy
+    }
+}
+
+/// What the ledger wants told to a session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// Lend it this many more tokens.
+    Grant(Session, u32),
+    /// Ask it for this many idle tokens back.
+    Recall(Session, u32),
+}
+
+/// The tokens of one target's slots.
+#[derive(Debug)]
+pub struct Ledger {
+    slots: u32,
+    /// Tasks of sessions that have gone since; their slots come back when they end.
+    orphans: u32,
+    accounts: BTreeMap<Session, Account>,
+    waiters: Waiters,
+    leaving: bool,
+}
+
+impl Ledger {
+    /// A ledger of so many slots, all free.
+    pub fn new(slots: u32) -> Self {
+        Self {
+            slots,
+            orphans: 0,
+            accounts: BTreeMap::new(),
+            waiters: Waiters::default(),
+            leaving: false,
+        }
+    }
+
+    /// Slots neither running nor lent.
+    pub fn free(&self) -> u32 {
+        let used: u32 = self.accounts.values().map(|account| account.total()).sum();
+        self.slots - used - self.orphans
+    }
+
+    /// Slots running a task.
+    pub fn busy(&self) -> u32 {
+        self.orphans
+            + self
+                .accounts
+                .values()
+                .map(|account| account.busy)
+                .sum::<u32>()
+    }
+
+    /// Tokens lent to a session and not spent.
+    pub fn idle(&self, session: Session) -> u32 {
+        self.accounts
+            .get(&session)
+            .map_or(0, |account| account.idle)
+    }
+
+    /// Sets what a session asks for, in all; replaces what it asked before.
+    pub fn want(&mut self, session: Session, wanted: u32) {
+        self.accounts.entry(session).or_default().wanted = wanted;
+        if wanted > 0 && !self.leaving {
+            self.waiters.add(session);
+        } else {
+            self.waiters.remove(session);
+        }
+    }
+
+    /// Takes idle tokens back from a session; more than it has is taken as all.
+    pub fn give_back(&mut self, session: Session, count: u32) {
+        let Some(account) = self.accounts.get_mut(&session) else {
+            return;
+        };
+        account.idle -= count.min(account.idle);
+        account.recalled = 0;
+    }
+
+    /// Takes every idle token of a session back: its lease ended.
+    pub fn end_lease(&mut self, session: Session) -> u32 {
+        let idle = self.idle(session);
+        self.give_back(session, idle);
+        self.want(session, 0);
+        idle
+    }
+
+    /// Spends a token for a start; a session without one gets a free slot where there is one.
+    pub fn spend(&mut self, session: Session) -> bool {
+        if self.leaving {
+            return false;
+        }
+        let free = self.free();
+        let account = self.accounts.entry(session).or_default();
+        if account.idle > 0 {
+            account.idle -= 1;
+        } else if free == 0 {
+            return false;
+        }
+        account.busy += 1;
+        true
+    }
+
+    /// Ends a task that a session started; returns whether the session keeps the token.
+    ///
+    /// `waiting` says whether the session has work waiting for it. A session keeps its token
+    /// unless another waits that has fewer, or has work where this one has none.
+    pub fn finish(&mut self, session: Session, waiting: bool) -> bool {
+        let Some(account) = self.accounts.get_mut(&session) else {
+            self.orphans = self.orphans.saturating_sub(1);
+            return false;
+        };
+        debug_assert!(account.busy > 0, "a finished task was running");
+        account.busy = account.busy.saturating_sub(1);
+        let own = account.total();
+        if self.leaving || self.another_deserves(session, own, waiting) {
+            return false;
+        }
+        if let Some(account) = self.accounts.get_mut(&session) {
+            account.idle += 1;
+        }
+        true
+    }
+
+    fn another_deserves(&self, session: Session, own: u32, waiting: bool) -> bool {
+        let fewest = self
+            .waiters
+            .iter()
+            .filter(|waiter| *waiter != session)
+            .filter_map(|waiter| self.accounts.get(&waiter))
+            .map(|account| account.total())
+            .min();
+        fewest.is_some_and(|total| !waiting || total < own)
+    }
+
+    /// Forgets a session whose connection is gone: its tokens are free, its tasks run on.
+    pub fn close(&mut self, session: Session) {
+        if let Some(account) = self.accounts.remove(&session) {
+            self.orphans += account.busy;
+        }
+        self.waiters.remove(session);
+    }
+
+    /// Lends no more: the target is leaving. Idle tokens are void at once.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+        let sessions: Vec<Session> = self.accounts.keys().copied().collect();
+        for session in sessions {
+            self.end_lease(session);
+        }
+    }
+
+    /// Whether the target is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Shares free tokens among those who wait, and asks idle ones back where none is free.
+    pub fn turns(&mut self, out: &mut Vec<Turn>) {
+        self.grant_free(out);
+        self.recall_idle(out);
+    }
+
+    fn grant_free(&mut self, out: &mut Vec<Turn>) {
+        let mut free = self.free();
+        while free > 0 {
+            let Some(session) = self.waiters.next() else {
+                return;
+            };
+            let Some(account) = self.accounts.get_mut(&session) else {
+                self.waiters.remove(session);
+                continue;
+            };
+            account.idle += 1;
+            account.wanted -= 1;
+            if account.wanted == 0 {
+                self.waiters.remove(session);
+            }
+            free -= 1;
+            add_grant(out, session);
+        }
+    }
+
+    fn recall_idle(&mut self, out: &mut Vec<Turn>) {
+        let Some(fewest) = self.waiters.iter().next() else {
+            return;
+        };
+        let needy = self.accounts.get(&fewest).copied().unwrap_or_default();
+        let outstanding: u32 = self.accounts.values().map(|account| account.recalled).sum();
+        if outstanding > 0 {
+            return;
+        }
+        let richest = self
+            .accounts
+            .iter()
+            .filter(|(session, _)| **session != fewest)
+            .max_by_key(|(_, account)| account.idle);
+        let Some((session, account)) = richest.map(|(session, account)| (*session, *account))
+        else {
+            return;
+        };
+        if account.idle <= needy.idle {
+            return;
+        }
+        let count = needy.wanted.min((account.idle - needy.idle).div_ceil(2));
+        if let Some(account) = self.accounts.get_mut(&session) {
+            account.recalled = count;
+        }
+        out.push(Turn::Recall(session, count));
+    }
+}
+
+fn add_grant(out: &mut Vec<Turn>, session: Session) {
+    for turn in out.iter_mut() {
+        if let Turn::Grant(granted, count) = turn
+            && *granted == session
+        {
+            *count += 1;
+            return;
+        }
+    }
+    out.push(Turn::Grant(session, 1));
+}
--- /dev/null
+++ b/components/keeper/src/state.rs
@@ -0,0 +1,225 @@
+//! The state that every replica reaches by applying the same commands in the same order.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
+
+use model::Time;
+use serde::{Deserialize, Serialize};
+use settings::{Catalog, Edit, SectionPath, Tree};
+use wire::{ChangeRequest, ChangeResult, PullReply};
+
+/// Changes whose first answers are remembered: over a week at 1,200 a day.
+const RESULTS_KEPT: usize = 10_000;
+/// Versions whose edits are kept for nodes that lag; a longer lag gets the whole tree.
+const VERSIONS_KEPT: usize = 2_000;
+
+/// A change as it stands in the log, with the leader's time when it took it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Command {
+    /// The change.
+    pub request: ChangeRequest,
+    /// When the leader took it.
+    pub taken: Time,
+}
+
+/// The edits of one version.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Version {
+    version: u64,
+    edits: Vec<Edit>,
+}
+
+/// The settings tree with what is remembered of its changes.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct State {
+    version: u64,
+    tree: Tree,
+    recent: VecDeque<Version>,
+    results: HashMap<String, ChangeResult>,
+    /// Ids of remembered changes, oldest first.
+    order: VecDeque<String>,
+}
+
+impl State {
+    /// Version 1 of a fleet: the tree that a new keeper starts from.
+    pub fn new(tree: Tree) -> Self {
+        Self {
+            version: 1,
+            tree,
+            ..Self::default()
+        }
+    }
+
+    /// The version in force.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The tree in force.
+    pub fn tree(&self) -> &Tree {
+        &self.tree
+    }
+
+    /// Applies a command. The result depends on nothing but the state and the command.
+    pub fn apply(&mut self, command: &Command) -> ChangeResult {
+        let request = &command.request;
+        if let Some(first) = self.results.get(&request.change) {
+            return first.clone();
+        }
+        let result = self.decide(command);
+        self.results.insert(request.change.clone(), result.clone());
+        self.order.push_back(request.change.clone());
+        if self.order.len() > RESULTS_KEPT
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.results.remove(&oldest);
+        }
+        result
+    }
+
+    /// The first answer of a change, while it is remembered.
+    pub fn result(&self, change: &str) -> Option<&ChangeResult> {
+        self.results.get(change)
+    }
+
+    fn decide(&mut self, command: &Command) -> ChangeResult {
+        let request = &command.request;
+        if let Some(conflict) = self.conflict(request) {
+            return conflict;
+        }
+        let invalid = |reason: String| ChangeResult::Invalid { reason };
+        if request.edits.is_empty() {
+            return invalid("no edits".to_owned());
+        }
+        let edits = match self.with_previous_view(command) {
+            Ok(edits) => edits,
+            Err(reason) => return invalid(reason),
+        };
+        match self.tree.with(&edits) {
+            Ok(tree) => self.accept(tree, edits),
+            Err(error) => invalid(error.to_string()),
+        }
+    }
+
+    fn accept(&mut self, tree: Tree, edits: Vec<Edit>) -> ChangeResult {
+        self.version += 1;
+        self.tree = tree;
+        self.recent.push_back(Version {
+            version: self.version,
+            edits,
+        });
+        if self.recent.len() > VERSIONS_KEPT {
+            self.recent.pop_front();
+        }
+        ChangeResult::Accepted {
+            version: self.version,
+        }
+    }
+
+    /// Sections that both the change and others since its base version touch.
+    fn conflict(&self, request: &ChangeRequest) -> Option<ChangeResult> {
+        let conflict = |sections| {
+            Some(ChangeResult::Conflict {
+                version: self.version,
+                sections,
+            })
+        };
+        if request.base_version > self.version {
+            return conflict(Vec::new());
+        }
+        let behind = self.version - request.base_version;
+        let known = self.recent.len() as u64;
+        let own: BTreeSet<&SectionPath> = request.edits.iter().map(Edit::section).collect();
+        if behind > known {
+            return conflict(own.iter().map(|path| path.to_string()).collect());
+        }
+        let since = self
+            .recent
+            .iter()
+            .filter(|v| v.version > request.base_version);
+        let others: BTreeSet<&SectionPath> = since
+            .flat_map(|version| version.edits.iter().map(Edit::section))
+            .collect();
+        let both: Vec<String> = own
+            .intersection(&others)
+            .map(|path| path.to_string())
+            .collect();
+        if both.is_empty() {
+            None
+        } else {
+            conflict(both)
+        }
+    }
+
+    /// Adds to a change of the claim view the view before, which must agree as well until no
+    /// claim made under it alone can count any more.
+    fn with_previous_view(&self, command: &Command) -> Result<Vec<Edit>, String> {
+        let mut edits = command.request.edits.clone();
+        let fleet = SectionPath::fleet();
+        let key_of = |edit: &Edit| match edit {
+            Edit::Set { section, key, .. } | Edit::Unset { section, key } => {
+                (*section == fleet).then(|| key.clone())
+            }
+            Edit::Remove { section } => (*section == fleet).then(|| "claim_view".to_owned()),
+        };
+        let keys: Vec<String> = edits.iter().filter_map(key_of).collect();
+        if keys
+            .iter()
+            .any(|key| key.starts_with("previous_claim_view"))
+        {
+            return Err("[fleet] previous_claim_view: written by the keeper only".to_owned());
+        }
+        let before = Catalog::new(self.version, &self.tree).fleet().clone();
+        if !keys.iter().any(|key| key == "claim_view") || before.claim_view.is_empty() {
+            return Ok(edits);
+        }
+        if command.taken <= before.previous_claim_view_until {
+            let left = before
+                .previous_claim_view_until
+                .since(command.taken)
+                .as_secs();
+            return Err(format!(
+                "[fleet] claim_view: changed before; again in {left} s"
+            ));
+        }
+        let until = command.taken
+            + before.retention
+            + before.settings_age_max
+            + before.clock_skew * 2
+            + Duration::from_secs(1);
+        let set = |key: &str, value| Edit::Set {
+            section: fleet.clone(),
+            key: key.to_owned(),
+            value,
+        };
+        edits.push(set("previous_claim_view", before.claim_view.join(" ")));
+        let millis = (until.as_micros() / 1_000).to_string();
+        edits.push(set("previous_claim_view_until_ms", millis));
+        Ok(edits)
+    }
+
+    /// What a node needs that has a version, or none.
+    pub fn since(&self, have: Option<u64>) -> PullReply {
+        let snapshot = || PullReply::Snapshot {
+            version: self.version,
+            tree: self.tree.clone(),
+        };
+        let Some(have) = have else { return snapshot() };
+        if have >= self.version {
+            return PullReply::Current;
+        }
+        if self.version - have > self.recent.len() as u64 {
+            return snapshot();
+        }
+        let newer = self.recent.iter().filter(|version| version.version > have);
+        let edits: Vec<Vec<Edit>> = newer.map(|version| version.edits.clone()).collect();
+        let edit_count: usize = edits.iter().map(Vec::len).sum();
+        if edit_count > self.tree.paths().count() * settings::SERVICE_KEYS.len() {
+            return snapshot();
+        }
+        PullReply::Delta {
+            version: self.version,
+            edits,
+        }
+    }
+}
--- /dev/null
+++ b/components/model/src/expiry.rs
@@ -0,0 +1,60 @@
+//! What may be forgotten when.
+
+use std::collections::BTreeMap;
+
+use crate::Time;
+
+/// Keys by the whole second after which they may be forgotten.
+#[derive(Debug)]
+pub struct Expiry<K> {
+    seconds: BTreeMap<u64, Vec<K>>,
+}
+
+impl<K> Default for Expiry<K> {
+    fn default() -> Self {
+        Self {
+            seconds: BTreeMap::new(),
+        }
+    }
+}
+
+impl<K> Expiry<K> {
+    /// Notes that a key is kept until `until`, and up to a second longer.
+    pub fn insert(&mut self, key: K, until: Time) {
+        self.seconds
+            .entry(whole_seconds(until) + 1)
+            .or_default()
+            .push(key);
+    }
+
+    /// Takes out the keys that may be forgotten now.
+    pub fn due(&mut self, now: Time) -> Vec<K> {
+        let second = whole_seconds(now);
+        let mut due = Vec::new();
+        while let Some(first) = self.seconds.first_entry() {
+            if *first.key() >= second {
+                break;
+            }
+            due.extend(first.remove());
+        }
+        due
+    }
+}
+
+fn whole_seconds(time: Time) -> u64 {
+    time.as_micros() / 1_000_000
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn nothing_is_due_before_its_time() {
+        let mut expiry = Expiry::default();
+        expiry.insert('a', Time::from_millis(1_999));
+        assert!(expiry.due(Time::from_millis(2_999)).is_empty());
+        assert_eq!(expiry.due(Time::from_millis(3_000)), ['a']);
+        assert!(expiry.due(Time::from_millis(9_000)).is_empty());
+    }
+}
--- /dev/null
+++ b/components/model/src/lib.rs
@@ -0,0 +1,15 @@
+//! Identifiers, time and the verdict shared by every role.
+
+mod digest;
+mod expiry;
+mod failure;
+mod id;
+mod time;
+mod verdict;
+
+pub use digest::Digest;
+pub use expiry::Expiry;
+pub use failure::{Code, Failure};
+pub use id::{Incarnation, InvalidSubmission, NodeName, NodeRef, SubmissionId, TaskKey};
+pub use time::Time;
+pub use verdict::Verdict;
--- /dev/null
+++ b/components/net/src/rpc.rs
@@ -0,0 +1,63 @@
+//! tarpc connections.
+
+use std::future::Future;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use async_compat::Compat;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::FutureExt;
+use serde::{Deserialize, Serialize};
+use tarpc::context::Context;
+use tarpc::serde_transport::{self, Transport};
+use tokio_serde::formats::Bincode;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// Longest frame taken, in bytes: a relayed job with the largest body.
+const FRAME_BYTES_MAX: usize = 32 * 1024 * 1024;
+/// How long to wait for a connection.
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+/// Deadline of calls. Deadlines of work are part of the messages; a call itself ends with its
+/// answer or its connection, so that no answer is dropped that carries a token.
+const CALL_TIME: Duration = Duration::from_secs(24 * 3600);
+
+/// A connection of framed bincode messages.
+pub type Frames<Item, SinkItem> =
+    Transport<Compat<Async<TcpStream>>, Item, SinkItem, Bincode<Item, SinkItem>>;
+
+/// Connects, without Nagle's delay.
+pub async fn connect(address: SocketAddr) -> io::Result<Async<TcpStream>> {
+    let late = async {
+        Timer::after(CONNECT_TIME).await;
+        Err(io::Error::from(io::ErrorKind::TimedOut))
+    };
+    let stream = Async::<TcpStream>::connect(address).or(late).await?;
+    stream.get_ref().set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// Frames a connection.
+pub fn frames<Item, SinkItem>(stream: Async<TcpStream>) -> Frames<Item, SinkItem>
+where
+    Item: for<'de> Deserialize<'de>,
+    SinkItem: Serialize,
+{
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(FRAME_BYTES_MAX)
+        .new_codec();
+    serde_transport::new(Framed::new(Compat::new(stream), codec), Bincode::default())
+}
+
+/// Runs a future of tarpc's on an executor.
+pub fn spawn<'a>(executor: &LocalExecutor<'a>, future: impl Future<Output = ()> + 'a) {
+    executor.spawn(Compat::new(future)).detach();
+}
+
+/// The context of a call.
+pub fn call_context() -> Context {
+    let mut context = Context::current();
+    context.deadline = Instant::now() + CALL_TIME;
+    context
+}
--- /dev/null
+++ b/components/net/src/server.rs
@@ -0,0 +1,127 @@
+//! An HTTP/1.1 server that reads whole bodies within limits.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::FutureExt;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use thiserror::Error;
+
+/// Pause after an accept failed, so that a lack of file descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A whole body.
+pub type Body = Full<Bytes>;
+
+/// Why a request's body could not be had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum BodyError {
+    /// It is longer than the limit.
+    #[error("the body is too long")]
+    TooLong,
+    /// It did not come in time.
+    #[error("the body did not come in time")]
+    TooSlow,
+    /// The connection broke.
+    #[error("the body broke off")]
+    Broken,
+}
+
+/// What a client may take of the server.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Longest body, in bytes.
+    pub body_bytes: usize,
+    /// Longest time for a request's head, and again for its body.
+    pub read_time: Duration,
+    /// Most open connections; more wait to be accepted.
+    pub connections: usize,
+}
+
+/// Accepts connections for ever and answers each request by `handler`.
+pub async fn serve<'a, H, F>(
+    listener: Async<TcpListener>,
+    executor: Rc<LocalExecutor<'a>>,
+    limits: Limits,
+    handler: H,
+) where
+    H: Fn(Request<Result<Bytes, BodyError>>) -> F + Clone + 'a,
+    F: Future<Output = Response<Body>> + 'a,
+{
+    let open = Rc::new(());
+    loop {
+        // Every connection has a clone of `open`; the count is the number of connections.
+        if Rc::strong_count(&open) > limits.connections {
+            Timer::after(ACCEPT_PAUSE).await;
+            continue;
+        }
+        let Ok((stream, _)) = listener.accept().await else {
+            Timer::after(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let handler = handler.clone();
+        let open = open.clone();
+        let connection = async move {
+            serve_connection(stream, limits, handler).await;
+            drop(open);
+        };
+        executor.spawn(connection).detach();
+    }
+}
+
+async fn serve_connection<H, F>(stream: Async<TcpStream>, limits: Limits, handler: H)
+where
+    H: Fn(Request<Result<Bytes, BodyError>>) -> F + Clone,
+    F: Future<Output = Response<Body>>,
+{
+    // Without it answers still come, only later.
+    let _ = stream.get_ref().set_nodelay(true);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let handler = handler.clone();
+        async move {
+            let (head, body) = request.into_parts();
+            let body = read_body(body, limits).await;
+            let broken = body.is_err();
+            let mut response = handler(Request::from_parts(head, body)).await;
+            if broken {
+                // The rest of the body is unread: the connection can't be used again.
+                let close = hyper::header::HeaderValue::from_static("close");
+                response
+                    .headers_mut()
+                    .insert(hyper::header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(limits.read_time)
+        .serve_connection(FuturesIo::new(stream), service);
+    // A client that goes away is no concern of the others.
+    let _ = connection.await;
+}
+
+async fn read_body(body: Incoming, limits: Limits) -> Result<Bytes, BodyError> {
+    let read = async {
+        match Limited::new(body, limits.body_bytes).collect().await {
+            Ok(whole) => Ok(whole.to_bytes()),
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLong),
+            Err(_) => Err(BodyError::Broken),
+        }
+    };
+    let late = async {
+        Timer::after(limits.read_time).await;
+        Err(BodyError::TooSlow)
+    };
+    read.or(late).await
+}
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,15 @@
+//! The settings tree: one typed schema, inheritance, validation and INI text.
+
+mod catalog;
+mod error;
+mod keys;
+mod path;
+mod schema;
+mod tree;
+
+pub use catalog::{Catalog, Fleet, KindSettings, ServiceState, TeamSettings};
+pub use error::SettingsError;
+pub use keys::{FLEET_KEYS, SERVICE_KEYS, TEAM_KEYS, print_reference};
+pub use path::{Scope, SectionPath};
+pub use schema::{Key, Value, ValueType};
+pub use tree::{Edit, Tree, parse_ini};
--- /dev/null
+++ b/components/settings/src/schema.rs
@@ -0,0 +1,184 @@
+//! Typed keys: what a setting may hold, its unit, range and default.
+
+/// What a key's value may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ValueType {
+    /// A whole number within a range, in a unit.
+    Integer {
+        /// The smallest value taken.
+        min: u64,
+        /// The largest value taken.
+        max: u64,
+        /// The unit, for people.
+        unit: &'static str,
+    },
+    /// `true` or `false`.
+    Flag,
+    /// One of a few words.
+    Choice(&'static [&'static str]),
+    /// Any text without line breaks.
+    Text,
+    /// Agents as `NAME@RACK`, parted by spaces.
+    Members,
+}
+
+/// One setting's name, type, default and meaning.
+#[derive(Clone, Copy, Debug)]
+pub struct Key {
+    /// The name as written in INI.
+    pub name: &'static str,
+    /// What it may hold.
+    pub value_type: ValueType,
+    /// The value in force where none is written.
+    pub default: &'static str,
+    /// One sentence on what it does.
+    pub help: &'static str,
+}
+
+/// A value read by its key's type.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Value {
+    /// A whole number.
+    Integer(u64),
+    /// `true` or `false`.
+    Flag(bool),
+    /// A word or a text.
+    Text(String),
+    /// Words in order.
+    List(Vec<String>),
+}
+
+impl Key {
+    /// Reads a value, or says in a clause why it can't be taken.
+    pub fn read(&self, text: &str) -> Result<Value, String> {
+        match self.value_type {
+            ValueType::Integer { min, max, unit } => read_integer(text, min, max, unit),
+            ValueType::Flag => read_flag(text),
+            ValueType::Choice(words) => read_choice(text, words),
+            ValueType::Text => read_text(text),
+            ValueType::Members => read_members(text),
+        }
+    }
+
+    /// The type in words, with unit and range.
+    pub fn describe_type(&self) -> String {
+        match self.value_type {
+            ValueType::Integer { min, max, unit } => format!("integer {min} to {max}, {unit}"),
+            ValueType::Flag => "true or false".to_owned(),
+            ValueType::Choice(words) => words.join(" or "),
+            ValueType::Text => "text".to_owned(),
+            ValueType::Members => "NAME@RACK, parted by spaces".to_owned(),
+        }
+    }
+
+    /// Finds a key by name.
+    pub fn find<'a>(keys: &'a [Key], name: &str) -> Option<&'a Key> {
+        keys.iter().find(|key| key.name == name)
+    }
+}
+
+impl Value {
+    /// The whole number. Panics when the schema gave another type: a bug in the caller.
+    pub fn integer(&self) -> u64 {
+        match self {
+            Self::Integer(number) => *number,
+            other => panic!("not an integer key: {other:?}"),
+        }
+    }
+
+    /// The flag. Panics when the schema gave another type: a bug in the caller.
+    pub fn flag(&self) -> bool {
+        match self {
+            Self::Flag(flag) => *flag,
+            other => panic!("not a flag key: {other:?}"),
+        }
+    }
+
+    /// The text or word. Panics when the schema gave another type: a bug in the caller.
+    pub fn text(&self) -> &str {
+        match self {
+            Self::Text(text) => text,
+            other => panic!("not a text key: {other:?}"),
+        }
+    }
+
+    /// The words. Panics when the schema gave another type: a bug in the caller.
+    pub fn list(&self) -> &[String] {
+        match self {
+            Self::List(words) => words,
+            other => panic!("not a list key: {other:?}"),
+        }
+    }
+}
+
+fn read_integer(text: &str, min: u64, max: u64, unit: &str) -> Result<Value, String> {
+    let number: u64 = text
+        .parse()
+        .map_err(|_| format!("'{text}' is not a whole number ({unit})"))?;
+    if number < min || number > max {
+        return Err(format!("{number} is out of range {min} to {max} ({unit})"));
+    }
+    Ok(Value::Integer(number))
+}
+
+fn read_flag(text: &str) -> Result<Value, String> {
+    match text {
+        "true" => Ok(Value::Flag(true)),
+        "false" => Ok(Value::Flag(false)),
+        _ => Err(format!("'{text}' is neither true nor false")),
+    }
+}
+
+fn read_choice(text: &str, words: &[&str]) -> Result<Value, String> {
+    if words.contains(&text) {
+        return Ok(Value::Text(text.to_owned()));
+    }
+    Err(format!("'{text}' is none of: {}", words.join(", ")))
+}
+
+fn read_text(text: &str) -> Result<Value, String> {
+    if text.contains(['\n', '\r']) {
+        return Err("a value has one line".to_owned());
+    }
+    Ok(Value::Text(text.to_owned()))
+}
+
+fn read_members(text: &str) -> Result<Value, String> {
+    let words: Vec<String> = text.split_whitespace().map(str::to_owned).collect();
+    let mut names: Vec<&str> = Vec::with_capacity(words.len());
+    for word in &words {
+        match word.split_once('@') {
+            Some((name, rack)) if !name.is_empty() && !rack.is_empty() => names.push(name),
+            _ => return Err(format!("'{word}' is not NAME@RACK")),
+        }
+    }
+    names.sort_unstable();
+    if let Some(twice) = names.windows(2).find(|pair| pair[0] == pair[1]) {
+        return Err(format!("'{}' stands twice", twice[0]));
+    }
+    Ok(Value::List(words))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LIMIT: Key = Key {
+        name: "limit",
+        value_type: ValueType::Integer {
+            min: 1,
+            max: 690,
+            unit: "tasks",
+        },
+        default: "690",
+        help: "",
+    };
+
+    #[test]
+    fn integers_keep_to_their_range() {
+        assert_eq!(LIMIT.read("690"), Ok(Value::Integer(690)));
+        assert!(LIMIT.read("0").unwrap_err().contains("out of range"));
+        assert!(LIMIT.read("691").unwrap_err().contains("out of range"));
+        assert!(LIMIT.read("5s").unwrap_err().contains("not a whole number"));
+    }
+}
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,13 @@
+//! What the roles report of themselves: counters, message accounts, breaches and decisions.
+//!
+//! All of it is plain data that the decision libraries fill; writing it to logs is the daemon's.
+
+mod breach;
+mod decision;
+mod latency;
+mod messages;
+
+pub use breach::Breach;
+pub use decision::{Decision, Step};
+pub use latency::Latency;
+pub use messages::{MessageCounts, MessageKind};
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,19 @@
+//! Messages between dockpass's own processes, and the tarpc services that carry them.
+//!
+//! Every message is a plain typed value, so that tests and traces use the same ones as the daemon.
+
+// The service macro makes items that it does not document.
+#![allow(missing_docs)]
+
+mod agent;
+mod entry;
+mod keeper;
+
+pub use agent::{
+    AgentInfo, AgentService, AgentServiceClient, HelloRequest, SettleReply, SettleRequest,
+    StartRefusal, StartReply, StartRequest, StartResult, SyncReply, SyncRequest,
+};
+pub use entry::{EntryService, EntryServiceClient, RelayReply, RelayRequest};
+pub use keeper::{
+    ChangeRequest, ChangeResult, KeeperService, KeeperServiceClient, PullReply, PullRequest,
+};
--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
