--- a/components/admission/src/estimate.rs
+++ b/components/admission/src/estimate.rs
@@ -32,11 +32,7 @@
     const MEAN: Duration = Duration::from_millis(100);
 
     fn estimate_ms(tasks_ahead: usize, idle: u32, tasks: usize) -> u128 {
-        let load = Load {
-            tasks_ahead,
-            idle,
-            slots: 10,
-        };
+        let load = Load { tasks_ahead, idle, slots: 10 };
         estimate(&ServiceTimes::new(MEAN), load, tasks).as_millis()
     }
 
--- a/components/admission/src/service_times.rs
+++ b/components/admission/src/service_times.rs
@@ -23,11 +23,7 @@
     /// No times yet; `expected` stands in until there are enough.
     pub fn new(expected: Duration) -> Self {
         let empty = Histogram::new_with_bounds(1, LONGEST_MS, 1).expect("constant bounds");
-        Self {
-            expected,
-            recent: empty.clone(),
-            older: empty,
-        }
+        Self { expected, recent: empty.clone(), older: empty }
     }
 
     /// Adds the time of one task.
@@ -41,11 +37,7 @@
     }
 
     fn known(&self) -> &Histogram<u32> {
-        if self.older.len() > self.recent.len() {
-            &self.older
-        } else {
-            &self.recent
-        }
+        if self.older.len() > self.recent.len() { &self.older } else { &self.recent }
     }
 
     /// The mean time.
--- a/components/agent/src/agent.rs
+++ b/components/agent/src/agent.rs
@@ -2,19 +2,20 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use claims::{ClaimReply, ClaimRequest, Register, Window};
 use execution::{Ledger, Limits, Session, Settled, StartOutcome, StartTable, TaskOutcome, Turn};
 use model::{NodeRef, SubmissionId, TaskKey, Time};
 use settings::Fleet;
-use telemetry::{Breach, MessageKind};
+use telemetry::{AgentCounters, Breach, MessageKind};
 use wire::{
-    AgentInfo, SettleReply, SettleRequest, StartRefusal, StartReply, StartRequest, StartResult,
-    SyncReply, SyncRequest,
+    AgentInfo, AgentStatus, SettleReply, SettleRequest, StartRefusal, StartReply, StartRequest,
+    StartResult, SyncReply, SyncRequest,
 };
 
 use crate::sessions::{Sessions, Waiting};
-use crate::{Action, CallId, Counters, Event, News, Reply, Request};
+use crate::{Action, CallId, Event, News, Reply, Request};
 
 /// Memory for outcomes that wait to be settled, in bytes.
 const OUTCOME_BYTES: usize = 4 * 1024 * 1024;
@@ -22,6 +23,8 @@
 const SYNC_PART_OF_LEASE: u32 = 2;
 /// Part of a token lease that an entry may be silent beyond it, for the way of a frame.
 const LEASE_GRACE_PART: u32 = 4;
+/// After this a target that could not be reached is tried again.
+const TARGET_RETRY: Duration = Duration::from_millis(500);
 
 /// What an agent knows of itself at its start.
 #[derive(Clone, Debug)]
@@ -61,9 +64,11 @@
     ledger: Ledger,
     sessions: Sessions,
     running: HashMap<TaskKey, Running>,
-    counters: Counters,
+    counters: AgentCounters,
     expired: Time,
     drained: bool,
+    /// Until when nothing is handed to a target that could not be reached.
+    paused_until: Option<Time>,
 }
 
 impl Agent {
@@ -71,15 +76,14 @@
     pub fn new(setup: Setup, settings_version: u64, fleet: Arc<Fleet>) -> Self {
         Self {
             register: Register::new(setup.started),
-            table: StartTable::new(Limits {
-                outcome_bytes: OUTCOME_BYTES,
-            }),
+            table: StartTable::new(Limits { outcome_bytes: OUTCOME_BYTES }),
             ledger: Ledger::new(setup.slots),
             sessions: Sessions::default(),
             running: HashMap::new(),
-            counters: Counters::default(),
+            counters: AgentCounters::default(),
             expired: setup.started,
             drained: false,
+            paused_until: None,
             setup,
             fleet,
             settings_version,
@@ -89,13 +93,9 @@
     /// Takes an event and adds the actions that follow.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::Call {
-                session,
-                call,
-                request,
-            } => self.call(now, session, call, request, out),
+            Event::Call { session, call, request } => self.call(now, session, call, request, out),
             Event::Closed { session } => self.close(session, out),
-            Event::Ended { key, outcome } => self.end(key, outcome, out),
+            Event::Ended { key, outcome } => self.end(now, key, outcome, out),
             Event::Settings { version, fleet } => self.settings(version, fleet, out),
             Event::Leave => self.leave(out),
             Event::Tick => {}
@@ -107,12 +107,13 @@
 
     /// When the next tick is due.
     pub fn next_timer(&self) -> Option<Time> {
-        self.sessions.next_timer(self.lease_with_grace())
+        let sessions = self.sessions.next_timer(self.lease_with_grace());
+        sessions.into_iter().chain(self.paused_until).min()
     }
 
-    /// Counters and present sizes.
-    pub fn counters(&self) -> Counters {
-        Counters {
+    /// AgentCounters and present sizes.
+    pub fn counters(&self) -> AgentCounters {
+        AgentCounters {
             claims: self.register.len() as u64,
             tasks: self.table.len() as u64,
             outcome_bytes: self.table.held_bytes() as u64,
@@ -127,13 +128,10 @@
     }
 
     fn window(&self) -> Window {
-        Window {
-            retention: self.fleet.retention,
-            clock_skew: self.fleet.clock_skew,
-        }
+        Window { retention: self.fleet.retention, clock_skew: self.fleet.clock_skew }
     }
 
-    fn lease_with_grace(&self) -> std::time::Duration {
+    fn lease_with_grace(&self) -> Duration {
         self.fleet.token_lease + self.fleet.token_lease / LEASE_GRACE_PART
     }
 
@@ -151,12 +149,16 @@
             let reply = Reply::Hello(self.info());
             return self.reply(call, reply, out);
         }
+        if request == Request::Status {
+            let reply = Reply::Status(Box::new(self.status()));
+            return out.push(Action::Reply { call, reply });
+        }
         if !self.sessions.hear(session, now) {
             self.counters.stale += 1;
             return;
         }
         match request {
-            Request::Hello(_) => {}
+            Request::Hello(_) | Request::Status => {}
             Request::Claim(request) => self.claim(now, call, &request, out),
             Request::Lookup(submission) => self.lookup(now, call, submission, out),
             Request::Start(request) => self.start(now, session, call, request, out),
@@ -178,13 +180,21 @@
         }
     }
 
+    fn status(&self) -> AgentStatus {
+        AgentStatus {
+            info: self.info(),
+            settings_version: self.settings_version,
+            counters: self.counters(),
+        }
+    }
+
     fn reply(&mut self, call: CallId, reply: Reply, out: &mut Vec<Action>) {
         self.counters.messages.sent(match &reply {
             Reply::Hello(_) => MessageKind::Hello,
             Reply::Claim(_) | Reply::Lookup(_) => MessageKind::Claim,
             Reply::Start(_) => MessageKind::Start,
             Reply::Settle(_) => MessageKind::Settle,
-            Reply::Sync(_) => MessageKind::Sync,
+            Reply::Sync(_) | Reply::Status(_) => MessageKind::Sync,
         });
         out.push(Action::Reply { call, reply });
     }
@@ -224,11 +234,7 @@
         }
         if !self.ledger.spend(session) {
             let leaving = self.ledger.is_leaving();
-            let why = if leaving {
-                StartRefusal::Leaving
-            } else {
-                StartRefusal::NoSlot
-            };
+            let why = if leaving { StartRefusal::Leaving } else { StartRefusal::NoSlot };
             return self.refuse(call, &request, why, out);
         }
         self.start_new(session, call, request, out);
@@ -245,21 +251,13 @@
         let outcome = self.table.start(request.key, &request.owner, keep_until);
         debug_assert_eq!(outcome, StartOutcome::Starts);
         self.counters.started += 1;
-        let running = Running {
-            session,
-            waiting: request.waiting,
-            starts: vec![call],
-            settles: Vec::new(),
-        };
+        let running =
+            Running { session, waiting: request.waiting, starts: vec![call], settles: Vec::new() };
         self.running.insert(request.key, running);
         if self.running.len() > self.setup.slots as usize {
             self.breach(Breach::SlotsOverdrawn, out);
         }
-        out.push(Action::Run {
-            key: request.key,
-            task: request.task,
-            deadline: request.deadline,
-        });
+        out.push(Action::Run { key: request.key, task: request.task, deadline: request.deadline });
     }
 
     /// A start of a task that the table knows: answered from it, never started again.
@@ -283,14 +281,7 @@
             StartOutcome::Barred => StartResult::NotRun(StartRefusal::Barred),
             StartOutcome::OtherOwner(first) => {
                 let second = request.owner.clone();
-                self.breach(
-                    Breach::TwoOwners {
-                        key: request.key,
-                        first,
-                        second,
-                    },
-                    out,
-                );
+                self.breach(Breach::TwoOwners { key: request.key, first, second }, out);
                 StartResult::Unknown
             }
         };
@@ -343,23 +334,22 @@
         self.reply(call, Reply::Settle(reply), out);
     }
 
-    fn end(&mut self, key: TaskKey, outcome: TaskOutcome, out: &mut Vec<Action>) {
+    fn end(&mut self, now: Time, key: TaskKey, outcome: TaskOutcome, out: &mut Vec<Action>) {
         let known = self.table.end(key, outcome.clone());
         let Some(running) = self.running.remove(&key).filter(|_| known) else {
             return self.breach(Breach::EndedTwice(key), out);
         };
         self.counters.ended += 1;
+        if matches!(outcome, TaskOutcome::NeverSent(_)) {
+            self.pause(now, out);
+        }
         let mut token = self.ledger.finish(running.session, running.waiting);
         for call in running.starts {
             self.reply_start(call, StartResult::Ended(outcome.clone()), token, out);
             token = false;
         }
         for call in running.settles {
-            self.reply(
-                call,
-                Reply::Settle(SettleReply::Ended(outcome.clone())),
-                out,
-            );
+            self.reply(call, Reply::Settle(SettleReply::Ended(outcome.clone())), out);
         }
     }
 
@@ -440,10 +430,7 @@
 
     fn settings(&mut self, version: u64, fleet: Arc<Fleet>, out: &mut Vec<Action>) {
         if version < self.settings_version {
-            let breach = Breach::SettingsWentBack {
-                have: self.settings_version,
-                got: version,
-            };
+            let breach = Breach::SettingsWentBack { have: self.settings_version, got: version };
             return self.breach(breach, out);
         }
         self.settings_version = version;
@@ -451,23 +438,39 @@
         out.push(Action::News(News::Settings(version)));
     }
 
+    /// The target can't be reached: its slots are no use until it is tried again.
+    fn pause(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.paused_until.is_none() {
+            out.push(Action::News(News::TargetUnreachable));
+        }
+        self.paused_until = Some(now + TARGET_RETRY);
+        self.ledger.pause();
+        self.tell_all(|news| news.void = true, out);
+    }
+
     fn leave(&mut self, out: &mut Vec<Action>) {
         if self.ledger.is_leaving() {
             return;
         }
         self.ledger.leave();
         out.push(Action::News(News::Leaving));
-        let sessions: Vec<Session> = self
-            .sessions
-            .iter_mut()
-            .map(|(session, _)| session)
-            .collect();
+        self.tell_all(|news| news.leaving = true, out);
+    }
+
+    /// Tells every session.
+    fn tell_all(&mut self, change: impl Fn(&mut SyncReply), out: &mut Vec<Action>) {
+        let sessions: Vec<Session> = self.sessions.iter_mut().map(|(session, _)| session).collect();
         for session in sessions {
-            self.tell(session, |news| news.leaving = true, out);
+            self.tell(session, &change, out);
         }
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.paused_until.is_some_and(|until| until <= now) {
+            self.paused_until = None;
+            self.ledger.resume();
+            self.give_turns(out);
+        }
         self.answer_long_exchanges(now, out);
         for session in self.sessions.silent(self.lease_with_grace(), now) {
             let idle = self.ledger.end_lease(session);
--- a/components/agent/src/event.rs
+++ b/components/agent/src/event.rs
@@ -9,8 +9,8 @@
 use settings::Fleet;
 use telemetry::Breach;
 use wire::{
-    AgentInfo, HelloRequest, SettleReply, SettleRequest, StartReply, StartRequest, SyncReply,
-    SyncRequest,
+    AgentInfo, AgentStatus, HelloRequest, SettleReply, SettleRequest, StartReply, StartRequest,
+    SyncReply, SyncRequest,
 };
 
 /// A call that waits for its reply, numbered by the daemon.
@@ -32,6 +32,8 @@
     Settle(SettleRequest),
     /// Exchanges tokens.
     Sync(SyncRequest),
+    /// Asks for the counters.
+    Status,
 }
 
 /// A call's reply.
@@ -49,6 +51,8 @@
     Settle(SettleReply),
     /// To a token exchange.
     Sync(SyncReply),
+    /// To a question for the counters.
+    Status(Box<AgentStatus>),
 }
 
 /// What reaches an agent.
@@ -120,6 +124,8 @@
     SessionClosed(Session),
     /// A silent session's tokens were taken back.
     LeaseEnded(Session, u32),
+    /// The target could not be reached: its slots are not lent for a while.
+    TargetUnreachable,
     /// The target takes no more work.
     Leaving,
     /// Leaving, and nothing runs any more.
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -4,10 +4,8 @@
 //! actions that follow.
 
 mod agent;
-mod counters;
 mod event;
 mod sessions;
 
 pub use agent::{Agent, Setup};
-pub use counters::Counters;
 pub use event::{Action, CallId, Event, News, Reply, Request};
--- a/components/agent/src/sessions.rs
+++ b/components/agent/src/sessions.rs
@@ -45,11 +45,7 @@
 impl Sessions {
     /// Opens a session, or hears of an open one.
     pub fn open(&mut self, session: Session, now: Time) {
-        let fresh = SessionState {
-            heard: now,
-            waiting: None,
-            news: SyncReply::default(),
-        };
+        let fresh = SessionState { heard: now, waiting: None, news: SyncReply::default() };
         self.open.entry(session).or_insert(fresh).heard = now;
     }
 
@@ -73,19 +69,13 @@
     }
 
     pub fn iter_mut(&mut self) -> impl Iterator<Item = (Session, &mut SessionState)> {
-        self.open
-            .iter_mut()
-            .map(|(session, state)| (*session, state))
+        self.open.iter_mut().map(|(session, state)| (*session, state))
     }
 
     /// Sessions silent for longer than the lease.
     pub fn silent(&self, lease: Duration, now: Time) -> Vec<Session> {
         let silent = |(_, state): &(&Session, &SessionState)| state.heard + lease <= now;
-        self.open
-            .iter()
-            .filter(silent)
-            .map(|(session, _)| *session)
-            .collect()
+        self.open.iter().filter(silent).map(|(session, _)| *session).collect()
     }
 
     /// The next moment at which something is due.
--- a/components/api/src/answer.rs
+++ b/components/api/src/answer.rs
@@ -70,17 +70,8 @@
 
 fn write_answers(submission: SubmissionId, answers: &[Arc<str>]) -> Answer {
     let submission = SubmissionText(submission);
-    let body = CompleteBody {
-        submission,
-        outcome: Outcome::Complete,
-        answers,
-    };
-    Answer {
-        status: 200,
-        verdict: None,
-        retry_after: None,
-        body: to_json(&body),
-    }
+    let body = CompleteBody { submission, outcome: Outcome::Complete, answers };
+    Answer { status: 200, verdict: None, retry_after: None, body: to_json(&body) }
 }
 
 fn write_failure(submission: Option<SubmissionId>, failure: &Failure) -> Answer {
--- a/components/api/src/body.rs
+++ b/components/api/src/body.rs
@@ -93,19 +93,12 @@
         let message = format!("{} tasks, at most {TASKS_MAX}", work.tasks.len());
         return Err(Failure::new(Code::TooLarge, Verdict::NotRun, message));
     }
-    if work
-        .deadline_ms
-        .is_some_and(|millis| millis == 0 || millis > DEADLINE_MAX_MS)
-    {
+    if work.deadline_ms.is_some_and(|millis| millis == 0 || millis > DEADLINE_MAX_MS) {
         return bad("deadline_ms is 1 to 600000");
     }
     Ok(work)
 }
 
 fn bad_json(error: serde_json::Error) -> Failure {
-    Failure::new(
-        Code::BadBody,
-        Verdict::NotRun,
-        format!("not the JSON asked for: {error}"),
-    )
+    Failure::new(Code::BadBody, Verdict::NotRun, format!("not the JSON asked for: {error}"))
 }
--- a/components/api/src/route.rs
+++ b/components/api/src/route.rs
@@ -42,8 +42,7 @@
 }
 
 fn read_id(text: &str) -> Result<SubmissionId, Failure> {
-    text.parse()
-        .map_err(|error| Failure::new(Code::BadId, Verdict::NotRun, format!("{error}")))
+    text.parse().map_err(|error| Failure::new(Code::BadId, Verdict::NotRun, format!("{error}")))
 }
 
 fn no_such_path(method: &str, path: &str) -> Result<Route, Failure> {
--- a/components/api/tests/caller_interface.rs
+++ b/components/api/tests/caller_interface.rs
@@ -12,23 +12,14 @@
 fn routes_by_method_and_path() {
     let id = id();
     let route = |method, path: String| read_route(method, &path);
-    assert_eq!(
-        route("PUT", format!("/v1/jobs/{id}")),
-        Ok(Route::SubmitJob(id))
-    );
+    assert_eq!(route("PUT", format!("/v1/jobs/{id}")), Ok(Route::SubmitJob(id)));
     assert_eq!(route("GET", format!("/v1/jobs/{id}")), Ok(Route::Fetch(id)));
-    assert_eq!(
-        route("PUT", format!("/v1/requests/{id}")),
-        Ok(Route::SubmitRequest(id))
-    );
+    assert_eq!(route("PUT", format!("/v1/requests/{id}")), Ok(Route::SubmitRequest(id)));
     assert_eq!(route("GET", "/ready".to_owned()), Ok(Route::Ready));
     let code = |method, path: &str| read_route(method, path).unwrap_err().code;
     assert_eq!(code("DELETE", &format!("/v1/jobs/{id}")), Code::NoSuchPath);
     assert_eq!(code("PUT", "/v1/jobs/7"), Code::BadId);
-    assert_eq!(
-        code("PUT", "/v1/jobs/6f1c3f6e-3d2a-4c1b-9a51-0d8f3c2b1a00"),
-        Code::BadId
-    );
+    assert_eq!(code("PUT", "/v1/jobs/6f1c3f6e-3d2a-4c1b-9a51-0d8f3c2b1a00"), Code::BadId);
 }
 
 #[test]
@@ -40,35 +31,16 @@
         ("", Code::BadBody),
         ("[]", Code::BadBody),
         (r#"{"service":"booking","kind":"holds"}"#, Code::BadBody),
-        (
-            r#"{"service":"booking","kind":"holds","tasks":[]}"#,
-            Code::BadBody,
-        ),
-        (
-            r#"{"service":"booking","kind":"holds","tasks":[7]}"#,
-            Code::BadBody,
-        ),
-        (
-            r#"{"service":"booking","kind":"holds","tasks":["a"],"dead":1}"#,
-            Code::BadBody,
-        ),
-        (
-            r#"{"service":"booking","kind":"holds","tasks":["a"],"deadline_ms":0}"#,
-            Code::BadBody,
-        ),
-        (
-            r#"{"service":"booking","kind":"holds","tasks":["a"],"deadline_ms":-1}"#,
-            Code::BadBody,
-        ),
+        (r#"{"service":"booking","kind":"holds","tasks":[]}"#, Code::BadBody),
+        (r#"{"service":"booking","kind":"holds","tasks":[7]}"#, Code::BadBody),
+        (r#"{"service":"booking","kind":"holds","tasks":["a"],"dead":1}"#, Code::BadBody),
+        (r#"{"service":"booking","kind":"holds","tasks":["a"],"deadline_ms":0}"#, Code::BadBody),
+        (r#"{"service":"booking","kind":"holds","tasks":["a"],"deadline_ms":-1}"#, Code::BadBody),
         (&too_many, Code::TooLarge),
     ];
     for (body, code) in cases {
         let failure = read_job(body.as_bytes()).unwrap_err();
-        assert_eq!(
-            (failure.code, failure.verdict),
-            (code, Verdict::NotRun),
-            "{body}"
-        );
+        assert_eq!((failure.code, failure.verdict), (code, Verdict::NotRun), "{body}");
     }
 }
 
@@ -80,17 +52,11 @@
 
 #[test]
 fn outcomes_are_whole_or_carry_their_verdict() {
-    let answers = [
-        std::sync::Arc::from("seat 4A"),
-        std::sync::Arc::from("seat \"4B\""),
-    ];
+    let answers = [std::sync::Arc::from("seat 4A"), std::sync::Arc::from("seat \"4B\"")];
     let whole = write_outcome(Some(id()), &Ok(answers.into()));
     assert_eq!((whole.status, whole.verdict), (200, None));
     let body: serde_json::Value = serde_json::from_str(&whole.body).unwrap();
-    assert_eq!(
-        body["answers"],
-        serde_json::json!(["seat 4A", "seat \"4B\""])
-    );
+    assert_eq!(body["answers"], serde_json::json!(["seat 4A", "seat \"4B\""]));
     let refusal = Failure::new(Code::Overloaded, Verdict::NotRun, "full").retry_after(1_200);
     let refused = write_outcome(Some(id()), &Err(refusal));
     assert_eq!((refused.status, refused.retry_after), (503, Some(2)));
--- a/components/claims/src/round.rs
+++ b/components/claims/src/round.rs
@@ -65,10 +65,7 @@
 impl Round {
     /// A round over the holders of each view that must agree.
     pub fn new(groups: Vec<Vec<NodeName>>) -> Self {
-        Self {
-            groups,
-            votes: HashMap::new(),
-        }
+        Self { groups, votes: HashMap::new() }
     }
 
     /// Every holder to ask, each once.
@@ -93,11 +90,7 @@
 
     /// Where the round stands.
     pub fn state(&self) -> RoundState {
-        if self
-            .groups
-            .iter()
-            .all(|group| self.granted(group) >= majority(group))
-        {
+        if self.groups.iter().all(|group| self.granted(group) >= majority(group)) {
             return RoundState::Won;
         }
         if self.groups.iter().all(|group| self.still_possible(group)) {
@@ -136,10 +129,7 @@
     }
 
     fn all_replied(&self) -> bool {
-        self.groups
-            .iter()
-            .flatten()
-            .all(|name| self.votes.contains_key(name))
+        self.groups.iter().flatten().all(|name| self.votes.contains_key(name))
     }
 
     /// The claim that most holders have, where any has another's.
@@ -150,9 +140,7 @@
                 counts.entry(&claim.owner).or_insert((0, claim)).0 += 1;
             }
         }
-        let most = counts
-            .into_values()
-            .max_by_key(|(count, claim)| (*count, claim.owner.clone()));
+        let most = counts.into_values().max_by_key(|(count, claim)| (*count, claim.owner.clone()));
         most.map(|(_, claim)| claim.clone())
     }
 }
--- a/components/claims/src/view.rs
+++ b/components/claims/src/view.rs
@@ -29,10 +29,9 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         match text.split_once('@') {
-            Some((name, rack)) if !name.is_empty() && !rack.is_empty() => Ok(Self {
-                name: NodeName::new(name),
-                rack: rack.to_owned(),
-            }),
+            Some((name, rack)) if !name.is_empty() && !rack.is_empty() => {
+                Ok(Self { name: NodeName::new(name), rack: rack.to_owned() })
+            }
             _ => Err(InvalidMember(text.to_owned())),
         }
     }
@@ -69,18 +68,11 @@
         for member in members {
             let name = member.name.clone();
             let hash = xxh3_64(name.as_str().as_bytes());
-            racks
-                .entry(&member.rack)
-                .or_default()
-                .push(Seat { name, hash });
-        }
-        let ready = |(rack, seats): (&str, Vec<Seat>)| Rack {
-            hash: xxh3_64(rack.as_bytes()),
-            seats,
-        };
-        Self {
-            racks: racks.into_iter().map(ready).collect(),
+            racks.entry(&member.rack).or_default().push(Seat { name, hash });
         }
+        let ready =
+            |(rack, seats): (&str, Vec<Seat>)| Rack { hash: xxh3_64(rack.as_bytes()), seats };
+        Self { racks: racks.into_iter().map(ready).collect() }
     }
 
     /// The agents that hold this submission's claim: three, or all there are.
--- a/components/claims/src/window.rs
+++ b/components/claims/src/window.rs
@@ -58,10 +58,8 @@
 mod tests {
     use super::*;
 
-    const WINDOW: Window = Window {
-        retention: Duration::from_secs(600),
-        clock_skew: Duration::from_millis(250),
-    };
+    const WINDOW: Window =
+        Window { retention: Duration::from_secs(600), clock_skew: Duration::from_millis(250) };
 
     fn age_at(made_ms: u64, now_ms: u64) -> Age {
         let id = SubmissionId::from_parts(Time::from_millis(made_ms), 7);
--- a/components/claims/tests/claims.rs
+++ b/components/claims/tests/claims.rs
@@ -11,39 +11,26 @@
 use proptest::prelude::*;
 
 const START: Time = Time::from_millis(1_000_000);
-const WINDOW: Window = Window {
-    retention: Duration::from_secs(600),
-    clock_skew: Duration::from_millis(250),
-};
+const WINDOW: Window =
+    Window { retention: Duration::from_secs(600), clock_skew: Duration::from_millis(250) };
 
 fn submission(random: u128) -> SubmissionId {
     SubmissionId::from_parts(START + Duration::from_secs(5), random)
 }
 
 fn claim(entry: u64) -> Claim {
-    let owner = NodeRef {
-        name: NodeName::new(&format!("e{entry}")),
-        incarnation: Incarnation(1),
-    };
-    Claim {
-        owner,
-        digest: Digest::of("booking", "holds", false, ["seat"].into_iter()),
-    }
+    let owner = NodeRef { name: NodeName::new(&format!("e{entry}")), incarnation: Incarnation(1) };
+    Claim { owner, digest: Digest::of("booking", "holds", false, ["seat"].into_iter()) }
 }
 
 fn members(count: usize, racks: usize) -> Vec<Member> {
-    (0..count)
-        .map(|n| format!("a{n}@r{}", n % racks).parse().unwrap())
-        .collect()
+    (0..count).map(|n| format!("a{n}@r{}", n % racks).parse().unwrap()).collect()
 }
 
 #[test]
 fn holders_stand_in_different_racks() {
     let all = members(30, 10);
-    let rack_of: HashMap<_, _> = all
-        .iter()
-        .map(|m| (m.name.clone(), m.rack.clone()))
-        .collect();
+    let rack_of: HashMap<_, _> = all.iter().map(|m| (m.name.clone(), m.rack.clone())).collect();
     let view = View::new(&all);
     for random in 0..200 {
         let holders = view.holders(submission(random << 64));
@@ -73,16 +60,10 @@
 
 #[test]
 fn a_restarted_holder_does_not_vote_on_older_ids() {
-    let request = ClaimRequest {
-        submission: submission(1),
-        claim: claim(1),
-    };
+    let request = ClaimRequest { submission: submission(1), claim: claim(1) };
     let now = START + Duration::from_secs(6);
     let mut first_life = Register::new(START);
-    assert_eq!(
-        first_life.claim(&request, &WINDOW, now),
-        ClaimReply::Granted
-    );
+    assert_eq!(first_life.claim(&request, &WINDOW, now), ClaimReply::Granted);
     let mut second_life = Register::new(now);
     let reply = second_life.claim(&request, &WINDOW, now + Duration::from_secs(1));
     assert_eq!(reply, ClaimReply::Silent(Silence::BeforeStart));
@@ -90,10 +71,7 @@
 
 #[test]
 fn claims_are_forgotten_only_after_their_retention() {
-    let request = ClaimRequest {
-        submission: submission(1),
-        claim: claim(1),
-    };
+    let request = ClaimRequest { submission: submission(1), claim: claim(1) };
     let mut register = Register::new(START);
     register.claim(&request, &WINDOW, START + Duration::from_secs(5));
     register.expire(&WINDOW, WINDOW.kept_until(request.submission));
@@ -107,23 +85,14 @@
 
 #[test]
 fn a_raised_retention_revives_nothing_and_forgets_nothing() {
-    let long = Window {
-        retention: Duration::from_secs(1_200),
-        ..WINDOW
-    };
-    let request = ClaimRequest {
-        submission: submission(1),
-        claim: claim(1),
-    };
+    let long = Window { retention: Duration::from_secs(1_200), ..WINDOW };
+    let request = ClaimRequest { submission: submission(1), claim: claim(1) };
     let mut register = Register::new(START);
     register.claim(&request, &WINDOW, START + Duration::from_secs(5));
     register.expire(&WINDOW, START + Duration::from_secs(100));
     let later = WINDOW.kept_until(request.submission) + Duration::from_secs(2);
     register.expire(&long, later);
-    assert!(matches!(
-        register.lookup(request.submission, &long, later),
-        LookupReply::Held(_)
-    ));
+    assert!(matches!(register.lookup(request.submission, &long, later), LookupReply::Held(_)));
     let forgotten = START + Duration::from_secs(1_300);
     register.expire(&WINDOW, forgotten);
     let reply = register.claim(&request, &long, forgotten - Duration::from_secs(200));
@@ -132,10 +101,7 @@
 
 #[test]
 fn a_claim_asked_again_is_told_apart_and_looked_up() {
-    let request = ClaimRequest {
-        submission: submission(1),
-        claim: claim(1),
-    };
+    let request = ClaimRequest { submission: submission(1), claim: claim(1) };
     let now = START + Duration::from_secs(6);
     let mut register = Register::new(START);
     let lookup = |register: &Register| register.lookup(request.submission, &WINDOW, now);
@@ -144,10 +110,7 @@
     assert_eq!(register.claim(&request, &WINDOW, now), ClaimReply::Renewed);
     assert_eq!(lookup(&register), LookupReply::Held(claim(1)));
     let restarted = Register::new(now);
-    assert_eq!(
-        lookup(&restarted),
-        LookupReply::Silent(Silence::BeforeStart)
-    );
+    assert_eq!(lookup(&restarted), LookupReply::Silent(Silence::BeforeStart));
 }
 
 #[test]
@@ -160,10 +123,7 @@
 fn both_views_must_agree_after_a_change() {
     let views = Views::new(
         View::new(&members(3, 3)),
-        Some((
-            View::new(&["b0@r0", "b1@r1", "b2@r2"].map(|m| m.parse().unwrap())),
-            START,
-        )),
+        Some((View::new(&["b0@r0", "b1@r1", "b2@r2"].map(|m| m.parse().unwrap())), START)),
     );
     let mut round = Round::new(views.holders(submission(1), START));
     for name in ["a0", "a1", "a2", "b0"] {
@@ -179,24 +139,13 @@
 /// One step of a race: an entry's request reaches a holder, or a holder restarts.
 #[derive(Clone, Debug)]
 enum Step {
-    Deliver {
-        entry: usize,
-        holder: usize,
-        reply_lost: bool,
-    },
-    Restart {
-        holder: usize,
-    },
+    Deliver { entry: usize, holder: usize, reply_lost: bool },
+    Restart { holder: usize },
 }
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
-    let deliver = (0..4usize, 0..3usize, any::<bool>()).prop_map(|(entry, holder, reply_lost)| {
-        Step::Deliver {
-            entry,
-            holder,
-            reply_lost,
-        }
-    });
+    let deliver = (0..4usize, 0..3usize, any::<bool>())
+        .prop_map(|(entry, holder, reply_lost)| Step::Deliver { entry, holder, reply_lost });
     let restart = (0..3usize).prop_map(|holder| Step::Restart { holder });
     proptest::collection::vec(prop_oneof![6 => deliver, 1 => restart], 0..40)
 }
--- a/components/entry/src/claiming.rs
+++ b/components/entry/src/claiming.rs
@@ -29,10 +29,7 @@
 
 impl Inquiry {
     pub fn new(round: Round, ticket: Ticket) -> Self {
-        Self {
-            tickets: vec![ticket],
-            round: Some(round),
-        }
+        Self { tickets: vec![ticket], round: Some(round) }
     }
 }
 
@@ -51,17 +48,11 @@
             return;
         };
         if let Some(kind) = &job.kind {
-            job.deadline = now
-                + request
-                    .deadline_ms
-                    .map_or(kind.deadline, Duration::from_millis);
+            job.deadline = now + request.deadline_ms.map_or(kind.deadline, Duration::from_millis);
         }
         job.waiters.push(ticket);
         job.claimed_before = true;
-        job.phase = Phase::Claiming {
-            round,
-            request: Arc::new(request),
-        };
+        job.phase = Phase::Claiming { round, request: Arc::new(request) };
         self.table.insert(id, job);
         self.ask_holders(now, id, out);
     }
@@ -72,10 +63,9 @@
         let Some(round) = self.round(id) else { return };
         let holders = round.holders();
         let claim = match self.table.get(id) {
-            Some(job) if matches!(job.phase, Phase::Claiming { .. }) => Some(Claim {
-                owner,
-                digest: job.digest,
-            }),
+            Some(job) if matches!(job.phase, Phase::Claiming { .. }) => {
+                Some(Claim { owner, digest: job.digest })
+            }
             _ => None,
         };
         for holder in holders {
@@ -86,16 +76,10 @@
             self.sent(MessageKind::Claim);
             out.push(match claim.clone() {
                 Some(claim) => {
-                    let request = ClaimRequest {
-                        submission: id,
-                        claim,
-                    };
+                    let request = ClaimRequest { submission: id, claim };
                     Action::Claim { holder, request }
                 }
-                None => Action::Lookup {
-                    holder,
-                    submission: id,
-                },
+                None => Action::Lookup { holder, submission: id },
             });
         }
         self.table.at(now + ROUND_TIME, id, Due::Round);
@@ -137,10 +121,7 @@
 
     /// Takes the holders that have not replied as silent.
     pub(crate) fn round_over(&mut self, now: Time, id: SubmissionId, out: &mut Vec<Action>) {
-        let awaited = self
-            .round(id)
-            .map(|round| round.awaited())
-            .unwrap_or_default();
+        let awaited = self.round(id).map(|round| round.awaited()).unwrap_or_default();
         for holder in awaited {
             self.record(id, &holder, Vote::None);
         }
@@ -196,26 +177,15 @@
         let message = "too few claim holders replied";
         let failure = Failure::new(Code::NoQuorum, Verdict::MayHaveRun, message);
         let reply = Err(failure.retry_after(RETRY_AFTER_MS));
-        self.decide(
-            id,
-            Step::Refuse {
-                code: Code::NoQuorum,
-            },
-            Duration::ZERO,
-            out,
-        );
+        self.decide(id, Step::Refuse { code: Code::NoQuorum }, Duration::ZERO, out);
         let Some(job) = self.table.get_mut(id) else {
             return;
         };
         for ticket in std::mem::take(&mut job.waiters) {
-            out.push(Action::Respond {
-                ticket,
-                reply: reply.clone(),
-            });
+            out.push(Action::Respond { ticket, reply: reply.clone() });
         }
         if let Some(catalog) = &self.catalog {
-            self.table
-                .park(id, Self::window(catalog.fleet()).kept_until(id));
+            self.table.park(id, Self::window(catalog.fleet()).kept_until(id));
         }
     }
 
@@ -226,10 +196,7 @@
         let Phase::Refusing { failure, .. } = &job.phase else {
             return;
         };
-        let failure = Failure {
-            verdict,
-            ..failure.clone()
-        };
+        let failure = Failure { verdict, ..failure.clone() };
         self.count_refusal(failure.code);
         self.dismiss(id, &Err(failure), out);
     }
@@ -254,19 +221,9 @@
         job.phase = Phase::Relaying;
         self.counters.relayed += 1;
         self.sent(MessageKind::Relay);
-        self.decide(
-            id,
-            Step::Relay {
-                owner: claim.owner.name.clone(),
-            },
-            Duration::ZERO,
-            out,
-        );
+        self.decide(id, Step::Relay { owner: claim.owner.name.clone() }, Duration::ZERO, out);
         let request = RelayRequest::clone(&request);
-        out.push(Action::Relay {
-            owner: claim.owner.clone(),
-            request,
-        });
+        out.push(Action::Relay { owner: claim.owner.clone(), request });
     }
 
     /// Takes the owner's reply to a relay or a fetch.
@@ -281,11 +238,7 @@
             Err(Failure::new(Code::OwnerLost, Verdict::MayHaveRun, message))
         };
         let reply = reply.unwrap_or_else(lost);
-        if self
-            .table
-            .get(id)
-            .is_some_and(|job| matches!(job.phase, Phase::Relaying))
-        {
+        if self.table.get(id).is_some_and(|job| matches!(job.phase, Phase::Relaying)) {
             self.dismiss(id, &reply, out);
         }
         self.answer_all(id, &reply, out);
@@ -309,10 +262,7 @@
                 };
                 inquiry.round = None;
                 self.sent(MessageKind::Relay);
-                return out.push(Action::Fetch {
-                    owner: claim.owner,
-                    submission: id,
-                });
+                return out.push(Action::Fetch { owner: claim.owner, submission: id });
             }
         };
         self.answer_all(id, &reply, out);
@@ -323,10 +273,7 @@
             return;
         };
         for ticket in inquiry.tickets {
-            out.push(Action::Respond {
-                ticket,
-                reply: reply.clone(),
-            });
+            out.push(Action::Respond { ticket, reply: reply.clone() });
         }
     }
 }
--- a/components/entry/src/entry.rs
+++ b/components/entry/src/entry.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use claims::{Member, View, Views, Window};
+use claims::{HOLDERS, Member, View, Views, Window};
 use model::{Code, NodeRef, SubmissionId, Time};
 use settings::{Catalog, Fleet};
-use telemetry::{Breach, Decision, MessageKind, Step};
+use telemetry::{Breach, Decision, EntryCounters, MessageKind, Step};
 use wire::RelayReply;
 
 use crate::claiming::Inquiry;
@@ -16,7 +16,7 @@
 use crate::service::Service;
 use crate::table::{Due, Table};
 use crate::targets::Targets;
-use crate::{Action, Counters, Event, News};
+use crate::{Action, Event, News};
 
 /// What an entry knows of itself at its start.
 #[derive(Clone, Debug)]
@@ -41,7 +41,7 @@
     pub(crate) targets: Targets,
     pub(crate) services: HashMap<String, Service>,
     pub(crate) kinds: Kinds,
-    pub(crate) counters: Counters,
+    pub(crate) counters: EntryCounters,
     pub(crate) arrivals: u64,
     now: Time,
     expired: Time,
@@ -62,7 +62,7 @@
             targets: Targets::default(),
             services: HashMap::new(),
             kinds: Kinds::default(),
-            counters: Counters::default(),
+            counters: EntryCounters::default(),
             arrivals: 0,
             now: Time::default(),
             expired: Time::default(),
@@ -73,58 +73,29 @@
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         self.now = now;
         match event {
-            Event::Submit {
-                ticket,
-                request,
-                relayed,
-            } => {
+            Event::Submit { ticket, request, relayed } => {
                 self.submit(now, ticket, request, relayed, out);
             }
-            Event::Fetch {
-                ticket,
-                submission,
-                relayed,
-            } => {
+            Event::Fetch { ticket, submission, relayed } => {
                 self.fetch(now, ticket, submission, relayed, out);
             }
             Event::Up { connection, info } => self.up(now, connection, &info, out),
             Event::Down { agent, connection } => self.down(&agent, connection, out),
             Event::Dead { agent } => self.dead(now, &agent, out),
             Event::Leaving { agent } => self.leaving(&agent, out),
-            Event::Claimed {
-                holder,
-                submission,
-                reply,
-            } => {
-                let vote = reply
-                    .as_ref()
-                    .map_or(claims::Vote::None, claims::Vote::from);
+            Event::Claimed { holder, submission, reply } => {
+                let vote = reply.as_ref().map_or(claims::Vote::None, claims::Vote::from);
                 self.vote(now, &holder, submission, vote, out);
             }
-            Event::LookedUp {
-                holder,
-                submission,
-                reply,
-            } => {
-                let vote = reply
-                    .as_ref()
-                    .map_or(claims::Vote::None, claims::Vote::from);
+            Event::LookedUp { holder, submission, reply } => {
+                let vote = reply.as_ref().map_or(claims::Vote::None, claims::Vote::from);
                 self.vote(now, &holder, submission, vote, out);
             }
-            Event::Started {
-                agent,
-                connection,
-                key,
-                reply,
-            } => {
+            Event::Started { agent, connection, key, reply } => {
                 self.started(now, &agent, connection, key, reply, out);
             }
             Event::Settled { agent, key, reply } => self.settled(now, &agent, key, reply, out),
-            Event::Synced {
-                agent,
-                connection,
-                reply,
-            } => {
+            Event::Synced { agent, connection, reply } => {
                 self.synced(now, &agent, connection, reply, out);
             }
             Event::Relayed { submission, reply } => self.relayed(submission, reply, out),
@@ -141,18 +112,15 @@
         self.table.next_timer()
     }
 
-    /// Counters and present sizes.
-    pub fn counters(&self) -> Counters {
+    /// EntryCounters and present sizes.
+    pub fn counters(&self) -> EntryCounters {
         let services = self.services.values();
-        Counters {
+        EntryCounters {
             active: self.table.active() as u64,
             kept: self.table.kept() as u64,
             kept_bytes: self.table.kept_bytes() as u64,
             answers_dropped: self.table.dropped(),
-            queued: services
-                .clone()
-                .map(|service| service.queue.tasks() as u64)
-                .sum(),
+            queued: services.clone().map(|service| service.queue.tasks() as u64).sum(),
             idle: services.map(|service| u64::from(service.pool.idle())).sum(),
             ..self.counters
         }
@@ -163,13 +131,20 @@
         self.catalog.as_ref().map(|catalog| catalog.version())
     }
 
-    /// Whether it can take work: it has settings, and a target for every service with targets.
+    /// Whether it can take work: its settings are confirmed, it has a target, and enough claim
+    /// holders vote.
     pub fn is_ready(&self, now: Time) -> bool {
-        let reachable = self
-            .services
-            .values()
-            .any(|service| !service.pool.is_empty());
-        self.catalog.is_some() && !self.settings_are_stale(now) && reachable
+        let Some(catalog) = &self.catalog else { return false };
+        let reachable = self.services.values().any(|service| !service.pool.is_empty());
+        reachable && !self.settings_are_stale(now) && self.holders_vote(catalog.fleet(), now)
+    }
+
+    /// Whether as many members of the claim view vote as hold one claim.
+    fn holders_vote(&self, fleet: &Fleet, now: Time) -> bool {
+        let needed = fleet.claim_view.len().min(HOLDERS);
+        let votes = |member: &Member| self.targets.votes(&member.name, now);
+        let members = fleet.claim_view.iter().filter_map(|text| text.parse().ok());
+        needed > 0 && members.filter(votes).take(needed).count() == needed
     }
 
     /// Whether every submission has its outcome.
@@ -178,29 +153,17 @@
     }
 
     pub(crate) fn window(fleet: &Fleet) -> Window {
-        Window {
-            retention: fleet.retention,
-            clock_skew: fleet.clock_skew,
-        }
+        Window { retention: fleet.retention, clock_skew: fleet.clock_skew }
     }
 
     pub(crate) fn settings_are_stale(&self, now: Time) -> bool {
         let bound = |catalog: &Arc<Catalog>| catalog.fleet().settings_age_max;
-        self.catalog
-            .as_ref()
-            .map(bound)
-            .is_none_or(|bound| now.since(self.confirmed) > bound)
+        self.catalog.as_ref().map(bound).is_none_or(|bound| now.since(self.confirmed) > bound)
     }
 
     fn settings(&mut self, now: Time, catalog: Arc<Catalog>, out: &mut Vec<Action>) {
-        if let Some(have) = self
-            .settings_version()
-            .filter(|have| *have > catalog.version())
-        {
-            let breach = Breach::SettingsWentBack {
-                have,
-                got: catalog.version(),
-            };
+        if let Some(have) = self.settings_version().filter(|have| *have > catalog.version()) {
+            let breach = Breach::SettingsWentBack { have, got: catalog.version() };
             return self.breach(breach, out);
         }
         self.views = views(catalog.fleet());
@@ -239,10 +202,7 @@
             return;
         };
         for ticket in std::mem::take(&mut job.waiters) {
-            out.push(Action::Respond {
-                ticket,
-                reply: reply.clone(),
-            });
+            out.push(Action::Respond { ticket, reply: reply.clone() });
         }
         match &reply {
             Ok(_) => self.counters.completed += 1,
@@ -288,10 +248,7 @@
             return;
         };
         for ticket in job.waiters {
-            out.push(Action::Respond {
-                ticket,
-                reply: reply.clone(),
-            });
+            out.push(Action::Respond { ticket, reply: reply.clone() });
         }
     }
 
@@ -316,10 +273,7 @@
         step: Step,
         estimate: Duration,
     ) -> Decision {
-        let service = job
-            .kind
-            .as_ref()
-            .and_then(|kind| self.services.get(&kind.service));
+        let service = job.kind.as_ref().and_then(|kind| self.services.get(&kind.service));
         Decision {
             time: self.now,
             submission,
@@ -349,17 +303,10 @@
 /// The claim views that a version of the settings asks for.
 fn views(fleet: &Fleet) -> Views {
     let view = |members: &[String]| {
-        let members: Vec<Member> = members
-            .iter()
-            .filter_map(|text| text.parse().ok())
-            .collect();
+        let members: Vec<Member> = members.iter().filter_map(|text| text.parse().ok()).collect();
         View::new(&members)
     };
-    let previous = (!fleet.previous_claim_view.is_empty()).then(|| {
-        (
-            view(&fleet.previous_claim_view),
-            fleet.previous_claim_view_until,
-        )
-    });
+    let previous = (!fleet.previous_claim_view.is_empty())
+        .then(|| (view(&fleet.previous_claim_view), fleet.previous_claim_view_until));
     Views::new(view(&fleet.claim_view), previous)
 }
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -73,18 +73,10 @@
     pub(crate) fn set_profile(&mut self, target: TargetId) {
         let at = self.targets.get(target);
         let penalty = if at.straggling { STRAGGLING } else { 0 };
-        let profile = Profile {
-            remote: at.remote,
-            rack: at.rack,
-            penalty,
-        };
+        let profile = Profile { remote: at.remote, rack: at.rack, penalty };
         let usable = at.link.is_some() && !at.leaving;
         if usable {
-            self.services
-                .entry(at.service.clone())
-                .or_default()
-                .pool
-                .set(target, profile);
+            self.services.entry(at.service.clone()).or_default().pool.set(target, profile);
         }
     }
 
@@ -113,10 +105,8 @@
             return;
         }
         let each = needed.div_ceil(service.pool.len().max(1) as u32);
-        let round: Vec<TargetId> = service
-            .to_ask()
-            .take(needed.div_ceil(each.max(1)) as usize)
-            .collect();
+        let round: Vec<TargetId> =
+            service.to_ask().take(needed.div_ceil(each.max(1)) as usize).collect();
         for target in round {
             let Some(service) = self.services.get_mut(name) else {
                 return;
@@ -133,21 +123,14 @@
     fn exchange(&mut self, now: Time, target: TargetId, returned: u32, out: &mut Vec<Action>) {
         let at = self.targets.get_mut(target);
         let agent = at.node.name.clone();
-        let wanted = self
-            .services
-            .get(&at.service)
-            .map_or(0, |service| service.asked_of(target));
+        let wanted = self.services.get(&at.service).map_or(0, |service| service.asked_of(target));
         let Some(link) = &mut at.link else { return };
         link.exchanges += 1;
         link.heard = now.max(link.heard);
         let request = SyncRequest { wanted, returned };
         let connection = link.connection;
         self.sent(MessageKind::Sync);
-        out.push(Action::Sync {
-            agent,
-            connection,
-            request,
-        });
+        out.push(Action::Sync { agent, connection, request });
     }
 
     /// Takes an agent's side of an exchange.
@@ -173,7 +156,10 @@
         let service = self.targets.get(target).service.clone();
         if let Some(service) = self.services.get_mut(&service) {
             let asked = service.asked_of(target).saturating_sub(reply.granted);
-            service.set_asked(target, asked);
+            service.set_asked(target, if reply.void { 0 } else { asked });
+            if reply.void {
+                service.pool.take(target, u32::MAX);
+            }
             service.pool.add(target, reply.granted);
         }
         self.dispatch(now, &service, out);
@@ -196,11 +182,7 @@
 
     /// Gives up the tokens of agents that were silent for a lease.
     pub(crate) fn end_silent_leases(&mut self, now: Time, out: &mut Vec<Action>) {
-        let Some(lease) = self
-            .catalog
-            .as_ref()
-            .map(|catalog| catalog.fleet().token_lease)
-        else {
+        let Some(lease) = self.catalog.as_ref().map(|catalog| catalog.fleet().token_lease) else {
             return;
         };
         for target in self.targets.ids() {
--- a/components/entry/src/gather.rs
+++ b/components/entry/src/gather.rs
@@ -69,10 +69,7 @@
 
     /// Tasks of the job sent to a rack.
     pub fn on_rack(&self, rack: u32) -> u32 {
-        self.racks
-            .iter()
-            .find(|(known, _)| *known == rack)
-            .map_or(0, |(_, count)| *count)
+        self.racks.iter().find(|(known, _)| *known == rack).map_or(0, |(_, count)| *count)
     }
 
     /// Marks the next waiting task as sent; gives its index, attempt and text.
@@ -148,11 +145,7 @@
             State::Waiting | State::Sent(_) => Verdict::MayHaveRun,
             State::Answered(_) | State::Failed => Verdict::Ran,
         };
-        self.tasks
-            .iter()
-            .map(of)
-            .reduce(Verdict::and)
-            .unwrap_or(Verdict::NotRun)
+        self.tasks.iter().map(of).reduce(Verdict::and).unwrap_or(Verdict::NotRun)
     }
 }
 
@@ -160,11 +153,8 @@
 mod tests {
     use super::*;
 
-    const SENT: Sent = Sent {
-        target: TargetId(0),
-        agent: Incarnation(1),
-        at: Time::from_millis(0),
-    };
+    const SENT: Sent =
+        Sent { target: TargetId(0), agent: Incarnation(1), at: Time::from_millis(0) };
 
     fn two() -> Gather {
         Gather::new(&["a".into(), "b".into()])
@@ -179,12 +169,8 @@
         assert_eq!((gather.is_whole(), gather.answers()), (false, None));
         assert!(!gather.answer(1, 0, "late".into()));
         assert!(gather.answer(0, 0, "A".into()));
-        let answers: Vec<String> = gather
-            .answers()
-            .unwrap()
-            .iter()
-            .map(|text| text.to_string())
-            .collect();
+        let answers: Vec<String> =
+            gather.answers().unwrap().iter().map(|text| text.to_string()).collect();
         assert_eq!(answers, ["A", "B"]);
     }
 
--- a/components/entry/src/intake.rs
+++ b/components/entry/src/intake.rs
@@ -109,10 +109,7 @@
         kind: &KindSettings,
         request: &RelayRequest,
     ) -> Result<(), Failure> {
-        let Some(service) = self
-            .services
-            .get(&kind.service)
-            .filter(|service| service.slots > 0)
+        let Some(service) = self.services.get(&kind.service).filter(|service| service.slots > 0)
         else {
             let message = format!("no target takes work of {}", kind.service);
             let failure = Failure::new(Code::NoTarget, Verdict::MayHaveRun, message);
@@ -132,11 +129,8 @@
         if estimate <= deadline {
             return Ok(());
         }
-        let message = format!(
-            "would take about {} ms of {} ms",
-            estimate.as_millis(),
-            deadline.as_millis()
-        );
+        let message =
+            format!("would take about {} ms of {} ms", estimate.as_millis(), deadline.as_millis());
         let wait = u64::try_from((estimate - deadline).as_millis()).unwrap_or(RETRY_AFTER_MS);
         Err(Failure::new(Code::Overloaded, Verdict::MayHaveRun, message).retry_after(wait.max(1)))
     }
@@ -158,10 +152,7 @@
             team: Arc::from(team),
             label: Arc::from(format!("{}/{}", request.service, request.kind)),
             arrival: self.arrivals,
-            deadline: now
-                + kind
-                    .as_ref()
-                    .map_or(REFUSAL_DEADLINE, |kind| deadline(kind, request)),
+            deadline: now + kind.as_ref().map_or(REFUSAL_DEADLINE, |kind| deadline(kind, request)),
             kind,
             claimed_before: false,
             may_relay: true,
@@ -212,11 +203,7 @@
         job.may_relay = !relayed;
         job.phase = match checked {
             Ok(_) => Phase::Claiming { round, request },
-            Err(failure) => Phase::Refusing {
-                round,
-                request,
-                failure,
-            },
+            Err(failure) => Phase::Refusing { round, request, failure },
         };
         self.table.insert(id, job);
         self.ask_holders(now, id, out);
@@ -254,8 +241,7 @@
             return inquiry.tickets.push(ticket);
         }
         let round = Round::new(self.views.holders(submission, now));
-        self.inquiries
-            .insert(submission, Inquiry::new(round, ticket));
+        self.inquiries.insert(submission, Inquiry::new(round, ticket));
         self.ask_holders(now, submission, out);
     }
 }
@@ -272,9 +258,7 @@
 }
 
 fn deadline(kind: &KindSettings, request: &RelayRequest) -> Duration {
-    request
-        .deadline_ms
-        .map_or(kind.deadline, Duration::from_millis)
+    request.deadline_ms.map_or(kind.deadline, Duration::from_millis)
 }
 
 fn check_age(id: SubmissionId, catalog: &Catalog, now: Time) -> Result<(), Failure> {
@@ -285,16 +269,12 @@
             Verdict::MayHaveRun,
             "the id was made too long ago to know whether it ran",
         ),
-        Age::TooNew => (
-            Code::IdTooNew,
-            Verdict::MayHaveRun,
-            "the id's time is ahead of this entry's clock",
-        ),
-        Age::Impossible => (
-            Code::IdTooNew,
-            Verdict::NotRun,
-            "the id's time is far ahead of every entry's clock",
-        ),
+        Age::TooNew => {
+            (Code::IdTooNew, Verdict::MayHaveRun, "the id's time is ahead of this entry's clock")
+        }
+        Age::Impossible => {
+            (Code::IdTooNew, Verdict::NotRun, "the id's time is far ahead of every entry's clock")
+        }
     };
     Err(Failure::new(code, verdict, message))
 }
@@ -305,17 +285,9 @@
     if tasks > kind.tasks_max {
         return too_large(format!("{tasks} tasks, at most {}", kind.tasks_max));
     }
-    let longest = request
-        .tasks
-        .iter()
-        .map(|text| text.len())
-        .max()
-        .unwrap_or(0);
+    let longest = request.tasks.iter().map(|text| text.len()).max().unwrap_or(0);
     if longest > kind.task_bytes_max {
-        return too_large(format!(
-            "a task of {longest} bytes, at most {}",
-            kind.task_bytes_max
-        ));
+        return too_large(format!("a task of {longest} bytes, at most {}", kind.task_bytes_max));
     }
     Ok(())
 }
--- a/components/entry/src/job.rs
+++ b/components/entry/src/job.rs
@@ -14,16 +14,9 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Phase {
     /// Its claim is asked for.
-    Claiming {
-        round: Round,
-        request: Arc<RelayRequest>,
-    },
+    Claiming { round: Round, request: Arc<RelayRequest> },
     /// It can't be taken here; the holders are asked whether it ran elsewhere.
-    Refusing {
-        round: Round,
-        request: Arc<RelayRequest>,
-        failure: Failure,
-    },
+    Refusing { round: Round, request: Arc<RelayRequest>, failure: Failure },
     /// Its owner has it.
     Relaying,
     /// Admitted: tasks wait, run, are answered.
--- a/components/entry/src/kinds.rs
+++ b/components/entry/src/kinds.rs
@@ -45,10 +45,7 @@
 
     pub fn get_mut(&mut self, kind: &KindSettings) -> &mut KindState {
         let service = self.states.entry(kind.service.clone()).or_default();
-        let fresh = || KindState {
-            times: ServiceTimes::new(kind.expected),
-            retries: 0.0,
-        };
+        let fresh = || KindState { times: ServiceTimes::new(kind.expected), retries: 0.0 };
         service.entry(kind.kind.clone()).or_insert_with(fresh)
     }
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -4,7 +4,6 @@
 //! actions that follow.
 
 mod claiming;
-mod counters;
 mod entry;
 mod event;
 mod exchange;
@@ -18,6 +17,5 @@
 mod table;
 mod targets;
 
-pub use counters::Counters;
 pub use entry::{Entry, Setup};
 pub use event::{Action, Answers, Connection, Event, News, Ticket};
--- a/components/entry/src/place.rs
+++ b/components/entry/src/place.rs
@@ -33,9 +33,7 @@
         let weight = catalog.team(&job.team).weight;
         let service = self.services.entry(kind.service.clone()).or_default();
         let tasks = gather.waiting();
-        service
-            .queue
-            .insert(&job.team, weight, job.deadline, job.arrival, tasks, id);
+        service.queue.insert(&job.team, weight, job.deadline, job.arrival, tasks, id);
     }
 
     /// Takes a job out of its queue with the tasks that still wait.
@@ -47,9 +45,7 @@
             return;
         };
         if let Some(service) = self.services.get_mut(&kind.service) {
-            service
-                .queue
-                .remove(&job.team, job.deadline, job.arrival, gather.waiting());
+            service.queue.remove(&job.team, job.deadline, job.arrival, gather.waiting());
         }
     }
 
@@ -78,11 +74,7 @@
             return false;
         };
         let at = self.targets.get(target);
-        let sent = Sent {
-            target,
-            agent: at.node.incarnation,
-            at: now,
-        };
+        let sent = Sent { target, agent: at.node.incarnation, at: now };
         let Some((index, attempt, task)) = gather.send(sent, at.rack) else {
             return false;
         };
@@ -94,11 +86,7 @@
         service.set_busy(service.busy + 1, now);
         let idle = service.pool.idle();
         let request = StartRequest {
-            key: TaskKey {
-                submission: id,
-                index,
-                attempt,
-            },
+            key: TaskKey { submission: id, index, attempt },
             owner: self.setup.node.clone(),
             agent: sent.agent,
             task,
@@ -124,16 +112,8 @@
         let key = request.key;
         self.counters.placed += 1;
         self.sent(MessageKind::Start);
-        out.push(Action::Start {
-            agent: agent.clone(),
-            connection,
-            request,
-        });
-        let step = Step::Place {
-            index: key.index,
-            target: agent,
-            idle,
-        };
+        out.push(Action::Start { agent: agent.clone(), connection, request });
+        let step = Step::Place { index: key.index, target: agent, idle };
         self.decide(key.submission, step, Duration::ZERO, out);
     }
 
@@ -217,13 +197,10 @@
                 gather.fail(key.index, key.attempt);
                 let verdict = gather.verdict();
                 let message = format!("task {}: {reason}", key.index);
-                self.finish(
-                    id,
-                    Err(Failure::new(Code::TargetFailed, verdict, message)),
-                    out,
-                );
+                self.finish(id, Err(Failure::new(Code::TargetFailed, verdict, message)), out);
             }
             TaskOutcome::Lost(reason) => self.task_lost(now, key, &reason, out),
+            TaskOutcome::NeverSent(_) => self.place_again(now, key, out),
         }
     }
 
@@ -250,11 +227,7 @@
     }
 
     fn complete(&mut self, id: SubmissionId, out: &mut Vec<Action>) {
-        let answers = self
-            .table
-            .get(id)
-            .and_then(|job| job.gather())
-            .and_then(|g| g.answers());
+        let answers = self.table.get(id).and_then(|job| job.gather()).and_then(|g| g.answers());
         match answers {
             Some(answers) => self.finish(id, Ok(answers), out),
             None => self.breach(Breach::PartialAnswer(id), out),
@@ -265,10 +238,7 @@
     pub(crate) fn place_again(&mut self, now: Time, key: TaskKey, out: &mut Vec<Action>) {
         if self.put_back(key, true, out) {
             self.counters.placed_again += 1;
-            let step = Step::PlaceAgain {
-                index: key.index,
-                attempt: key.attempt + 1,
-            };
+            let step = Step::PlaceAgain { index: key.index, attempt: key.attempt + 1 };
             self.decide(key.submission, step, Duration::ZERO, out);
             self.enqueue(now, key.submission, out);
         }
@@ -322,11 +292,7 @@
             return self.enqueue(now, id, out);
         }
         let message = format!("task {}: {reason}", key.index);
-        self.finish(
-            id,
-            Err(Failure::new(Code::TargetLost, verdict, message)),
-            out,
-        );
+        self.finish(id, Err(Failure::new(Code::TargetLost, verdict, message)), out);
     }
 
     /// Takes a task that ended, but whose outcome its agent no longer holds.
@@ -338,11 +304,7 @@
         gather.fail(key.index, key.attempt);
         let verdict = gather.verdict();
         let message = format!("task {} ran, and its answer is no longer held", key.index);
-        self.finish(
-            id,
-            Err(Failure::new(Code::AnswerDropped, verdict, message)),
-            out,
-        );
+        self.finish(id, Err(Failure::new(Code::AnswerDropped, verdict, message)), out);
     }
 
     /// The deadline of a submission without an outcome has passed.
@@ -350,13 +312,8 @@
         let Some(job) = self.table.get(id) else {
             return;
         };
-        let failure = |verdict| {
-            Err(Failure::new(
-                Code::DeadlinePassed,
-                verdict,
-                "the deadline passed",
-            ))
-        };
+        let failure =
+            |verdict| Err(Failure::new(Code::DeadlinePassed, verdict, "the deadline passed"));
         match &job.phase {
             Phase::Active(gather) => {
                 let reply = failure(gather.verdict());
--- a/components/entry/src/service.rs
+++ b/components/entry/src/service.rs
@@ -49,11 +49,7 @@
         let waiting = u32::try_from(self.queue.tasks()).unwrap_or(u32::MAX);
         let at_hand = self.pool.idle() + self.asked;
         let reserve = self.reserve.target();
-        let reserve = if at_hand < waiting + reserve.div_ceil(2) {
-            reserve
-        } else {
-            0
-        };
+        let reserve = if at_hand < waiting + reserve.div_ceil(2) { reserve } else { 0 };
         (waiting + reserve).saturating_sub(at_hand).min(self.slots)
     }
 
@@ -74,10 +70,7 @@
     /// Targets to ask next, in turn: those not asked yet.
     pub fn to_ask(&self) -> impl Iterator<Item = TargetId> + '_ {
         let all_asked = self.asks.len() >= self.pool.len();
-        let round = self
-            .pool
-            .round_after(self.asked_last)
-            .filter(|id| self.asked_of(*id) == 0);
+        let round = self.pool.round_after(self.asked_last).filter(|id| self.asked_of(*id) == 0);
         round.take(if all_asked { 0 } else { self.pool.len() })
     }
 
--- a/components/entry/src/settle.rs
+++ b/components/entry/src/settle.rs
@@ -48,15 +48,8 @@
             self.counters.settles += 1;
             self.sent(MessageKind::Settle);
             let owner = self.setup.node.clone();
-            let request = SettleRequest {
-                key,
-                owner,
-                agent: sent.agent,
-            };
-            out.push(Action::Settle {
-                agent: agent.clone(),
-                request,
-            });
+            let request = SettleRequest { key, owner, agent: sent.agent };
+            out.push(Action::Settle { agent: agent.clone(), request });
         }
     }
 
--- a/components/entry/src/table.rs
+++ b/components/entry/src/table.rs
@@ -102,21 +102,13 @@
                 _ => {}
             }
         }
-        while self
-            .done
-            .front()
-            .is_some_and(|id| !self.jobs.contains_key(id))
-        {
+        while self.done.front().is_some_and(|id| !self.jobs.contains_key(id)) {
             self.done.pop_front();
         }
     }
 
     fn forget(&mut self, id: SubmissionId) -> bool {
-        let Some(Job {
-            phase: Phase::Done(reply),
-            ..
-        }) = self.jobs.remove(&id)
-        else {
+        let Some(Job { phase: Phase::Done(reply), .. }) = self.jobs.remove(&id) else {
             return false;
         };
         self.done_bytes -= bytes(&reply);
@@ -166,10 +158,7 @@
 
 fn bytes(reply: &RelayReply) -> usize {
     let texts = match reply {
-        Ok(answers) => answers
-            .iter()
-            .map(|text| text.len() + size_of::<usize>() * 4)
-            .sum(),
+        Ok(answers) => answers.iter().map(|text| text.len() + size_of::<usize>() * 4).sum(),
         Err(failure) => failure.message.len(),
     };
     texts + OUTCOME_BYTES
--- a/components/entry/src/targets.rs
+++ b/components/entry/src/targets.rs
@@ -33,6 +33,8 @@
     pub remote: bool,
     pub rack: u32,
     pub slots: u32,
+    /// It votes on submission ids made after this.
+    pub votes_from: Time,
     pub leaving: bool,
     /// Its process is known to be dead.
     pub dead: bool,
@@ -81,11 +83,7 @@
     ) -> TargetId {
         let racks = self.racks.len() as u32;
         let rack = *self.racks.entry(info.rack.clone()).or_insert(racks);
-        let link = Link {
-            connection,
-            exchanges: 0,
-            heard: now,
-        };
+        let link = Link { connection, exchanges: 0, heard: now };
         let name = info.agent.name.clone();
         let id = match self.ids.get(&name) {
             Some(id) => *id,
@@ -98,6 +96,7 @@
         target.remote = info.hall != own_hall;
         target.rack = rack;
         target.slots = info.slots;
+        target.votes_from = info.votes_from;
         target.leaving = info.leaving || (target.leaving && !restarted);
         target.dead = false;
         target.link = Some(link);
@@ -113,6 +112,7 @@
             remote: false,
             rack: 0,
             slots: info.slots,
+            votes_from: info.votes_from,
             leaving: false,
             dead: false,
             link: None,
@@ -141,6 +141,11 @@
         (self.get(id).connection() == Some(connection)).then_some(id)
     }
 
+    /// Whether an agent can be reached and votes on ids made from now on.
+    pub fn votes(&self, name: &NodeName, now: Time) -> bool {
+        self.id(name).is_some_and(|id| self.get(id).link.is_some() && self.get(id).votes_from < now)
+    }
+
     /// Whether a session with this agent is open.
     pub fn is_up(&self, name: &NodeName) -> bool {
         self.id(name).is_some_and(|id| self.get(id).link.is_some())
--- a/components/execution/src/ledger.rs
+++ b/components/execution/src/ledger.rs
@@ -50,6 +50,7 @@
     accounts: BTreeMap<Session, Account>,
     waiters: Waiters,
     leaving: bool,
+    paused: bool,
 }
 
 impl Ledger {
@@ -61,6 +62,7 @@
             accounts: BTreeMap::new(),
             waiters: Waiters::default(),
             leaving: false,
+            paused: false,
         }
     }
 
@@ -72,19 +74,12 @@
 
     /// Slots running a task.
     pub fn busy(&self) -> u32 {
-        self.orphans
-            + self
-                .accounts
-                .values()
-                .map(|account| account.busy)
-                .sum::<u32>()
+        self.orphans + self.accounts.values().map(|account| account.busy).sum::<u32>()
     }
 
     /// Tokens lent to a session and not spent.
     pub fn idle(&self, session: Session) -> u32 {
-        self.accounts
-            .get(&session)
-            .map_or(0, |account| account.idle)
+        self.accounts.get(&session).map_or(0, |account| account.idle)
     }
 
     /// Sets what a session asks for, in all; replaces what it asked before.
@@ -116,7 +111,7 @@
 
     /// Spends a token for a start; a session without one gets a free slot where there is one.
     pub fn spend(&mut self, session: Session) -> bool {
-        if self.leaving {
+        if self.leaving || self.paused {
             return false;
         }
         let free = self.free();
@@ -142,7 +137,7 @@
         debug_assert!(account.busy > 0, "a finished task was running");
         account.busy = account.busy.saturating_sub(1);
         let own = account.total();
-        if self.leaving || self.another_deserves(session, own, waiting) {
+        if self.leaving || self.paused || self.another_deserves(session, own, waiting) {
             return false;
         }
         if let Some(account) = self.accounts.get_mut(&session) {
@@ -173,12 +168,27 @@
     /// Lends no more: the target is leaving. Idle tokens are void at once.
     pub fn leave(&mut self) {
         self.leaving = true;
+        self.end_all_leases();
+    }
+
+    fn end_all_leases(&mut self) {
         let sessions: Vec<Session> = self.accounts.keys().copied().collect();
         for session in sessions {
             self.end_lease(session);
         }
     }
 
+    /// Lends nothing for a while: the target can't be reached. Idle tokens are void at once.
+    pub fn pause(&mut self) {
+        self.paused = true;
+        self.end_all_leases();
+    }
+
+    /// Lends again.
+    pub fn resume(&mut self) {
+        self.paused = false;
+    }
+
     /// Whether the target is leaving.
     pub fn is_leaving(&self) -> bool {
         self.leaving
@@ -186,6 +196,9 @@
 
     /// Shares free tokens among those who wait, and asks idle ones back where none is free.
     pub fn turns(&mut self, out: &mut Vec<Turn>) {
+        if self.paused {
+            return;
+        }
         self.grant_free(out);
         self.recall_idle(out);
     }
--- a/components/execution/src/table.rs
+++ b/components/execution/src/table.rs
@@ -18,6 +18,8 @@
     Failed(String),
     /// The target was lost before a whole answer: it may have run.
     Lost(String),
+    /// The target could not be reached: it did not run, and won't under this key.
+    NeverSent(String),
 }
 
 impl TaskOutcome {
@@ -25,7 +27,7 @@
     pub fn bytes(&self) -> usize {
         match self {
             Self::Answer(text) => text.len(),
-            Self::Failed(reason) | Self::Lost(reason) => reason.len(),
+            Self::Failed(reason) | Self::Lost(reason) | Self::NeverSent(reason) => reason.len(),
         }
     }
 }
@@ -178,22 +180,12 @@
     }
 
     fn insert(&mut self, key: TaskKey, owner: &NodeRef, state: State, keep_until: Time) {
-        self.records.insert(
-            key,
-            Record {
-                owner: owner.clone(),
-                state,
-            },
-        );
+        self.records.insert(key, Record { owner: owner.clone(), state });
         self.expiry.insert(key, keep_until);
     }
 
     fn forget(&mut self, key: TaskKey) {
-        if let Some(Record {
-            state: State::Ended(Some(outcome)),
-            ..
-        }) = self.records.remove(&key)
-        {
+        if let Some(Record { state: State::Ended(Some(outcome)), .. }) = self.records.remove(&key) {
             self.held_bytes -= outcome.bytes();
         }
     }
--- a/components/execution/tests/execution.rs
+++ b/components/execution/tests/execution.rs
@@ -9,19 +9,12 @@
 const KEPT: Time = Time::from_millis(600_000);
 
 fn owner(number: u64) -> NodeRef {
-    NodeRef {
-        name: NodeName::new("e1"),
-        incarnation: Incarnation(number),
-    }
+    NodeRef { name: NodeName::new("e1"), incarnation: Incarnation(number) }
 }
 
 fn task(index: u32) -> TaskKey {
     let submission = SubmissionId::from_parts(Time::from_millis(1_000), 1);
-    TaskKey {
-        submission,
-        index,
-        attempt: 0,
-    }
+    TaskKey { submission, index, attempt: 0 }
 }
 
 fn table() -> StartTable {
@@ -44,10 +37,7 @@
 fn a_second_owner_is_refused() {
     let mut table = table();
     assert_eq!(table.start(task(0), &owner(1), KEPT), StartOutcome::Starts);
-    assert_eq!(
-        table.start(task(0), &owner(2), KEPT),
-        StartOutcome::OtherOwner(owner(1))
-    );
+    assert_eq!(table.start(task(0), &owner(2), KEPT), StartOutcome::OtherOwner(owner(1)));
 }
 
 #[test]
@@ -59,10 +49,7 @@
     }
     assert_eq!(table.held_bytes(), 10);
     assert_eq!(table.settle(task(0), &owner(1), KEPT), Settled::Ended(None));
-    assert_eq!(
-        table.settle(task(2), &owner(1), KEPT),
-        Settled::Ended(Some(answer("12345")))
-    );
+    assert_eq!(table.settle(task(2), &owner(1), KEPT), Settled::Ended(Some(answer("12345"))));
 }
 
 #[test]
--- a/components/journal/src/file.rs
+++ b/components/journal/src/file.rs
@@ -34,21 +34,14 @@
 impl Journal {
     /// Opens a journal, or makes an empty one, synced with its folder.
     pub fn open(path: &Path) -> Result<Opened, JournalError> {
-        let io = |source| JournalError::Io {
-            path: path.to_owned(),
-            source,
-        };
+        let io = |source| JournalError::Io { path: path.to_owned(), source };
         remove_if_there(&aside(path)).map_err(io)?;
         if !path.exists() {
             write_aside(path, &[]).map_err(io)?;
         }
         let bytes = fs::read(path).map_err(io)?;
         let (records, end) = read_records(path, &bytes)?;
-        let mut file = OpenOptions::new()
-            .read(true)
-            .write(true)
-            .open(path)
-            .map_err(io)?;
+        let mut file = OpenOptions::new().read(true).write(true).open(path).map_err(io)?;
         let cut = (bytes.len() - end) as u64;
         if cut > 0 {
             file.set_len(end as u64).map_err(io)?;
@@ -62,11 +55,7 @@
             bytes: end as u64,
             given_up: false,
         };
-        Ok(Opened {
-            journal,
-            records,
-            cut,
-        })
+        Ok(Opened { journal, records, cut })
     }
 
     /// Adds a record. It lasts only after the next [`Journal::sync`].
@@ -81,10 +70,7 @@
         if self.pending.is_empty() {
             return Ok(());
         }
-        let written = self
-            .file
-            .write_all(&self.pending)
-            .and_then(|()| self.file.sync_data());
+        let written = self.file.write_all(&self.pending).and_then(|()| self.file.sync_data());
         self.settle(written)?;
         self.bytes += self.pending.len() as u64;
         self.pending.clear();
@@ -116,9 +102,7 @@
 
     fn check(&self) -> Result<(), JournalError> {
         match self.given_up {
-            true => Err(JournalError::GivenUp {
-                path: self.path.clone(),
-            }),
+            true => Err(JournalError::GivenUp { path: self.path.clone() }),
             false => Ok(()),
         }
     }
@@ -126,10 +110,7 @@
     fn settle<T>(&mut self, result: io::Result<T>) -> Result<T, JournalError> {
         result.map_err(|source| {
             self.given_up = true;
-            JournalError::Io {
-                path: self.path.clone(),
-                source,
-            }
+            JournalError::Io { path: self.path.clone(), source }
         })
     }
 
@@ -143,9 +124,7 @@
 /// Reads all records; returns them with the offset behind the last whole one.
 fn read_records(path: &Path, bytes: &[u8]) -> Result<(Vec<Vec<u8>>, usize), JournalError> {
     if !bytes.starts_with(MAGIC) {
-        return Err(JournalError::NotAJournal {
-            path: path.to_owned(),
-        });
+        return Err(JournalError::NotAJournal { path: path.to_owned() });
     }
     let mut records = Vec::new();
     let mut offset = MAGIC.len();
@@ -158,11 +137,7 @@
             }
             Parsed::Damaged(reason) => {
                 let path = path.to_owned();
-                return Err(JournalError::Damaged {
-                    path,
-                    offset: offset as u64,
-                    reason,
-                });
+                return Err(JournalError::Damaged { path, offset: offset as u64, reason });
             }
         }
     }
@@ -187,8 +162,6 @@
     file.write_all(records)?;
     file.sync_all()?;
     fs::rename(&aside, path)?;
-    let folder = path
-        .parent()
-        .filter(|folder| !folder.as_os_str().is_empty());
+    let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty());
     File::open(folder.unwrap_or(Path::new(".")))?.sync_all()
 }
--- a/components/journal/tests/journal.rs
+++ b/components/journal/tests/journal.rs
@@ -24,10 +24,7 @@
 fn records_read_back_and_more_can_follow() {
     let (_folder, path) = write(&RECORDS);
     let mut opened = Journal::open(&path).unwrap();
-    assert_eq!(
-        (opened.records.as_slice(), opened.cut),
-        (&RECORDS.map(<[u8]>::to_vec)[..], 0)
-    );
+    assert_eq!((opened.records.as_slice(), opened.cut), (&RECORDS.map(<[u8]>::to_vec)[..], 0));
     opened.journal.append(b"fourth");
     opened.journal.sync().unwrap();
     assert_eq!(Journal::open(&path).unwrap().records.len(), 4);
@@ -45,11 +42,7 @@
             fs::write(&path, &cut).unwrap();
             let mut opened = Journal::open(&path).unwrap();
             let count = opened.records.len();
-            assert_eq!(
-                opened.records,
-                RECORDS.map(<[u8]>::to_vec)[..count],
-                "cut at {length}"
-            );
+            assert_eq!(opened.records, RECORDS.map(<[u8]>::to_vec)[..count], "cut at {length}");
             assert!(count >= seen, "records lost at {length}");
             seen = count;
             opened.journal.append(b"after");
@@ -96,10 +89,7 @@
     journal.append(b"lost");
     assert!(matches!(journal.sync(), Err(JournalError::Io { .. })));
     assert!(matches!(journal.sync(), Err(JournalError::GivenUp { .. })));
-    assert!(matches!(
-        journal.rewrite(&[]),
-        Err(JournalError::GivenUp { .. })
-    ));
+    assert!(matches!(journal.rewrite(&[]), Err(JournalError::GivenUp { .. })));
     assert_eq!(Journal::open(&path).unwrap().records.len(), 3);
 }
 
--- a/components/keeper/src/lib.rs
+++ b/components/keeper/src/lib.rs
@@ -2,4 +2,4 @@
 
 mod state;
 
-pub use state::{Command, State};
+pub use state::{Command, State, Version};
--- a/components/keeper/src/state.rs
+++ b/components/keeper/src/state.rs
@@ -23,10 +23,14 @@
 }
 
 /// The edits of one version.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct Version {
-    version: u64,
-    edits: Vec<Edit>,
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Version {
+    /// The version.
+    pub version: u64,
+    /// When the leader took the change.
+    pub taken: Time,
+    /// What it changed.
+    pub edits: Vec<Edit>,
 }
 
 /// The settings tree with what is remembered of its changes.
@@ -43,11 +47,7 @@
 impl State {
     /// Version 1 of a fleet: the tree that a new keeper starts from.
     pub fn new(tree: Tree) -> Self {
-        Self {
-            version: 1,
-            tree,
-            ..Self::default()
-        }
+        Self { version: 1, tree, ..Self::default() }
     }
 
     /// The version in force.
@@ -96,34 +96,24 @@
             Err(reason) => return invalid(reason),
         };
         match self.tree.with(&edits) {
-            Ok(tree) => self.accept(tree, edits),
+            Ok(tree) => self.accept(tree, edits, command.taken),
             Err(error) => invalid(error.to_string()),
         }
     }
 
-    fn accept(&mut self, tree: Tree, edits: Vec<Edit>) -> ChangeResult {
+    fn accept(&mut self, tree: Tree, edits: Vec<Edit>, taken: Time) -> ChangeResult {
         self.version += 1;
         self.tree = tree;
-        self.recent.push_back(Version {
-            version: self.version,
-            edits,
-        });
+        self.recent.push_back(Version { version: self.version, taken, edits });
         if self.recent.len() > VERSIONS_KEPT {
             self.recent.pop_front();
         }
-        ChangeResult::Accepted {
-            version: self.version,
-        }
+        ChangeResult::Accepted { version: self.version }
     }
 
     /// Sections that both the change and others since its base version touch.
     fn conflict(&self, request: &ChangeRequest) -> Option<ChangeResult> {
-        let conflict = |sections| {
-            Some(ChangeResult::Conflict {
-                version: self.version,
-                sections,
-            })
-        };
+        let conflict = |sections| Some(ChangeResult::Conflict { version: self.version, sections });
         if request.base_version > self.version {
             return conflict(Vec::new());
         }
@@ -133,22 +123,11 @@
         if behind > known {
             return conflict(own.iter().map(|path| path.to_string()).collect());
         }
-        let since = self
-            .recent
-            .iter()
-            .filter(|v| v.version > request.base_version);
-        let others: BTreeSet<&SectionPath> = since
-            .flat_map(|version| version.edits.iter().map(Edit::section))
-            .collect();
-        let both: Vec<String> = own
-            .intersection(&others)
-            .map(|path| path.to_string())
-            .collect();
-        if both.is_empty() {
-            None
-        } else {
-            conflict(both)
-        }
+        let since = self.recent.iter().filter(|v| v.version > request.base_version);
+        let others: BTreeSet<&SectionPath> =
+            since.flat_map(|version| version.edits.iter().map(Edit::section)).collect();
+        let both: Vec<String> = own.intersection(&others).map(|path| path.to_string()).collect();
+        if both.is_empty() { None } else { conflict(both) }
     }
 
     /// Adds to a change of the claim view the view before, which must agree as well until no
@@ -161,12 +140,10 @@
                 (*section == fleet).then(|| key.clone())
             }
             Edit::Remove { section } => (*section == fleet).then(|| "claim_view".to_owned()),
+            Edit::Add { .. } => None,
         };
         let keys: Vec<String> = edits.iter().filter_map(key_of).collect();
-        if keys
-            .iter()
-            .any(|key| key.starts_with("previous_claim_view"))
-        {
+        if keys.iter().any(|key| key.starts_with("previous_claim_view")) {
             return Err("[fleet] previous_claim_view: written by the keeper only".to_owned());
         }
         let before = Catalog::new(self.version, &self.tree).fleet().clone();
@@ -174,36 +151,31 @@
             return Ok(edits);
         }
         if command.taken <= before.previous_claim_view_until {
-            let left = before
-                .previous_claim_view_until
-                .since(command.taken)
-                .as_secs();
-            return Err(format!(
-                "[fleet] claim_view: changed before; again in {left} s"
-            ));
+            let left = before.previous_claim_view_until.since(command.taken).as_secs();
+            return Err(format!("[fleet] claim_view: changed before; again in {left} s"));
         }
         let until = command.taken
             + before.retention
             + before.settings_age_max
             + before.clock_skew * 2
             + Duration::from_secs(1);
-        let set = |key: &str, value| Edit::Set {
-            section: fleet.clone(),
-            key: key.to_owned(),
-            value,
-        };
+        let set =
+            |key: &str, value| Edit::Set { section: fleet.clone(), key: key.to_owned(), value };
         edits.push(set("previous_claim_view", before.claim_view.join(" ")));
         let millis = (until.as_micros() / 1_000).to_string();
         edits.push(set("previous_claim_view_until_ms", millis));
         Ok(edits)
     }
 
+    /// The last versions, oldest first.
+    pub fn history(&self, count: usize) -> Vec<Version> {
+        let skipped = self.recent.len().saturating_sub(count);
+        self.recent.iter().skip(skipped).cloned().collect()
+    }
+
     /// What a node needs that has a version, or none.
     pub fn since(&self, have: Option<u64>) -> PullReply {
-        let snapshot = || PullReply::Snapshot {
-            version: self.version,
-            tree: self.tree.clone(),
-        };
+        let snapshot = || PullReply::Snapshot { version: self.version, tree: self.tree.clone() };
         let Some(have) = have else { return snapshot() };
         if have >= self.version {
             return PullReply::Current;
@@ -217,9 +189,6 @@
         if edit_count > self.tree.paths().count() * settings::SERVICE_KEYS.len() {
             return snapshot();
         }
-        PullReply::Delta {
-            version: self.version,
-            edits,
-        }
+        PullReply::Delta { version: self.version, edits }
     }
 }
--- a/components/keeper/tests/state.rs
+++ b/components/keeper/tests/state.rs
@@ -12,23 +12,12 @@
 }
 
 fn set(section: &str, key: &str, value: &str) -> Edit {
-    Edit::Set {
-        section: section.parse().unwrap(),
-        key: key.to_owned(),
-        value: value.to_owned(),
-    }
+    Edit::Set { section: section.parse().unwrap(), key: key.to_owned(), value: value.to_owned() }
 }
 
 fn command(change: &str, base_version: u64, edits: Vec<Edit>) -> Command {
-    let request = ChangeRequest {
-        change: change.to_owned(),
-        base_version,
-        edits,
-    };
-    Command {
-        request,
-        taken: Time::from_millis(1_000_000),
-    }
+    let request = ChangeRequest { change: change.to_owned(), base_version, edits };
+    Command { request, taken: Time::from_millis(1_000_000) }
 }
 
 #[test]
@@ -38,10 +27,7 @@
     let same = command("c2", 1, vec![set("booking", "deadline_ms", "900")]);
     let other = command("c3", 1, vec![set("booking/holds", "deadline_ms", "400")]);
     assert_eq!(state.apply(&first), ChangeResult::Accepted { version: 2 });
-    let conflict = ChangeResult::Conflict {
-        version: 2,
-        sections: vec!["booking".to_owned()],
-    };
+    let conflict = ChangeResult::Conflict { version: 2, sections: vec!["booking".to_owned()] };
     assert_eq!(state.apply(&same), conflict);
     assert_eq!(state.apply(&other), ChangeResult::Accepted { version: 3 });
 }
@@ -61,14 +47,8 @@
 #[test]
 fn an_invalid_change_is_refused_with_its_reason() {
     let mut state = state();
-    let result = state.apply(&command(
-        "c1",
-        1,
-        vec![set("booking", "deadline_ms", "soon")],
-    ));
-    let ChangeResult::Invalid { reason } = result else {
-        panic!("{result:?}")
-    };
+    let result = state.apply(&command("c1", 1, vec![set("booking", "deadline_ms", "soon")]));
+    let ChangeResult::Invalid { reason } = result else { panic!("{result:?}") };
     assert!(reason.contains("[booking] deadline_ms"), "{reason}");
     assert_eq!(state.version(), 1);
 }
@@ -85,13 +65,7 @@
         panic!("500 edits are longer than the tree")
     };
     assert_eq!(&tree, state.tree());
-    let PullReply::Delta {
-        version: 501,
-        edits,
-    } = state.since(Some(498))
-    else {
-        panic!()
-    };
+    let PullReply::Delta { version: 501, edits } = state.since(Some(498)) else { panic!() };
     let mut lagging = tree.with(&[set("booking", "deadline_ms", "498")]).unwrap();
     for edits in edits {
         lagging = lagging.with(&edits).unwrap();
@@ -106,10 +80,7 @@
     let accepted = state.apply(&command("c1", 1, view("b1@r1 b2@r2 b3@r3")));
     assert_eq!(accepted, ChangeResult::Accepted { version: 2 });
     let catalog = Catalog::new(2, state.tree());
-    assert_eq!(
-        catalog.fleet().previous_claim_view,
-        ["a1@r1", "a2@r2", "a3@r3"]
-    );
+    assert_eq!(catalog.fleet().previous_claim_view, ["a1@r1", "a2@r2", "a3@r3"]);
     assert!(catalog.fleet().previous_claim_view_until > Time::from_millis(1_600_000));
     let soon = state.apply(&command("c2", 2, view("d1@r1 d2@r2 d3@r3")));
     assert!(matches!(soon, ChangeResult::Invalid { .. }), "{soon:?}");
--- a/components/model/src/expiry.rs
+++ b/components/model/src/expiry.rs
@@ -12,19 +12,14 @@
 
 impl<K> Default for Expiry<K> {
     fn default() -> Self {
-        Self {
-            seconds: BTreeMap::new(),
-        }
+        Self { seconds: BTreeMap::new() }
     }
 }
 
 impl<K> Expiry<K> {
     /// Notes that a key is kept until `until`, and up to a second longer.
     pub fn insert(&mut self, key: K, until: Time) {
-        self.seconds
-            .entry(whole_seconds(until) + 1)
-            .or_default()
-            .push(key);
+        self.seconds.entry(whole_seconds(until) + 1).or_default().push(key);
     }
 
     /// Takes out the keys that may be forgotten now.
--- a/components/model/src/failure.rs
+++ b/components/model/src/failure.rs
@@ -105,12 +105,7 @@
 impl Failure {
     /// A failure with its verdict.
     pub fn new(code: Code, verdict: Verdict, message: impl Into<String>) -> Self {
-        Self {
-            code,
-            verdict,
-            message: message.into(),
-            retry_after_ms: None,
-        }
+        Self { code, verdict, message: message.into(), retry_after_ms: None }
     }
 
     /// The same failure, telling the caller when to come back.
--- a/components/model/src/id.rs
+++ b/components/model/src/id.rs
@@ -145,13 +145,7 @@
     #[test]
     fn other_versions_are_refused() {
         let version_4 = "6f1c3f6e-3d2a-4c1b-9a51-0d8f3c2b1a00";
-        assert_eq!(
-            version_4.parse::<SubmissionId>(),
-            Err(InvalidSubmission::NotVersion7)
-        );
-        assert_eq!(
-            "kiosk-17".parse::<SubmissionId>(),
-            Err(InvalidSubmission::NotUuid)
-        );
+        assert_eq!(version_4.parse::<SubmissionId>(), Err(InvalidSubmission::NotVersion7));
+        assert_eq!("kiosk-17".parse::<SubmissionId>(), Err(InvalidSubmission::NotUuid));
     }
 }
--- a/components/model/src/time.rs
+++ b/components/model/src/time.rs
@@ -69,13 +69,7 @@
     fn arithmetic_saturates() {
         let second = Duration::from_secs(1);
         assert_eq!(Time::from_millis(5) - second, Time::default());
-        assert_eq!(
-            Time::from_micros(u64::MAX) + second,
-            Time::from_micros(u64::MAX)
-        );
-        assert_eq!(
-            Time::from_millis(1).since(Time::from_millis(2)),
-            Duration::ZERO
-        );
+        assert_eq!(Time::from_micros(u64::MAX) + second, Time::from_micros(u64::MAX));
+        assert_eq!(Time::from_millis(1).since(Time::from_millis(2)), Duration::ZERO);
     }
 }
--- a/components/model/src/verdict.rs
+++ b/components/model/src/verdict.rs
@@ -21,11 +21,7 @@
 impl Verdict {
     /// The verdict on two pieces of work taken as one.
     pub fn and(self, other: Self) -> Self {
-        if self == other {
-            self
-        } else {
-            Self::MayHaveRun
-        }
+        if self == other { self } else { Self::MayHaveRun }
     }
 
     /// The value of the `Dockpass-Verdict` header.
@@ -39,9 +35,7 @@
 
     /// Reads the value of a `Dockpass-Verdict` header.
     pub fn parse(text: &str) -> Option<Self> {
-        [Self::NotRun, Self::MayHaveRun, Self::Ran]
-            .into_iter()
-            .find(|v| v.as_str() == text)
+        [Self::NotRun, Self::MayHaveRun, Self::Ran].into_iter().find(|v| v.as_str() == text)
     }
 }
 
@@ -60,10 +54,7 @@
         assert_eq!(Verdict::NotRun.and(Verdict::NotRun), Verdict::NotRun);
         assert_eq!(Verdict::Ran.and(Verdict::Ran), Verdict::Ran);
         assert_eq!(Verdict::NotRun.and(Verdict::Ran), Verdict::MayHaveRun);
-        assert_eq!(
-            Verdict::MayHaveRun.and(Verdict::NotRun),
-            Verdict::MayHaveRun
-        );
+        assert_eq!(Verdict::MayHaveRun.and(Verdict::NotRun), Verdict::MayHaveRun);
     }
 
     #[test]
--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -73,11 +73,7 @@
 impl<'a> Client<'a> {
     /// A client without connections yet.
     pub fn new(address: SocketAddr, executor: Rc<LocalExecutor<'a>>) -> Self {
-        Self {
-            address,
-            executor,
-            idle: RefCell::new(Vec::new()),
-        }
+        Self { address, executor, idle: RefCell::new(Vec::new()) }
     }
 
     /// Sends a request and waits for its whole answer.
@@ -163,10 +159,6 @@
         if sender.is_ready() || !sender.is_closed() {
             self.idle.borrow_mut().push(sender);
         }
-        Ok(Reply {
-            status: head.status.as_u16(),
-            headers: head.headers,
-            body: whole.to_bytes(),
-        })
+        Ok(Reply { status: head.status.as_u16(), headers: head.headers, body: whole.to_bytes() })
     }
 }
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -8,5 +8,5 @@
 mod server;
 
 pub use client::{Client, ClientError, Reply};
-pub use rpc::{Frames, call_context, connect, frames, spawn};
+pub use rpc::{Frames, call_context, connect, frames, pause, spawn};
 pub use server::{Body, BodyError, Limits, serve};
--- a/components/net/src/rpc.rs
+++ b/components/net/src/rpc.rs
@@ -44,9 +44,7 @@
     Item: for<'de> Deserialize<'de>,
     SinkItem: Serialize,
 {
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(FRAME_BYTES_MAX)
-        .new_codec();
+    let codec = LengthDelimitedCodec::builder().max_frame_length(FRAME_BYTES_MAX).new_codec();
     serde_transport::new(Framed::new(Compat::new(stream), codec), Bincode::default())
 }
 
@@ -61,3 +59,8 @@
     context.deadline = Instant::now() + CALL_TIME;
     context
 }
+
+/// Waits.
+pub async fn pause(time: Duration) {
+    Timer::after(time).await;
+}
--- a/components/net/src/server.rs
+++ b/components/net/src/server.rs
@@ -96,9 +96,7 @@
             if broken {
                 // The rest of the body is unread: the connection can't be used again.
                 let close = hyper::header::HeaderValue::from_static("close");
-                response
-                    .headers_mut()
-                    .insert(hyper::header::CONNECTION, close);
+                response.headers_mut().insert(hyper::header::CONNECTION, close);
             }
             Ok::<_, Infallible>(response)
         }
--- a/components/placement/src/fair.rs
+++ b/components/placement/src/fair.rs
@@ -58,12 +58,7 @@
         tasks: usize,
         job: J,
     ) {
-        let fresh = || Team {
-            weight,
-            virtual_time: 0,
-            jobs: BTreeMap::new(),
-            tasks: 0,
-        };
+        let fresh = || Team { weight, virtual_time: 0, jobs: BTreeMap::new(), tasks: 0 };
         let entry = self.teams.entry(team.clone()).or_insert_with(fresh);
         if entry.jobs.is_empty() {
             entry.weight = weight.max(1);
@@ -134,16 +129,13 @@
     /// serves it sooner, its own team's over that part.
     pub fn tasks_ahead(&self, name: &str, weight: u32) -> usize {
         let (own, own_weight, others) = match self.teams.get(name) {
-            Some(team) if !team.jobs.is_empty() => (
-                team.tasks,
-                team.weight,
-                self.weights - u64::from(team.weight),
-            ),
+            Some(team) if !team.jobs.is_empty() => {
+                (team.tasks, team.weight, self.weights - u64::from(team.weight))
+            }
             _ => (0, weight.max(1), self.weights),
         };
         let weights = u64::from(own_weight) + others;
         let by_share = (own as u64).saturating_mul(weights) / u64::from(own_weight);
-        self.tasks
-            .min(usize::try_from(by_share).unwrap_or(usize::MAX))
+        self.tasks.min(usize::try_from(by_share).unwrap_or(usize::MAX))
     }
 }
--- a/components/placement/src/pool.rs
+++ b/components/placement/src/pool.rs
@@ -32,13 +32,7 @@
 
 impl Target {
     fn rank(&self, id: TargetId) -> Rank {
-        (
-            self.profile.penalty,
-            self.profile.remote,
-            u32::MAX - self.idle,
-            self.used,
-            id,
-        )
+        (self.profile.penalty, self.profile.remote, u32::MAX - self.idle, self.used, id)
     }
 }
 
@@ -56,14 +50,7 @@
     pub fn set(&mut self, id: TargetId, profile: Profile) {
         let old = self.targets.get(&id).copied();
         let (idle, used) = old.map_or((0, 0), |target| (target.idle, target.used));
-        self.replace(
-            id,
-            Target {
-                profile,
-                idle,
-                used,
-            },
-        );
+        self.replace(id, Target { profile, idle, used });
     }
 
     /// Takes a target out; its tokens are gone.
@@ -77,13 +64,7 @@
     /// Adds idle tokens of a target; none for one that is not in the pool.
     pub fn add(&mut self, id: TargetId, tokens: u32) {
         if let Some(target) = self.targets.get(&id).copied() {
-            self.replace(
-                id,
-                Target {
-                    idle: target.idle + tokens,
-                    ..target
-                },
-            );
+            self.replace(id, Target { idle: target.idle + tokens, ..target });
         }
     }
 
@@ -93,13 +74,7 @@
             return 0;
         };
         let taken = tokens.min(target.idle);
-        self.replace(
-            id,
-            Target {
-                idle: target.idle - taken,
-                ..target
-            },
-        );
+        self.replace(id, Target { idle: target.idle - taken, ..target });
         taken
     }
 
@@ -111,27 +86,16 @@
         let best = *self.ranked.first()?;
         let alike = |rank: &&Rank| (rank.0, rank.1) == (best.0, best.1);
         let look = self.ranked.iter().take(SPREAD_LOOK).take_while(alike);
-        let id = look
-            .map(|rank| rank.4)
-            .min_by_key(|id| tasks_on_rack(self.rack(*id)))?;
+        let id = look.map(|rank| rank.4).min_by_key(|id| tasks_on_rack(self.rack(*id)))?;
         let target = self.targets[&id];
         self.uses += 1;
-        self.replace(
-            id,
-            Target {
-                idle: target.idle - 1,
-                used: self.uses,
-                ..target
-            },
-        );
+        self.replace(id, Target { idle: target.idle - 1, used: self.uses, ..target });
         Some(id)
     }
 
     /// The rack of a target; 0 for one that is not in the pool.
     pub fn rack(&self, id: TargetId) -> u32 {
-        self.targets
-            .get(&id)
-            .map_or(0, |target| target.profile.rack)
+        self.targets.get(&id).map_or(0, |target| target.profile.rack)
     }
 
     /// Idle tokens of all targets.
@@ -151,9 +115,8 @@
 
     /// The targets after a given one, in a round.
     pub fn round_after(&self, last: TargetId) -> impl Iterator<Item = TargetId> + '_ {
-        let after = self
-            .targets
-            .range((std::ops::Bound::Excluded(last), std::ops::Bound::Unbounded));
+        let after =
+            self.targets.range((std::ops::Bound::Excluded(last), std::ops::Bound::Unbounded));
         let before = self.targets.range(..=last);
         after.chain(before).map(|(id, _)| *id)
     }
--- a/components/placement/tests/placement.rs
+++ b/components/placement/tests/placement.rs
@@ -18,20 +18,13 @@
 }
 
 fn profile(remote: bool, rack: u32, penalty: u8) -> Profile {
-    Profile {
-        remote,
-        rack,
-        penalty,
-    }
+    Profile { remote, rack, penalty }
 }
 
 #[test]
 fn near_and_idle_targets_come_first_and_stragglers_last() {
-    let mut pool = pool(&[
-        (profile(false, 1, 1), 8),
-        (profile(true, 2, 0), 8),
-        (profile(false, 3, 0), 1),
-    ]);
+    let mut pool =
+        pool(&[(profile(false, 1, 1), 8), (profile(true, 2, 0), 8), (profile(false, 3, 0), 1)]);
     let order: Vec<u32> = (0..10).map(|_| pool.spend(|_| 0).unwrap().0).collect();
     assert_eq!(order, [2, 1, 1, 1, 1, 1, 1, 1, 1, 0]);
 }
@@ -42,9 +35,7 @@
     let mut pool = pool(&[rack(1), rack(1), rack(2), rack(3)]);
     let mut on_rack: HashMap<u32, u32> = HashMap::new();
     for _ in 0..6 {
-        let id = pool
-            .spend(|rack| on_rack.get(&rack).copied().unwrap_or(0))
-            .unwrap();
+        let id = pool.spend(|rack| on_rack.get(&rack).copied().unwrap_or(0)).unwrap();
         *on_rack.entry(pool.rack(id)).or_default() += 1;
     }
     assert_eq!(on_rack, HashMap::from([(1, 2), (2, 2), (3, 2)]));
--- a/components/settings/src/catalog.rs
+++ b/components/settings/src/catalog.rs
@@ -88,20 +88,12 @@
                 teams.insert(team.to_owned(), compile_team(tree, path));
             } else if let Some((service, kind)) = path.service_and_kind() {
                 let compiled = Arc::new(compile_kind(tree, path, service, kind));
-                kinds
-                    .entry(service.to_owned())
-                    .or_default()
-                    .insert(kind.to_owned(), compiled);
+                kinds.entry(service.to_owned()).or_default().insert(kind.to_owned(), compiled);
             } else if path.scope() == crate::Scope::Service && *path != SectionPath::root() {
                 kinds.entry(path.as_str().to_owned()).or_default();
             }
         }
-        Self {
-            version,
-            fleet: compile_fleet(tree),
-            kinds,
-            teams,
-        }
+        Self { version, fleet: compile_fleet(tree), kinds, teams }
     }
 
     /// The version of the tree that this was compiled from.
@@ -126,10 +118,7 @@
 
     /// The settings of a team; defaults for one that has no section.
     pub fn team(&self, team: &str) -> TeamSettings {
-        self.teams
-            .get(team)
-            .copied()
-            .unwrap_or(TeamSettings { weight: 1 })
+        self.teams.get(team).copied().unwrap_or(TeamSettings { weight: 1 })
     }
 }
 
@@ -166,9 +155,7 @@
 
 fn compile_team(tree: &Tree, path: &SectionPath) -> TeamSettings {
     let weight = value(tree, path, "weight").integer();
-    TeamSettings {
-        weight: u32::try_from(weight).unwrap_or(u32::MAX),
-    }
+    TeamSettings { weight: u32::try_from(weight).unwrap_or(u32::MAX) }
 }
 
 fn compile_fleet(tree: &Tree) -> Fleet {
--- a/components/settings/src/error.rs
+++ b/components/settings/src/error.rs
@@ -17,11 +17,7 @@
 impl SettingsError {
     /// A refusal of one key.
     pub fn key(section: &str, key: &str, reason: impl Into<String>) -> Self {
-        Self {
-            section: section.to_owned(),
-            key: key.to_owned(),
-            reason: reason.into(),
-        }
+        Self { section: section.to_owned(), key: key.to_owned(), reason: reason.into() }
     }
 
     /// A refusal of a whole section.
--- a/components/settings/src/path.rs
+++ b/components/settings/src/path.rs
@@ -84,10 +84,7 @@
     /// The service and, below it, the kind: `booking/holds` is (`booking`, `holds`).
     pub fn service_and_kind(&self) -> Option<(&str, &str)> {
         match self.scope() {
-            Scope::Service => self
-                .0
-                .split_once('/')
-                .filter(|(service, _)| !service.is_empty()),
+            Scope::Service => self.0.split_once('/').filter(|(service, _)| !service.is_empty()),
             Scope::Fleet | Scope::Team => None,
         }
     }
--- a/components/settings/src/schema.rs
+++ b/components/settings/src/schema.rs
@@ -1,5 +1,7 @@
 //! Typed keys: what a setting may hold, its unit, range and default.
 
+use std::net::SocketAddr;
+
 /// What a key's value may be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ValueType {
@@ -20,6 +22,10 @@
     Text,
     /// Agents as `NAME@RACK`, parted by spaces.
     Members,
+    /// `IP:PORT`.
+    Address,
+    /// Addresses parted by spaces.
+    Addresses,
 }
 
 /// One setting's name, type, default and meaning.
@@ -46,6 +52,10 @@
     Text(String),
     /// Words in order.
     List(Vec<String>),
+    /// An address.
+    Address(SocketAddr),
+    /// Addresses in order.
+    Addresses(Vec<SocketAddr>),
 }
 
 impl Key {
@@ -57,6 +67,8 @@
             ValueType::Choice(words) => read_choice(text, words),
             ValueType::Text => read_text(text),
             ValueType::Members => read_members(text),
+            ValueType::Address => read_address(text).map(Value::Address),
+            ValueType::Addresses => read_addresses(text),
         }
     }
 
@@ -68,6 +80,8 @@
             ValueType::Choice(words) => words.join(" or "),
             ValueType::Text => "text".to_owned(),
             ValueType::Members => "NAME@RACK, parted by spaces".to_owned(),
+            ValueType::Address => "IP:PORT".to_owned(),
+            ValueType::Addresses => "IP:PORT, parted by spaces".to_owned(),
         }
     }
 
@@ -102,6 +116,22 @@
         }
     }
 
+    /// The address. Panics when the schema gave another type: a bug in the caller.
+    pub fn address(&self) -> SocketAddr {
+        match self {
+            Self::Address(address) => *address,
+            other => panic!("not an address key: {other:?}"),
+        }
+    }
+
+    /// The addresses. Panics when the schema gave another type: a bug in the caller.
+    pub fn addresses(&self) -> &[SocketAddr] {
+        match self {
+            Self::Addresses(addresses) => addresses,
+            other => panic!("not a key of addresses: {other:?}"),
+        }
+    }
+
     /// The words. Panics when the schema gave another type: a bug in the caller.
     pub fn list(&self) -> &[String] {
         match self {
@@ -111,10 +141,19 @@
     }
 }
 
+fn read_address(text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("'{text}' is not IP:PORT"))
+}
+
+fn read_addresses(text: &str) -> Result<Value, String> {
+    let addresses: Result<Vec<SocketAddr>, String> =
+        text.split_whitespace().map(read_address).collect();
+    addresses.map(Value::Addresses)
+}
+
 fn read_integer(text: &str, min: u64, max: u64, unit: &str) -> Result<Value, String> {
-    let number: u64 = text
-        .parse()
-        .map_err(|_| format!("'{text}' is not a whole number ({unit})"))?;
+    let number: u64 =
+        text.parse().map_err(|_| format!("'{text}' is not a whole number ({unit})"))?;
     if number < min || number > max {
         return Err(format!("{number} is out of range {min} to {max} ({unit})"));
     }
@@ -165,11 +204,7 @@
 
     const LIMIT: Key = Key {
         name: "limit",
-        value_type: ValueType::Integer {
-            min: 1,
-            max: 690,
-            unit: "tasks",
-        },
+        value_type: ValueType::Integer { min: 1, max: 690, unit: "tasks" },
         default: "690",
         help: "",
     };
--- a/components/settings/src/tree.rs
+++ b/components/settings/src/tree.rs
@@ -24,6 +24,11 @@
         /// The value, as in INI.
         value: String,
     },
+    /// Makes an empty section, whose values are all inherited.
+    Add {
+        /// The section.
+        section: SectionPath,
+    },
     /// Takes a written value away, so that it is inherited again.
     Unset {
         /// The section.
@@ -43,7 +48,7 @@
     pub fn section(&self) -> &SectionPath {
         match self {
             Self::Set { section, .. } | Self::Unset { section, .. } => section,
-            Self::Remove { section } => section,
+            Self::Add { section } | Self::Remove { section } => section,
         }
     }
 }
@@ -94,15 +99,14 @@
 
     fn apply(&mut self, edit: &Edit) -> Result<(), SettingsError> {
         match edit {
-            Edit::Set {
-                section,
-                key,
-                value,
-            } => {
+            Edit::Set { section, key, value } => {
                 check(section, key, value)?;
                 let values = self.sections.entry(section.clone()).or_default();
                 values.insert(key.clone(), value.clone());
             }
+            Edit::Add { section } => {
+                self.sections.entry(section.clone()).or_default();
+            }
             Edit::Unset { section, key } => {
                 let values = self.section_mut(section)?;
                 if values.remove(key).is_none() {
@@ -149,16 +153,52 @@
         self.sections.get(path)?.get(key).map(String::as_str)
     }
 
-    /// The value in force: written here, inherited, or the default.
-    pub fn effective(&self, path: &SectionPath, key: &Key) -> Value {
+    /// The edits that lead from this tree to another.
+    pub fn edits_to(&self, wanted: &Self) -> Vec<Edit> {
+        let mut edits = Vec::new();
+        for (path, section) in &wanted.sections {
+            if !self.sections.contains_key(path) {
+                edits.push(Edit::Add { section: path.clone() });
+            }
+            for (key, value) in section {
+                if self.written(path, key) != Some(value) {
+                    let (section, key) = (path.clone(), key.clone());
+                    edits.push(Edit::Set { section, key, value: value.clone() });
+                }
+            }
+        }
+        for (path, section) in self.sections.iter().rev() {
+            let Some(kept) = wanted.sections.get(path) else {
+                edits.push(Edit::Remove { section: path.clone() });
+                continue;
+            };
+            for key in section.keys().filter(|key| !kept.contains_key(*key)) {
+                edits.push(Edit::Unset { section: path.clone(), key: key.clone() });
+            }
+        }
+        edits
+    }
+
+    /// The text in force and the section that it is written in; none for the default.
+    pub fn effective_text<'a>(
+        &'a self,
+        path: &SectionPath,
+        key: &Key,
+    ) -> (Option<SectionPath>, &'a str) {
         let mut at = Some(path.clone());
         while let Some(section) = at {
-            if let Some(text) = self.written(&section, key.name) {
-                return key.read(text).expect("checked when it was written");
+            if let Some(text) = self.sections.get(&section).and_then(|s| s.get(key.name)) {
+                return (Some(section), text);
             }
             at = section.parent();
         }
-        key.read(key.default).expect("defaults read")
+        (None, key.default)
+    }
+
+    /// The value in force: written here, inherited, or the default.
+    pub fn effective(&self, path: &SectionPath, key: &Key) -> Value {
+        let (_, text) = self.effective_text(path, key);
+        key.read(text).expect("checked when it was written")
     }
 }
 
@@ -174,11 +214,7 @@
 
 /// Splits INI text into sections, refusing repeated sections, repeated keys and stray keys.
 pub fn parse_ini(text: &str) -> Result<BTreeMap<String, Section>, SettingsError> {
-    let options = ParseOption {
-        enabled_quote: false,
-        enabled_escape: false,
-        ..Default::default()
-    };
+    let options = ParseOption { enabled_quote: false, enabled_escape: false, ..Default::default() };
     let ini = Ini::load_from_str_opt(text, options)
         .map_err(|error| SettingsError::section("-", format!("not INI: {error}")))?;
     let mut sections = BTreeMap::new();
--- a/components/settings/tests/tree.rs
+++ b/components/settings/tests/tree.rs
@@ -23,11 +23,7 @@
 
 fn set(section: &str, key: &str, value: &str) -> Edit {
     let section = section.parse().unwrap();
-    Edit::Set {
-        section,
-        key: key.to_owned(),
-        value: value.to_owned(),
-    }
+    Edit::Set { section, key: key.to_owned(), value: value.to_owned() }
 }
 
 #[test]
@@ -38,10 +34,7 @@
     let lookups = catalog.kind("booking", "lookups").unwrap();
     assert_eq!(holds.deadline, Duration::from_millis(400));
     assert_eq!(lookups.deadline, Duration::from_millis(900));
-    assert_eq!(
-        (holds.team.as_str(), lookups.team.as_str()),
-        ("kyushu", "kyushu")
-    );
+    assert_eq!((holds.team.as_str(), lookups.team.as_str()), ("kyushu", "kyushu"));
     assert_eq!(catalog.team("kyushu").weight, 7);
     assert_eq!(catalog.team("unwritten").weight, 1);
     assert!(catalog.kind("booking", "refunds").is_none());
@@ -52,50 +45,23 @@
     let tree = Tree::from_ini(BOOKING).unwrap();
     let stopped = tree.with(&[set("booking", "state", "stopped")]).unwrap();
     let catalog = Catalog::new(4, &stopped);
-    assert_eq!(
-        catalog.kind("booking", "holds").unwrap().state,
-        ServiceState::Stopped
-    );
+    assert_eq!(catalog.kind("booking", "holds").unwrap().state, ServiceState::Stopped);
 }
 
 #[test]
 fn refusals_name_section_key_and_reason() {
     let cases = [
         ("[booking]\nspeed = 3\n", "[booking] speed: unknown key"),
-        (
-            "[booking]\ndeadline_ms = 0\n",
-            "[booking] deadline_ms: 0 is out of range",
-        ),
-        (
-            "[booking]\ndeadline_ms = 2s\n",
-            "[booking] deadline_ms: '2s' is not a whole number",
-        ),
-        (
-            "[booking]\nstate = paused\n",
-            "[booking] state: 'paused' is none of",
-        ),
-        (
-            "[booking/holds]\n",
-            "[booking/holds] -: its parent [booking] is missing",
-        ),
+        ("[booking]\ndeadline_ms = 0\n", "[booking] deadline_ms: 0 is out of range"),
+        ("[booking]\ndeadline_ms = 2s\n", "[booking] deadline_ms: '2s' is not a whole number"),
+        ("[booking]\nstate = paused\n", "[booking] state: 'paused' is none of"),
+        ("[booking/holds]\n", "[booking/holds] -: its parent [booking] is missing"),
         ("[Booking]\n", "[Booking] -: a path is words"),
         ("[booking]\n[booking]\n", "[booking] -: written twice"),
-        (
-            "[booking]\nteam = a\nteam = b\n",
-            "[booking] team: written twice",
-        ),
-        (
-            "deadline_ms = 3\n",
-            "[-] deadline_ms: stands before any section",
-        ),
-        (
-            "[fleet]\nclaim_view = a1@r1 a2\n",
-            "[fleet] claim_view: 'a2' is not NAME@RACK",
-        ),
-        (
-            "[fleet]\nclaim_view = a1@r1 a1@r2\n",
-            "[fleet] claim_view: 'a1' stands twice",
-        ),
+        ("[booking]\nteam = a\nteam = b\n", "[booking] team: written twice"),
+        ("deadline_ms = 3\n", "[-] deadline_ms: stands before any section"),
+        ("[fleet]\nclaim_view = a1@r1 a2\n", "[fleet] claim_view: 'a2' is not NAME@RACK"),
+        ("[fleet]\nclaim_view = a1@r1 a1@r2\n", "[fleet] claim_view: 'a1' stands twice"),
         ("[teams/a/b]\n", "[teams/a/b] -: a team's section"),
         ("[booking", "not INI"),
     ];
@@ -108,10 +74,7 @@
 #[test]
 fn a_refused_edit_leaves_the_tree_unharmed() {
     let tree = Tree::from_ini(BOOKING).unwrap();
-    let edits = [
-        set("booking", "team", "other"),
-        set("booking", "deadline_ms", "none"),
-    ];
+    let edits = [set("booking", "team", "other"), set("booking", "deadline_ms", "none")];
     assert!(tree.with(&edits).is_err());
     assert_eq!(tree, Tree::from_ini(BOOKING).unwrap());
 }
@@ -146,6 +109,28 @@
         prop_assert_eq!(Tree::from_ini(&tree.to_ini()).unwrap(), tree);
     }
 
+    #[test]
+    fn edits_lead_from_any_tree_to_any_other(
+        from in proptest::collection::vec(("[a-c]", "[x-z]", 1u64..400), 0..6),
+        to in proptest::collection::vec(("[a-c]", "[x-z]", 1u64..400), 0..6),
+    ) {
+        let build = |sections: &[(String, String, u64)]| {
+            let mut tree = Tree::default();
+            for (service, kind, number) in sections {
+                let child = format!("{service}/{kind}");
+                let edits = [
+                    Edit::Add { section: service.parse().unwrap() },
+                    set(&child, "deadline_ms", &number.to_string()),
+                ];
+                tree = tree.with(&edits).unwrap();
+            }
+            tree
+        };
+        let (from, to) = (build(&from), build(&to));
+        let edits = from.edits_to(&to);
+        prop_assert_eq!(from.with(&edits).unwrap(), to);
+    }
+
     #[test]
     fn any_text_is_read_or_refused(text in "[\\[\\]a-z/=\\n ;#\"]{0,80}") {
         if let Ok(tree) = Tree::from_ini(&text) {
--- a/components/telemetry/src/breach.rs
+++ b/components/telemetry/src/breach.rs
@@ -40,25 +40,13 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::TwoOwners { key, first, second } => {
-                write!(
-                    f,
-                    "task {}/{} has two owners: {first}, {second}",
-                    key.submission, key.index
-                )
+                write!(f, "task {}/{} has two owners: {first}, {second}", key.submission, key.index)
             }
             Self::EndedTwice(key) => {
-                write!(
-                    f,
-                    "task {}/{} ended, but was not running",
-                    key.submission, key.index
-                )
+                write!(f, "task {}/{} ended, but was not running", key.submission, key.index)
             }
             Self::StartWithoutProof(key) => {
-                write!(
-                    f,
-                    "task {}/{} starts again without proof",
-                    key.submission, key.index
-                )
+                write!(f, "task {}/{} starts again without proof", key.submission, key.index)
             }
             Self::PartialAnswer(submission) => write!(f, "answer of {submission} is partial"),
             Self::FalseNotRun(submission) => write!(f, "'not run' said of started {submission}"),
--- a/components/telemetry/src/decision.rs
+++ b/components/telemetry/src/decision.rs
@@ -60,17 +60,9 @@
 
 impl fmt::Display for Decision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{} {} team={} kind={} ",
-            self.time, self.submission, self.team, self.kind
-        )?;
+        write!(f, "{} {} team={} kind={} ", self.time, self.submission, self.team, self.kind)?;
         match &self.step {
-            Step::Place {
-                index,
-                target,
-                idle,
-            } => {
+            Step::Place { index, target, idle } => {
                 write!(f, "place task={index} target={target} idle={idle}")?;
             }
             Step::PlaceAgain { index, attempt } => {
@@ -79,11 +71,6 @@
             Step::Refuse { code } => write!(f, "refuse why={code}")?,
             Step::Relay { owner } => write!(f, "relay owner={owner}")?,
         }
-        write!(
-            f,
-            " queue={} estimate_ms={}",
-            self.queue,
-            self.estimate.as_millis()
-        )
+        write!(f, " queue={} estimate_ms={}", self.queue, self.estimate.as_millis())
     }
 }
--- /dev/null
+++ b/components/testbed/src/lib.rs
@@ -0,0 +1,8 @@
+//! A whole dockpass in one process on loopback: keeper, entries, agents and stand-in targets,
+//! each role with its own threads and sockets.
+
+mod cluster;
+mod jobs;
+
+pub use cluster::{Cluster, ClusterError, ClusterOptions};
+pub use jobs::{JobFile, JobFileError, JobSpec};
--- a/components/wire/src/agent.rs
+++ b/components/wire/src/agent.rs
@@ -6,6 +6,7 @@
 use execution::TaskOutcome;
 use model::{Incarnation, NodeRef, SubmissionId, TaskKey, Time};
 use serde::{Deserialize, Serialize};
+use telemetry::AgentCounters;
 
 /// Opens a session; the first call on a connection.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -109,6 +110,17 @@
     Restarted,
 }
 
+/// What an agent tells operators.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentStatus {
+    /// Itself.
+    pub info: AgentInfo,
+    /// The version of the settings in force.
+    pub settings_version: u64,
+    /// Its counters.
+    pub counters: AgentCounters,
+}
+
 /// Keeps an entry's session and its tokens; the agent answers when it has something to say.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncRequest {
@@ -125,7 +137,9 @@
     pub granted: u32,
     /// Idle tokens that the agent asks back.
     pub recalled: u32,
-    /// The target is leaving: all tokens are void.
+    /// All tokens lent before are void.
+    pub void: bool,
+    /// The target is leaving: no more tokens will come.
     pub leaving: bool,
     /// The version of the settings in force at the agent.
     pub settings_version: u64,
@@ -144,6 +158,8 @@
     async fn start(request: StartRequest) -> StartReply;
     /// Settles the fate of a start.
     async fn settle(request: SettleRequest) -> SettleReply;
+    /// The agent's counters, for operators.
+    async fn status() -> AgentStatus;
     /// Exchanges tokens and news.
     async fn sync(request: SyncRequest) -> SyncReply;
 }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -10,8 +10,8 @@
 mod keeper;
 
 pub use agent::{
-    AgentInfo, AgentService, AgentServiceClient, HelloRequest, SettleReply, SettleRequest,
-    StartRefusal, StartReply, StartRequest, StartResult, SyncReply, SyncRequest,
+    AgentInfo, AgentService, AgentServiceClient, AgentStatus, HelloRequest, SettleReply,
+    SettleRequest, StartRefusal, StartReply, StartRequest, StartResult, SyncReply, SyncRequest,
 };
 pub use entry::{EntryService, EntryServiceClient, RelayReply, RelayRequest};
 pub use keeper::{
--- /dev/null
+++ b/daemon/src/config.rs
@@ -0,0 +1,218 @@
+//! The daemon's own INI file: who it is, which roles it plays, where it listens.
+
+mod check;
+mod keys;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use membership::Role;
+use model::NodeName;
+use settings::{SettingsError, Value, parse_ini};
+use thiserror::Error;
+
+pub use keys::print_reference;
+use keys::{AGENT, ENTRY, KEEPER, NODE, Sections};
+
+/// Why the file can't be used: file, section, key and reason.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// The file can't be read.
+    #[error("{file}: {source}")]
+    Unreadable {
+        /// The file.
+        file: String,
+        /// Why.
+        #[source]
+        source: std::io::Error,
+    },
+    /// A setting can't be taken.
+    #[error("{file}: {source}")]
+    Refused {
+        /// The file.
+        file: String,
+        /// Where and why.
+        #[source]
+        source: SettingsError,
+    },
+}
+
+/// Who a node is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeConfig {
+    /// Its name.
+    pub name: NodeName,
+    /// The roles it plays.
+    pub roles: Vec<Role>,
+    /// Its data hall.
+    pub hall: String,
+    /// Its rack.
+    pub rack: String,
+    /// Keepers to take settings from.
+    pub keepers: Vec<SocketAddr>,
+    /// The platform's list: `file:PATH` or `http://IP:PORT/PATH`.
+    pub platform: String,
+    /// How often the list is read.
+    pub platform_poll: Duration,
+    /// Folder of the logs; standard error and no decision log where there is none.
+    pub logs: Option<PathBuf>,
+    /// How often the counters are logged.
+    pub counters_every: Duration,
+}
+
+/// The entry's part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EntryConfig {
+    /// Where callers reach it.
+    pub listen: SocketAddr,
+    /// Where other entries reach it.
+    pub peer_listen: SocketAddr,
+    /// How long it goes on taking requests after it said that it is not ready.
+    pub drain_notice: Duration,
+}
+
+/// The agent's part.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgentConfig {
+    /// Where entries reach it.
+    pub listen: SocketAddr,
+    /// Its target.
+    pub target: SocketAddr,
+    /// The service that the target takes work of.
+    pub service: String,
+    /// Tasks that the target takes at once.
+    pub slots: u32,
+    /// After this a task that the target does not answer is given up.
+    pub stuck: Duration,
+}
+
+/// The keeper's part.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeeperConfig {
+    /// Where operators reach it.
+    pub listen: SocketAddr,
+    /// Where nodes and other keepers reach it.
+    pub node_listen: SocketAddr,
+    /// The folder that lasts.
+    pub data: PathBuf,
+    /// The tree that a first start begins with.
+    pub initial: Option<PathBuf>,
+}
+
+/// A checked configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Config {
+    /// Who the node is.
+    pub node: NodeConfig,
+    /// The entry's part, where it plays that role.
+    pub entry: Option<EntryConfig>,
+    /// The agent's part, where it plays that role.
+    pub agent: Option<AgentConfig>,
+    /// The keeper's part, where it plays that role.
+    pub keeper: Option<KeeperConfig>,
+    sections: Sections,
+}
+
+impl Config {
+    /// Reads and checks a file.
+    pub fn load(path: &std::path::Path) -> Result<Self, ConfigError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| ConfigError::Unreadable { file: file.clone(), source })?;
+        Self::from_ini(&text).map_err(|source| ConfigError::Refused { file, source })
+    }
+
+    /// Reads and checks INI text.
+    pub fn from_ini(text: &str) -> Result<Self, SettingsError> {
+        let sections = Sections::read(parse_ini(text)?)?;
+        let node = node(&sections)?;
+        let plays = |role| node.roles.contains(&role);
+        let config = Self {
+            entry: plays(Role::Entry).then(|| entry(&sections)).transpose()?,
+            agent: plays(Role::Agent).then(|| agent(&sections)).transpose()?,
+            keeper: plays(Role::Keeper).then(|| keeper(&sections)).transpose()?,
+            node,
+            sections,
+        };
+        check::check(&config)?;
+        Ok(config)
+    }
+
+    /// The settings in force, as INI: what was written and the defaults.
+    pub fn in_force(&self) -> String {
+        self.sections.in_force(&self.node.roles)
+    }
+}
+
+fn node(sections: &Sections) -> Result<NodeConfig, SettingsError> {
+    let text = |key| sections.value(NODE, key).map(|value| value.text().to_owned());
+    let millis = |key| sections.value(NODE, key).map(|v| Duration::from_millis(v.integer()));
+    let name = sections.required(NODE, "name")?;
+    let mut roles = Vec::new();
+    for word in sections.required(NODE, "roles")?.text().split_whitespace() {
+        roles.push(role(word)?);
+    }
+    let logs = text("logs")?;
+    Ok(NodeConfig {
+        name: NodeName::new(name.text()),
+        roles,
+        hall: text("hall")?,
+        rack: text("rack")?,
+        keepers: sections.value(NODE, "keepers")?.addresses().to_vec(),
+        platform: text("platform")?,
+        platform_poll: millis("platform_poll_ms")?,
+        logs: (!logs.is_empty()).then(|| PathBuf::from(logs)),
+        counters_every: millis("counters_every_ms")?,
+    })
+}
+
+fn role(word: &str) -> Result<Role, SettingsError> {
+    match word {
+        "entry" => Ok(Role::Entry),
+        "agent" => Ok(Role::Agent),
+        "keeper" => Ok(Role::Keeper),
+        _ => {
+            let reason = format!("'{word}' is none of: entry, agent, keeper");
+            Err(SettingsError::key(NODE, "roles", reason))
+        }
+    }
+}
+
+fn entry(sections: &Sections) -> Result<EntryConfig, SettingsError> {
+    let notice = sections.value(ENTRY, "drain_notice_ms")?.integer();
+    Ok(EntryConfig {
+        listen: address(sections, ENTRY, "listen")?,
+        peer_listen: address(sections, ENTRY, "peer_listen")?,
+        drain_notice: Duration::from_millis(notice),
+    })
+}
+
+fn agent(sections: &Sections) -> Result<AgentConfig, SettingsError> {
+    let slots = sections.value(AGENT, "slots")?.integer();
+    let stuck = sections.value(AGENT, "stuck_ms")?.integer();
+    Ok(AgentConfig {
+        listen: address(sections, AGENT, "listen")?,
+        target: address(sections, AGENT, "target")?,
+        service: sections.required(AGENT, "service")?.text().to_owned(),
+        slots: u32::try_from(slots).unwrap_or(u32::MAX),
+        stuck: Duration::from_millis(stuck),
+    })
+}
+
+fn keeper(sections: &Sections) -> Result<KeeperConfig, SettingsError> {
+    let initial = sections.value(KEEPER, "initial")?.text().to_owned();
+    Ok(KeeperConfig {
+        listen: address(sections, KEEPER, "listen")?,
+        node_listen: address(sections, KEEPER, "node_listen")?,
+        data: PathBuf::from(sections.required(KEEPER, "data")?.text()),
+        initial: (!initial.is_empty()).then(|| PathBuf::from(initial)),
+    })
+}
+
+fn address(sections: &Sections, section: &str, key: &str) -> Result<SocketAddr, SettingsError> {
+    match sections.required(section, key)? {
+        Value::Address(address) => Ok(address),
+        _ => Err(SettingsError::key(section, key, "not an address")),
+    }
+}
--- /dev/null
+++ b/daemon/src/config/check.rs
@@ -0,0 +1,79 @@
+//! Checks across keys: ports that clash, folders that can't be written.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use settings::SettingsError;
+
+use super::Config;
+use super::keys::{AGENT, ENTRY, KEEPER, NODE};
+
+/// Refuses a configuration whose parts do not go together.
+pub(super) fn check(config: &Config) -> Result<(), SettingsError> {
+    if config.node.roles.is_empty() {
+        return Err(SettingsError::key(NODE, "roles", "has to be written"));
+    }
+    check_platform(&config.node.platform)?;
+    let needs_settings = config.entry.is_some() || config.agent.is_some();
+    if needs_settings && config.node.keepers.is_empty() {
+        return Err(SettingsError::key(NODE, "keepers", "has to be written"));
+    }
+    if config.entry.is_some() && config.node.platform.is_empty() {
+        return Err(SettingsError::key(NODE, "platform", "has to be written"));
+    }
+    check_ports(config)?;
+    if let Some(logs) = &config.node.logs {
+        check_writable(NODE, "logs", logs)?;
+    }
+    if let Some(keeper) = &config.keeper {
+        check_writable(KEEPER, "data", &keeper.data)?;
+    }
+    Ok(())
+}
+
+fn check_platform(platform: &str) -> Result<(), SettingsError> {
+    let known =
+        platform.is_empty() || platform.starts_with("file:") || platform.starts_with("http://");
+    if known {
+        return Ok(());
+    }
+    let reason = format!("'{platform}' is neither file:PATH nor http://IP:PORT/PATH");
+    Err(SettingsError::key(NODE, "platform", reason))
+}
+
+fn check_ports(config: &Config) -> Result<(), SettingsError> {
+    let mut taken: Vec<(SocketAddr, &str, &str)> = Vec::new();
+    let mut take = |address: SocketAddr, section, key| {
+        // Port 0 asks for any free port.
+        let clash = taken.iter().find(|(other, _, _)| address.port() != 0 && *other == address);
+        if let Some((_, other_section, other_key)) = clash {
+            let reason = format!("{address} clashes with [{other_section}] {other_key}");
+            return Err(SettingsError::key(section, key, reason));
+        }
+        taken.push((address, section, key));
+        Ok(())
+    };
+    if let Some(entry) = &config.entry {
+        take(entry.listen, ENTRY, "listen")?;
+        take(entry.peer_listen, ENTRY, "peer_listen")?;
+    }
+    if let Some(agent) = &config.agent {
+        take(agent.listen, AGENT, "listen")?;
+        take(agent.target, AGENT, "target")?;
+    }
+    if let Some(keeper) = &config.keeper {
+        take(keeper.listen, KEEPER, "listen")?;
+        take(keeper.node_listen, KEEPER, "node_listen")?;
+    }
+    Ok(())
+}
+
+/// Tries to write in a folder.
+fn check_writable(section: &str, key: &str, folder: &Path) -> Result<(), SettingsError> {
+    let probe = folder.join(".dockpass-probe");
+    let tried = std::fs::write(&probe, b"").and_then(|()| std::fs::remove_file(&probe));
+    tried.map_err(|error| {
+        let reason = format!("can't write in {}: {error}", folder.display());
+        SettingsError::key(section, key, reason)
+    })
+}
--- /dev/null
+++ b/daemon/src/config/keys.rs
@@ -0,0 +1,222 @@
+//! Every key of the daemon's file.
+
+use std::collections::BTreeMap;
+
+use membership::Role;
+use settings::{Key, SettingsError, Value, ValueType};
+
+pub(super) const NODE: &str = "node";
+pub(super) const ENTRY: &str = "entry";
+pub(super) const AGENT: &str = "agent";
+pub(super) const KEEPER: &str = "keeper";
+
+const NODE_KEYS: &[Key] = &[
+    Key {
+        name: "name",
+        value_type: ValueType::Text,
+        default: "",
+        help: "Name of the node, unique in the fleet. Has to be written.",
+    },
+    Key {
+        name: "roles",
+        value_type: ValueType::Text,
+        default: "",
+        help: "Any of entry, agent, keeper, parted by spaces. Has to be written.",
+    },
+    Key { name: "hall", value_type: ValueType::Text, default: "", help: "Its data hall." },
+    Key { name: "rack", value_type: ValueType::Text, default: "", help: "Its rack." },
+    Key {
+        name: "keepers",
+        value_type: ValueType::Addresses,
+        default: "",
+        help: "Where keepers listen for nodes. Has to be written for entries and agents.",
+    },
+    Key {
+        name: "platform",
+        value_type: ValueType::Text,
+        default: "",
+        help: "The platform's list of hosts: file:PATH or http://IP:PORT/PATH.",
+    },
+    Key {
+        name: "platform_poll_ms",
+        value_type: ValueType::Integer { min: 10, max: 60_000, unit: "ms" },
+        default: "500",
+        help: "How often the list is read.",
+    },
+    Key {
+        name: "logs",
+        value_type: ValueType::Text,
+        default: "",
+        help: "Folder of dockpassd.log and decisions.log; without it, standard error and no decisions.",
+    },
+    Key {
+        name: "counters_every_ms",
+        value_type: ValueType::Integer { min: 100, max: 3_600_000, unit: "ms" },
+        default: "10000",
+        help: "How often the counters are logged.",
+    },
+];
+
+const ENTRY_KEYS: &[Key] = &[
+    Key {
+        name: "listen",
+        value_type: ValueType::Address,
+        default: "",
+        help: "Where callers reach it over HTTP. Has to be written.",
+    },
+    Key {
+        name: "peer_listen",
+        value_type: ValueType::Address,
+        default: "",
+        help: "Where other entries reach it. Has to be written.",
+    },
+    Key {
+        name: "drain_notice_ms",
+        value_type: ValueType::Integer { min: 0, max: 600_000, unit: "ms" },
+        default: "5000",
+        help: "How long it goes on taking requests after it has said that it is not ready.",
+    },
+];
+
+const AGENT_KEYS: &[Key] = &[
+    Key {
+        name: "listen",
+        value_type: ValueType::Address,
+        default: "",
+        help: "Where entries reach it. Has to be written.",
+    },
+    Key {
+        name: "target",
+        value_type: ValueType::Address,
+        default: "",
+        help: "Where its target listens. Has to be written.",
+    },
+    Key {
+        name: "service",
+        value_type: ValueType::Text,
+        default: "",
+        help: "The service that its target takes work of. Has to be written.",
+    },
+    Key {
+        name: "slots",
+        value_type: ValueType::Integer { min: 1, max: 1_024, unit: "tasks" },
+        default: "8",
+        help: "Tasks that the target takes at once.",
+    },
+    Key {
+        name: "stuck_ms",
+        value_type: ValueType::Integer { min: 100, max: 3_600_000, unit: "ms" },
+        default: "30000",
+        help: "After this a task that the target does not answer is given up as may-have-run.",
+    },
+];
+
+const KEEPER_KEYS: &[Key] = &[
+    Key {
+        name: "listen",
+        value_type: ValueType::Address,
+        default: "",
+        help: "Where operators reach it over HTTP. Has to be written.",
+    },
+    Key {
+        name: "node_listen",
+        value_type: ValueType::Address,
+        default: "",
+        help: "Where nodes and other keepers reach it. Has to be written.",
+    },
+    Key {
+        name: "data",
+        value_type: ValueType::Text,
+        default: "",
+        help: "The folder that lasts; it has to exist. Has to be written.",
+    },
+    Key {
+        name: "initial",
+        value_type: ValueType::Text,
+        default: "",
+        help: "INI file with the tree that a first start begins with.",
+    },
+];
+
+/// Each section with its keys.
+const SECTIONS: &[(&str, &[Key])] =
+    &[(NODE, NODE_KEYS), (ENTRY, ENTRY_KEYS), (AGENT, AGENT_KEYS), (KEEPER, KEEPER_KEYS)];
+
+/// The written values of a file, checked against the schema.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Sections {
+    written: BTreeMap<String, BTreeMap<String, String>>,
+}
+
+impl Sections {
+    /// Takes parsed INI, refusing unknown sections and keys and values out of range.
+    pub fn read(
+        written: BTreeMap<String, BTreeMap<String, String>>,
+    ) -> Result<Self, SettingsError> {
+        for (section, values) in &written {
+            let keys = keys_of(section)
+                .ok_or_else(|| SettingsError::section(section, "unknown section"))?;
+            for (name, text) in values {
+                let key = Key::find(keys, name)
+                    .ok_or_else(|| SettingsError::key(section, name, "unknown key"))?;
+                key.read(text).map_err(|reason| SettingsError::key(section, name, reason))?;
+            }
+        }
+        Ok(Self { written })
+    }
+
+    /// A value: written or the default.
+    pub fn value(&self, section: &str, name: &str) -> Result<Value, SettingsError> {
+        let key = keys_of(section).and_then(|keys| Key::find(keys, name)).expect("a known key");
+        let written = self.written.get(section).and_then(|values| values.get(name));
+        let text = written.map_or(key.default, String::as_str);
+        key.read(text).map_err(|reason| SettingsError::key(section, name, reason))
+    }
+
+    /// A value that has to be written.
+    pub fn required(&self, section: &str, name: &str) -> Result<Value, SettingsError> {
+        let written = self.written.get(section).and_then(|values| values.get(name));
+        match written {
+            Some(text) if !text.is_empty() => self.value(section, name),
+            _ => Err(SettingsError::key(section, name, "has to be written")),
+        }
+    }
+
+    /// The settings in force of the sections that these roles use.
+    pub fn in_force(&self, roles: &[Role]) -> String {
+        let used = |section: &str| match section {
+            ENTRY => roles.contains(&Role::Entry),
+            AGENT => roles.contains(&Role::Agent),
+            KEEPER => roles.contains(&Role::Keeper),
+            _ => true,
+        };
+        let mut text = String::new();
+        for (section, keys) in SECTIONS.iter().filter(|(section, _)| used(section)) {
+            text.push_str(&format!("[{section}]\n"));
+            for key in *keys {
+                let written = self.written.get(*section).and_then(|values| values.get(key.name));
+                let value = written.map_or(key.default, String::as_str);
+                text.push_str(&format!("{} = {value}\n", key.name));
+            }
+            text.push('\n');
+        }
+        text
+    }
+}
+
+fn keys_of(section: &str) -> Option<&'static [Key]> {
+    SECTIONS.iter().find(|(name, _)| *name == section).map(|(_, keys)| *keys)
+}
+
+/// The reference page of every setting, in Markdown: the daemon's file and the settings tree.
+pub fn print_reference() -> String {
+    let mut page =
+        String::from("# Settings reference\n\nPrinted by `dockpassd --print-reference`.\n");
+    page.push_str("\n# The daemon's file\n");
+    for (section, keys) in SECTIONS {
+        page.push_str(&format!("\n## `[{section}]`\n\n{}", Key::table(keys)));
+    }
+    page.push_str("\n# The settings tree\n\n");
+    page.push_str(&settings::print_reference());
+    page
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,1 +1,28 @@
-//! placeholder
+//! The roles of `dockpassd`, wired to threads, rings and sockets.
+//!
+//! Each role has a thread for each duty, joined by bounded rings: one listens, one decides, one
+//! talks to the other side. The deciding thread drives a library that does no I/O.
+
+mod agent_role;
+mod clock;
+mod config;
+mod decisions;
+mod driver;
+mod entry_role;
+mod keeper_role;
+mod logs;
+mod node;
+mod platform;
+mod settings_link;
+mod threads;
+
+pub use agent_role::{AgentHandle, AgentOptions};
+pub use config::{
+    AgentConfig, Config, ConfigError, EntryConfig, KeeperConfig, NodeConfig, print_reference,
+};
+pub use decisions::DecisionLog;
+pub use entry_role::{EntryHandle, EntryOptions};
+pub use keeper_role::{KeeperError, KeeperHandle, KeeperOptions};
+pub use logs::{LogError, init_logs};
+pub use node::{Node, NodeError};
+pub use platform::Platform;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,2 +1,65 @@
-//! placeholder
-fn main() {}
+//! `dockpassd`: the daemon of entries, agents and keepers.
+
+mod cli;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use daemon::{Config, Node, Platform, init_logs, print_reference};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use spdlog::{critical, info};
+
+/// The file in the folder of the logs.
+const LOG: &str = "dockpassd.log";
+/// Exit code of a run that failed.
+const FAILED: u8 = 1;
+/// Exit code of a configuration that can't be used.
+const BAD_CONFIG: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments = cli::command().get_matches();
+    if arguments.get_flag("print-reference") {
+        print!("{}", print_reference());
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = arguments.get_one::<String>("config") else {
+        eprintln!("dockpassd: --config FILE has to be given");
+        return ExitCode::from(BAD_CONFIG);
+    };
+    let config = match Config::load(Path::new(path)) {
+        Ok(config) => config,
+        Err(error) => {
+            eprintln!("dockpassd: {error}");
+            return ExitCode::from(BAD_CONFIG);
+        }
+    };
+    if arguments.get_flag("check") {
+        print!("{}", config.in_force());
+        return ExitCode::SUCCESS;
+    }
+    match run(&config) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dockpassd: {error}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+/// Runs until a signal asks for the end: the first drains, the second ends at once.
+fn run(config: &Config) -> Result<(), Box<dyn std::error::Error>> {
+    init_logs(config.node.logs.as_ref().map(|folder| folder.join(LOG)).as_deref())?;
+    let platform = Platform::parse(&config.node.platform).unwrap_or(Platform::None);
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let node = Node::start(config, platform)?;
+    info!("started {}", config.node.name);
+    signals.forever().next();
+    std::thread::spawn(move || {
+        signals.forever().next();
+        critical!("second signal: ending at once");
+        std::process::exit(i32::from(FAILED));
+    });
+    node.drain();
+    Ok(())
+}
--- /dev/null
+++ b/daemon/src/node.rs
@@ -0,0 +1,157 @@
+//! A node: its roles, its link to the keepers, its watch of the platform's list.
+
+use std::io;
+use std::thread::JoinHandle;
+
+use model::{Incarnation, NodeRef};
+use spdlog::info;
+use thiserror::Error;
+
+use crate::agent_role::{AgentHandle, AgentOptions};
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::decisions::DecisionLog;
+use crate::entry_role::{EntryHandle, EntryOptions};
+use crate::keeper_role::{KeeperError, KeeperHandle, KeeperOptions};
+use crate::platform::{Platform, watch};
+use crate::settings_link;
+use crate::threads::{Duty, join};
+
+/// The decision log's file in the folder of the logs.
+const DECISIONS: &str = "decisions.log";
+
+/// Why a node can't start.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    /// A socket, file or thread can't be had.
+    #[error("{what}: {source}")]
+    Io {
+        /// What was tried.
+        what: &'static str,
+        /// Why it failed.
+        #[source]
+        source: io::Error,
+    },
+    /// The keeper's state can't be used.
+    #[error(transparent)]
+    Keeper(#[from] KeeperError),
+}
+
+/// A running node.
+pub struct Node {
+    entry: Option<EntryHandle>,
+    agent: Option<AgentHandle>,
+    keeper: Option<KeeperHandle>,
+    decisions: Option<JoinHandle<()>>,
+    duties: Vec<Duty>,
+}
+
+impl Node {
+    /// Starts every role of a configuration.
+    pub fn start(config: &Config, platform: Platform) -> Result<Self, NodeError> {
+        let io = |what| move |source| NodeError::Io { what, source };
+        let life = NodeRef { name: config.node.name.clone(), incarnation: new_incarnation() };
+        let (log, decisions) = decision_log(config).map_err(io("decision log"))?;
+        let keeper = start_keeper(config)?;
+        let mut node = Self { entry: None, agent: None, keeper, decisions, duties: Vec::new() };
+        if let Some(entry) = config.entry {
+            let options = EntryOptions {
+                node: config.node.clone(),
+                entry,
+                life: life.clone(),
+                decisions: log,
+            };
+            node.entry = Some(EntryHandle::start(options).map_err(io("entry"))?);
+        }
+        if let Some(agent) = config.agent.clone() {
+            let options = AgentOptions { node: config.node.clone(), agent, life };
+            node.agent = Some(AgentHandle::start(options).map_err(io("agent"))?);
+        }
+        node.link(config, platform).map_err(io("settings and platform"))?;
+        Ok(node)
+    }
+
+    /// Starts the link to the keepers and the watch of the list for the roles that want them.
+    fn link(&mut self, config: &Config, platform: Platform) -> io::Result<()> {
+        let entry = self.entry.as_ref();
+        let agent = self.agent.as_ref();
+        let settings: Vec<_> = entry
+            .map(EntryHandle::settings_subscriber)
+            .into_iter()
+            .chain(agent.map(AgentHandle::settings_subscriber))
+            .collect();
+        let lists: Vec<_> = entry
+            .map(EntryHandle::list_subscriber)
+            .into_iter()
+            .chain(agent.map(AgentHandle::list_subscriber))
+            .collect();
+        if settings.is_empty() {
+            return Ok(());
+        }
+        let name = config.node.name.clone();
+        let mut keepers = config.node.keepers.clone();
+        keepers.extend(self.keeper.as_ref().map(KeeperHandle::node_address));
+        self.duties.push(settings_link::start(name, keepers, Clock::start(), settings)?);
+        self.duties.push(watch(platform, config.node.platform_poll, lists)?);
+        Ok(())
+    }
+
+    /// The entry, where the node plays that role.
+    pub fn entry(&self) -> Option<&EntryHandle> {
+        self.entry.as_ref()
+    }
+
+    /// The agent, where the node plays that role.
+    pub fn agent(&self) -> Option<&AgentHandle> {
+        self.agent.as_ref()
+    }
+
+    /// The keeper, where the node plays that role.
+    pub fn keeper(&self) -> Option<&KeeperHandle> {
+        self.keeper.as_ref()
+    }
+
+    /// A planned stop: every role finishes what it has.
+    pub fn drain(mut self) {
+        info!("draining");
+        if let Some(entry) = self.entry.take() {
+            entry.drain();
+        }
+        if let Some(agent) = self.agent.take() {
+            agent.drain();
+        }
+        self.stop();
+    }
+
+    /// Ends at once.
+    pub fn stop(mut self) {
+        self.entry.take().map(EntryHandle::stop);
+        self.agent.take().map(AgentHandle::stop);
+        self.keeper.take().map(KeeperHandle::stop);
+        join(std::mem::take(&mut self.duties));
+        join(self.decisions.take());
+        info!("stopped");
+    }
+}
+
+/// A number that no earlier life of the node had, but by a chance of one in 2^64.
+fn new_incarnation() -> Incarnation {
+    let random = uuid::Uuid::new_v4().as_u128();
+    Incarnation((random >> 64) as u64 ^ random as u64)
+}
+
+fn decision_log(config: &Config) -> io::Result<(DecisionLog, Option<JoinHandle<()>>)> {
+    match &config.node.logs {
+        Some(folder) if config.entry.is_some() => {
+            let (log, thread) = DecisionLog::to_file(&folder.join(DECISIONS))?;
+            Ok((log, Some(thread)))
+        }
+        _ => Ok((DecisionLog::none(), None)),
+    }
+}
+
+fn start_keeper(config: &Config) -> Result<Option<KeeperHandle>, NodeError> {
+    let Some(keeper) = config.keeper.clone() else { return Ok(None) };
+    let options = KeeperOptions { node: config.node.clone(), keeper };
+    Ok(Some(KeeperHandle::start(options)?))
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,17 @@
-//! placeholder
-fn main() {}
+//! `dockpass`: the command-line client of the dockpass dispatcher.
+
+mod cli;
+mod cmd;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments = cli::command().get_matches();
+    match cmd::run(&arguments) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("dockpass: {error}");
+            error.exit_code()
+        }
+    }
+}
