Tests of the whole path; executors no longer outlive their threads

Cause: a killed agent's sockets stayed open in one process, because tasks held the executor that held them; and a second entry could wait for ever for slot tokens, because an agent took the first waiter for the neediest and an entry never withdrew an ask that it had no more use for.

Change: tasks hold a weak handle (net::Tasks); the ledger serves the waiter with the fewest slots; a start carries what its entry still asks for; an exchange stays open with every agent that lends tokens, so that they can be asked back.

Before: 690 tasks at the second entry passed their 10 s deadline without a start.

--- a/components/agent/src/agent.rs
+++ b/components/agent/src/agent.rs
@@ -100,8 +100,8 @@
             Event::Leave => self.leave(out),
             Event::Tick => {}
         }
-        self.give_turns(out);
         self.tick(now, out);
+        self.give_turns(out);
         self.check_drained(out);
     }
 
@@ -250,6 +250,7 @@
         let keep_until = self.window().kept_until(request.key.submission);
         let outcome = self.table.start(request.key, &request.owner, keep_until);
         debug_assert_eq!(outcome, StartOutcome::Starts);
+        self.ledger.want(session, request.wanted);
         self.counters.started += 1;
         let running =
             Running { session, waiting: request.waiting, starts: vec![call], settles: Vec::new() };
@@ -469,7 +470,6 @@
         if self.paused_until.is_some_and(|until| until <= now) {
             self.paused_until = None;
             self.ledger.resume();
-            self.give_turns(out);
         }
         self.answer_long_exchanges(now, out);
         for session in self.sessions.silent(self.lease_with_grace(), now) {
--- a/components/client/src/caller.rs
+++ b/components/client/src/caller.rs
@@ -1,16 +1,14 @@
 //! A client of the caller interface.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use api::{JobBody, RequestBody, VERDICT_HEADER};
-use async_executor::LocalExecutor;
 use hyper::body::Bytes;
 use hyper::{HeaderMap, Method};
 use model::{SubmissionId, Verdict};
-use net::{Client, ClientError, Reply};
+use net::{Client, ClientError, Reply, Tasks};
 use serde::Deserialize;
 use thiserror::Error;
 
@@ -59,15 +57,15 @@
 }
 
 /// A client of one entry.
-pub struct Caller<'a> {
-    client: Client<'a>,
+pub struct Caller {
+    client: Client,
     time: Duration,
 }
 
-impl<'a> Caller<'a> {
+impl Caller {
     /// A client that waits so long for each answer.
-    pub fn new(entry: SocketAddr, executor: Rc<LocalExecutor<'a>>, time: Duration) -> Self {
-        Self { client: Client::new(entry, executor), time }
+    pub fn new(entry: SocketAddr, tasks: Tasks, time: Duration) -> Self {
+        Self { client: Client::new(entry, tasks), time }
     }
 
     /// Submits a job and waits for its outcome.
--- a/components/client/src/operator.rs
+++ b/components/client/src/operator.rs
@@ -1,13 +1,11 @@
 //! A client of the operators' interface of the keepers.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
-use async_executor::LocalExecutor;
 use hyper::body::Bytes;
 use hyper::{HeaderMap, Method};
-use net::{Client, Reply};
+use net::{Client, Reply, Tasks};
 use serde::Deserialize;
 use settings::{Edit, SettingsError, Tree};
 use thiserror::Error;
@@ -63,14 +61,14 @@
 }
 
 /// A client of all keepers: the first that answers is used.
-pub struct Operator<'a> {
-    keepers: Vec<Client<'a>>,
+pub struct Operator {
+    keepers: Vec<Client>,
 }
 
-impl<'a> Operator<'a> {
+impl Operator {
     /// A client of these keepers.
-    pub fn new(keepers: &[SocketAddr], executor: &Rc<LocalExecutor<'a>>) -> Self {
-        let client = |address: &SocketAddr| Client::new(*address, executor.clone());
+    pub fn new(keepers: &[SocketAddr], tasks: &Tasks) -> Self {
+        let client = |address: &SocketAddr| Client::new(*address, tasks.clone());
         Self { keepers: keepers.iter().map(client).collect() }
     }
 
@@ -119,7 +117,7 @@
 }
 
 async fn exchange(
-    keeper: &Client<'_>,
+    keeper: &Client,
     method: Method,
     path: &str,
     body: Vec<u8>,
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -123,7 +123,8 @@
     fn exchange(&mut self, now: Time, target: TargetId, returned: u32, out: &mut Vec<Action>) {
         let at = self.targets.get_mut(target);
         let agent = at.node.name.clone();
-        let wanted = self.services.get(&at.service).map_or(0, |service| service.asked_of(target));
+        let service = self.services.get_mut(&at.service);
+        let wanted = service.map_or(0, |service| service.wanted_now(target));
         let Some(link) = &mut at.link else { return };
         link.exchanges += 1;
         link.heard = now.max(link.heard);
@@ -166,6 +167,11 @@
         self.keep_session(now, target, reply.recalled, out);
     }
 
+    /// Keeps an exchange open with a target that lends tokens, so that they can be asked back.
+    pub(crate) fn keep_exchange(&mut self, now: Time, target: TargetId, out: &mut Vec<Action>) {
+        self.keep_session(now, target, 0, out);
+    }
+
     /// Gives recalled tokens back, and renews the lease of those that are kept.
     fn keep_session(&mut self, now: Time, target: TargetId, recalled: u32, out: &mut Vec<Action>) {
         let at = self.targets.get(target);
--- a/components/entry/src/place.rs
+++ b/components/entry/src/place.rs
@@ -85,6 +85,7 @@
         let waiting = service.queue.tasks() > 0;
         service.set_busy(service.busy + 1, now);
         let idle = service.pool.idle();
+        let wanted = service.wanted_now(target);
         let request = StartRequest {
             key: TaskKey { submission: id, index, attempt },
             owner: self.setup.node.clone(),
@@ -92,6 +93,7 @@
             task,
             deadline,
             waiting,
+            wanted,
         };
         self.send_start(target, request, idle, out);
         true
@@ -144,6 +146,7 @@
             None => self.fate_open(now, target, key, out),
         }
         self.dispatch(now, &service, out);
+        self.keep_exchange(now, target, out);
     }
 
     fn start_result(
--- a/components/entry/src/service.rs
+++ b/components/entry/src/service.rs
@@ -62,6 +62,15 @@
         self.asked = self.asked + count - before.unwrap_or(0);
     }
 
+    /// Takes back what a target is asked for, where the idle tokens are enough by now.
+    pub fn wanted_now(&mut self, target: TargetId) -> u32 {
+        let waiting = u32::try_from(self.queue.tasks()).unwrap_or(u32::MAX);
+        if self.pool.idle() >= waiting.saturating_add(self.reserve.target()) {
+            self.set_asked(target, 0);
+        }
+        self.asked_of(target)
+    }
+
     /// How many tokens a target is asked for.
     pub fn asked_of(&self, target: TargetId) -> u32 {
         self.asks.get(&target).copied().unwrap_or(0)
--- a/components/execution/src/ledger.rs
+++ b/components/execution/src/ledger.rs
@@ -204,51 +204,41 @@
     }
 
     fn grant_free(&mut self, out: &mut Vec<Turn>) {
-        let mut free = self.free();
-        while free > 0 {
-            let Some(session) = self.waiters.next() else {
-                return;
-            };
-            let Some(account) = self.accounts.get_mut(&session) else {
-                self.waiters.remove(session);
-                continue;
-            };
+        for _ in 0..self.free() {
+            let Some(session) = self.neediest() else { return };
+            let Some(account) = self.accounts.get_mut(&session) else { return };
             account.idle += 1;
             account.wanted -= 1;
             if account.wanted == 0 {
                 self.waiters.remove(session);
             }
-            free -= 1;
             add_grant(out, session);
         }
     }
 
+    /// The waiting session with the fewest slots, the longest waiting of several.
+    fn neediest(&self) -> Option<Session> {
+        let total = |session: &Session| self.accounts.get(session).map(|account| account.total());
+        self.waiters.iter().filter(|session| total(session).is_some()).min_by_key(total)
+    }
+
+    /// Asks the session with the most idle tokens for half of what it has more than the neediest.
     fn recall_idle(&mut self, out: &mut Vec<Turn>) {
-        let Some(fewest) = self.waiters.iter().next() else {
-            return;
-        };
-        let needy = self.accounts.get(&fewest).copied().unwrap_or_default();
-        let outstanding: u32 = self.accounts.values().map(|account| account.recalled).sum();
-        if outstanding > 0 {
+        let Some(neediest) = self.neediest() else { return };
+        if self.accounts.values().any(|account| account.recalled > 0) {
             return;
         }
-        let richest = self
-            .accounts
-            .iter()
-            .filter(|(session, _)| **session != fewest)
-            .max_by_key(|(_, account)| account.idle);
-        let Some((session, account)) = richest.map(|(session, account)| (*session, *account))
-        else {
+        let needy = self.accounts.get(&neediest).copied().unwrap_or_default();
+        let others = self.accounts.iter_mut().filter(|(session, _)| **session != neediest);
+        let Some((session, richest)) = others.max_by_key(|(_, account)| account.idle) else {
             return;
         };
-        if account.idle <= needy.idle {
+        if richest.idle <= needy.idle {
             return;
         }
-        let count = needy.wanted.min((account.idle - needy.idle).div_ceil(2));
-        if let Some(account) = self.accounts.get_mut(&session) {
-            account.recalled = count;
-        }
-        out.push(Turn::Recall(session, count));
+        let count = needy.wanted.min((richest.idle - needy.idle).div_ceil(2));
+        richest.recalled = count;
+        out.push(Turn::Recall(*session, count));
     }
 }
 
--- a/components/execution/src/waiters.rs
+++ b/components/execution/src/waiters.rs
@@ -1,37 +1,30 @@
-//! Sessions that wait for tokens, served in turn.
+//! Sessions that wait for tokens, the longest waiting first.
 
 use std::collections::VecDeque;
 
 use crate::Session;
 
-/// A round of sessions; each is in it once.
+/// A line of sessions; each is in it once.
 #[derive(Debug, Default)]
 pub(crate) struct Waiters {
-    round: VecDeque<Session>,
+    line: VecDeque<Session>,
 }
 
 impl Waiters {
     /// Adds a session at the end, unless it waits already.
     pub(crate) fn add(&mut self, session: Session) {
-        if !self.round.contains(&session) {
-            self.round.push_back(session);
+        if !self.line.contains(&session) {
+            self.line.push_back(session);
         }
     }
 
     /// Takes a session out.
     pub(crate) fn remove(&mut self, session: Session) {
-        self.round.retain(|waiting| *waiting != session);
+        self.line.retain(|waiting| *waiting != session);
     }
 
-    /// The session whose turn it is; it moves to the end.
-    pub(crate) fn next(&mut self) -> Option<Session> {
-        let session = self.round.pop_front()?;
-        self.round.push_back(session);
-        Some(session)
-    }
-
-    /// The sessions in the order of their turns.
+    /// The sessions, the longest waiting first.
     pub(crate) fn iter(&self) -> impl Iterator<Item = Session> + '_ {
-        self.round.iter().copied()
+        self.line.iter().copied()
     }
 }
--- a/components/execution/tests/execution.rs
+++ b/components/execution/tests/execution.rs
@@ -159,6 +159,22 @@
     assert_eq!(turns, [Turn::Grant(poor, 2)]);
 }
 
+#[test]
+fn a_stale_ask_does_not_hide_a_needier_session() {
+    let (rich, poor) = (Session(1), Session(2));
+    let mut ledger = Ledger::new(4);
+    ledger.want(rich, 9);
+    ledger.turns(&mut Vec::new());
+    ledger.want(poor, 2);
+    let mut turns = Vec::new();
+    ledger.turns(&mut turns);
+    assert_eq!(turns, [Turn::Recall(rich, 2)]);
+    ledger.give_back(rich, 2);
+    turns.clear();
+    ledger.turns(&mut turns);
+    assert_eq!(turns, [Turn::Grant(poor, 2)]);
+}
+
 #[test]
 fn an_answer_takes_its_token_to_the_one_who_has_fewer() {
     let (rich, poor) = (Session(1), Session(2));
--- a/components/fakes/src/target.rs
+++ b/components/fakes/src/target.rs
@@ -3,12 +3,10 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::rc::Rc;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future;
 use hyper::body::Bytes;
@@ -112,19 +110,17 @@
     starts: Starts,
     stopped: async_channel::Receiver<()>,
 ) {
-    let executor = Rc::new(LocalExecutor::new());
     let limits =
         Limits { body_bytes: 1 << 20, read_time: Duration::from_secs(10), connections: 1_000 };
     let handler = move |request: Request<Result<Bytes, BodyError>>| {
         let starts = starts.clone();
         async move { answer(request, time, behaviour, &starts).await }
     };
-    let server = net::serve(listener, executor.clone(), limits, handler);
-    executor.spawn(server).detach();
-    async_io::block_on(executor.run(async {
+    net::block_on(|tasks| async move {
+        tasks.spawn(net::serve(listener, tasks.clone(), limits, handler));
         // Ends when the handle is dropped.
         let _ = stopped.recv().await;
-    }));
+    });
 }
 
 async fn answer(
--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -3,10 +3,8 @@
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
-use async_executor::LocalExecutor;
 use async_io::Timer;
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full, Limited};
@@ -18,7 +16,7 @@
 use smol_hyper::rt::FuturesIo;
 use thiserror::Error;
 
-use crate::connect;
+use crate::{Tasks, connect};
 
 /// Longest answer taken, in bytes.
 const ANSWER_BYTES_MAX: usize = 32 * 1024 * 1024;
@@ -64,16 +62,16 @@
 type Sender = SendRequest<Full<Bytes>>;
 
 /// A client of one address. It has as many connections as requests at once.
-pub struct Client<'a> {
+pub struct Client {
     address: SocketAddr,
-    executor: Rc<LocalExecutor<'a>>,
+    tasks: Tasks,
     idle: RefCell<Vec<Sender>>,
 }
 
-impl<'a> Client<'a> {
+impl Client {
     /// A client without connections yet.
-    pub fn new(address: SocketAddr, executor: Rc<LocalExecutor<'a>>) -> Self {
-        Self { address, executor, idle: RefCell::new(Vec::new()) }
+    pub fn new(address: SocketAddr, tasks: Tasks) -> Self {
+        Self { address, tasks, idle: RefCell::new(Vec::new()) }
     }
 
     /// Sends a request and waits for its whole answer.
@@ -142,7 +140,7 @@
             // Its requests see why it ended.
             let _ = connection.await;
         };
-        self.executor.spawn(drive).detach();
+        self.tasks.spawn(drive);
         Ok(sender)
     }
 
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -6,7 +6,9 @@
 mod client;
 mod rpc;
 mod server;
+mod tasks;
 
 pub use client::{Client, ClientError, Reply};
-pub use rpc::{Frames, call_context, connect, frames, pause, spawn};
+pub use rpc::{Frames, call_context, connect, frames, pause};
 pub use server::{Body, BodyError, Limits, serve};
+pub use tasks::{Tasks, block_on};
--- a/components/net/src/rpc.rs
+++ b/components/net/src/rpc.rs
@@ -1,12 +1,10 @@
 //! tarpc connections.
 
-use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use async_compat::Compat;
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use serde::{Deserialize, Serialize};
@@ -48,11 +46,6 @@
     serde_transport::new(Framed::new(Compat::new(stream), codec), Bincode::default())
 }
 
-/// Runs a future of tarpc's on an executor.
-pub fn spawn<'a>(executor: &LocalExecutor<'a>, future: impl Future<Output = ()> + 'a) {
-    executor.spawn(Compat::new(future)).detach();
-}
-
 /// The context of a call.
 pub fn call_context() -> Context {
     let mut context = Context::current();
--- a/components/net/src/server.rs
+++ b/components/net/src/server.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full, Limited};
@@ -17,6 +16,8 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use thiserror::Error;
 
+use crate::Tasks;
+
 /// Pause after an accept failed, so that a lack of file descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -49,14 +50,10 @@
 }
 
 /// Accepts connections for ever and answers each request by `handler`.
-pub async fn serve<'a, H, F>(
-    listener: Async<TcpListener>,
-    executor: Rc<LocalExecutor<'a>>,
-    limits: Limits,
-    handler: H,
-) where
-    H: Fn(Request<Result<Bytes, BodyError>>) -> F + Clone + 'a,
-    F: Future<Output = Response<Body>> + 'a,
+pub async fn serve<H, F>(listener: Async<TcpListener>, tasks: Tasks, limits: Limits, handler: H)
+where
+    H: Fn(Request<Result<Bytes, BodyError>>) -> F + Clone + 'static,
+    F: Future<Output = Response<Body>> + 'static,
 {
     let open = Rc::new(());
     loop {
@@ -75,7 +72,7 @@
             serve_connection(stream, limits, handler).await;
             drop(open);
         };
-        executor.spawn(connection).detach();
+        tasks.spawn(connection);
     }
 }
 
--- a/components/wire/src/agent.rs
+++ b/components/wire/src/agent.rs
@@ -49,6 +49,8 @@
     pub deadline: Time,
     /// Whether the owner has more work waiting for a slot.
     pub waiting: bool,
+    /// Tokens that the owner now asks this agent for, in all.
+    pub wanted: u32,
 }
 
 /// Why a start was refused; every reason proves that the task did not run.
--- a/daemon/src/agent_role/mod.rs
+++ b/daemon/src/agent_role/mod.rs
@@ -74,13 +74,12 @@
         let decide = spawn("agent-decide", move |_| crate::driver::drive(decider, inputs, clock))?;
         let ended = ring.clone();
         let target = options.agent.clone();
-        let run = spawn("agent-target", move |executor| {
-            target::run(executor, target, to_run, ended, clock)
-        })?;
+        let run =
+            spawn("agent-target", move |tasks| target::run(tasks, target, to_run, ended, clock))?;
         let calls = ring.clone();
         let serve_shared = shared.clone();
-        let serve = spawn("agent-serve", move |executor| {
-            serve::run(executor, listener, calls, serve_shared, opened)
+        let serve = spawn("agent-serve", move |tasks| {
+            serve::run(tasks, listener, calls, serve_shared, opened)
         })?;
         let name = options.node.name;
         Ok(Self { address, name, shared, ring, duties: vec![decide, run, serve] })
--- a/daemon/src/agent_role/serve.rs
+++ b/daemon/src/agent_role/serve.rs
@@ -1,13 +1,11 @@
 //! The agent's serving thread: tarpc from entries.
 
 use std::net::TcpListener;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use agent::{Reply, Request};
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
 use async_io::Async;
 use claims::{ClaimReply, ClaimRequest, LookupReply};
 use execution::Session;
@@ -15,6 +13,7 @@
 use futures::channel::oneshot;
 use futures_lite::future;
 use model::SubmissionId;
+use net::Tasks;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel, Config};
 use wire::{
@@ -28,7 +27,7 @@
 
 /// Serves until the deciding thread ends.
 pub(crate) async fn run(
-    executor: Rc<LocalExecutor<'static>>,
+    tasks: Tasks,
     listener: Async<TcpListener>,
     ring: Sender<Input>,
     shared: Arc<Shared>,
@@ -44,7 +43,7 @@
             let _ = stream.get_ref().set_nodelay(true);
             let session = Session(sessions.fetch_add(1, Ordering::Relaxed));
             let server = Server { session, ring: ring.clone(), shared: shared.clone() };
-            executor.spawn(serve(executor.clone(), stream, server)).detach();
+            tasks.spawn(serve(tasks.clone(), stream, server));
         }
     };
     let stop = async {
@@ -56,19 +55,15 @@
 }
 
 /// Serves one connection to its end.
-async fn serve(
-    executor: Rc<LocalExecutor<'static>>,
-    stream: Async<std::net::TcpStream>,
-    server: Server,
-) {
+async fn serve(tasks: Tasks, stream: Async<std::net::TcpStream>, server: Server) {
     let (session, ring) = (server.session, server.ring.clone());
     let config = Config { pending_response_buffer: RING };
     let channel = BaseChannel::new(config, net::frames(stream));
-    let runner = executor.clone();
+    let runner = tasks.clone();
     let calls = async_compat::Compat::new(async move {
         let mut calls = std::pin::pin!(channel.execute(server.serve()));
         while let Some(call) = calls.next().await {
-            net::spawn(&runner, call);
+            runner.spawn_rpc(call);
         }
     });
     calls.await;
--- a/daemon/src/agent_role/target.rs
+++ b/daemon/src/agent_role/target.rs
@@ -5,13 +5,12 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
 use execution::TaskOutcome;
 use hyper::Method;
 use hyper::body::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
 use model::{TaskKey, Time, Verdict};
-use net::{Client, ClientError, Reply};
+use net::{Client, ClientError, Reply, Tasks};
 
 use super::decide::Input;
 use crate::clock::Clock;
@@ -37,13 +36,13 @@
 /// The agent has at most as many tasks at the target as it has slots, so the number of
 /// connections is bounded by the slots too.
 pub(crate) async fn run(
-    executor: Rc<LocalExecutor<'static>>,
+    tasks: Tasks,
     config: AgentConfig,
     runs: Receiver<Run>,
     ended: Sender<Input>,
     clock: Clock,
 ) {
-    let client = Rc::new(Client::new(config.target, executor.clone()));
+    let client = Rc::new(Client::new(config.target, tasks.clone()));
     while let Ok(run) = runs.recv().await {
         let (client, ended, stuck) = (client.clone(), ended.clone(), config.stuck);
         let task = async move {
@@ -51,11 +50,11 @@
             // The deciding thread may have ended.
             let _ = ended.send(Input::Ended(run.key, outcome)).await;
         };
-        executor.spawn(task).detach();
+        tasks.spawn(task);
     }
 }
 
-async fn hand_over(client: &Client<'_>, run: &Run, stuck: Duration, clock: Clock) -> TaskOutcome {
+async fn hand_over(client: &Client, run: &Run, stuck: Duration, clock: Clock) -> TaskOutcome {
     let left = run.deadline.since(clock.now());
     let headers = headers(run, left);
     let body = Bytes::from_owner(TaskText(run.task.clone()));
--- a/daemon/src/entry_role/links.rs
+++ b/daemon/src/entry_role/links.rs
@@ -9,11 +9,11 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use entry::{Action, Connection, Event};
 use membership::{Host, HostList, Role};
 use model::{NodeName, NodeRef};
+use net::Tasks;
 use tarpc::client::{Config, NewClient};
 use wire::{AgentInfo, AgentServiceClient, HelloRequest};
 
@@ -43,7 +43,7 @@
 /// The talking thread's state, shared by its tasks.
 struct Links {
     life: NodeRef,
-    executor: Rc<LocalExecutor<'static>>,
+    tasks: Tasks,
     events: Sender<Input>,
     hosts: RefCell<HashMap<NodeName, Host>>,
     open: RefCell<HashMap<NodeName, Open>>,
@@ -55,19 +55,19 @@
 /// Runs until the ring is closed.
 pub(crate) async fn run(
     life: NodeRef,
-    executor: Rc<LocalExecutor<'static>>,
+    tasks: Tasks,
     inputs: Receiver<LinkInput>,
     events: Sender<Input>,
 ) {
     let links = Rc::new(Links {
         life,
-        executor: executor.clone(),
+        tasks: tasks.clone(),
         events,
         hosts: RefCell::default(),
         open: RefCell::default(),
         kept: RefCell::default(),
         next_connection: Cell::new(0),
-        peers: Peers::new(executor),
+        peers: Peers::new(tasks),
     });
     while let Ok(input) = inputs.recv().await {
         match input {
@@ -79,7 +79,7 @@
 
 impl Links {
     fn spawn(self: &Rc<Self>, task: impl Future<Output = ()> + 'static) {
-        self.executor.spawn(task).detach();
+        self.tasks.spawn(task);
     }
 
     async fn tell(&self, event: Event) {
@@ -130,7 +130,7 @@
         config.pending_request_buffer = RING;
         let NewClient { client, dispatch } = AgentServiceClient::new(config, net::frames(stream));
         let (done, ended) = async_channel::bounded::<()>(1);
-        net::spawn(&self.executor, async move {
+        self.tasks.spawn_rpc(async move {
             // The calls see why it ended.
             let _ = dispatch.await;
             drop(done);
--- a/daemon/src/entry_role/listen.rs
+++ b/daemon/src/entry_role/listen.rs
@@ -1,14 +1,12 @@
 //! The entry's listening thread: HTTP from callers, tarpc from other entries.
 
 use std::net::TcpListener;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use api::{Answer, BODY_BYTES_MAX, Route, VERDICT_HEADER, Work};
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
 use async_io::Async;
 use futures::StreamExt;
 use futures::channel::oneshot;
@@ -17,7 +15,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use model::{Code, Failure, SubmissionId, Verdict};
-use net::{Body, BodyError, Limits};
+use net::{Body, BodyError, Limits, Tasks};
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use wire::{EntryService, RelayReply, RelayRequest};
@@ -31,7 +29,7 @@
 
 /// Listens until told to stop; connections that are open then go on.
 pub(crate) async fn run(
-    executor: Rc<LocalExecutor<'static>>,
+    tasks: Tasks,
     listener: Async<TcpListener>,
     peer_listener: Async<TcpListener>,
     ring: Sender<Input>,
@@ -43,12 +41,12 @@
         let server = server.clone();
         async move { server.answer(request).await }
     };
-    let serve = net::serve(listener, executor.clone(), LIMITS, handler);
+    let serve = net::serve(listener, tasks.clone(), LIMITS, handler);
     let stop = async {
         // Ends when the handle is dropped.
         let _ = stopped.recv().await;
     };
-    let peers = serve_peers(peer_listener, executor.clone(), ring.clone());
+    let peers = serve_peers(peer_listener, tasks.clone(), ring.clone());
     serve.or(stop).or(peers).await;
     // Open connections are served until the deciding thread ends.
     while !ring.is_closed() {
@@ -56,22 +54,18 @@
     }
 }
 
-async fn serve_peers(
-    listener: Async<TcpListener>,
-    executor: Rc<LocalExecutor<'static>>,
-    ring: Sender<Input>,
-) {
+async fn serve_peers(listener: Async<TcpListener>, tasks: Tasks, ring: Sender<Input>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
         // Without it answers still come, only later.
         let _ = stream.get_ref().set_nodelay(true);
         let channel = BaseChannel::with_defaults(net::frames(stream));
         let peer = Peer { ring: ring.clone() };
-        let runner = executor.clone();
-        net::spawn(&executor, async move {
+        let runner = tasks.clone();
+        tasks.spawn_rpc(async move {
             let mut calls = std::pin::pin!(channel.execute(peer.serve()));
             while let Some(call) = calls.next().await {
-                net::spawn(&runner, call);
+                runner.spawn_rpc(call);
             }
         });
     }
--- a/daemon/src/entry_role/mod.rs
+++ b/daemon/src/entry_role/mod.rs
@@ -85,12 +85,11 @@
         let decide = spawn("entry-decide", move |_| crate::driver::drive(decider, inputs, clock))?;
         let life = options.life.clone();
         let events = ring.clone();
-        let talk =
-            spawn("entry-links", move |executor| links::run(life, executor, link_inputs, events))?;
+        let talk = spawn("entry-links", move |tasks| links::run(life, tasks, link_inputs, events))?;
         let callers = ring.clone();
         let listen_shared = shared.clone();
-        let listen = spawn("entry-listen", move |executor| {
-            listen::run(executor, listener, peer_listener, callers, listen_shared, stopped)
+        let listen = spawn("entry-listen", move |tasks| {
+            listen::run(tasks, listener, peer_listener, callers, listen_shared, stopped)
         })?;
         Ok(Self {
             address,
--- a/daemon/src/entry_role/peers.rs
+++ b/daemon/src/entry_role/peers.rs
@@ -3,24 +3,23 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
 
-use async_executor::LocalExecutor;
 use membership::{HostList, Role};
 use model::{NodeName, SubmissionId};
+use net::Tasks;
 use tarpc::client::{Config, NewClient};
 use wire::{EntryServiceClient, RelayReply, RelayRequest};
 
 /// The other entries.
 pub(super) struct Peers {
-    executor: Rc<LocalExecutor<'static>>,
+    tasks: Tasks,
     addresses: RefCell<HashMap<NodeName, SocketAddr>>,
     clients: RefCell<HashMap<NodeName, EntryServiceClient>>,
 }
 
 impl Peers {
-    pub fn new(executor: Rc<LocalExecutor<'static>>) -> Self {
-        Self { executor, addresses: RefCell::default(), clients: RefCell::default() }
+    pub fn new(tasks: Tasks) -> Self {
+        Self { tasks, addresses: RefCell::default(), clients: RefCell::default() }
     }
 
     /// Takes the addresses of entries from the platform's list.
@@ -60,7 +59,7 @@
         let stream = net::connect(address).await.ok()?;
         let NewClient { client, dispatch } =
             EntryServiceClient::new(Config::default(), net::frames(stream));
-        net::spawn(&self.executor, async move {
+        self.tasks.spawn_rpc(async move {
             // The calls see why it ended.
             let _ = dispatch.await;
         });
--- a/daemon/src/keeper_role/listen.rs
+++ b/daemon/src/keeper_role/listen.rs
@@ -1,18 +1,16 @@
 //! The keeper's listening thread: HTTP from operators, tarpc from nodes.
 
 use std::net::TcpListener;
-use std::rc::Rc;
 use std::time::Duration;
 
 use async_channel::Sender;
-use async_executor::LocalExecutor;
 use async_io::Async;
 use futures::StreamExt;
 use futures_lite::future;
 use hyper::body::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use net::{Body, BodyError, Limits};
+use net::{Body, BodyError, Limits, Tasks};
 use serde::Serialize;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
@@ -33,7 +31,7 @@
 
 /// Listens until the deciding thread ends.
 pub(crate) async fn run(
-    executor: Rc<LocalExecutor<'static>>,
+    tasks: Tasks,
     listener: Async<TcpListener>,
     node_listener: Async<TcpListener>,
     ring: Sender<Input>,
@@ -43,8 +41,8 @@
         let ring = calls.clone();
         async move { answer(&ring, request).await }
     };
-    let operators = net::serve(listener, executor.clone(), LIMITS, handler);
-    let nodes = serve_nodes(node_listener, executor.clone(), ring.clone());
+    let operators = net::serve(listener, tasks.clone(), LIMITS, handler);
+    let nodes = serve_nodes(node_listener, tasks.clone(), ring.clone());
     let stop = async {
         while !ring.is_closed() {
             async_io::Timer::after(Duration::from_millis(20)).await;
@@ -53,20 +51,16 @@
     future::or(future::or(operators, nodes), stop).await;
 }
 
-async fn serve_nodes(
-    listener: Async<TcpListener>,
-    executor: Rc<LocalExecutor<'static>>,
-    ring: Sender<Input>,
-) {
+async fn serve_nodes(listener: Async<TcpListener>, tasks: Tasks, ring: Sender<Input>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
         let channel = BaseChannel::with_defaults(net::frames(stream));
         let node = Node { ring: ring.clone() };
-        let runner = executor.clone();
-        net::spawn(&executor, async move {
+        let runner = tasks.clone();
+        tasks.spawn_rpc(async move {
             let mut calls = std::pin::pin!(channel.execute(node.serve()));
             while let Some(call) = calls.next().await {
-                net::spawn(&runner, call);
+                runner.spawn_rpc(call);
             }
         });
     }
--- a/daemon/src/keeper_role/mod.rs
+++ b/daemon/src/keeper_role/mod.rs
@@ -76,8 +76,8 @@
         let (ring, inputs) = async_channel::bounded(RING);
         let decide = spawn("keeper-decide", move |_| crate::driver::drive(decider, inputs, clock))?;
         let calls = ring.clone();
-        let listen = spawn("keeper-listen", move |executor| {
-            listen::run(executor, listener, node_listener, calls)
+        let listen = spawn("keeper-listen", move |tasks| {
+            listen::run(tasks, listener, node_listener, calls)
         })?;
         Ok(Self { address, node_address, ring, duties: vec![decide, listen] })
     }
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::thread::JoinHandle;
 
+use async_channel::Sender;
 use model::{Incarnation, NodeRef};
 use spdlog::info;
 use thiserror::Error;
@@ -43,6 +44,8 @@
     agent: Option<AgentHandle>,
     keeper: Option<KeeperHandle>,
     decisions: Option<JoinHandle<()>>,
+    /// Dropped to end the duties.
+    stop_duties: Option<Sender<()>>,
     duties: Vec<Duty>,
 }
 
@@ -53,7 +56,14 @@
         let life = NodeRef { name: config.node.name.clone(), incarnation: new_incarnation() };
         let (log, decisions) = decision_log(config).map_err(io("decision log"))?;
         let keeper = start_keeper(config)?;
-        let mut node = Self { entry: None, agent: None, keeper, decisions, duties: Vec::new() };
+        let mut node = Self {
+            entry: None,
+            agent: None,
+            keeper,
+            decisions,
+            stop_duties: None,
+            duties: Vec::new(),
+        };
         if let Some(entry) = config.entry {
             let options = EntryOptions {
                 node: config.node.clone(),
@@ -91,8 +101,11 @@
         let name = config.node.name.clone();
         let mut keepers = config.node.keepers.clone();
         keepers.extend(self.keeper.as_ref().map(KeeperHandle::node_address));
-        self.duties.push(settings_link::start(name, keepers, Clock::start(), settings)?);
-        self.duties.push(watch(platform, config.node.platform_poll, lists)?);
+        let (stop, stopped) = async_channel::bounded(1);
+        self.stop_duties = Some(stop);
+        let link = settings_link::start(name, keepers, Clock::start(), settings, stopped.clone())?;
+        self.duties.push(link);
+        self.duties.push(watch(platform, config.node.platform_poll, lists, stopped)?);
         Ok(())
     }
 
@@ -125,6 +138,7 @@
 
     /// Ends at once.
     pub fn stop(mut self) {
+        self.stop_duties.take();
         self.entry.take().map(EntryHandle::stop);
         self.agent.take().map(AgentHandle::stop);
         self.keeper.take().map(KeeperHandle::stop);
--- a/daemon/src/platform.rs
+++ b/daemon/src/platform.rs
@@ -3,18 +3,18 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::rc::Rc;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use async_executor::LocalExecutor;
+use async_channel::Receiver;
 use async_io::Timer;
 use hyper::body::Bytes;
 use hyper::{HeaderMap, Method};
 use membership::HostList;
+use net::Tasks;
 use spdlog::warn;
 
-use crate::threads::{Duty, spawn};
+use crate::threads::{Duty, spawn_until};
 
 /// Longest time for the platform to answer.
 const ANSWER_TIME: Duration = Duration::from_secs(5);
@@ -46,25 +46,21 @@
         Some(Self::Http(address.parse().ok()?, format!("/{path}")))
     }
 
-    async fn read(&self, executor: &Rc<LocalExecutor<'static>>) -> Result<HostList, String> {
+    async fn read(&self, tasks: &Tasks) -> Result<HostList, String> {
         let text = match self {
             Self::None => return Ok(HostList::default()),
             Self::Shared(list) => {
                 return Ok(list.lock().unwrap_or_else(PoisonError::into_inner).clone());
             }
             Self::File(path) => std::fs::read_to_string(path).map_err(|error| error.to_string())?,
-            Self::Http(address, path) => get(*address, path, executor).await?,
+            Self::Http(address, path) => get(*address, path, tasks).await?,
         };
         HostList::from_ini(&text).map_err(|error| error.to_string())
     }
 }
 
-async fn get(
-    address: SocketAddr,
-    path: &str,
-    executor: &Rc<LocalExecutor<'static>>,
-) -> Result<String, String> {
-    let client = net::Client::new(address, executor.clone());
+async fn get(address: SocketAddr, path: &str, tasks: &Tasks) -> Result<String, String> {
+    let client = net::Client::new(address, tasks.clone());
     let reply = client
         .send(Method::GET, path, HeaderMap::new(), Bytes::new(), ANSWER_TIME)
         .await
@@ -78,18 +74,19 @@
 /// Takes a changed list; false when it wants no more.
 pub(crate) type ListSubscriber = Box<dyn Fn(&HostList) -> bool + Send>;
 
-/// Starts a thread that reads the list and hands out each change. It ends when no subscriber
-/// wants more. A list that can't be read leaves the last one in force.
+/// Starts a thread that reads the list and hands out each change. It ends when told to, or when
+/// no subscriber wants more. A list that can't be read leaves the last one in force.
 pub(crate) fn watch(
     platform: Platform,
     every: Duration,
     mut subscribers: Vec<ListSubscriber>,
+    stopped: Receiver<()>,
 ) -> io::Result<Duty> {
-    spawn("platform", move |executor| async move {
+    spawn_until("platform", stopped, move |tasks| async move {
         let mut last: Option<HostList> = None;
         let mut failing = false;
         while !subscribers.is_empty() {
-            match platform.read(&executor).await {
+            match platform.read(&tasks).await {
                 Ok(list) => {
                     failing = false;
                     if last.as_ref() != Some(&list) {
--- a/daemon/src/settings_link.rs
+++ b/daemon/src/settings_link.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::Receiver;
 use async_io::Timer;
 use model::{NodeName, Time};
 use settings::{Catalog, Tree};
@@ -13,7 +14,7 @@
 use wire::{KeeperServiceClient, PullReply, PullRequest};
 
 use crate::clock::Clock;
-use crate::threads::{Duty, spawn};
+use crate::threads::{Duty, spawn_until};
 
 /// Pause before the next keeper is tried.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -38,14 +39,15 @@
     have: Option<(u64, Tree)>,
 }
 
-/// Starts the link's thread. It ends when no subscriber wants more.
+/// Starts the link's thread. It ends when told to, or when no subscriber wants more.
 pub(crate) fn start(
     node: NodeName,
     keepers: Vec<SocketAddr>,
     clock: Clock,
     subscribers: Vec<Subscriber>,
+    stopped: Receiver<()>,
 ) -> io::Result<Duty> {
-    spawn("settings", move |executor| async move {
+    spawn_until("settings", stopped, move |tasks| async move {
         let mut link = Link { node, clock, subscribers, have: None };
         let mut turn = 0;
         while !link.subscribers.is_empty() {
@@ -54,7 +56,7 @@
             if let Ok(stream) = net::connect(keeper).await {
                 let NewClient { client, dispatch } =
                     KeeperServiceClient::new(Config::default(), net::frames(stream));
-                net::spawn(&executor, async move {
+                tasks.spawn_rpc(async move {
                     // The calls see why it ended.
                     let _ = dispatch.await;
                 });
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -3,7 +3,6 @@
 use std::io::IsTerminal;
 use std::path::Path;
 use std::process::ExitCode;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use clap::ArgMatches;
@@ -14,7 +13,7 @@
 use testbed::{Cluster, ClusterOptions, JobFile, JobSpec};
 
 use super::submit::{OUTCOME_TIME, is_whole, submit};
-use super::{CommandError, FAILED, block_on};
+use super::{CommandError, FAILED};
 
 /// The jobs that are submitted by default.
 const JOBS: &str = include_str!("../../examples/bookings.json");
@@ -79,8 +78,8 @@
     progress: &ProgressBar,
 ) -> Result<Vec<Done>, CommandError> {
     let entries = [cluster.entry_address(0), cluster.entry_address(1)];
-    block_on(|executor| async move {
-        let callers = entries.map(|entry| Caller::new(entry, Rc::clone(&executor), OUTCOME_TIME));
+    net::block_on(|tasks| async move {
+        let callers = entries.map(|entry| Caller::new(entry, tasks.clone(), OUTCOME_TIME));
         let mut all = Vec::new();
         for (number, job) in jobs.jobs.iter().enumerate() {
             let started = Instant::now();
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,13 +8,9 @@
 mod status;
 mod submit;
 
-use std::cell::RefCell;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::rc::Rc;
 
-use async_executor::LocalExecutor;
 use clap::ArgMatches;
 use client::{CallerError, OperatorError};
 use thiserror::Error;
@@ -75,20 +71,6 @@
     }
 }
 
-/// Runs a future to its end on an executor of its own.
-fn block_on<T, F>(work: impl FnOnce(Rc<LocalExecutor<'static>>) -> F) -> T
-where
-    F: Future<Output = T>,
-{
-    let executor = Rc::new(LocalExecutor::new());
-    let work = work(executor.clone());
-    let result = RefCell::new(None);
-    async_io::block_on(executor.run(async {
-        *result.borrow_mut() = Some(work.await);
-    }));
-    result.into_inner().expect("the work came to its end")
-}
-
 /// Reads the addresses of an argument.
 fn addresses(arguments: &ArgMatches, name: &str) -> Result<Vec<SocketAddr>, CommandError> {
     let texts = arguments.get_many::<String>(name).into_iter().flatten();
--- a/src/cmd/settings.rs
+++ b/src/cmd/settings.rs
@@ -8,7 +8,7 @@
 use settings::{Edit, SectionPath, Tree};
 use wire::ChangeResult;
 
-use super::{CommandError, REFUSED, UNKNOWN, addresses, block_on};
+use super::{CommandError, REFUSED, UNKNOWN, addresses};
 
 /// Runs the action that the arguments name.
 pub fn run(arguments: &ArgMatches) -> Result<ExitCode, CommandError> {
@@ -34,7 +34,7 @@
 }
 
 fn read(keepers: &[SocketAddr]) -> Result<TreeVersion, CommandError> {
-    let read = block_on(|executor| async move { Operator::new(keepers, &executor).read().await });
+    let read = net::block_on(|tasks| async move { Operator::new(keepers, &tasks).read().await });
     Ok(read?)
 }
 
@@ -124,8 +124,8 @@
         return Ok(ExitCode::SUCCESS);
     }
     let outcome =
-        block_on(
-            |executor| async move { Operator::new(&keepers, &executor).change(base, edits).await },
+        net::block_on(
+            |tasks| async move { Operator::new(&keepers, &tasks).change(base, edits).await },
         );
     print_outcome(&outcome, arguments.get_flag("json"));
     Ok(match outcome {
@@ -159,8 +159,8 @@
 fn history(arguments: &ArgMatches) -> Result<ExitCode, CommandError> {
     let keepers = addresses(arguments, "keeper")?;
     let versions: Vec<serde_json::Value> =
-        block_on(
-            |executor| async move { Operator::new(&keepers, &executor).get("/v1/history").await },
+        net::block_on(
+            |tasks| async move { Operator::new(&keepers, &tasks).get("/v1/history").await },
         )?;
     for version in versions {
         if arguments.get_flag("json") {
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -2,16 +2,15 @@
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::rc::Rc;
 use std::time::Duration;
 
-use async_executor::LocalExecutor;
 use clap::ArgMatches;
 use client::Caller;
+use net::Tasks;
 use tarpc::client::{Config, NewClient};
 use wire::{AgentServiceClient, AgentStatus};
 
-use super::{CommandError, addresses, block_on};
+use super::{CommandError, addresses};
 
 /// Longest wait for a node.
 const NODE_TIME: Duration = Duration::from_secs(3);
@@ -24,13 +23,13 @@
         return Err(CommandError::BadInput("name an --entry or an --agent".to_owned()));
     }
     let json = arguments.get_flag("json");
-    block_on(|executor| async move {
+    net::block_on(|tasks| async move {
         for entry in entries {
-            let caller = Caller::new(entry, Rc::clone(&executor), NODE_TIME);
+            let caller = Caller::new(entry, tasks.clone(), NODE_TIME);
             print_entry(&caller.status().await?, json);
         }
         for agent in agents {
-            print_agent(&ask_agent(agent, &executor).await?, json);
+            print_agent(&ask_agent(agent, &tasks).await?, json);
         }
         Ok(ExitCode::SUCCESS)
     })
@@ -58,15 +57,12 @@
     );
 }
 
-async fn ask_agent(
-    address: SocketAddr,
-    executor: &Rc<LocalExecutor<'static>>,
-) -> Result<AgentStatus, CommandError> {
+async fn ask_agent(address: SocketAddr, tasks: &Tasks) -> Result<AgentStatus, CommandError> {
     let failed = |error: String| CommandError::Agent(address, error);
     let stream = net::connect(address).await.map_err(|error| failed(error.to_string()))?;
     let NewClient { client, dispatch } =
         AgentServiceClient::new(Config::default(), net::frames(stream));
-    net::spawn(executor, async move {
+    tasks.spawn_rpc(async move {
         // The call sees why it ended.
         let _ = dispatch.await;
     });
--- a/src/cmd/submit.rs
+++ b/src/cmd/submit.rs
@@ -2,7 +2,6 @@
 
 use std::path::Path;
 use std::process::ExitCode;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use api::{JobBody, RequestBody};
@@ -11,7 +10,7 @@
 use model::SubmissionId;
 use testbed::{JobFile, JobSpec};
 
-use super::{CommandError, FAILED, addresses, block_on};
+use super::{CommandError, FAILED, addresses};
 
 /// Longest wait for an outcome.
 pub const OUTCOME_TIME: Duration = Duration::from_secs(610);
@@ -22,8 +21,8 @@
     let path = arguments.get_one::<String>("file").map_or("", String::as_str);
     let file = JobFile::load(Path::new(path)).map_err(|e| CommandError::BadInput(e.to_string()))?;
     let json = arguments.get_flag("json");
-    let failed = block_on(|executor| async move {
-        let caller = Caller::new(entry[0], Rc::clone(&executor), OUTCOME_TIME);
+    let failed = net::block_on(|tasks| async move {
+        let caller = Caller::new(entry[0], tasks.clone(), OUTCOME_TIME);
         let mut failed = 0;
         for job in &file.jobs {
             let id = new_submission();
@@ -39,7 +38,7 @@
 
 /// Submits one job: as a repeatable request, or as a job.
 pub async fn submit(
-    caller: &Caller<'_>,
+    caller: &Caller,
     id: SubmissionId,
     job: &JobSpec,
 ) -> Result<Outcome, CallerError> {
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,64 @@
+//! Changes of the settings tree reach every node and stay.
+
+mod support;
+
+use client::{ChangeOutcome, Operator, Outcome, new_submission};
+use model::Verdict;
+use settings::Edit;
+use support::{answers, caller, finish, job, options, run, start};
+use testbed::Cluster;
+use wire::{ChangeRequest, ChangeResult};
+
+fn change(cluster: &Cluster, id: &str, base_version: u64, value: &str) -> ChangeOutcome {
+    let keeper = cluster.keeper_address();
+    let section = "booking".parse().unwrap();
+    let edit = Edit::Set { section, key: "state".to_owned(), value: value.to_owned() };
+    let request = ChangeRequest { change: id.to_owned(), base_version, edits: vec![edit] };
+    run(|tasks| async move { Operator::new(&[keeper], &tasks.clone()).send(&request).await })
+}
+
+fn accepted(version: u64) -> ChangeOutcome {
+    ChangeOutcome::Known(ChangeResult::Accepted { version })
+}
+
+#[test]
+fn a_stopped_service_refuses_and_a_started_one_takes_work_again() {
+    let cluster = start(options());
+    let entry = cluster.entry_address(0);
+    let submit = || {
+        run(|tasks| async move {
+            caller(entry, &tasks).job(new_submission(), &job(&["seat 1"])).await.unwrap()
+        })
+    };
+    assert_eq!(change(&cluster, "c1", 1, "stopped"), accepted(2));
+    let refused = |outcome: &Outcome| {
+        matches!(outcome, Outcome::Failed { code, verdict: Verdict::NotRun, status: 503, .. }
+            if code == "service-stopped")
+    };
+    cluster.wait_for(|_| refused(&submit())).unwrap();
+    assert_eq!(change(&cluster, "c2", 2, "started"), accepted(3));
+    cluster.wait_for(|_| matches!(submit(), Outcome::Complete(_))).unwrap();
+    finish(cluster);
+}
+
+#[test]
+fn changes_survive_the_keeper_and_resends_get_the_first_answer() {
+    let mut cluster = start(options());
+    assert_eq!(change(&cluster, "c1", 1, "stopped"), accepted(2));
+    assert_eq!(change(&cluster, "c2", 2, "started"), accepted(3));
+    cluster.restart_keeper().unwrap();
+    assert_eq!(change(&cluster, "c1", 1, "stopped"), accepted(2));
+    let conflict = ChangeOutcome::Known(ChangeResult::Conflict {
+        version: 3,
+        sections: vec!["booking".to_owned()],
+    });
+    assert_eq!(change(&cluster, "c3", 1, "stopped"), conflict);
+    assert_eq!(change(&cluster, "c4", 3, "stopped"), accepted(4));
+    let entry = cluster.entry_address(0);
+    // Requests do not need the keeper.
+    run(|tasks| async move {
+        let outcome = caller(entry, &tasks).job(new_submission(), &job(&["seat 1"])).await;
+        assert_eq!(answers(&outcome.unwrap()), ["done: seat 1"]);
+    });
+    finish(cluster);
+}
