Refusals stay true while they are on their way

Change: calls to an owner are numbered; a refused submission is not taken up again within a second, and a relayed 'not run' older than half a second is handed on as 'may have run'. In the soak a left agent ends and returns.

--- a/components/entry/src/claiming.rs
+++ b/components/entry/src/claiming.rs
@@ -8,14 +8,18 @@
 use wire::{RelayReply, RelayRequest};
 
 use crate::gather::Gather;
-use crate::inquiry::Inquiry;
 use crate::intake::conflict;
 use crate::job::Phase;
 use crate::table::Due;
-use crate::{Action, Entry};
+use crate::{Action, Entry, OwnerCall};
 
 /// After this a holder that has not replied is taken as silent.
 const ROUND_TIME: Duration = Duration::from_millis(500);
+/// How long a refused submission is not taken again, so that the refusal is true when it arrives.
+const REFUSAL_HOLDS: Duration = Duration::from_secs(1);
+/// How old a relay may be whose reply is handed on as "not run"; half of the time above, for two
+/// clocks that run apart while it is under way.
+const RELAYED_REFUSAL_HOLDS: Duration = Duration::from_millis(500);
 /// When to come back after a round without a quorum, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
@@ -75,9 +79,9 @@
         let Some(state) = job.round_mut().map(|round| round.state()) else { return };
         match (&job.phase, state) {
             (Phase::Claiming { .. }, RoundState::Won) => self.won(now, id, out),
-            (Phase::Refusing { .. }, RoundState::Won) => self.refuse(id, out),
+            (Phase::Refusing { .. }, RoundState::Won) => self.refuse(now, id, out),
             (_, RoundState::NoQuorum) => self.undecided(id, out),
-            (_, RoundState::Lost(claim)) => self.lost(id, &claim, out),
+            (_, RoundState::Lost(claim)) => self.lost(now, id, &claim, out),
             _ => {}
         }
     }
@@ -110,30 +114,33 @@
     }
 
     /// The entry owns a submission that it does not take.
-    fn refuse(&mut self, id: SubmissionId, out: &mut Vec<Action>) {
+    fn refuse(&mut self, now: Time, id: SubmissionId, out: &mut Vec<Action>) {
         let Some(job) = self.table.get(id) else { return };
         let Phase::Refusing { round, failure, .. } = &job.phase else { return };
         if round.renewed() && !job.claimed_before {
             return self.finish(id, Err(dropped()), out);
         }
         let failure = failure.clone();
-        self.say_not_run(id, failure, out);
+        self.say_not_run(now, id, failure, out);
     }
 
     /// Refuses a submission that the entry owns and has not started.
     pub(crate) fn say_not_run(
         &mut self,
+        now: Time,
         id: SubmissionId,
         failure: Failure,
         out: &mut Vec<Action>,
     ) {
         self.count_refusal(failure.code);
         self.decide(id, Step::Refuse { code: failure.code }, Duration::ZERO, out);
-        let reply = Err(Failure { verdict: Verdict::NotRun, ..failure });
-        self.tell_waiters(id, &reply, out);
+        let wait = failure.retry_after_ms.unwrap_or(0).max(REFUSAL_HOLDS.as_millis() as u64);
+        let failure = Failure { verdict: Verdict::NotRun, ..failure }.retry_after(wait);
+        self.tell_waiters(id, &Err(failure.clone()), out);
         if let Some(catalog) = &self.catalog {
             let until = Self::window(catalog.fleet()).kept_until(id);
-            self.table.park(id, Phase::Refused, until);
+            let phase = Phase::Refused { failure, until: now + REFUSAL_HOLDS };
+            self.table.park(id, phase, until);
         }
     }
 
@@ -151,7 +158,7 @@
     }
 
     /// Another claim came first: the submission is joined through its owner.
-    fn lost(&mut self, id: SubmissionId, claim: &Claim, out: &mut Vec<Action>) {
+    fn lost(&mut self, now: Time, id: SubmissionId, claim: &Claim, out: &mut Vec<Action>) {
         self.counters.claims_lost += 1;
         let Some(job) = self.table.get_mut(id) else { return };
         if claim.digest != job.digest {
@@ -165,17 +172,21 @@
             Phase::Claiming { request, .. } | Phase::Refusing { request, .. } => request.clone(),
             _ => return,
         };
-        job.phase = Phase::Relaying;
+        let call = self.next_owner_call();
+        if let Some(job) = self.table.get_mut(id) {
+            job.phase = Phase::Relaying { call, since: now };
+        }
         self.counters.relayed += 1;
-        self.sent(MessageKind::Relay);
         self.decide(id, Step::Relay { owner: claim.owner.name.clone() }, Duration::ZERO, out);
         let request = RelayRequest::clone(&request);
-        out.push(Action::Relay { owner: claim.owner.clone(), request });
+        out.push(Action::Relay { call, owner: claim.owner.clone(), request });
     }
 
-    /// Takes the owner's reply to a relay or a fetch.
+    /// Takes the owner's reply to a relay or a fetch. One to a call that was given up is late.
     pub(crate) fn relayed(
         &mut self,
+        now: Time,
+        call: OwnerCall,
         id: SubmissionId,
         reply: Option<RelayReply>,
         out: &mut Vec<Action>,
@@ -185,15 +196,31 @@
             Err(Failure::new(Code::OwnerLost, Verdict::MayHaveRun, message))
         };
         let reply = reply.unwrap_or_else(lost);
-        if self.table.get(id).is_some_and(|job| matches!(job.phase, Phase::Relaying)) {
+        let since = self.table.get(id).and_then(|job| match job.phase {
+            Phase::Relaying { call: current, since } if current == call => Some(since),
+            _ => None,
+        });
+        if let Some(since) = since {
+            let reply = still_true(reply, now.since(since));
             self.dismiss(id, &reply, out);
-        }
-        if self.inquiries.get(&id).is_some_and(Inquiry::asks_owner) {
+        } else if self.inquiries.get(&id).is_some_and(|inquiry| inquiry.asks_by(call)) {
             self.answer_inquiry(id, &reply, out);
+        } else {
+            self.counters.late += 1;
         }
     }
 }
 
+/// The owner may have taken the submission since it said "not run", unless that was just now.
+fn still_true(reply: RelayReply, age: Duration) -> RelayReply {
+    reply.map_err(|failure| match failure.verdict {
+        Verdict::NotRun if age > RELAYED_REFUSAL_HOLDS => {
+            Failure { verdict: Verdict::MayHaveRun, ..failure }
+        }
+        _ => failure,
+    })
+}
+
 fn dropped() -> Failure {
     let message = "the submission was taken before, and its outcome is no longer held";
     Failure::new(Code::AnswerDropped, Verdict::MayHaveRun, message)
--- a/components/entry/src/entry.rs
+++ b/components/entry/src/entry.rs
@@ -16,7 +16,7 @@
 use crate::service::Service;
 use crate::table::{Due, Table};
 use crate::targets::Targets;
-use crate::{Action, Event, News};
+use crate::{Action, Event, News, OwnerCall};
 
 /// What an entry knows of itself at its start.
 #[derive(Clone, Debug)]
@@ -43,6 +43,7 @@
     pub(crate) kinds: Kinds,
     pub(crate) counters: EntryCounters,
     pub(crate) arrivals: u64,
+    owner_calls: u64,
     now: Time,
     expired: Time,
 }
@@ -64,6 +65,7 @@
             kinds: Kinds::default(),
             counters: EntryCounters::default(),
             arrivals: 0,
+            owner_calls: 0,
             now: Time::default(),
             expired: Time::default(),
         }
@@ -98,7 +100,9 @@
             Event::Synced { agent, connection, reply } => {
                 self.synced(now, &agent, connection, reply, out);
             }
-            Event::Relayed { submission, reply } => self.relayed(submission, reply, out),
+            Event::Relayed { call, submission, reply } => {
+                self.relayed(now, call, submission, reply, out);
+            }
             Event::Settings { catalog } => self.settings(now, catalog, out),
             Event::Confirmed { at } => self.confirmed = self.confirmed.max(at),
             Event::Entries { count } => self.entries = count.max(1),
@@ -274,6 +278,13 @@
         out.push(Action::News(News::Breach(breach)));
     }
 
+    /// Numbers the next call to an owner.
+    pub(crate) fn next_owner_call(&mut self) -> OwnerCall {
+        self.owner_calls += 1;
+        self.sent(MessageKind::Relay);
+        OwnerCall(self.owner_calls)
+    }
+
     pub(crate) fn sent(&mut self, kind: MessageKind) {
         self.counters.messages.sent(kind);
     }
--- a/components/entry/src/event.rs
+++ b/components/entry/src/event.rs
@@ -23,6 +23,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Connection(pub u64);
 
+/// A call to the owner of a submission, numbered by the entry: a reply that comes after its call
+/// was given up must not answer a later one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct OwnerCall(pub u64);
+
 /// What reaches an entry.
 ///
 /// A reply is `None` when the call failed: nothing is known of what the other side did.
@@ -119,6 +124,8 @@
     },
     /// The owner of a submission replied to a relay or a fetch.
     Relayed {
+        /// The call that it replied to.
+        call: OwnerCall,
         /// The submission.
         submission: SubmissionId,
         /// The reply.
@@ -194,6 +201,8 @@
     },
     /// Hands a submission to its owner.
     Relay {
+        /// Numbers the call.
+        call: OwnerCall,
         /// The owner.
         owner: NodeRef,
         /// The work.
@@ -201,6 +210,8 @@
     },
     /// Asks the owner for the outcome of a submission.
     Fetch {
+        /// Numbers the call.
+        call: OwnerCall,
         /// The owner.
         owner: NodeRef,
         /// The submission.
--- a/components/entry/src/inquiry.rs
+++ b/components/entry/src/inquiry.rs
@@ -10,7 +10,7 @@
 
 use crate::claiming::owner_lost;
 use crate::table::Due;
-use crate::{Action, Entry, Ticket};
+use crate::{Action, Entry, OwnerCall, Ticket};
 
 /// After this a holder that has not replied is taken as silent.
 const ROUND_TIME: Duration = Duration::from_millis(500);
@@ -19,14 +19,22 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Inquiry {
     tickets: Vec<Ticket>,
-    /// The round of questions; none once the owner was asked.
-    round: Option<Round>,
+    stage: Stage,
+}
+
+/// Who is asked.
+#[derive(Clone, Debug)]
+enum Stage {
+    /// The holders.
+    Holders(Round),
+    /// The owner.
+    Owner(OwnerCall),
 }
 
 impl Inquiry {
-    /// Whether the owner was asked.
-    pub fn asks_owner(&self) -> bool {
-        self.round.is_none()
+    /// Whether the owner is asked by this call.
+    pub fn asks_by(&self, call: OwnerCall) -> bool {
+        matches!(self.stage, Stage::Owner(current) if current == call)
     }
 }
 
@@ -44,7 +52,7 @@
         }
         let round = Round::new(self.views.holders(id, now));
         let holders = round.holders();
-        self.inquiries.insert(id, Inquiry { tickets: vec![ticket], round: Some(round) });
+        self.inquiries.insert(id, Inquiry { tickets: vec![ticket], stage: Stage::Holders(round) });
         for holder in holders {
             if !self.targets.is_up(&holder) {
                 self.record_answer(id, &holder, Vote::None);
@@ -58,7 +66,10 @@
     }
 
     fn round_of_inquiry(&mut self, id: SubmissionId) -> Option<&mut Round> {
-        self.inquiries.get_mut(&id)?.round.as_mut()
+        match &mut self.inquiries.get_mut(&id)?.stage {
+            Stage::Holders(round) => Some(round),
+            Stage::Owner(_) => None,
+        }
     }
 
     fn record_answer(&mut self, id: SubmissionId, holder: &NodeName, vote: Vote) {
@@ -101,10 +112,10 @@
                 Err(owner_lost(&claim.owner))
             }
             RoundState::Lost(claim) => {
+                let call = self.next_owner_call();
                 let Some(inquiry) = self.inquiries.get_mut(&id) else { return };
-                inquiry.round = None;
-                self.sent(MessageKind::Relay);
-                return out.push(Action::Fetch { owner: claim.owner, submission: id });
+                inquiry.stage = Stage::Owner(call);
+                return out.push(Action::Fetch { call, owner: claim.owner, submission: id });
             }
         };
         self.answer_inquiry(id, &reply, out);
--- a/components/entry/src/intake.rs
+++ b/components/entry/src/intake.rs
@@ -67,7 +67,13 @@
         }
         match &mut job.phase {
             Phase::Done(reply) => respond(ticket, reply.clone(), out),
-            Phase::Undecided | Phase::Refused => self.take_up(now, ticket, request, out),
+            Phase::Refused { failure, until } if now < *until => {
+                // An answer that says so may be on its way, so it has to stay true for a while.
+                respond(ticket, Err(failure.clone()), out);
+            }
+            Phase::Undecided | Phase::Refused { .. } => {
+                self.take_up(now, ticket, request, out);
+            }
             _ => job.waiters.push(ticket),
         }
     }
@@ -84,14 +90,14 @@
         job.waiters.push(ticket);
         job.kind = catalog.kind(&request.service, &request.kind).cloned();
         let until = deadline_at(now, &catalog, job.kind.as_deref(), &request);
-        let owned = matches!(job.phase, Phase::Refused);
+        let owned = matches!(job.phase, Phase::Refused { .. });
         match checked {
             Ok(_) if owned => {
                 let phase = Phase::Active(Gather::new(&request.tasks));
                 self.table.unpark(id, phase, until);
                 self.enqueue(now, id, out);
             }
-            Err(failure) if owned => self.say_not_run(id, failure, out),
+            Err(failure) if owned => self.say_not_run(now, id, failure, out),
             checked => {
                 job.claimed_before = true;
                 let phase = self.claim_phase(now, request, checked);
@@ -254,7 +260,7 @@
         if let Some(job) = self.table.get_mut(submission) {
             match &job.phase {
                 Phase::Done(reply) => return respond(ticket, reply.clone(), out),
-                Phase::Undecided | Phase::Refused => {
+                Phase::Undecided | Phase::Refused { .. } => {
                     return respond(ticket, Err(not_started()), out);
                 }
                 _ => return job.waiters.push(ticket),
--- a/components/entry/src/job.rs
+++ b/components/entry/src/job.rs
@@ -7,8 +7,8 @@
 use settings::KindSettings;
 use wire::{RelayReply, RelayRequest};
 
-use crate::Ticket;
 use crate::gather::Gather;
+use crate::{OwnerCall, Ticket};
 
 /// Where a submission stands.
 #[derive(Clone, Debug)]
@@ -18,13 +18,14 @@
     /// It can't be taken now; it is claimed, so that nobody else takes it and the refusal is true.
     Refusing { round: Round, request: Arc<RelayRequest>, failure: Failure },
     /// Its owner has it.
-    Relaying,
+    Relaying { call: OwnerCall, since: Time },
     /// Admitted: tasks wait, run, are answered.
     Active(Gather),
     /// A claim round ended without a quorum: nothing started, and it may be claimed again.
     Undecided,
-    /// It was claimed and refused: nothing started, and it may be submitted again.
-    Refused,
+    /// It was claimed and refused: nothing started. It may be taken after `until`; the refusal
+    /// may still be on its way to a caller before.
+    Refused { failure: Failure, until: Time },
     /// It has its outcome.
     Done(RelayReply),
 }
@@ -66,7 +67,7 @@
 
     /// Whether something is still done for it here.
     pub fn is_active(&self) -> bool {
-        !matches!(self.phase, Phase::Done(_) | Phase::Undecided | Phase::Refused)
+        !matches!(self.phase, Phase::Done(_) | Phase::Undecided | Phase::Refused { .. })
     }
 
     /// Its tasks, while they are placed and gathered.
--- a/components/entry/src/place.rs
+++ b/components/entry/src/place.rs
@@ -284,10 +284,10 @@
                 self.finish(id, reply, out);
             }
             Phase::Claiming { .. } => self.finish(id, failure(Verdict::MayHaveRun), out),
-            Phase::Refusing { .. } | Phase::Relaying => {
+            Phase::Refusing { .. } | Phase::Relaying { .. } => {
                 self.dismiss(id, &failure(Verdict::MayHaveRun), out);
             }
-            Phase::Undecided | Phase::Refused | Phase::Done(_) => {}
+            Phase::Undecided | Phase::Refused { .. } | Phase::Done(_) => {}
         }
     }
 }
--- a/components/entry/src/table.rs
+++ b/components/entry/src/table.rs
@@ -104,7 +104,7 @@
                 Some(Phase::Done(_)) => {
                     self.forget(id);
                 }
-                Some(Phase::Undecided | Phase::Refused) => {
+                Some(Phase::Undecided | Phase::Refused { .. }) => {
                     self.remove(id);
                 }
                 _ => {}
--- a/daemon/src/entry_role/links.rs
+++ b/daemon/src/entry_role/links.rs
@@ -221,14 +221,14 @@
                     links.tell(Event::Settled { agent, key, reply }).await;
                 });
             }
-            Action::Relay { owner, request } => self.spawn(async move {
+            Action::Relay { call, owner, request } => self.spawn(async move {
                 let submission = request.submission;
                 let reply = links.peers.relay(&owner.name, request).await;
-                links.tell(Event::Relayed { submission, reply }).await;
+                links.tell(Event::Relayed { call, submission, reply }).await;
             }),
-            Action::Fetch { owner, submission } => self.spawn(async move {
+            Action::Fetch { call, owner, submission } => self.spawn(async move {
                 let reply = links.peers.fetch(&owner.name, submission).await;
-                links.tell(Event::Relayed { submission, reply }).await;
+                links.tell(Event::Relayed { call, submission, reply }).await;
             }),
             Action::Respond { .. } | Action::Decide(_) | Action::News(_) => {}
         }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -58,9 +58,9 @@
         for (_, caller) in waiting {
             match caller {
                 Caller::Client { id, .. } => self.checks.unanswered(id),
-                Caller::Peer { entry, life, id } => {
+                Caller::Peer { entry, life, call, id } => {
                     let wait = self.within(Duration::from_millis(50));
-                    self.after(wait, Happening::PeerReply(entry, life, id, None));
+                    self.after(wait, Happening::PeerReply(entry, life, call, id, None));
                 }
             }
         }
@@ -128,8 +128,21 @@
             let wait = self.within(LIST_LAG);
             self.after(wait, Happening::ListedLeaving(entry, number, life));
         }
-        let wait = Duration::from_secs(4) + self.within(LONGEST_AWAY);
-        self.after(wait, Happening::AgentStarts(number));
+        let wait = Duration::from_secs(1) + self.within(LONGEST_AWAY);
+        self.after(wait, Happening::AgentLeft(number, life));
+    }
+
+    /// A leaving agent ends once nothing runs at its target, and comes back.
+    pub fn agent_left(&mut self, number: usize, life: u64) {
+        let agent = &self.agents[number];
+        if agent.node.life != life {
+            return;
+        }
+        if agent.at_target > 0 {
+            let wait = Duration::from_millis(200);
+            return self.after(wait, Happening::AgentLeft(number, life));
+        }
+        self.kill_agent(number);
     }
 
     /// The list tells an entry that an agent's host leaves.
--- a/soak/src/nodes.rs
+++ b/soak/src/nodes.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use agent::Agent;
-use entry::{Entry, Ticket};
+use entry::{Entry, OwnerCall, Ticket};
 use model::{Incarnation, NodeName, NodeRef, SubmissionId, Time};
 
 /// More lives than a node has in a run.
@@ -68,7 +68,7 @@
     /// A client, with the number of its request.
     Client { id: SubmissionId, asked: Time, deadline: Duration },
     /// Another entry, in a life, for a submission.
-    Peer { entry: usize, life: u64, id: SubmissionId },
+    Peer { entry: usize, life: u64, call: OwnerCall, id: SubmissionId },
 }
 
 /// An agent with its target.
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use agent::{Agent, CallId, Reply, Request};
-use entry::{Connection, Entry, Event, Ticket};
+use entry::{Connection, Entry, Event, OwnerCall, Ticket};
 use execution::TaskOutcome;
 use model::{NodeRef, SubmissionId, TaskKey, Time};
 use rand::{Rng, SeedableRng};
@@ -61,7 +61,7 @@
     /// A target ends a task, of an agent in a life.
     TargetEnds(usize, u64, TaskKey, TaskOutcome),
     /// Another entry's outcome reaches the entry that relayed.
-    PeerReply(usize, u64, SubmissionId, Option<RelayReply>),
+    PeerReply(usize, u64, OwnerCall, SubmissionId, Option<RelayReply>),
     /// A tick of an entry's timers.
     EntryTick(usize),
     /// A tick of an agent's timers.
@@ -78,6 +78,8 @@
     EntryStarts(usize),
     /// A dead agent comes back.
     AgentStarts(usize),
+    /// A leaving agent ends, in a life, once nothing runs at its target.
+    AgentLeft(usize, u64),
     /// Settings reach a node: entry (true) or agent.
     Settings(bool, usize, u64),
     /// The platform's list tells an entry that an agent's host leaves, in a life.
@@ -229,8 +231,8 @@
             Happening::TargetEnds(agent, life, key, outcome) => {
                 self.target_ends(agent, life, key, outcome);
             }
-            Happening::PeerReply(entry, life, submission, reply) => {
-                self.to_entry(entry, life, Event::Relayed { submission, reply });
+            Happening::PeerReply(entry, life, call, submission, reply) => {
+                self.to_entry(entry, life, Event::Relayed { call, submission, reply });
             }
             Happening::EntryTick(entry) => {
                 self.entries[entry].node.tick_at = None;
@@ -248,6 +250,7 @@
             Happening::Fault => self.fault(),
             Happening::EntryStarts(entry) => self.start_entry(entry),
             Happening::AgentStarts(agent) => self.start_agent(agent),
+            Happening::AgentLeft(agent, life) => self.agent_left(agent, life),
             Happening::Settings(to_entry, node, version) => {
                 self.settings_arrive(to_entry, node, version);
             }
@@ -336,8 +339,10 @@
             Action::Sync { agent, connection, request } => {
                 self.call_on(number, &agent, connection, Request::Sync(request));
             }
-            Action::Relay { owner, request } => self.relay(number, &owner, request),
-            Action::Fetch { owner, submission } => self.fetch_at(number, &owner, submission),
+            Action::Relay { call, owner, request } => self.relay(number, call, &owner, request),
+            Action::Fetch { call, owner, submission } => {
+                self.fetch_at(number, call, &owner, submission);
+            }
             Action::News(entry::News::Breach(breach)) => {
                 self.checks.violation(self.now, format!("breach at an entry: {breach}"));
             }
@@ -472,21 +477,31 @@
             Some(Caller::Client { id, asked, deadline }) => {
                 self.client_answered(id, asked, deadline, &reply);
             }
-            Some(Caller::Peer { entry, life, id }) => {
+            Some(Caller::Peer { entry, life, call, id }) => {
                 let wait = self.within(self.behaviour.delay);
-                self.after(wait, Happening::PeerReply(entry, life, id, Some(reply)));
+                self.after(wait, Happening::PeerReply(entry, life, call, id, Some(reply)));
             }
             None => self.checks.violation(self.now, "an outcome was given twice".to_owned()),
         }
     }
 
-    fn relay(&mut self, from: usize, owner: &NodeRef, request: RelayRequest) {
+    fn relay(&mut self, from: usize, call: OwnerCall, owner: &NodeRef, request: RelayRequest) {
         let id = request.submission;
-        self.to_peer(from, owner, id, |ticket| Event::Submit { ticket, request, relayed: true });
+        self.to_peer(from, call, owner, id, |ticket| Event::Submit {
+            ticket,
+            request,
+            relayed: true,
+        });
     }
 
-    fn fetch_at(&mut self, from: usize, owner: &NodeRef, submission: SubmissionId) {
-        self.to_peer(from, owner, submission, |ticket| Event::Fetch {
+    fn fetch_at(
+        &mut self,
+        from: usize,
+        call: OwnerCall,
+        owner: &NodeRef,
+        submission: SubmissionId,
+    ) {
+        self.to_peer(from, call, owner, submission, |ticket| Event::Fetch {
             ticket,
             submission,
             relayed: true,
@@ -496,6 +511,7 @@
     fn to_peer(
         &mut self,
         from: usize,
+        call: OwnerCall,
         owner: &NodeRef,
         id: SubmissionId,
         ask: impl FnOnce(Ticket) -> Event,
@@ -503,10 +519,10 @@
         let life = self.entries[from].node.life;
         let to = self.entries.iter().position(|entry| entry.node.name == owner.name);
         match to.filter(|to| self.entries[*to].node.machine.is_some()) {
-            Some(to) => self.ask(to, Caller::Peer { entry: from, life, id }, ask),
+            Some(to) => self.ask(to, Caller::Peer { entry: from, life, call, id }, ask),
             None => {
                 let wait = self.within(PEER_FAILURE);
-                self.after(wait, Happening::PeerReply(from, life, id, None));
+                self.after(wait, Happening::PeerReply(from, life, call, id, None));
             }
         }
     }
