--- a/components/testbed/src/cluster.rs
+++ b/components/testbed/src/cluster.rs
@@ -186,8 +186,8 @@
     /// Waits until every entry takes work.
     pub fn wait_until_ready(&self) -> Result<(), ClusterError> {
         self.wait_for(|cluster| {
-            let entries = cluster.entries.iter().flatten().filter_map(Node::entry);
-            entries.map(|entry| entry.is_ready()).all(|ready| ready)
+            let mut entries = cluster.entries.iter().flatten().filter_map(Node::entry);
+            entries.all(|entry| entry.is_ready())
         })
     }
 
--- a/daemon/src/agent_role/serve.rs
+++ b/daemon/src/agent_role/serve.rs
@@ -46,11 +46,7 @@
             tasks.spawn(serve(tasks.clone(), stream, server));
         }
     };
-    let stop = async {
-        while !ring.is_closed() {
-            async_io::Timer::after(std::time::Duration::from_millis(20)).await;
-        }
-    };
+    let stop = ring.closed();
     future::or(accept, stop).await;
 }
 
--- a/daemon/src/entry_role/listen.rs
+++ b/daemon/src/entry_role/listen.rs
@@ -49,9 +49,7 @@
     let peers = serve_peers(peer_listener, tasks.clone(), ring.clone());
     serve.or(stop).or(peers).await;
     // Open connections are served until the deciding thread ends.
-    while !ring.is_closed() {
-        async_io::Timer::after(Duration::from_millis(20)).await;
-    }
+    ring.closed().await;
 }
 
 async fn serve_peers(listener: Async<TcpListener>, tasks: Tasks, ring: Sender<Input>) {
--- a/daemon/src/entry_role/mod.rs
+++ b/daemon/src/entry_role/mod.rs
@@ -139,9 +139,8 @@
                 .map(|host| entry::Event::Leaving { agent: host.name.clone() });
             let live = list.of_role(Role::Entry).filter(|host| host.state == HostState::Live);
             let count = u32::try_from(live.count()).unwrap_or(u32::MAX);
-            let events = leaving.chain([entry::Event::Entries { count }]);
-            let told = events.map(|event| ring.send_blocking(Input::Event(event)));
-            let all_told = told.fold(true, |all, sent| all && sent.is_ok());
+            let mut events = leaving.chain([entry::Event::Entries { count }]);
+            let all_told = events.all(|event| ring.send_blocking(Input::Event(event)).is_ok());
             all_told && links.send_blocking(LinkInput::Hosts(list.clone())).is_ok()
         })
     }
--- a/daemon/src/keeper_role/listen.rs
+++ b/daemon/src/keeper_role/listen.rs
@@ -43,11 +43,7 @@
     };
     let operators = net::serve(listener, tasks.clone(), LIMITS, handler);
     let nodes = serve_nodes(node_listener, tasks.clone(), ring.clone());
-    let stop = async {
-        while !ring.is_closed() {
-            async_io::Timer::after(Duration::from_millis(20)).await;
-        }
-    };
+    let stop = ring.closed();
     future::or(future::or(operators, nodes), stop).await;
 }
 
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -139,9 +139,9 @@
     /// Ends at once.
     pub fn stop(mut self) {
         self.stop_duties.take();
-        self.entry.take().map(EntryHandle::stop);
-        self.agent.take().map(AgentHandle::stop);
-        self.keeper.take().map(KeeperHandle::stop);
+        self.entry.take().into_iter().for_each(EntryHandle::stop);
+        self.agent.take().into_iter().for_each(AgentHandle::stop);
+        self.keeper.take().into_iter().for_each(KeeperHandle::stop);
         join(std::mem::take(&mut self.duties));
         join(self.decisions.take());
         info!("stopped");
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -106,7 +106,7 @@
     ) {
         self.checks.answered(self.now, id, reply);
         let took = self.now.since(asked);
-        let undisturbed = id.made().min(asked) >= self.calm_from + CALM_ENOUGH;
+        let undisturbed = id.made().min(asked) >= self.calm_from + CALM_ENOUGH + CLOCK_SKEW;
         if undisturbed && took > deadline + OUTCOME_SLACK {
             self.checks.violation(self.now, format!("{id} was answered after {took:?}"));
         }
@@ -116,10 +116,12 @@
             model::Code::TargetFailed | model::Code::TargetLost | model::Code::NoQuorum
                 | model::Code::OwnerLost | model::Code::UnknownId | model::Code::AnswerDropped
         ));
-        if let Err(failure) = reply {
-            if undisturbed && id_is_new && !unlucky {
-                self.checks.violation(self.now, format!("{id} failed in the calm: {failure}"));
-            }
+        if let Err(failure) = reply
+            && undisturbed
+            && id_is_new
+            && !unlucky
+        {
+            self.checks.violation(self.now, format!("{id} failed in the calm: {failure}"));
         }
         // One that failed without having run is tried again, as a client would.
         let again = matches!(reply, Err(failure) if failure.retry_after_ms.is_some());
@@ -134,10 +136,10 @@
         let mut left = Vec::new();
         for entry in &self.entries {
             for caller in entry.callers.values() {
-                if let Caller::Client { id, asked, deadline } = caller {
-                    if *asked + *deadline + OUTCOME_SLACK < self.end {
-                        left.push((*id, *asked));
-                    }
+                if let Caller::Client { id, asked, deadline } = caller
+                    && *asked + *deadline + OUTCOME_SLACK < self.end
+                {
+                    left.push((*id, *asked));
                 }
             }
         }
--- /dev/null
+++ b/soak/src/configuration.rs
@@ -0,0 +1,53 @@
+//! Versions of the settings and their way to the nodes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use agent::Agent;
+use entry::Event;
+use settings::{Catalog, Edit, SectionPath};
+
+use crate::world::{Happening, World};
+
+impl World {
+    /// Changes the settings; every node gets them within a few seconds.
+    pub fn change_settings(&mut self, edits: Vec<Edit>) {
+        let Ok(tree) = self.tree.with(&edits) else { return };
+        self.tree = tree;
+        let version = self.catalogs.len() as u64 + 1;
+        self.catalogs.push(Arc::new(Catalog::new(version, &self.tree)));
+        for entry in 0..self.entries.len() {
+            let wait = self.within(Duration::from_secs(3));
+            self.after(wait, Happening::Settings(true, entry, version));
+        }
+        for agent in 0..self.agents.len() {
+            let wait = self.within(Duration::from_secs(3));
+            self.after(wait, Happening::Settings(false, agent, version));
+        }
+    }
+
+    /// The members of the claim view, and the path of its section.
+    pub fn claim_view(&self) -> (SectionPath, Vec<String>) {
+        let newest = &self.catalogs[self.catalogs.len() - 1];
+        (SectionPath::fleet(), newest.fleet().claim_view.clone())
+    }
+
+    pub fn settings_arrive(&mut self, to_entry: bool, number: usize, version: u64) {
+        let catalog = self.catalogs[version as usize - 1].clone();
+        if to_entry {
+            // A node's link hands on rising versions only.
+            if self.entries[number].settings >= version {
+                return;
+            }
+            self.entries[number].settings = version;
+            let life = self.entries[number].node.life;
+            return self.deliver_to_entry(number, life, Event::Settings { catalog });
+        }
+        let life = self.agents[number].node.life;
+        let known = self.agents[number].node.machine.as_ref().map(Agent::settings_version);
+        if known.is_some_and(|known| known < version) {
+            let fleet = Arc::new(catalog.fleet().clone());
+            self.deliver_to_agent(number, life, agent::Event::Settings { version, fleet });
+        }
+    }
+}
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -123,7 +123,7 @@
         if self.agents[number].node.stalled_until <= now {
             self.agents[number].leaving_since.get_or_insert(now);
         }
-        self.to_agent(number, life, agent::Event::Leave);
+        self.deliver_to_agent(number, life, agent::Event::Leave);
         for entry in 0..self.entries.len() {
             let wait = self.within(LIST_LAG);
             self.after(wait, Happening::ListedLeaving(entry, number, life));
@@ -152,7 +152,7 @@
         }
         let name = self.agents[agent].node.name.clone();
         let entry_life = self.entries[entry].node.life;
-        self.to_entry(entry, entry_life, Event::Leaving { agent: name });
+        self.deliver_to_entry(entry, entry_life, Event::Leaving { agent: name });
     }
 
     fn target_unreachable(&mut self, number: usize) {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -5,8 +5,11 @@
 //! it carries messages between the libraries and checks what must always hold. It is no simulator
 //! of a cluster: time passes only where a message or a task takes some.
 
+mod agents;
 mod callers;
 mod checks;
+mod configuration;
+mod entries;
 mod faults;
 mod network;
 mod nodes;
--- a/src/cmd/decisions.rs
+++ b/src/cmd/decisions.rs
@@ -23,9 +23,9 @@
             continue;
         }
         if json {
-            println!("{}", serde_json::json!({ "decision": line }));
+            say!("{}", serde_json::json!({ "decision": line }));
         } else {
-            println!("{line}");
+            say!("{line}");
         }
     }
     Ok(ExitCode::SUCCESS)
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -111,10 +111,10 @@
             "kind": name, "outcome": outcome, "detail": detail,
             "response_ms": done.response.as_secs_f64() * 1e3, "over_ideal": ratio,
         });
-        return println!("{line}");
+        return say!("{line}");
     }
     let millis = done.response.as_millis();
-    println!("{name:<22} {outcome:<9} {millis:>5} ms  {ratio:>6.3} x ideal  {detail}");
+    say!("{name:<22} {outcome:<9} {millis:>5} ms  {ratio:>6.3} x ideal  {detail}");
 }
 
 fn print_summary(cluster: &Cluster, jobs: &JobFile, done: &[Done], json: bool) {
@@ -133,9 +133,9 @@
             "jobs": done.len(), "tasks": tasks, "over_ideal_p50": at(0.5),
             "over_ideal_p99": at(0.99), "messages_per_task": sent, "wasted_per_task": wasted,
         });
-        return println!("{line}");
+        return say!("{line}");
     }
-    println!(
+    say!(
         "{} jobs, {tasks} tasks: response over ideal p50 {:.3}, p99 {:.3}; \
          messages per task {sent:.2}, wasted per task {wasted:.2}",
         done.len(),
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,13 @@
 //! One file a subcommand.
 
+/// Prints a line. A reader that has gone, such as `head`, is no failure.
+macro_rules! say {
+    ($($argument:tt)*) => {{
+        use std::io::Write;
+        let _ = writeln!(std::io::stdout(), $($argument)*);
+    }};
+}
+
 mod completions;
 mod decisions;
 mod demo;
--- a/src/cmd/settings.rs
+++ b/src/cmd/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use clap::ArgMatches;
 use client::{ChangeOutcome, Operator, TreeVersion};
@@ -20,7 +21,7 @@
             apply(own, |_| Ok(vec![Edit::Remove { section: section.clone() }]))
         }
         Some(("export", own)) => {
-            print!("{}", read(&addresses(own, "keeper")?)?.tree.to_ini());
+            say!("{}", read(&addresses(own, "keeper")?)?.tree.to_ini().trim_end());
             Ok(ExitCode::SUCCESS)
         }
         Some(("diff", own)) => diff(own),
@@ -63,10 +64,10 @@
             let line = serde_json::json!({
                 "version": version, "key": key.name, "value": value, "from": from,
             });
-            println!("{line}");
+            say!("{line}");
         } else {
             let from = from.map_or("default".to_owned(), |path| format!("[{path}]"));
-            println!("{} = {value}  ({from}, version {version})", key.name);
+            say!("{} = {value}  ({from}, version {version})", key.name);
         }
     }
     if shown == 0 {
@@ -96,7 +97,7 @@
     let wanted = file(arguments)?;
     let TreeVersion { tree, .. } = read(&addresses(arguments, "keeper")?)?;
     for edit in tree.edits_to(&wanted) {
-        println!("{}", edit_line(&edit));
+        say!("{}", edit_line(&edit));
     }
     Ok(ExitCode::SUCCESS)
 }
@@ -120,7 +121,7 @@
     let base = arguments.try_get_one::<u64>("base").ok().flatten().copied().unwrap_or(version);
     let edits = edits(&tree)?;
     if edits.is_empty() {
-        println!("nothing to change at version {version}");
+        say!("nothing to change at version {version}");
         return Ok(ExitCode::SUCCESS);
     }
     let outcome =
@@ -141,21 +142,27 @@
             ChangeOutcome::Known(result) => serde_json::json!(result),
             ChangeOutcome::Unknown => serde_json::json!("unknown"),
         };
-        return println!("{line}");
+        return say!("{line}");
     }
     match outcome {
         ChangeOutcome::Known(ChangeResult::Accepted { version }) => {
-            println!("accepted at version {version}");
+            say!("accepted at version {version}");
         }
         ChangeOutcome::Known(ChangeResult::Conflict { version, sections }) => {
             let sections = sections.join(", ");
-            println!("refused: version {version} changed {sections} since");
+            say!("refused: version {version} changed {sections} since");
         }
-        ChangeOutcome::Known(ChangeResult::Invalid { reason }) => println!("refused: {reason}"),
-        ChangeOutcome::Unknown => println!("unknown: no keeper could tell; read the tree again"),
+        ChangeOutcome::Known(ChangeResult::Invalid { reason }) => say!("refused: {reason}"),
+        ChangeOutcome::Unknown => say!("unknown: no keeper could tell; read the tree again"),
     }
 }
 
+/// How long ago a keeper's time, in microseconds since the Unix epoch, is.
+fn seconds_ago(taken: &serde_json::Value) -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    now.as_secs().saturating_sub(taken.as_u64().unwrap_or_default() / 1_000_000)
+}
+
 fn history(arguments: &ArgMatches) -> Result<ExitCode, CommandError> {
     let keepers = addresses(arguments, "keeper")?;
     let versions: Vec<serde_json::Value> =
@@ -164,12 +171,12 @@
         )?;
     for version in versions {
         if arguments.get_flag("json") {
-            println!("{version}");
+            say!("{version}");
             continue;
         }
-        println!("version {} of {}", version["version"], version["taken"].as_str().unwrap_or("?"));
+        say!("version {}, {} s ago", version["version"], seconds_ago(&version["taken"]));
         let edits: Vec<Edit> = serde_json::from_value(version["edits"].clone()).unwrap_or_default();
-        edits.iter().for_each(|edit| println!("  {}", edit_line(edit)));
+        edits.iter().for_each(|edit| say!("  {}", edit_line(edit)));
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -37,10 +37,10 @@
 
 fn print_entry(status: &serde_json::Value, json: bool) {
     if json {
-        return println!("{status}");
+        return say!("{status}");
     }
     let counters = &status["counters"];
-    println!(
+    say!(
         "entry {} ready={} settings={} submitted={} completed={} failed={} refused={} active={} \
          queued={} idle={} breaches={}",
         status["name"].as_str().unwrap_or("?"),
@@ -72,10 +72,10 @@
 fn print_agent(status: &AgentStatus, json: bool) {
     if json {
         let text = serde_json::to_string(status).expect("plain structs become JSON");
-        return println!("{text}");
+        return say!("{text}");
     }
     let (info, counters) = (&status.info, &status.counters);
-    println!(
+    say!(
         "agent {} service={} hall={} rack={} slots={} leaving={} settings={} running={} \
          started={} refused={} claims={} breaches={}",
         info.agent.name,
--- a/src/cmd/submit.rs
+++ b/src/cmd/submit.rs
@@ -74,15 +74,15 @@
                 "code": code, "verdict": verdict.as_str(), "message": message,
             }),
         };
-        return println!("{line}");
+        return say!("{line}");
     }
     match outcome {
         Outcome::Complete(answers) => {
-            println!("{id} {}/{} complete in {millis} ms", job.service, job.kind);
-            answers.iter().for_each(|answer| println!("  {answer}"));
+            say!("{id} {}/{} complete in {millis} ms", job.service, job.kind);
+            answers.iter().for_each(|answer| say!("  {answer}"));
         }
         Outcome::Failed { code, verdict, message, .. } => {
-            println!("{id} {}/{} failed: {code}, {verdict}: {message}", job.service, job.kind);
+            say!("{id} {}/{} failed: {code}, {verdict}: {message}", job.service, job.kind);
         }
     }
 }
