Recorded traces with stated outcomes, replayed through the libraries

Change: a JSON form for traces, replayed by the soak's world without chance; twelve traces: lost claim acks, crossing claims, a dead owner, an agent restarted mid-task, lost starts and answers, a lagging list, a late answer, a second loss after a repair, a stall, dead holders.

--- a/soak/src/agents.rs
+++ b/soak/src/agents.rs
@@ -9,6 +9,7 @@
 use rand::Rng;
 
 use crate::checks::answer_to;
+use crate::script::{Frame, Way};
 use crate::world::{CLOCK_SKEW, Happening, TICK, World};
 
 impl World {
@@ -85,6 +86,16 @@
 
     fn agent_replies(&mut self, call: CallId, reply: Reply) {
         let Some(link) = self.network.owner(call) else { return };
+        let frame = match reply {
+            Reply::Claim(_) => Some(Frame::Claim),
+            Reply::Start(_) => Some(Frame::Start),
+            Reply::Settle(_) => Some(Frame::Settle),
+            _ => None,
+        };
+        let (entry, agent) = (self.network.link(link).entry, self.network.link(link).agent);
+        if self.is_lost(frame, Way::ToEntry, entry, agent) {
+            return;
+        }
         let arrival = self.network.arrival(link, false, &self.behaviour, &mut self.rng, self.now);
         if self.rng.random_bool(self.behaviour.doubled) {
             let later = arrival + self.within(Duration::from_secs(2));
@@ -110,6 +121,10 @@
             return self.after(wait, Happening::TargetEnds(number, life, key, outcome));
         }
         self.checks.started(now, key.submission, key.index);
+        if let Some(time) = self.replay.as_ref().map(|replay| replay.task_time) {
+            let outcome = TaskOutcome::Answer(answer_to(task).into());
+            return self.after(time, Happening::TargetEnds(number, life, key, outcome));
+        }
         let outcome = match self.rng.random_range(0..200) {
             0 => TaskOutcome::Failed("status 500".to_owned()),
             1 => TaskOutcome::Lost("broke off".to_owned()),
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -10,6 +10,7 @@
 
 use crate::checks::Work;
 use crate::nodes::Caller;
+use crate::script::Outcome;
 use crate::world::{CLOCK_SKEW, Happening, World};
 
 /// Longest time beyond its deadline that an outcome may take, stalls left out.
@@ -54,10 +55,15 @@
     }
 
     fn submit(&mut self, id: SubmissionId) {
-        let Some(work) = self.checks.work(id).cloned() else { return };
         let Some(entry) = self.living_entry() else { return };
         let deadline = Duration::from_millis(self.rng.random_range(300..4_000));
         let deadline = if self.is_calm() { Duration::from_secs(12) } else { deadline };
+        self.submit_at(entry, id, deadline);
+    }
+
+    /// A client submits at an entry.
+    pub fn submit_at(&mut self, entry: usize, id: SubmissionId, deadline: Duration) {
+        let Some(work) = self.checks.work(id).cloned() else { return };
         let kind = if work.repeatable { "lookups" } else { "holds" };
         let request = RelayRequest {
             submission: id,
@@ -75,6 +81,11 @@
     /// A client asks for an outcome.
     pub fn fetch(&mut self, id: SubmissionId) {
         let Some(entry) = self.living_entry() else { return };
+        self.fetch_from(entry, id);
+    }
+
+    /// A client asks an entry for an outcome.
+    pub fn fetch_from(&mut self, entry: usize, id: SubmissionId) {
         // It may wait for the running job, and that for its deadline.
         let caller = Caller::Client { id, asked: self.now, deadline: Duration::from_secs(15) };
         self.checks.asked(id);
@@ -105,6 +116,13 @@
         reply: &RelayReply,
     ) {
         self.checks.answered(self.now, id, reply);
+        if let Some(replay) = &mut self.replay {
+            let outcome = match reply {
+                Ok(_) => Outcome::Complete,
+                Err(failure) => Outcome::Failed(failure.code, failure.verdict),
+            };
+            return replay.outcomes.entry(id).or_default().push(outcome);
+        }
         let took = self.now.since(asked);
         let undisturbed = id.made().min(asked) >= self.calm_from + CALM_ENOUGH + CLOCK_SKEW;
         if undisturbed && took > deadline + OUTCOME_SLACK {
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -107,6 +107,11 @@
         fate.said_not_run = false;
     }
 
+    /// How many tasks of a submission were started.
+    pub fn starts(&self, id: SubmissionId) -> usize {
+        self.fates.get(&id).map_or(0, |fate| fate.started.len())
+    }
+
     /// A task began to run at a target.
     pub fn started(&mut self, time: Time, id: SubmissionId, index: u32) {
         self.summary.started += 1;
--- a/soak/src/entries.rs
+++ b/soak/src/entries.rs
@@ -10,6 +10,7 @@
 
 use crate::network::{Called, called, event, session};
 use crate::nodes::Caller;
+use crate::script::{Frame, Way};
 use crate::world::{CLOCK_SKEW, Happening, TICK, World};
 
 /// Longest time that a call to a dead entry takes to fail.
@@ -135,6 +136,16 @@
     /// Sends a call; now and then twice.
     fn call(&mut self, link: u64, request: Request) {
         let call = self.network.call(link, called(&request));
+        let frame = match request {
+            Request::Claim(_) => Some(Frame::Claim),
+            Request::Start(_) => Some(Frame::Start),
+            Request::Settle(_) => Some(Frame::Settle),
+            _ => None,
+        };
+        let ends = (self.network.link(link).entry, self.network.link(link).agent);
+        if self.is_lost(frame, Way::ToAgent, ends.0, ends.1) {
+            return;
+        }
         let (agent, life) = {
             let link = self.network.link(link);
             (link.agent, link.agent_life)
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -48,7 +48,7 @@
         }
     }
 
-    fn kill_entry(&mut self, number: usize) {
+    pub fn kill_entry(&mut self, number: usize) {
         if self.entries[number].node.machine.take().is_none() {
             return;
         }
@@ -71,7 +71,7 @@
         self.after(wait, Happening::EntryStarts(number));
     }
 
-    fn kill_agent(&mut self, number: usize) {
+    pub fn kill_agent(&mut self, number: usize) {
         if self.agents[number].node.machine.take().is_none() {
             return;
         }
@@ -101,7 +101,7 @@
         self.agents[number].node.stalled_until = self.now + stall;
     }
 
-    fn break_one(&mut self, entry: usize, agent: usize) {
+    pub fn break_one(&mut self, entry: usize, agent: usize) {
         if let Some(link) = self.network.between(entry, agent) {
             self.break_link(link);
         }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -13,7 +13,9 @@
 mod faults;
 mod network;
 mod nodes;
+mod script;
 mod world;
 
 pub use checks::{Summary, Violation};
+pub use script::{Expectation, Frame, Outcome, Script, ScriptError, Step, TimedStep, Way};
 pub use world::{Options, run};
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -1,7 +1,7 @@
 //! One run: virtual time, and the carrying of messages between the state machines.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +17,7 @@
 use crate::checks::{Checks, Summary, Violation};
 use crate::network::{Behaviour, Network};
 use crate::nodes::{AgentNode, EntryNode, Node};
+use crate::script::{Replay, Script, Step};
 
 /// When every run begins.
 const START: Time = Time::from_millis(1_764_000_000_000);
@@ -72,6 +73,8 @@
     Fetch(SubmissionId),
     /// A fault begins.
     Fault,
+    /// A step of a trace.
+    Step(Step),
     /// A dead entry comes back.
     EntryStarts(usize),
     /// A dead agent comes back.
@@ -84,6 +87,15 @@
     ListedLeaving(usize, usize, u64),
 }
 
+/// How many of each there are.
+#[derive(Clone, Copy, Debug)]
+struct Size {
+    entries: usize,
+    agents: usize,
+    racks: usize,
+    slots: u32,
+}
+
 /// One run.
 pub(crate) struct World {
     pub rng: ChaCha8Rng,
@@ -102,6 +114,8 @@
     sequence: u64,
     pub next_ticket: u64,
     trace: Option<String>,
+    /// The state of a trace's replay; none in a randomised run.
+    pub replay: Option<Replay>,
 }
 
 /// Runs one seed; the violations it found, if any.
@@ -120,16 +134,24 @@
 impl World {
     fn new(options: Options) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
-        let agents = rng.random_range(4..=8);
-        let racks = rng.random_range(3..=4);
-        let slots = rng.random_range(1..=4);
-        let entries = rng.random_range(2..=4);
+        let size = Size {
+            agents: rng.random_range(4..=8),
+            racks: rng.random_range(3..=4),
+            slots: rng.random_range(1..=4),
+            entries: rng.random_range(2..=4),
+        };
         let behaviour = Behaviour {
             delay: Duration::from_micros(rng.random_range(300..20_000)),
             doubled: rng.random_range(0.0..0.15),
             overtaking: rng.random_range(0.0..0.1),
             late_after_break: rng.random_range(0.0..1.0),
         };
+        Self { rng, ..Self::with(options, size, behaviour) }
+    }
+
+    fn with(options: Options, size: Size, behaviour: Behaviour) -> Self {
+        let Size { entries, agents, racks, slots } = size;
+        let rng = ChaCha8Rng::seed_from_u64(options.seed);
         let members: Vec<String> =
             (0..agents).map(|number| format!("a{number}@r{}", number % racks)).collect();
         let tree = format!(
@@ -170,17 +192,51 @@
             sequence: 0,
             next_ticket: 0,
             trace: options.trace,
+            replay: None,
         }
     }
 
-    fn start(&mut self) {
+    /// The world of a trace: nothing is left to chance.
+    pub fn for_script(script: &Script, frame_time: Duration) -> Self {
+        let time = Duration::from_millis(script.end_ms);
+        let options = Options { faulty: time, calm: Duration::ZERO, ..Options::new(0) };
+        let behaviour =
+            Behaviour { delay: frame_time, doubled: 0.0, overtaking: 0.0, late_after_break: 0.0 };
+        let size = Size {
+            entries: script.entries,
+            agents: script.agents,
+            racks: script.agents,
+            slots: script.slots,
+        };
+        let mut world = Self::with(options, size, behaviour);
+        world.replay = Some(Replay {
+            task_time: Duration::from_millis(script.task_ms),
+            losses: Vec::new(),
+            ids: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
+        });
+        world
+    }
+
+    /// When the run began.
+    pub fn start_time(&self) -> Time {
+        START
+    }
+
+    /// Starts every node.
+    pub fn start_nodes(&mut self) {
         (0..self.agents.len()).for_each(|agent| self.start_agent(agent));
         (0..self.entries.len()).for_each(|entry| self.start_entry(entry));
+    }
+
+    fn start(&mut self) {
+        self.start_nodes();
         self.after(Duration::from_millis(500), Happening::NewSubmission);
         self.after(Duration::from_secs(1), Happening::Fault);
     }
 
-    fn go_on(&mut self) {
+    /// Lets everything happen until the end.
+    pub fn go_on(&mut self) {
         while let Some(Reverse((time, sequence))) = self.happenings.pop() {
             if time > self.end {
                 return;
@@ -246,6 +302,7 @@
             Happening::Resubmit(id) => self.resubmit(id),
             Happening::Fetch(id) => self.fetch(id),
             Happening::Fault => self.fault(),
+            Happening::Step(step) => self.step(step),
             Happening::EntryStarts(entry) => self.start_entry(entry),
             Happening::AgentStarts(agent) => self.start_agent(agent),
             Happening::AgentLeft(agent, life) => self.agent_left(agent, life),
--- /dev/null
+++ b/soak/tests/traces.rs
@@ -0,0 +1,24 @@
+//! Every recorded trace comes to the outcomes that it states.
+
+use std::fs;
+use std::path::Path;
+
+use soak::Script;
+
+#[test]
+fn every_trace_comes_to_its_stated_outcomes() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/traces");
+    let mut paths: Vec<_> =
+        fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path()).collect();
+    paths.sort();
+    let mut failures = Vec::new();
+    for path in &paths {
+        let text = fs::read_to_string(path).unwrap();
+        let replayed = Script::parse(&text).and_then(|script| script.replay());
+        if let Err(error) = replayed {
+            failures.push(format!("{}: {error}", path.file_stem().unwrap().to_string_lossy()));
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+    assert!(paths.len() >= 12, "traces are missing");
+}
