--- /dev/null
+++ b/components/entry/tests/entry.rs
@@ -0,0 +1,196 @@
+//! An entry's conclusions from what holders, owners and agents say.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use claims::{Claim, ClaimReply, LookupReply};
+use entry::{Action, Connection, Entry, Event, OwnerCall, Setup, Ticket};
+use model::{Code, Digest, Failure, Incarnation, NodeName, NodeRef, SubmissionId, Time, Verdict};
+use settings::{Catalog, Tree};
+use wire::{AgentInfo, RelayReply, RelayRequest, SyncReply};
+
+const NOW: Time = Time::from_millis(1_764_000_000_000);
+const TREE: &str =
+    "[booking]\n[booking/holds]\n[fleet]\nclaim_view = a1@r1 a2@r2 a3@r3\nclock_skew_ms = 10\n";
+
+fn node(name: &str) -> NodeRef {
+    NodeRef { name: NodeName::new(name), incarnation: Incarnation(1) }
+}
+
+fn id() -> SubmissionId {
+    SubmissionId::from_parts(NOW, 5)
+}
+
+fn request() -> RelayRequest {
+    RelayRequest {
+        submission: id(),
+        service: "booking".to_owned(),
+        kind: "holds".to_owned(),
+        tasks: vec!["seat 4A".into()],
+        deadline_ms: Some(2_000),
+        repeatable: false,
+    }
+}
+
+fn digest() -> Digest {
+    Digest::of("booking", "holds", false, ["seat 4A"].into_iter())
+}
+
+/// An entry with three agents, each lending it a token.
+struct Bench {
+    entry: Entry,
+    now: Time,
+    tickets: u64,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let setup = Setup { node: node("e1"), hall: "h1".to_owned() };
+        let mut bench = Self { entry: Entry::new(setup), now: NOW, tickets: 0 };
+        let tree = Tree::from_ini(TREE).unwrap();
+        bench.handle(Event::Settings { catalog: Arc::new(Catalog::new(1, &tree)) });
+        for number in 1..=3u64 {
+            let name = format!("a{number}");
+            let info = AgentInfo {
+                agent: node(&name),
+                service: "booking".to_owned(),
+                hall: "h1".to_owned(),
+                rack: format!("r{number}"),
+                slots: 2,
+                votes_from: NOW - Duration::from_secs(5),
+                leaving: false,
+            };
+            let connection = Connection(number);
+            bench.handle(Event::Up { connection, info });
+            let reply = Some(SyncReply { granted: 1, ..SyncReply::default() });
+            bench.handle(Event::Synced { agent: NodeName::new(&name), connection, reply });
+        }
+        bench
+    }
+
+    fn handle(&mut self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.entry.handle(self.now, event, &mut actions);
+        actions
+    }
+
+    fn submit(&mut self) -> Vec<Action> {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        self.handle(Event::Submit { ticket, request: request(), relayed: false })
+    }
+
+    fn claimed(&mut self, holder: &str, reply: ClaimReply) -> Vec<Action> {
+        let holder = NodeName::new(holder);
+        self.handle(Event::Claimed { holder, submission: id(), reply: Some(reply) })
+    }
+}
+
+fn starts(actions: &[Action]) -> usize {
+    actions.iter().filter(|action| matches!(action, Action::Start { .. })).count()
+}
+
+fn outcome(actions: &[Action]) -> Option<RelayReply> {
+    actions.iter().find_map(|action| match action {
+        Action::Respond { reply, .. } => Some(reply.clone()),
+        _ => None,
+    })
+}
+
+fn failure(actions: &[Action]) -> Option<(Code, Verdict)> {
+    outcome(actions)?.err().map(|failure| (failure.code, failure.verdict))
+}
+
+fn other_claim() -> ClaimReply {
+    ClaimReply::Held(Claim { owner: node("e2"), digest: digest() })
+}
+
+#[test]
+fn two_grants_start_the_task_and_one_does_not() {
+    let mut bench = Bench::new();
+    bench.submit();
+    assert_eq!(starts(&bench.claimed("a1", ClaimReply::Granted)), 0);
+    assert_eq!(starts(&bench.claimed("a2", ClaimReply::Granted)), 1);
+    assert_eq!(starts(&bench.claimed("a3", ClaimReply::Granted)), 0);
+}
+
+#[test]
+fn a_claim_that_this_life_made_before_and_forgot_starts_nothing() {
+    let mut bench = Bench::new();
+    bench.submit();
+    bench.claimed("a1", ClaimReply::Granted);
+    let actions = bench.claimed("a2", ClaimReply::Renewed);
+    assert_eq!(starts(&actions), 0);
+    assert_eq!(failure(&actions), Some((Code::AnswerDropped, Verdict::MayHaveRun)));
+}
+
+#[test]
+fn an_answer_to_a_question_is_no_vote_for_a_claim() {
+    let mut bench = Bench::new();
+    let ticket = Ticket(99);
+    bench.handle(Event::Fetch { ticket, submission: id(), relayed: false });
+    bench.submit();
+    for holder in ["a1", "a2", "a3"] {
+        let reply = Some(LookupReply::Free);
+        let holder = NodeName::new(holder);
+        let actions = bench.handle(Event::LookedUp { holder, submission: id(), reply });
+        assert_eq!(starts(&actions), 0);
+    }
+}
+
+#[test]
+fn a_late_reply_of_a_relay_does_not_answer_the_next() {
+    let mut bench = Bench::new();
+    bench.submit();
+    bench.claimed("a1", other_claim());
+    bench.claimed("a2", other_claim());
+    bench.now = NOW + Duration::from_secs(3);
+    let gave_up = bench.handle(Event::Tick);
+    assert_eq!(failure(&gave_up), Some((Code::DeadlinePassed, Verdict::MayHaveRun)));
+    bench.submit();
+    bench.claimed("a1", other_claim());
+    bench.claimed("a2", other_claim());
+    let refusal = Failure::new(Code::Overloaded, Verdict::NotRun, "full");
+    let late = |call| Event::Relayed { call, submission: id(), reply: Some(Err(refusal.clone())) };
+    assert_eq!(outcome(&bench.handle(late(OwnerCall(1)))), None);
+    let current = bench.handle(late(OwnerCall(2)));
+    assert_eq!(failure(&current), Some((Code::Overloaded, Verdict::NotRun)));
+}
+
+#[test]
+fn an_old_not_run_is_handed_on_as_may_have_run() {
+    let mut bench = Bench::new();
+    bench.submit();
+    bench.claimed("a1", other_claim());
+    bench.claimed("a2", other_claim());
+    bench.now = NOW + Duration::from_millis(501);
+    let refusal = Failure::new(Code::Overloaded, Verdict::NotRun, "full");
+    let reply = Some(Err(refusal));
+    let actions = bench.handle(Event::Relayed { call: OwnerCall(1), submission: id(), reply });
+    assert_eq!(failure(&actions), Some((Code::Overloaded, Verdict::MayHaveRun)));
+}
+
+#[test]
+fn settings_of_a_lower_version_are_refused() {
+    let mut bench = Bench::new();
+    let tree = Tree::from_ini(TREE).unwrap();
+    bench.handle(Event::Settings { catalog: Arc::new(Catalog::new(4, &tree)) });
+    bench.handle(Event::Settings { catalog: Arc::new(Catalog::new(3, &tree)) });
+    assert_eq!(bench.entry.settings_version(), Some(4));
+    assert_eq!(bench.entry.counters().breaches, 1);
+}
+
+#[test]
+fn unconfirmed_settings_stop_new_work_and_confirmed_ones_take_it_again() {
+    let mut bench = Bench::new();
+    bench.now = NOW + Duration::from_secs(9);
+    bench.submit();
+    bench.claimed("a1", ClaimReply::Granted);
+    let refused = bench.claimed("a2", ClaimReply::Granted);
+    assert_eq!(failure(&refused), Some((Code::NotReady, Verdict::NotRun)));
+    bench.now = bench.now + Duration::from_secs(2);
+    let at = bench.now;
+    bench.handle(Event::Confirmed { at });
+    bench.submit();
+    assert_eq!(bench.entry.counters().active, 1);
+}
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -157,7 +157,7 @@
         let tree = format!(
             "[booking]\nexpected_ms = 150\n[booking/holds]\n[booking/lookups]\nretry_percent = 50\n\
              [fleet]\nclaim_view = {}\nclock_skew_ms = {}\nretention_ms = 15000\n\
-             token_lease_ms = 1500\nsettings_age_max_ms = 100000\n",
+             token_lease_ms = 1500\nsettings_age_max_ms = 100000\nanswer_bytes_max = 65536\n",
             members.join(" "),
             CLOCK_SKEW.as_millis()
         );
