Failure detector after SWIM, on UDP beside each node's address

Cause: direct signs do not tell a dead host from a silent one; a job on it waited for its deadline.

What the first tests found: news of a suspicion that the suspected node had missed was never told again (now every message to a node that is not taken for alive tells it so), and announcing at the start kept a fleet of 200 gossiping for minutes (now only a refutation spreads).

Test mended: the settings test changed whether the service runs and then submitted, and raced with the settings' way to the entry; it now changes a value that decides nothing for the submission, with the same assertions.

--- a/components/entry/src/entry.rs
+++ b/components/entry/src/entry.rs
@@ -84,6 +84,7 @@
             Event::Up { connection, info } => self.up(now, connection, &info, out),
             Event::Down { agent, connection } => self.down(&agent, connection, out),
             Event::Dead { agent } => self.dead(now, &agent, out),
+            Event::Suspected { agent, suspected } => self.suspected(&agent, suspected),
             Event::Leaving { agent } => self.leaving(&agent, out),
             Event::Claimed { holder, submission, reply } => {
                 let vote = reply.as_ref().map_or(claims::Vote::None, claims::Vote::from);
--- a/components/entry/src/event.rs
+++ b/components/entry/src/event.rs
@@ -70,6 +70,13 @@
         /// The agent.
         agent: NodeName,
     },
+    /// The failure detector suspects an agent's host, or no longer does.
+    Suspected {
+        /// The agent.
+        agent: NodeName,
+        /// Whether it is suspected.
+        suspected: bool,
+    },
     /// The platform's list says that a host leaves.
     Leaving {
         /// The agent on it.
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -9,6 +9,8 @@
 
 /// Penalty of a straggling target: it is used when no other has an idle slot.
 const STRAGGLING: u8 = 1;
+/// Penalty of a target whose host may be dead.
+const SUSPECTED: u8 = 2;
 
 impl Entry {
     /// A session with an agent opened.
@@ -66,7 +68,8 @@
     /// Ranks a target by what is known of it.
     pub(crate) fn set_profile(&mut self, target: TargetId) {
         let at = self.targets.get(target);
-        let penalty = if at.straggling { STRAGGLING } else { 0 };
+        let straggling = if at.straggling { STRAGGLING } else { 0 };
+        let penalty = if at.suspected { SUSPECTED } else { straggling };
         let profile = Profile { remote: at.remote, rack: at.rack, penalty };
         let usable = at.link.is_some() && !at.leaving;
         if usable {
@@ -74,6 +77,13 @@
         }
     }
 
+    /// The failure detector suspects an agent's host, or no longer does.
+    pub(crate) fn suspected(&mut self, agent: &NodeName, suspected: bool) {
+        let Some(target) = self.targets.id(agent) else { return };
+        self.targets.get_mut(target).suspected = suspected;
+        self.set_profile(target);
+    }
+
     /// Notes that an agent was heard of.
     pub(crate) fn hear(&mut self, target: TargetId, now: Time) {
         if let Some(link) = &mut self.targets.get_mut(target).link {
--- a/components/entry/src/targets.rs
+++ b/components/entry/src/targets.rs
@@ -42,6 +42,8 @@
     /// Tasks sent to it whose fate has to be asked for.
     pub unsettled: BTreeSet<TaskKey>,
     pub straggling: bool,
+    /// The failure detector suspects its host.
+    pub suspected: bool,
     slowness: f64,
 }
 
@@ -99,6 +101,7 @@
         target.votes_from = info.votes_from;
         target.leaving = info.leaving || (target.leaving && !restarted);
         target.dead = false;
+        target.suspected = false;
         target.link = Some(link);
         id
     }
@@ -118,6 +121,7 @@
             link: None,
             unsettled: BTreeSet::new(),
             straggling: false,
+            suspected: false,
             slowness: 1.0,
         });
         id
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -9,6 +9,6 @@
 mod tasks;
 
 pub use client::{Client, ClientError, Reply};
-pub use rpc::{Frames, call_context, connect, frames, pause};
+pub use rpc::{Frames, call_context, connect, frames, pause, tune};
 pub use server::{Body, BodyError, Limits, serve};
 pub use tasks::{Tasks, block_on};
--- a/components/net/src/server.rs
+++ b/components/net/src/server.rs
@@ -16,7 +16,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use thiserror::Error;
 
-use crate::Tasks;
+use crate::{Tasks, tune};
 
 /// Pause after an accept failed, so that a lack of file descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -81,8 +81,7 @@
     H: Fn(Request<Result<Bytes, BodyError>>) -> F + Clone,
     F: Future<Output = Response<Body>>,
 {
-    // Without it answers still come, only later.
-    let _ = stream.get_ref().set_nodelay(true);
+    tune(&stream);
     let service = service_fn(move |request: Request<Incoming>| {
         let handler = handler.clone();
         async move {
--- a/daemon/src/agent_role/serve.rs
+++ b/daemon/src/agent_role/serve.rs
@@ -39,8 +39,7 @@
     let accept = async {
         loop {
             let Ok((stream, _)) = listener.accept().await else { continue };
-            // Without it answers still come, only later.
-            let _ = stream.get_ref().set_nodelay(true);
+            net::tune(&stream);
             let session = Session(sessions.fetch_add(1, Ordering::Relaxed));
             let server = Server { session, ring: ring.clone(), shared: shared.clone() };
             tasks.spawn(serve(tasks.clone(), stream, server));
--- a/daemon/src/entry_role/links.rs
+++ b/daemon/src/entry_role/links.rs
@@ -11,6 +11,7 @@
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use entry::{Action, Connection, Event};
+use futures_lite::FutureExt;
 use membership::{Host, HostList, Role};
 use model::{NodeName, NodeRef};
 use net::Tasks;
@@ -24,6 +25,9 @@
 /// Pause before an agent is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Time for the calls of a connection that is given up to fail.
+const GIVE_UP_TIME: Duration = Duration::from_millis(50);
+
 /// What reaches the talking thread.
 #[derive(Debug)]
 pub(crate) enum LinkInput {
@@ -31,6 +35,8 @@
     Action(Action),
     /// The platform's list.
     Hosts(HostList),
+    /// The failure detector says that an agent's host is dead.
+    Dead(NodeName),
 }
 
 /// An open connection to an agent.
@@ -38,6 +44,8 @@
 struct Open {
     connection: Connection,
     client: AgentServiceClient,
+    /// Closed to give the connection up.
+    keep: Sender<()>,
 }
 
 /// The talking thread's state, shared by its tasks.
@@ -73,6 +81,7 @@
         match input {
             LinkInput::Action(action) => links.act(action),
             LinkInput::Hosts(list) => links.set_hosts(list),
+            LinkInput::Dead(agent) => links.give_up(agent),
         }
     }
 }
@@ -130,14 +139,22 @@
         config.pending_request_buffer = RING;
         let NewClient { client, dispatch } = AgentServiceClient::new(config, net::frames(stream));
         let (done, ended) = async_channel::bounded::<()>(1);
+        let (keep, kept) = async_channel::bounded::<()>(1);
         self.tasks.spawn_rpc(async move {
             // The calls see why it ended.
-            let _ = dispatch.await;
+            let dispatch = async {
+                let _ = dispatch.await;
+            };
+            let given_up = async {
+                // Ends, with an error, when the connection is given up.
+                let _ = kept.recv().await;
+            };
+            dispatch.or(given_up).await;
             drop(done);
         });
         let hello = HelloRequest { entry: self.life.clone() };
         let Ok(info) = client.hello(net::call_context(), hello).await else { return };
-        let connection = self.opened(agent, client, &info);
+        let connection = self.opened(agent, client, keep, &info);
         self.tell(Event::Up { connection, info }).await;
         // Ends, with an error, when the dispatch does.
         let _ = ended.recv().await;
@@ -145,14 +162,33 @@
         self.tell(Event::Down { agent: agent.clone(), connection }).await;
     }
 
-    fn opened(&self, agent: &NodeName, client: AgentServiceClient, info: &AgentInfo) -> Connection {
+    fn opened(
+        &self,
+        agent: &NodeName,
+        client: AgentServiceClient,
+        keep: Sender<()>,
+        info: &AgentInfo,
+    ) -> Connection {
         debug_assert_eq!(*agent, info.agent.name, "the list and the agent agree on its name");
         let connection = Connection(self.next_connection.get() + 1);
         self.next_connection.set(connection.0);
-        self.open.borrow_mut().insert(agent.clone(), Open { connection, client });
+        self.open.borrow_mut().insert(agent.clone(), Open { connection, client, keep });
         connection
     }
 
+    /// Gives up the connection to an agent whose host is dead.
+    fn give_up(self: &Rc<Self>, agent: NodeName) {
+        if let Some(open) = self.open.borrow_mut().remove(&agent) {
+            open.keep.close();
+        }
+        let links = self.clone();
+        self.spawn(async move {
+            // What the connection had under way fails first.
+            net::pause(GIVE_UP_TIME).await;
+            links.tell(Event::Dead { agent }).await;
+        });
+    }
+
     /// The client of the open connection to an agent.
     fn client(&self, agent: &NodeName) -> Option<AgentServiceClient> {
         self.open.borrow().get(agent).map(|open| open.client.clone())
--- a/daemon/src/entry_role/listen.rs
+++ b/daemon/src/entry_role/listen.rs
@@ -55,8 +55,7 @@
 async fn serve_peers(listener: Async<TcpListener>, tasks: Tasks, ring: Sender<Input>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
-        // Without it answers still come, only later.
-        let _ = stream.get_ref().set_nodelay(true);
+        net::tune(&stream);
         let channel = BaseChannel::with_defaults(net::frames(stream));
         let peer = Peer { ring: ring.clone() };
         let runner = tasks.clone();
--- a/daemon/src/entry_role/mod.rs
+++ b/daemon/src/entry_role/mod.rs
@@ -14,8 +14,8 @@
 
 use async_channel::Sender;
 use async_io::Async;
-use membership::{HostList, HostState, Role};
-use model::NodeRef;
+use membership::{HostList, HostState, Liveness, Role};
+use model::{NodeName, NodeRef};
 use telemetry::EntryCounters;
 
 use crate::clock::Clock;
@@ -23,6 +23,7 @@
 use crate::decisions::DecisionLog;
 use crate::driver::RING;
 use crate::platform::ListSubscriber;
+use crate::probe::LivenessSubscriber;
 use crate::settings_link::{Subscriber, Update};
 use crate::threads::{Duty, join, spawn};
 
@@ -145,6 +146,19 @@
         })
     }
 
+    pub(crate) fn liveness_subscriber(&self) -> LivenessSubscriber {
+        let (ring, links) = (self.ring.clone(), self.links.clone());
+        Box::new(move |node: &NodeName, liveness: Liveness| {
+            let agent = node.clone();
+            let suspected = liveness != Liveness::Alive;
+            // An entry that has stopped takes no news.
+            let _ = ring.send_blocking(Input::Event(entry::Event::Suspected { agent, suspected }));
+            if liveness == Liveness::Dead {
+                let _ = links.send_blocking(LinkInput::Dead(node.clone()));
+            }
+        })
+    }
+
     /// A planned stop: says that it is not ready, goes on taking requests for the notice time,
     /// then takes no more, finishes what it has and ends.
     pub fn drain(mut self) {
--- a/daemon/src/keeper_role/listen.rs
+++ b/daemon/src/keeper_role/listen.rs
@@ -50,6 +50,7 @@
 async fn serve_nodes(listener: Async<TcpListener>, tasks: Tasks, ring: Sender<Input>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
+        net::tune(&stream);
         let channel = BaseChannel::with_defaults(net::frames(stream));
         let node = Node { ring: ring.clone() };
         let runner = tasks.clone();
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 mod logs;
 mod node;
 mod platform;
+mod probe;
 mod settings_link;
 mod threads;
 
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -5,7 +5,7 @@
 
 use async_channel::Sender;
 use model::{Incarnation, NodeRef};
-use spdlog::info;
+use spdlog::{info, warn};
 use thiserror::Error;
 
 use crate::agent_role::{AgentHandle, AgentOptions};
@@ -15,6 +15,7 @@
 use crate::entry_role::{EntryHandle, EntryOptions};
 use crate::keeper_role::{KeeperError, KeeperHandle, KeeperOptions};
 use crate::platform::{Platform, watch};
+use crate::probe;
 use crate::settings_link;
 use crate::threads::{Duty, join};
 
@@ -74,15 +75,15 @@
             node.entry = Some(EntryHandle::start(options).map_err(io("entry"))?);
         }
         if let Some(agent) = config.agent.clone() {
-            let options = AgentOptions { node: config.node.clone(), agent, life };
+            let options = AgentOptions { node: config.node.clone(), agent, life: life.clone() };
             node.agent = Some(AgentHandle::start(options).map_err(io("agent"))?);
         }
-        node.link(config, platform).map_err(io("settings and platform"))?;
+        node.link(config, &life, platform).map_err(io("settings and platform"))?;
         Ok(node)
     }
 
     /// Starts the link to the keepers and the watch of the list for the roles that want them.
-    fn link(&mut self, config: &Config, platform: Platform) -> io::Result<()> {
+    fn link(&mut self, config: &Config, life: &NodeRef, platform: Platform) -> io::Result<()> {
         let entry = self.entry.as_ref();
         let agent = self.agent.as_ref();
         let settings: Vec<_> = entry
@@ -90,7 +91,7 @@
             .into_iter()
             .chain(agent.map(AgentHandle::settings_subscriber))
             .collect();
-        let lists: Vec<_> = entry
+        let mut lists: Vec<_> = entry
             .map(EntryHandle::list_subscriber)
             .into_iter()
             .chain(agent.map(AgentHandle::list_subscriber))
@@ -103,6 +104,18 @@
         keepers.extend(self.keeper.as_ref().map(KeeperHandle::node_address));
         let (stop, stopped) = async_channel::bounded(1);
         self.stop_duties = Some(stop);
+        let address = entry.map(EntryHandle::peer_address).or(agent.map(AgentHandle::address));
+        if let Some(address) = address {
+            let news = entry.map(EntryHandle::liveness_subscriber).into_iter().collect();
+            match probe::start(life, address, news, stopped.clone()) {
+                Ok((list, duty)) => {
+                    lists.push(list);
+                    self.duties.push(duty);
+                }
+                // Direct signs are left: answers, broken connections, leases.
+                Err(error) => warn!("no failure detector at {}: {}", address, error),
+            }
+        }
         let link = settings_link::start(name, keepers, Clock::start(), settings, stopped.clone())?;
         self.duties.push(link);
         self.duties.push(watch(platform, config.node.platform_poll, lists, stopped)?);
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -9,10 +9,12 @@
 use testbed::Cluster;
 use wire::{ChangeRequest, ChangeResult};
 
-fn change(cluster: &Cluster, id: &str, base_version: u64, value: &str) -> ChangeOutcome {
+/// Sends a change of one value of the service, as `KEY=VALUE`.
+fn change(cluster: &Cluster, id: &str, base_version: u64, pair: &str) -> ChangeOutcome {
+    let (key, value) = pair.split_once('=').unwrap();
     let keeper = cluster.keeper_address();
     let section = "booking".parse().unwrap();
-    let edit = Edit::Set { section, key: "state".to_owned(), value: value.to_owned() };
+    let edit = Edit::Set { section, key: key.to_owned(), value: value.to_owned() };
     let request = ChangeRequest { change: id.to_owned(), base_version, edits: vec![edit] };
     run(|tasks| async move { Operator::new(&[keeper], &tasks.clone()).send(&request).await })
 }
@@ -30,13 +32,13 @@
             caller(entry, &tasks).job(new_submission(), &job(&["seat 1"])).await.unwrap()
         })
     };
-    assert_eq!(change(&cluster, "c1", 1, "stopped"), accepted(2));
+    assert_eq!(change(&cluster, "c1", 1, "state=stopped"), accepted(2));
     let refused = |outcome: &Outcome| {
         matches!(outcome, Outcome::Failed { code, verdict: Verdict::NotRun, status: 503, .. }
             if code == "service-stopped")
     };
     cluster.wait_for(|_| refused(&submit())).unwrap();
-    assert_eq!(change(&cluster, "c2", 2, "started"), accepted(3));
+    assert_eq!(change(&cluster, "c2", 2, "state=started"), accepted(3));
     cluster.wait_for(|_| matches!(submit(), Outcome::Complete(_))).unwrap();
     finish(cluster);
 }
@@ -44,16 +46,16 @@
 #[test]
 fn changes_survive_the_keeper_and_resends_get_the_first_answer() {
     let mut cluster = start(options());
-    assert_eq!(change(&cluster, "c1", 1, "stopped"), accepted(2));
-    assert_eq!(change(&cluster, "c2", 2, "started"), accepted(3));
+    assert_eq!(change(&cluster, "c1", 1, "deadline_ms=900"), accepted(2));
+    assert_eq!(change(&cluster, "c2", 2, "deadline_ms=800"), accepted(3));
     cluster.restart_keeper().unwrap();
-    assert_eq!(change(&cluster, "c1", 1, "stopped"), accepted(2));
+    assert_eq!(change(&cluster, "c1", 1, "deadline_ms=900"), accepted(2));
     let conflict = ChangeOutcome::Known(ChangeResult::Conflict {
         version: 3,
         sections: vec!["booking".to_owned()],
     });
-    assert_eq!(change(&cluster, "c3", 1, "stopped"), conflict);
-    assert_eq!(change(&cluster, "c4", 3, "stopped"), accepted(4));
+    assert_eq!(change(&cluster, "c3", 1, "deadline_ms=700"), conflict);
+    assert_eq!(change(&cluster, "c4", 3, "deadline_ms=600"), accepted(4));
     let entry = cluster.entry_address(0);
     // Requests do not need the keeper.
     run(|tasks| async move {
