--- /dev/null
+++ b/components/consensus/src/election.rs
@@ -0,0 +1,148 @@
+//! Elections: a pre-vote that disturbs nobody, then a vote.
+
+use std::collections::BTreeSet;
+
+use model::{NodeName, Time};
+
+use crate::log::{Index, Term};
+use crate::replica::{Replica, Role};
+use crate::{Action, Message, Record};
+
+/// Who granted a vote.
+#[derive(Debug, Default)]
+pub(crate) struct Ballot {
+    granted: BTreeSet<NodeName>,
+}
+
+impl Ballot {
+    fn of(name: &NodeName) -> Self {
+        Self { granted: BTreeSet::from([name.clone()]) }
+    }
+}
+
+impl Replica {
+    /// No leader was heard of: asks whether the others would vote for it.
+    pub(crate) fn stand(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.wait_for_leader(now);
+        if self.blank || !self.members().contains(&self.name) {
+            return;
+        }
+        self.leader = None;
+        self.role = Role::PreCandidate(Ballot::of(&self.name));
+        let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
+        for other in self.others() {
+            let message = Message::PreVote { term: self.term + 1, last_index, last_term };
+            out.push(Action::Send(other, message));
+        }
+        self.count_pre_votes(now, out);
+    }
+
+    pub(crate) fn pre_vote(
+        &mut self,
+        now: Time,
+        from: &NodeName,
+        term: Term,
+        last: (Term, Index),
+        out: &mut Vec<Action>,
+    ) {
+        let granted = term > self.term && self.would_vote(now, last);
+        let term = if granted { term } else { self.term };
+        out.push(Action::Send(from.clone(), Message::PreVoteReply { term, granted }));
+    }
+
+    /// Whether a log is complete enough and no leader counts on this replica.
+    fn would_vote(&self, now: Time, (last_term, last_index): (Term, Index)) -> bool {
+        !self.blank
+            && now >= self.votes_from
+            && !matches!(self.role, Role::Leader(_))
+            && self.log.is_covered_by(last_term, last_index)
+    }
+
+    pub(crate) fn pre_vote_reply(
+        &mut self,
+        now: Time,
+        from: &NodeName,
+        term: Term,
+        granted: bool,
+        out: &mut Vec<Action>,
+    ) {
+        if !granted {
+            return self.take_term(term, out);
+        }
+        if term != self.term + 1 {
+            return;
+        }
+        if let Role::PreCandidate(ballot) = &mut self.role {
+            ballot.granted.insert(from.clone());
+            self.count_pre_votes(now, out);
+        }
+    }
+
+    fn count_pre_votes(&mut self, now: Time, out: &mut Vec<Action>) {
+        let enough = self.quorum();
+        let Role::PreCandidate(ballot) = &self.role else { return };
+        if ballot.granted.len() < enough {
+            return;
+        }
+        self.term += 1;
+        self.voted_for = Some(self.name.clone());
+        self.role = Role::Candidate(Ballot::of(&self.name));
+        let record = Record::Vote { term: self.term, voted_for: self.voted_for.clone() };
+        out.push(Action::Store(vec![record]));
+        let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
+        for other in self.others() {
+            let message = Message::Vote { term: self.term, last_index, last_term };
+            out.push(Action::Send(other, message));
+        }
+        self.count_votes(now, out);
+    }
+
+    pub(crate) fn vote(
+        &mut self,
+        now: Time,
+        from: &NodeName,
+        term: Term,
+        last: (Term, Index),
+        out: &mut Vec<Action>,
+    ) {
+        // A leader that is heard of is not disturbed by one who stands all the same.
+        if term > self.term && now >= self.votes_from {
+            self.take_term(term, out);
+        }
+        let free = self.voted_for.as_ref().is_none_or(|name| name == from);
+        let granted = term == self.term && free && self.would_vote(now, last);
+        if granted && self.voted_for.is_none() {
+            self.voted_for = Some(from.clone());
+            let record = Record::Vote { term, voted_for: self.voted_for.clone() };
+            out.push(Action::Store(vec![record]));
+            self.wait_for_leader(now);
+        }
+        out.push(Action::Send(from.clone(), Message::VoteReply { term: self.term, granted }));
+    }
+
+    pub(crate) fn vote_reply(
+        &mut self,
+        now: Time,
+        from: &NodeName,
+        term: Term,
+        granted: bool,
+        out: &mut Vec<Action>,
+    ) {
+        self.take_term(term, out);
+        if !granted || term != self.term {
+            return;
+        }
+        if let Role::Candidate(ballot) = &mut self.role {
+            ballot.granted.insert(from.clone());
+            self.count_votes(now, out);
+        }
+    }
+
+    fn count_votes(&mut self, now: Time, out: &mut Vec<Action>) {
+        let enough = self.quorum();
+        let Role::Candidate(ballot) = &self.role else { return };
+        if ballot.granted.len() >= enough {
+            self.lead(now, out);
+        }
+    }
+}
--- /dev/null
+++ b/components/keeper/src/keeper.rs
@@ -0,0 +1,292 @@
+//! The keeper's state machine: the replicated log with the settings tree on it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use consensus::{
+    Entry, Index, Payload, ProposalId, Record, RecoverError, Replica, Snapshot, Timing,
+};
+use model::{NodeName, Time};
+use settings::Tree;
+use thiserror::Error;
+use wire::{ChangeRequest, PullReply, PullRequest};
+
+use crate::{Action, Command, Event, News, Reply, State, Ticket, TreeReply};
+
+/// How long a node that has the version in force waits for the next.
+const PULL_TIME: Duration = Duration::from_secs(2);
+/// Longest wait of an operator for a change; after it the outcome is unknown.
+const CHANGE_TIME: Duration = Duration::from_secs(4);
+/// Entries after which the log is replaced by a snapshot.
+const COMPACT_AT: usize = 1_000;
+/// Versions shown to operators.
+const HISTORY: usize = 100;
+
+/// Why a keeper can't start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum KeeperError {
+    /// The journal's records lead to no log.
+    #[error("{0}")]
+    Log(#[from] RecoverError),
+    /// The snapshot can't be read.
+    #[error("the snapshot can't be read")]
+    Snapshot,
+}
+
+/// An operator that waits for a change.
+#[derive(Clone, Copy, Debug)]
+struct Waiter {
+    ticket: Ticket,
+    until: Time,
+}
+
+/// A node that waits for a newer version.
+#[derive(Clone, Copy, Debug)]
+struct Puller {
+    ticket: Ticket,
+    have: Option<u64>,
+    until: Time,
+}
+
+/// One life of one keeper.
+#[derive(Debug)]
+pub struct Keeper {
+    replica: Replica,
+    state: State,
+    /// Operators by the entry that holds their change.
+    waiters: HashMap<Index, Waiter>,
+    pullers: Vec<Puller>,
+    proposals: HashMap<ProposalId, Waiter>,
+    next_proposal: u64,
+}
+
+/// The records of a keeper of a new cluster, with the tree that it begins with.
+pub fn initial_records(members: Vec<NodeName>, tree: Tree) -> Vec<Record> {
+    consensus::initial_records(members, encode(&State::new(tree)))
+}
+
+fn encode(state: &State) -> Vec<u8> {
+    serde_json::to_vec(state).expect("plain structs become JSON")
+}
+
+fn decode(snapshot: &Snapshot) -> Result<State, KeeperError> {
+    if snapshot.state.is_empty() {
+        return Ok(State::default());
+    }
+    serde_json::from_slice(&snapshot.state).map_err(|_| KeeperError::Snapshot)
+}
+
+impl Keeper {
+    /// A keeper from its journal's records; `seed` is any number.
+    pub fn recover(
+        name: NodeName,
+        records: Vec<Record>,
+        timing: Timing,
+        seed: u64,
+        now: Time,
+    ) -> Result<Self, KeeperError> {
+        let replica = Replica::recover(name, records, timing, seed, now)?;
+        let state = decode(replica.snapshot())?;
+        Ok(Self {
+            replica,
+            state,
+            waiters: HashMap::new(),
+            pullers: Vec::new(),
+            proposals: HashMap::new(),
+            next_proposal: 0,
+        })
+    }
+
+    /// Takes an event and adds the actions that follow.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Change(ticket, request) => self.change(now, ticket, request, out),
+            Event::Read(ticket) => self.read(now, ticket, out),
+            Event::History(ticket) => {
+                let history = Reply::History(self.state.history(HISTORY));
+                self.if_sure(now, ticket, history, out);
+            }
+            Event::Pull(ticket, request) => self.pull(now, ticket, &request, out),
+            Event::Peer(from, message) => {
+                self.drive(now, consensus::Event::Message { from, message }, out);
+            }
+            Event::Tick => self.drive(now, consensus::Event::Tick, out),
+        }
+        self.end_waits(now, out);
+    }
+
+    /// When the next tick is due.
+    pub fn next_timer(&self) -> Time {
+        let pulls = self.pullers.iter().map(|puller| puller.until);
+        let changes = self.waiters.values().map(|waiter| waiter.until);
+        let due = pulls.chain(changes).min();
+        due.map_or(self.replica.next_timer(), |due| due.min(self.replica.next_timer()))
+    }
+
+    /// The version in force here.
+    pub fn version(&self) -> u64 {
+        self.state.version()
+    }
+
+    /// The state machine's state.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// The replica below.
+    pub fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    fn change(&mut self, now: Time, ticket: Ticket, request: ChangeRequest, out: &mut Vec<Action>) {
+        if !self.replica.is_sure(now) {
+            return self.unsure(ticket, out);
+        }
+        if let Some(first) = self.state.result(&request.change) {
+            return out.push(Action::Respond(ticket, Reply::Change(first.clone())));
+        }
+        let command = Command { request, taken: now };
+        let command = serde_json::to_vec(&command).expect("plain structs become JSON");
+        self.next_proposal += 1;
+        let id = ProposalId(self.next_proposal);
+        self.proposals.insert(id, Waiter { ticket, until: now + CHANGE_TIME });
+        self.drive(now, consensus::Event::Propose { id, command }, out);
+    }
+
+    fn read(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Action>) {
+        let tree = self.state.tree().to_ini();
+        let reply = Reply::Tree(TreeReply { version: self.state.version(), tree });
+        self.if_sure(now, ticket, reply, out);
+    }
+
+    /// Replies where this keeper is sure to lead, so that what it has is the newest there is.
+    fn if_sure(&self, now: Time, ticket: Ticket, reply: Reply, out: &mut Vec<Action>) {
+        if self.replica.is_sure(now) {
+            out.push(Action::Respond(ticket, reply));
+        } else {
+            self.unsure(ticket, out);
+        }
+    }
+
+    fn unsure(&self, ticket: Ticket, out: &mut Vec<Action>) {
+        let leader = self.replica.leader().cloned();
+        out.push(Action::Respond(ticket, Reply::Unsure(leader)));
+    }
+
+    fn pull(&mut self, now: Time, ticket: Ticket, request: &PullRequest, out: &mut Vec<Action>) {
+        let have = request.have;
+        match self.state.since(have) {
+            PullReply::Current if self.replica.is_sure(now) => {
+                self.pullers.push(Puller { ticket, have, until: now + PULL_TIME });
+            }
+            newer => self.if_sure(now, ticket, Reply::Pull(newer), out),
+        }
+    }
+
+    /// Hands an event to the replica and acts on what follows.
+    fn drive(&mut self, now: Time, event: consensus::Event, out: &mut Vec<Action>) {
+        let mut actions = Vec::new();
+        self.replica.handle(now, event, &mut actions);
+        for action in actions {
+            self.act(now, action, out);
+        }
+        if self.replica.log_len() > COMPACT_AT && self.replica.committed() > 0 {
+            self.compact(out);
+        }
+    }
+
+    fn act(&mut self, now: Time, action: consensus::Action, out: &mut Vec<Action>) {
+        use consensus::Action as Log;
+        match action {
+            Log::Store(records) => out.push(Action::Store(records)),
+            Log::Rewrite(records) => out.push(Action::Rewrite(records)),
+            Log::Send(to, message) => out.push(Action::Send(to, message)),
+            Log::Proposed(id, index) => {
+                if let Some(waiter) = self.proposals.remove(&id) {
+                    self.waiters.insert(index, waiter);
+                }
+            }
+            Log::Refused(id) => {
+                if let Some(waiter) = self.proposals.remove(&id) {
+                    self.unsure(waiter.ticket, out);
+                }
+            }
+            Log::Commit(entry) => self.commit(now, &entry, out),
+            Log::Install(snapshot) => self.install(&snapshot, out),
+            Log::News(news) => {
+                if matches!(news, consensus::News::StepsDown(_)) {
+                    self.give_up_waiters(out);
+                }
+                out.push(Action::News(News::Log(news)));
+            }
+        }
+    }
+
+    fn commit(&mut self, now: Time, entry: &Entry, out: &mut Vec<Action>) {
+        let Payload::Command(bytes) = &entry.payload else { return };
+        let Ok(command) = serde_json::from_slice::<Command>(bytes) else {
+            return out.push(Action::News(News::Unreadable(entry.index)));
+        };
+        let before = self.state.version();
+        let result = self.state.apply(&command);
+        if let Some(waiter) = self.waiters.remove(&entry.index) {
+            out.push(Action::Respond(waiter.ticket, Reply::Change(result)));
+        }
+        if self.state.version() > before {
+            out.push(Action::News(News::Version(self.state.version())));
+            self.answer_pullers(now, out);
+        }
+    }
+
+    fn install(&mut self, snapshot: &Snapshot, out: &mut Vec<Action>) {
+        match decode(snapshot) {
+            Ok(state) => self.state = state,
+            Err(_) => out.push(Action::News(News::Unreadable(snapshot.index))),
+        }
+    }
+
+    /// Replaces the log by the state. The replica takes the last committed entry for its end, and
+    /// the state has every committed entry.
+    fn compact(&mut self, out: &mut Vec<Action>) {
+        let mut actions = Vec::new();
+        self.replica.compact(encode(&self.state), &mut actions);
+        for action in actions {
+            if let consensus::Action::Rewrite(records) = action {
+                out.push(Action::Rewrite(records));
+            }
+        }
+    }
+
+    /// No longer the leader: what becomes of the changes in hand is for the next one to say.
+    fn give_up_waiters(&mut self, out: &mut Vec<Action>) {
+        let waiters: Vec<Waiter> = self.waiters.drain().map(|(_, waiter)| waiter).collect();
+        for waiter in waiters {
+            self.unsure(waiter.ticket, out);
+        }
+    }
+
+    /// Answers nodes for which there is a newer version, or whose time is over.
+    fn answer_pullers(&mut self, now: Time, out: &mut Vec<Action>) {
+        for puller in std::mem::take(&mut self.pullers) {
+            let newer = self.state.since(puller.have);
+            if newer == PullReply::Current && now < puller.until {
+                self.pullers.push(puller);
+            } else {
+                self.if_sure(now, puller.ticket, Reply::Pull(newer), out);
+            }
+        }
+    }
+
+    fn end_waits(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.pullers.iter().any(|puller| puller.until <= now) {
+            self.answer_pullers(now, out);
+        }
+        let late = |(_, waiter): &(&Index, &Waiter)| waiter.until <= now;
+        let late: Vec<Index> = self.waiters.iter().filter(late).map(|(index, _)| *index).collect();
+        for index in late {
+            if let Some(waiter) = self.waiters.remove(&index) {
+                self.unsure(waiter.ticket, out);
+            }
+        }
+    }
+}
--- a/components/testbed/src/cluster.rs
+++ b/components/testbed/src/cluster.rs
@@ -1,11 +1,11 @@
 //! Starting and stopping the roles of a cluster.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use daemon::{Config, Node, NodeError, Platform};
+use daemon::{Config, KeeperStatus, Node, NodeError, Platform, init_keeper};
 use fakes::{Behaviour, ServiceTime, Target};
 use membership::{Host, HostList, HostState, Role};
 use model::NodeName;
@@ -39,6 +39,8 @@
 /// What a cluster is made of.
 #[derive(Clone, Debug)]
 pub struct ClusterOptions {
+    /// How many keepers: 1, 3 or 5.
+    pub keepers: usize,
     /// How many entries.
     pub entries: usize,
     /// How many agents, each with a target.
@@ -63,6 +65,7 @@
     /// Two entries and three agents in three racks, for a service and a tree.
     pub fn small(service: &str, tree: &str) -> Self {
         Self {
+            keepers: 1,
             entries: 2,
             agents: 3,
             racks: 3,
@@ -78,7 +81,7 @@
 
 /// A running cluster.
 pub struct Cluster {
-    keeper: Option<Node>,
+    keepers: Vec<Option<Node>>,
     entries: Vec<Option<Node>>,
     agents: Vec<Option<Node>>,
     targets: Vec<Target>,
@@ -92,9 +95,8 @@
     pub fn start(options: ClusterOptions) -> Result<Self, ClusterError> {
         let folder = tempfile::tempdir()?;
         let list = Arc::new(Mutex::new(HostList::default()));
-        let keeper = start_keeper(folder.path(), &options)?;
         let mut cluster = Self {
-            keeper: Some(keeper),
+            keepers: Vec::new(),
             entries: Vec::new(),
             agents: Vec::new(),
             targets: Vec::new(),
@@ -102,6 +104,11 @@
             options,
             folder,
         };
+        for number in 0..cluster.options.keepers {
+            cluster.keepers.push(None);
+            cluster.begin_keeper(number)?;
+            cluster.start_keeper(number)?;
+        }
         for number in 0..cluster.options.agents {
             cluster.targets.push(Target::start(cluster.options.time, cluster.options.behaviour)?);
             cluster.agents.push(None);
@@ -123,7 +130,7 @@
             "[node]\nname = {name}\nroles = agent\nhall = h1\nrack = {rack}\nkeepers = {}\n\
              platform_poll_ms = 20\n\
              [agent]\nlisten = 127.0.0.1:0\ntarget = {}\nservice = {}\nslots = {}\n",
-            self.keeper_node_address(),
+            self.keeper_node_addresses(),
             self.targets[number].address(),
             self.options.service,
             self.options.slots,
@@ -146,7 +153,7 @@
             "[node]\nname = {name}\nroles = entry\nhall = h1\nkeepers = {}\n\
              platform = file:unused\nplatform_poll_ms = 20\n{logs}\
              [entry]\nlisten = 127.0.0.1:0\npeer_listen = 127.0.0.1:0\ndrain_notice_ms = 0\n",
-            self.keeper_node_address(),
+            self.keeper_node_addresses(),
         );
         let node = Node::start(&Config::from_ini(&config)?, self.platform())?;
         let address = node.entry().map(|entry| entry.peer_address());
@@ -159,9 +166,11 @@
         Platform::Shared(self.list.clone())
     }
 
-    fn keeper_node_address(&self) -> SocketAddr {
-        let keeper = self.keeper.as_ref().and_then(Node::keeper);
-        keeper.map(|keeper| keeper.node_address()).expect("the keeper runs")
+    /// Every running keeper's address for nodes, as the configuration names them.
+    fn keeper_node_addresses(&self) -> String {
+        let keepers = self.keepers.iter().flatten().filter_map(Node::keeper);
+        let addresses = keepers.map(|keeper| keeper.node_address().to_string());
+        addresses.collect::<Vec<String>>().join(" ")
     }
 
     /// Puts a node on the platform's list.
@@ -209,10 +218,10 @@
         entry.map(|entry| entry.address()).expect("the entry runs")
     }
 
-    /// Where operators reach the keeper.
-    pub fn keeper_address(&self) -> SocketAddr {
-        let keeper = self.keeper.as_ref().and_then(Node::keeper);
-        keeper.map(|keeper| keeper.address()).expect("the keeper runs")
+    /// Where operators reach the running keepers.
+    pub fn keeper_addresses(&self) -> Vec<SocketAddr> {
+        let keepers = self.keepers.iter().flatten().filter_map(Node::keeper);
+        keepers.map(|keeper| keeper.address()).collect()
     }
 
     /// Counters of every running entry.
@@ -265,12 +274,62 @@
         }
     }
 
-    /// Stops the keeper and starts it anew on the same data folder, at other addresses.
-    pub fn restart_keeper(&mut self) -> Result<(), ClusterError> {
-        if let Some(node) = self.keeper.take() {
+    /// Ends a keeper at once, as a kill does.
+    pub fn kill_keeper(&mut self, number: usize) {
+        if let Some(node) = self.keepers[number].take() {
             node.stop();
         }
-        self.keeper = Some(start_keeper(self.folder.path(), &self.options)?);
+    }
+
+    /// Loses what a stopped keeper has on its disk.
+    pub fn lose_keeper_disk(&self, number: usize) -> Result<(), ClusterError> {
+        std::fs::remove_dir_all(self.keeper_folder(number))?;
+        std::fs::create_dir_all(self.keeper_folder(number))?;
+        Ok(())
+    }
+
+    /// What a running keeper tells of itself.
+    pub fn keeper_status(&self, number: usize) -> Option<KeeperStatus> {
+        self.keepers[number].as_ref().and_then(Node::keeper)?.status()
+    }
+
+    fn keeper_folder(&self, number: usize) -> PathBuf {
+        self.folder.path().join(format!("k{}", number + 1))
+    }
+
+    /// The configuration of a keeper. The others' addresses come from the platform's list.
+    fn keeper_config(&self, number: usize) -> Result<Config, ClusterError> {
+        let peers: Vec<String> =
+            (1..=self.options.keepers).map(|number| format!("k{number}@127.0.0.1:0")).collect();
+        let config = format!(
+            "[node]\nname = k{}\nroles = keeper\nplatform_poll_ms = 20\n\
+             [keeper]\nlisten = 127.0.0.1:0\nnode_listen = 127.0.0.1:0\ndata = {}\n\
+             initial = {}\npeers = {}\n",
+            number + 1,
+            self.keeper_folder(number).display(),
+            self.folder.path().join("initial.ini").display(),
+            peers.join(" "),
+        );
+        Ok(Config::from_ini(&config)?)
+    }
+
+    /// Makes a keeper's data folder with the tree that the cluster begins with.
+    fn begin_keeper(&self, number: usize) -> Result<(), ClusterError> {
+        std::fs::create_dir_all(self.keeper_folder(number))?;
+        std::fs::write(self.folder.path().join("initial.ini"), initial_tree(&self.options))?;
+        let config = self.keeper_config(number)?;
+        if let Some(keeper) = &config.keeper {
+            init_keeper(&config.node, keeper).map_err(NodeError::from)?;
+        }
+        Ok(())
+    }
+
+    /// Starts a keeper on its data folder, or starts it anew after it was stopped.
+    pub fn start_keeper(&mut self, number: usize) -> Result<(), ClusterError> {
+        let node = Node::start(&self.keeper_config(number)?, self.platform())?;
+        let address = node.keeper().map(|keeper| keeper.node_address());
+        self.list_host(&format!("k{}", number + 1), Role::Keeper, address, "");
+        self.keepers[number] = Some(node);
         Ok(())
     }
 
@@ -278,26 +337,18 @@
     pub fn stop(mut self) {
         self.entries.iter_mut().filter_map(Option::take).for_each(Node::stop);
         self.agents.iter_mut().filter_map(Option::take).for_each(Node::stop);
-        self.keeper.take().into_iter().for_each(Node::stop);
+        self.keepers.iter_mut().filter_map(Option::take).for_each(Node::stop);
     }
 }
 
-fn start_keeper(folder: &Path, options: &ClusterOptions) -> Result<Node, ClusterError> {
-    let initial = folder.join("initial.ini");
+/// The tree with every agent in the claim view.
+fn initial_tree(options: &ClusterOptions) -> String {
     let members: Vec<String> = (0..options.agents)
         .map(|number| format!("a{}@r{}", number + 1, number % options.racks + 1))
         .collect();
     let view = format!("[fleet]\nclaim_view = {}\n", members.join(" "));
-    let tree = match options.tree.contains("[fleet]\n") {
+    match options.tree.contains("[fleet]\n") {
         true => options.tree.replace("[fleet]\n", &view),
         false => format!("{}\n{view}", options.tree),
-    };
-    std::fs::write(&initial, tree)?;
-    let config = format!(
-        "[node]\nname = k1\nroles = keeper\n\
-         [keeper]\nlisten = 127.0.0.1:0\nnode_listen = 127.0.0.1:0\ndata = {}\ninitial = {}\n",
-        folder.display(),
-        initial.display(),
-    );
-    Ok(Node::start(&Config::from_ini(&config)?, Platform::None)?)
+    }
 }
--- a/components/wire/src/keeper.rs
+++ b/components/wire/src/keeper.rs
@@ -73,9 +73,20 @@
     },
 }
 
-/// A keeper's side of the connection from a node.
+/// A message of one keeper to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerMessage {
+    /// Who sends it.
+    pub from: NodeName,
+    /// The message.
+    pub message: consensus::Message,
+}
+
+/// A keeper's side of the connection from a node or another keeper.
 #[tarpc::service]
 pub trait KeeperService {
+    /// Takes a message of another keeper; what it answers comes as a message of its own.
+    async fn peer(message: PeerMessage);
     /// Waits a while for settings newer than the node's.
     async fn pull(request: PullRequest) -> PullReply;
 }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -15,5 +15,6 @@
 };
 pub use entry::{EntryService, EntryServiceClient, RelayReply, RelayRequest};
 pub use keeper::{
-    ChangeRequest, ChangeResult, KeeperService, KeeperServiceClient, PullReply, PullRequest,
+    ChangeRequest, ChangeResult, KeeperService, KeeperServiceClient, PeerMessage, PullReply,
+    PullRequest,
 };
--- a/daemon/src/cli.rs
+++ b/daemon/src/cli.rs
@@ -14,6 +14,11 @@
                 .action(ArgAction::SetTrue)
                 .help("Validate the file, print the settings in force, and exit"),
         )
+        .arg(
+            Arg::new("init-keeper").long("init-keeper").action(ArgAction::SetTrue).help(
+                "Begin a new cluster of keepers on this one, with its initial tree, and exit",
+            ),
+        )
         .arg(
             Arg::new("print-reference")
                 .long("print-reference")
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -96,8 +96,20 @@
     pub node_listen: SocketAddr,
     /// The folder that lasts.
     pub data: PathBuf,
-    /// The tree that a first start begins with.
+    /// The tree that a new cluster begins with.
     pub initial: Option<PathBuf>,
+    /// Every keeper of the cluster with its address for nodes; none for a single keeper.
+    pub peers: Vec<(NodeName, SocketAddr)>,
+}
+
+impl KeeperConfig {
+    /// The names of every keeper of the cluster, this one included.
+    pub fn members(&self, own: &NodeName) -> Vec<NodeName> {
+        if self.peers.is_empty() {
+            return vec![own.clone()];
+        }
+        self.peers.iter().map(|(name, _)| name.clone()).collect()
+    }
 }
 
 /// A checked configuration.
@@ -207,9 +219,29 @@
         node_listen: address(sections, KEEPER, "node_listen")?,
         data: PathBuf::from(sections.required(KEEPER, "data")?.text()),
         initial: (!initial.is_empty()).then(|| PathBuf::from(initial)),
+        peers: peers(sections)?,
     })
 }
 
+/// Reads keepers as `NAME@IP:PORT`.
+fn peers(sections: &Sections) -> Result<Vec<(NodeName, SocketAddr)>, SettingsError> {
+    let mut peers = Vec::new();
+    for word in sections.value(KEEPER, "peers")?.list() {
+        let parsed = word.split_once('@').and_then(|(name, address)| {
+            let address: SocketAddr = address.parse().ok()?;
+            Some((NodeName::new(name), address))
+        });
+        match parsed {
+            Some(peer) => peers.push(peer),
+            None => {
+                let reason = format!("'{word}' is not NAME@IP:PORT");
+                return Err(SettingsError::key(KEEPER, "peers", reason));
+            }
+        }
+    }
+    Ok(peers)
+}
+
 fn address(sections: &Sections, section: &str, key: &str) -> Result<SocketAddr, SettingsError> {
     match sections.required(section, key)? {
         Value::Address(address) => Ok(address),
--- a/daemon/src/config/check.rs
+++ b/daemon/src/config/check.rs
@@ -5,8 +5,8 @@
 
 use settings::SettingsError;
 
-use super::Config;
 use super::keys::{AGENT, ENTRY, KEEPER, NODE};
+use super::{Config, KeeperConfig};
 
 /// Refuses a configuration whose parts do not go together.
 pub(super) fn check(config: &Config) -> Result<(), SettingsError> {
@@ -26,11 +26,26 @@
         check_writable(NODE, "logs", logs)?;
     }
     if let Some(keeper) = &config.keeper {
+        check_peers(config, keeper)?;
         check_writable(KEEPER, "data", &keeper.data)?;
     }
     Ok(())
 }
 
+/// A cluster of keepers has an odd number of them, this one among them.
+fn check_peers(config: &Config, keeper: &KeeperConfig) -> Result<(), SettingsError> {
+    let refuse = |reason: &str| Err(SettingsError::key(KEEPER, "peers", reason));
+    match keeper.peers.len() {
+        0 => return Ok(()),
+        1 | 3 | 5 => {}
+        _ => return refuse("1, 3 or 5 keepers"),
+    }
+    if !keeper.peers.iter().any(|(name, _)| *name == config.node.name) {
+        return refuse("this node is not among them");
+    }
+    Ok(())
+}
+
 fn check_platform(platform: &str) -> Result<(), SettingsError> {
     let known =
         platform.is_empty() || platform.starts_with("file:") || platform.starts_with("http://");
--- a/daemon/src/config/keys.rs
+++ b/daemon/src/config/keys.rs
@@ -134,7 +134,13 @@
         name: "initial",
         value_type: ValueType::Text,
         default: "",
-        help: "INI file with the tree that a first start begins with.",
+        help: "INI file with the tree that --init-keeper begins with.",
+    },
+    Key {
+        name: "peers",
+        value_type: ValueType::Members,
+        default: "",
+        help: "All 3 or 5 keepers, this one included, as NAME@IP:PORT of their node_listen.",
     },
 ];
 
--- a/daemon/src/keeper_role/decide.rs
+++ b/daemon/src/keeper_role/decide.rs
@@ -1,128 +1,206 @@
-//! The keeper's deciding thread: applies changes once they are synced, and answers nodes.
+//! The keeper's deciding thread: the state machine and its journal.
+//!
+//! What a batch of inputs gives to be stored is written with one sync; only then is the rest of
+//! what follows from the batch done.
 
-use std::time::Duration;
+use std::collections::HashMap;
+use std::path::Path;
 
 use async_channel::Sender;
-use journal::{Journal, Opened};
-use keeper::{Command, State, Version};
+use consensus::{Message, Record};
+use journal::{Journal, JournalError};
+use keeper::{Action, Event, Keeper, News, Reply, Ticket};
 use model::{NodeName, Time};
-use serde::Serialize;
-use settings::Tree;
 use spdlog::{error, info, warn};
-use wire::{ChangeRequest, ChangeResult, PullReply, PullRequest};
 
 use super::KeeperError;
+use super::peers::ToPeers;
 use crate::driver::Decider;
 
-/// How long a node that has the version in force waits for the next.
-const PULL_TIME: Duration = Duration::from_secs(2);
-
-/// Versions shown to operators.
-const HISTORY: usize = 100;
-
 /// What reaches the deciding thread.
 #[derive(Debug)]
 pub(crate) enum Input {
-    /// An operator's change.
-    Change(ChangeRequest, Sender<ChangeResult>),
-    /// An operator reads the tree.
-    Read(Sender<TreeReply>),
-    /// An operator reads the last versions.
-    History(Sender<Vec<Version>>),
-    /// A node asks for newer settings.
-    Pull(PullRequest, Sender<PullReply>),
+    /// A question of an operator or a node, and where its reply goes.
+    Ask(Ask, Sender<Reply>),
+    /// Another keeper's message.
+    Peer(NodeName, Message),
+    /// A question for the keeper's status.
+    Status(Sender<KeeperStatus>),
 }
 
-/// A version of the tree, for operators.
-#[derive(Clone, Debug, Serialize)]
-pub(crate) struct TreeReply {
-    /// The version.
-    pub version: u64,
-    /// The tree as INI.
-    pub tree: String,
+/// What is asked for.
+#[derive(Debug)]
+pub(crate) enum Ask {
+    /// A change of the tree.
+    Change(wire::ChangeRequest),
+    /// The tree.
+    Read,
+    /// The last versions.
+    History,
+    /// Newer settings.
+    Pull(wire::PullRequest),
 }
 
-/// A node that waits for a newer version.
-struct Waiting {
-    have: Option<u64>,
-    until: Time,
-    reply: Sender<PullReply>,
+/// What a keeper tells of itself.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct KeeperStatus {
+    /// Its name.
+    pub name: String,
+    /// Whether it is sure to lead.
+    pub leads: bool,
+    /// Whom it takes for the leader.
+    pub leader: Option<String>,
+    /// Its term.
+    pub term: u64,
+    /// The last committed entry.
+    pub committed: u64,
+    /// The version of the tree here.
+    pub version: u64,
+    /// Whether it does not vote because it has not caught up.
+    pub blank: bool,
+    /// Bytes of its journal.
+    pub journal_bytes: u64,
 }
 
 /// The deciding thread's state.
 pub(crate) struct KeeperDecider {
     name: NodeName,
-    state: State,
+    keeper: Keeper,
     journal: Journal,
-    waiting: Vec<Waiting>,
+    peers: Sender<ToPeers>,
+    waiting: HashMap<Ticket, Sender<Reply>>,
+    next_ticket: u64,
+    actions: Vec<Action>,
     broken: bool,
 }
 
+/// Reads a keeper's journal.
+pub(crate) fn read_journal(path: &Path) -> Result<(Journal, Vec<Record>, u64), KeeperError> {
+    let opened = Journal::open(path)?;
+    let mut records = Vec::with_capacity(opened.records.len());
+    for (number, bytes) in opened.records.iter().enumerate() {
+        let record = bincode::deserialize(bytes).map_err(|_| KeeperError::BadRecord(number))?;
+        records.push(record);
+    }
+    Ok((opened.journal, records, opened.cut))
+}
+
+/// A record's bytes in the journal.
+pub(crate) fn write_record(record: &Record) -> Vec<u8> {
+    bincode::serialize(record).expect("plain structs become bincode")
+}
+
 impl KeeperDecider {
-    /// The state that the journal's records lead to.
-    pub(crate) fn recover(
+    pub(crate) fn new(
         name: NodeName,
-        opened: Opened,
-        initial: Tree,
-    ) -> Result<Self, KeeperError> {
-        if opened.cut > 0 {
-            warn!("keeper {}: cut a torn record of {} bytes", name, opened.cut);
-        }
-        let mut state = State::new(initial);
-        for (number, record) in opened.records.iter().enumerate() {
-            let command: Command =
-                serde_json::from_slice(record).map_err(|_| KeeperError::BadRecord(number))?;
-            state.apply(&command);
+        keeper: Keeper,
+        journal: Journal,
+        peers: Sender<ToPeers>,
+    ) -> Self {
+        info!("keeper {}: settings {} recovered", name, keeper.version());
+        Self {
+            name,
+            keeper,
+            journal,
+            peers,
+            waiting: HashMap::new(),
+            next_ticket: 0,
+            actions: Vec::new(),
+            broken: false,
         }
-        info!("keeper {}: settings {} recovered", name, state.version());
-        Ok(Self { name, state, journal: opened.journal, waiting: Vec::new(), broken: false })
     }
 
-    fn change(&mut self, now: Time, request: ChangeRequest, reply: &Sender<ChangeResult>) {
-        if let Some(first) = self.state.result(&request.change) {
-            // The one who asked may be gone.
-            let _ = reply.try_send(first.clone());
-            return;
+    fn ask(&mut self, now: Time, ask: Ask, reply: Sender<Reply>) {
+        self.next_ticket += 1;
+        let ticket = Ticket(self.next_ticket);
+        self.waiting.insert(ticket, reply);
+        let event = match ask {
+            Ask::Change(request) => Event::Change(ticket, request),
+            Ask::Read => Event::Read(ticket),
+            Ask::History => Event::History(ticket),
+            Ask::Pull(request) => Event::Pull(ticket, request),
+        };
+        self.keeper.handle(now, event, &mut self.actions);
+    }
+
+    fn status(&self, now: Time) -> KeeperStatus {
+        let replica = self.keeper.replica();
+        KeeperStatus {
+            name: self.name.to_string(),
+            leads: replica.is_sure(now),
+            leader: replica.leader().map(ToString::to_string),
+            term: replica.term(),
+            committed: replica.committed(),
+            version: self.keeper.version(),
+            blank: replica.is_blank(),
+            journal_bytes: self.journal.bytes(),
         }
-        let command = Command { request, taken: now };
-        let record = serde_json::to_vec(&command).expect("plain structs become JSON");
-        self.journal.append(&record);
-        if let Err(error) = self.journal.sync() {
-            // Nothing is known of the change: no answer, and nothing more is taken.
+    }
+
+    /// Stores what is to be stored, syncs once, then does the rest. Where the disk fails, nothing
+    /// of the rest is done and the keeper ends: what the disk holds is unknown.
+    fn flush(&mut self) {
+        let actions = std::mem::take(&mut self.actions);
+        if let Err(error) = self.store(&actions) {
             error!("keeper {}: {}", self.name, error);
             self.broken = true;
             return;
         }
-        let before = self.state.version();
-        let result = self.state.apply(&command);
-        if self.state.version() > before {
-            info!("keeper {}: settings {} accepted", self.name, self.state.version());
-            self.answer_waiting(now);
+        for action in actions {
+            match action {
+                Action::Store(_) | Action::Rewrite(_) => {}
+                Action::Send(to, message) => {
+                    // A message that finds no room is as one that is lost.
+                    let _ = self.peers.try_send(ToPeers::Message(to, message));
+                }
+                Action::Respond(ticket, reply) => {
+                    if let Some(waiting) = self.waiting.remove(&ticket) {
+                        // The one who asked may be gone.
+                        let _ = waiting.try_send(reply);
+                    }
+                }
+                Action::News(news) => self.log(&news),
+            }
         }
-        let _ = reply.try_send(result);
     }
 
-    fn pull(&mut self, now: Time, request: &PullRequest, reply: Sender<PullReply>) {
-        match self.state.since(request.have) {
-            PullReply::Current => {
-                let until = now + PULL_TIME;
-                self.waiting.push(Waiting { have: request.have, until, reply });
-            }
-            newer => {
-                let _ = reply.try_send(newer);
+    fn store(&mut self, actions: &[Action]) -> Result<(), JournalError> {
+        for action in actions {
+            match action {
+                Action::Store(records) => {
+                    records.iter().for_each(|record| self.journal.append(&write_record(record)));
+                }
+                Action::Rewrite(records) => {
+                    let records: Vec<Vec<u8>> = records.iter().map(write_record).collect();
+                    self.journal.rewrite(&records)?;
+                }
+                _ => {}
             }
         }
+        self.journal.sync()
     }
 
-    /// Answers nodes for which there is a newer version, or whose time is over.
-    fn answer_waiting(&mut self, now: Time) {
-        for waiting in std::mem::take(&mut self.waiting) {
-            let newer = self.state.since(waiting.have);
-            if newer == PullReply::Current && now < waiting.until {
-                self.waiting.push(waiting);
-                continue;
+    fn log(&self, news: &News) {
+        use consensus::News as Log;
+        let name = &self.name;
+        match news {
+            News::Log(Log::Leads(term)) => info!("keeper {}: leads in term {}", name, term),
+            News::Log(Log::StepsDown(term)) => {
+                warn!("keeper {}: steps down in term {}", name, term);
+            }
+            News::Log(Log::Follows(leader, term)) => {
+                info!("keeper {}: follows {} in term {}", name, leader, term);
+            }
+            News::Log(Log::CaughtUp(index)) => {
+                info!("keeper {}: caught up to entry {}, votes from now on", name, index);
+            }
+            News::Log(Log::Violation(violation)) => {
+                error!("keeper {}: BREACH: {}", name, violation);
+            }
+            News::Version(version) => info!("keeper {}: settings {} accepted", name, version),
+            News::Unreadable(index) => {
+                error!("keeper {}: entry {} can't be read", name, index);
             }
-            let _ = waiting.reply.try_send(newer);
         }
     }
 }
@@ -132,27 +210,26 @@
 
     fn input(&mut self, now: Time, input: Input) {
         match input {
-            Input::Change(request, reply) => self.change(now, request, &reply),
-            Input::Read(reply) => {
-                let tree = self.state.tree().to_ini();
-                let _ = reply.try_send(TreeReply { version: self.state.version(), tree });
+            Input::Ask(ask, reply) => self.ask(now, ask, reply),
+            Input::Peer(from, message) => {
+                self.keeper.handle(now, Event::Peer(from, message), &mut self.actions);
             }
-            Input::History(reply) => {
-                let _ = reply.try_send(self.state.history(HISTORY));
+            Input::Status(reply) => {
+                let _ = reply.try_send(self.status(now));
             }
-            Input::Pull(request, reply) => self.pull(now, &request, reply),
         }
     }
 
     fn tick(&mut self, now: Time) {
-        self.answer_waiting(now);
+        self.keeper.handle(now, Event::Tick, &mut self.actions);
     }
 
     fn next_timer(&self) -> Option<Time> {
-        self.waiting.iter().map(|waiting| waiting.until).min()
+        Some(self.keeper.next_timer())
     }
 
     fn goes_on(&mut self) -> bool {
+        self.flush();
         !self.broken
     }
 }
--- a/daemon/src/keeper_role/listen.rs
+++ b/daemon/src/keeper_role/listen.rs
@@ -10,13 +10,14 @@
 use hyper::body::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
+use keeper::Reply;
 use net::{Body, BodyError, Limits, Tasks};
 use serde::Serialize;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
-use wire::{ChangeRequest, ChangeResult, KeeperService, PullReply, PullRequest};
+use wire::{ChangeRequest, ChangeResult, KeeperService, PeerMessage, PullReply, PullRequest};
 
-use super::decide::Input;
+use super::decide::{Ask, Input};
 
 /// Limits of operators' connections.
 const LIMITS: Limits =
@@ -70,24 +71,36 @@
 }
 
 impl KeeperService for Node {
+    async fn peer(self, _: Context, message: PeerMessage) {
+        // Lost where the deciding thread has ended.
+        let _ = self.ring.send(Input::Peer(message.from, message.message)).await;
+    }
+
     async fn pull(self, _: Context, request: PullRequest) -> PullReply {
-        let (reply, answer) = async_channel::bounded(1);
-        let unsure = PullReply::Unsure { leader: None };
-        if self.ring.send(Input::Pull(request, reply)).await.is_err() {
-            return unsure;
+        match ask(&self.ring, Ask::Pull(request)).await {
+            Some(Reply::Pull(reply)) => reply,
+            Some(Reply::Unsure(leader)) => PullReply::Unsure { leader },
+            _ => PullReply::Unsure { leader: None },
         }
-        answer.recv().await.unwrap_or(unsure)
     }
 }
 
+/// Asks the deciding thread; `None` where it has ended.
+async fn ask(ring: &Sender<Input>, what: Ask) -> Option<Reply> {
+    let (reply, answer) = async_channel::bounded(1);
+    ring.send(Input::Ask(what, reply)).await.ok()?;
+    answer.recv().await.ok()
+}
+
 async fn answer(
     ring: &Sender<Input>,
     request: Request<Result<Bytes, BodyError>>,
 ) -> Response<Body> {
     let (head, body) = request.into_parts();
     match (head.method.as_str(), head.uri.path()) {
-        ("GET", "/v1/settings") => read(ring, Input::Read).await,
-        ("GET", "/v1/history") => read(ring, Input::History).await,
+        ("GET", "/v1/settings") => respond(ask(ring, Ask::Read).await),
+        ("GET", "/v1/history") => respond(ask(ring, Ask::History).await),
+        ("GET", "/v1/status") => own_status(ring).await,
         ("POST", "/v1/changes") => match body {
             Ok(body) => change(ring, &body).await,
             Err(error) => problem(400, "bad-body", &error.to_string()),
@@ -96,29 +109,37 @@
     }
 }
 
-/// Answers with what the deciding thread says to a question.
-async fn read<T: Serialize>(
-    ring: &Sender<Input>,
-    question: impl FnOnce(Sender<T>) -> Input,
-) -> Response<Body> {
+fn respond(reply: Option<Reply>) -> Response<Body> {
+    match reply {
+        Some(Reply::Tree(tree)) => json(200, &tree),
+        Some(Reply::History(versions)) => json(200, &versions),
+        Some(Reply::Change(result)) => json(status(&result), &result),
+        Some(Reply::Unsure(leader)) => unsure(leader),
+        Some(Reply::Pull(_)) | None => problem(503, "not-ready", "the keeper is stopping"),
+    }
+}
+
+fn unsure(leader: Option<model::NodeName>) -> Response<Body> {
+    let message = match leader {
+        Some(leader) => format!("ask {leader}, which may lead"),
+        None => "no leader is known".to_owned(),
+    };
+    problem(503, "not-leader", &message)
+}
+
+async fn own_status(ring: &Sender<Input>) -> Response<Body> {
     let (reply, answer) = async_channel::bounded(1);
-    let sent = ring.send(question(reply)).await.is_ok();
+    let sent = ring.send(Input::Status(reply)).await.is_ok();
     match answer.recv().await {
-        Ok(document) if sent => json(200, &document),
+        Ok(status) if sent => json(200, &status),
         _ => problem(503, "not-ready", "the keeper is stopping"),
     }
 }
 
 async fn change(ring: &Sender<Input>, body: &[u8]) -> Response<Body> {
-    let request: ChangeRequest = match serde_json::from_slice(body) {
-        Ok(request) => request,
-        Err(error) => return problem(400, "bad-body", &error.to_string()),
-    };
-    let (reply, answer) = async_channel::bounded(1);
-    let sent = ring.send(Input::Change(request, reply)).await.is_ok();
-    match answer.recv().await {
-        Ok(result) if sent => json(status(&result), &result),
-        _ => problem(504, "unknown", "the change's outcome is unknown: send it again"),
+    match serde_json::from_slice::<ChangeRequest>(body) {
+        Ok(request) => respond(ask(ring, Ask::Change(request)).await),
+        Err(error) => problem(400, "bad-body", &error.to_string()),
     }
 }
 
--- a/daemon/src/keeper_role/mod.rs
+++ b/daemon/src/keeper_role/mod.rs
@@ -1,24 +1,35 @@
-//! A keeper as threads: one listens to operators and nodes, one decides and writes its journal.
+//! A keeper as threads: one listens to operators, nodes and other keepers, one decides and writes
+//! its journal, one talks to the other keepers.
 
 mod decide;
 mod listen;
+mod peers;
 
+use std::collections::HashMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 
 use async_channel::Sender;
 use async_io::Async;
-use journal::{Journal, JournalError};
+use consensus::{Record, Replica, Timing};
+use journal::JournalError;
+use keeper::Keeper;
+use membership::HostList;
+use model::NodeName;
 use settings::Tree;
+use spdlog::warn;
 use thiserror::Error;
 
 use crate::clock::Clock;
 use crate::config::{KeeperConfig, NodeConfig};
 use crate::driver::RING;
+use crate::platform::ListSubscriber;
 use crate::threads::{Duty, join, spawn};
 
-use decide::{Input, KeeperDecider};
+pub use decide::KeeperStatus;
+use decide::{Input, KeeperDecider, read_journal, write_record};
+use peers::ToPeers;
 
 /// The journal's file in the data folder.
 const JOURNAL: &str = "settings.journal";
@@ -41,9 +52,12 @@
     /// A socket or thread can't be had.
     #[error("keeper: {0}")]
     Io(#[from] io::Error),
-    /// The journal's records make no sense.
+    /// A record of the journal can't be read.
     #[error("keeper: record {0} of the journal can't be read")]
     BadRecord(usize),
+    /// The journal's records make no sense.
+    #[error("keeper: {0}")]
+    BadState(#[from] keeper::KeeperError),
     /// The initial tree is refused.
     #[error("keeper: {path}: {reason}")]
     BadTree {
@@ -52,6 +66,27 @@
         /// Why.
         reason: String,
     },
+    /// The data folder holds a journal already.
+    #[error("keeper: {0} exists already: a cluster is begun once")]
+    Begun(String),
+    /// The data folder is empty, and there is nobody to catch up from.
+    #[error("keeper: {0} does not exist: begin the cluster with dockpassd --init-keeper")]
+    NotBegun(String),
+}
+
+/// Writes the journal of a keeper of a new cluster, with the tree that it begins with. Done once,
+/// on each keeper, with the same tree and the same keepers.
+pub fn init_keeper(node: &NodeConfig, config: &KeeperConfig) -> Result<(), KeeperError> {
+    let path = config.data.join(JOURNAL);
+    if path.exists() {
+        return Err(KeeperError::Begun(path.display().to_string()));
+    }
+    let tree = initial_tree(config.initial.as_deref())?;
+    let records = keeper::initial_records(config.members(&node.name), tree);
+    let mut journal = journal::Journal::open(&path)?.journal;
+    let records: Vec<Vec<u8>> = records.iter().map(write_record).collect();
+    journal.rewrite(&records)?;
+    Ok(())
 }
 
 /// A running keeper.
@@ -59,27 +94,37 @@
     address: SocketAddr,
     node_address: SocketAddr,
     ring: Sender<Input>,
+    peers: Sender<ToPeers>,
     duties: Vec<Duty>,
 }
 
 impl KeeperHandle {
     /// Recovers the state and starts the threads.
     pub fn start(options: KeeperOptions) -> Result<Self, KeeperError> {
+        let KeeperOptions { node, keeper: config } = options;
         let clock = Clock::start();
-        let listener = Async::<TcpListener>::bind(options.keeper.listen)?;
-        let node_listener = Async::<TcpListener>::bind(options.keeper.node_listen)?;
+        let listener = Async::<TcpListener>::bind(config.listen)?;
+        let node_listener = Async::<TcpListener>::bind(config.node_listen)?;
         let address = listener.get_ref().local_addr()?;
         let node_address = node_listener.get_ref().local_addr()?;
-        let initial = initial_tree(options.keeper.initial.as_deref())?;
-        let opened = Journal::open(&options.keeper.data.join(JOURNAL))?;
-        let decider = KeeperDecider::recover(options.node.name.clone(), opened, initial)?;
+        let (journal, records) = journal_or_blank(&node.name, &config)?;
+        let seed = uuid::Uuid::new_v4().as_u128() as u64;
+        let keeper =
+            Keeper::recover(node.name.clone(), records, Timing::default(), seed, clock.now())?;
         let (ring, inputs) = async_channel::bounded(RING);
+        let (peers, to_peers) = async_channel::bounded(RING);
+        let decider = KeeperDecider::new(node.name.clone(), keeper, journal, peers.clone());
         let decide = spawn("keeper-decide", move |_| crate::driver::drive(decider, inputs, clock))?;
         let calls = ring.clone();
         let listen = spawn("keeper-listen", move |tasks| {
             listen::run(tasks, listener, node_listener, calls)
         })?;
-        Ok(Self { address, node_address, ring, duties: vec![decide, listen] })
+        let others: HashMap<NodeName, SocketAddr> =
+            config.peers.iter().filter(|(name, _)| *name != node.name).cloned().collect();
+        let name = node.name;
+        let talk = spawn("keeper-peers", move |tasks| peers::run(name, tasks, others, to_peers))?;
+        let duties = vec![decide, listen, talk];
+        Ok(Self { address, node_address, ring, peers, duties })
     }
 
     /// Where operators reach it.
@@ -87,18 +132,56 @@
         self.address
     }
 
-    /// Where nodes reach it.
+    /// Where nodes and other keepers reach it.
     pub fn node_address(&self) -> SocketAddr {
         self.node_address
     }
 
-    /// Ends after the change in hand.
+    /// What it tells of itself; none once it has stopped.
+    pub fn status(&self) -> Option<KeeperStatus> {
+        let (reply, status) = async_channel::bounded(1);
+        self.ring.send_blocking(Input::Status(reply)).ok()?;
+        status.recv_blocking().ok()
+    }
+
+    pub(crate) fn list_subscriber(&self) -> ListSubscriber {
+        let peers = self.peers.clone();
+        Box::new(move |list: &HostList| peers.send_blocking(ToPeers::Hosts(list.clone())).is_ok())
+    }
+
+    /// Ends after the batch in hand.
     pub fn stop(mut self) {
         self.ring.close();
+        self.peers.close();
         join(std::mem::take(&mut self.duties));
     }
 }
 
+/// The journal's records; those of an empty disk where there is no journal, and others to catch
+/// up from.
+fn journal_or_blank(
+    name: &NodeName,
+    config: &KeeperConfig,
+) -> Result<(journal::Journal, Vec<Record>), KeeperError> {
+    let path = config.data.join(JOURNAL);
+    let members = config.members(name);
+    if !path.exists() && members.len() == 1 {
+        return Err(KeeperError::NotBegun(path.display().to_string()));
+    }
+    let (mut journal, records, cut) = read_journal(&path)?;
+    if cut > 0 {
+        warn!("keeper {}: cut a torn record of {} bytes", name, cut);
+    }
+    if !records.is_empty() {
+        return Ok((journal, records));
+    }
+    warn!("keeper {}: an empty disk: does not vote until it has caught up", name);
+    let records = Replica::blank_records(members);
+    let bytes: Vec<Vec<u8>> = records.iter().map(write_record).collect();
+    journal.rewrite(&bytes)?;
+    Ok((journal, records))
+}
+
 fn initial_tree(path: Option<&Path>) -> Result<Tree, KeeperError> {
     let Some(path) = path else { return Ok(Tree::default()) };
     let text = std::fs::read_to_string(path)?;
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -23,7 +23,7 @@
 };
 pub use decisions::DecisionLog;
 pub use entry_role::{EntryHandle, EntryOptions};
-pub use keeper_role::{KeeperError, KeeperHandle, KeeperOptions};
+pub use keeper_role::{KeeperError, KeeperHandle, KeeperOptions, KeeperStatus, init_keeper};
 pub use logs::{LogError, init_logs};
 pub use node::{Node, NodeError};
 pub use platform::Platform;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use daemon::{Config, Node, Platform, init_logs, print_reference};
+use daemon::{Config, Node, Platform, init_keeper, init_logs, print_reference};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use spdlog::{critical, info};
@@ -38,6 +38,9 @@
         print!("{}", config.in_force());
         return ExitCode::SUCCESS;
     }
+    if arguments.get_flag("init-keeper") {
+        return init(&config);
+    }
     match run(&config) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -47,6 +50,21 @@
     }
 }
 
+/// Begins a cluster of keepers, on this one.
+fn init(config: &Config) -> ExitCode {
+    let Some(keeper) = &config.keeper else {
+        eprintln!("dockpassd: [node] roles: --init-keeper is for keepers");
+        return ExitCode::from(BAD_CONFIG);
+    };
+    match init_keeper(&config.node, keeper) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dockpassd: {error}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
 /// Runs until a signal asks for the end: the first drains, the second ends at once.
 fn run(config: &Config) -> Result<(), Box<dyn std::error::Error>> {
     init_logs(config.node.logs.as_ref().map(|folder| folder.join(LOG)).as_deref())?;
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::thread::JoinHandle;
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use model::{Incarnation, NodeRef};
 use spdlog::{info, warn};
 use thiserror::Error;
@@ -14,7 +14,7 @@
 use crate::decisions::DecisionLog;
 use crate::entry_role::{EntryHandle, EntryOptions};
 use crate::keeper_role::{KeeperError, KeeperHandle, KeeperOptions};
-use crate::platform::{Platform, watch};
+use crate::platform::{ListSubscriber, Platform, watch};
 use crate::probe;
 use crate::settings_link;
 use crate::threads::{Duty, join};
@@ -82,43 +82,58 @@
         Ok(node)
     }
 
-    /// Starts the link to the keepers and the watch of the list for the roles that want them.
+    /// Starts what roles share: the link to the keepers, the failure detector, the watch of the
+    /// platform's list.
     fn link(&mut self, config: &Config, life: &NodeRef, platform: Platform) -> io::Result<()> {
+        let (stop, stopped) = async_channel::bounded(1);
+        self.stop_duties = Some(stop);
+        let mut lists = self.list_subscribers();
+        self.start_probe(life, &mut lists, &stopped);
+        self.start_settings(config, &stopped)?;
+        self.duties.push(watch(platform, config.node.platform_poll, lists, stopped)?);
+        Ok(())
+    }
+
+    fn list_subscribers(&self) -> Vec<ListSubscriber> {
+        let entry = self.entry.as_ref().map(EntryHandle::list_subscriber);
+        let agent = self.agent.as_ref().map(AgentHandle::list_subscriber);
+        let keeper = self.keeper.as_ref().map(KeeperHandle::list_subscriber);
+        entry.into_iter().chain(agent).chain(keeper).collect()
+    }
+
+    fn start_probe(
+        &mut self,
+        life: &NodeRef,
+        lists: &mut Vec<ListSubscriber>,
+        stopped: &Receiver<()>,
+    ) {
         let entry = self.entry.as_ref();
-        let agent = self.agent.as_ref();
-        let settings: Vec<_> = entry
-            .map(EntryHandle::settings_subscriber)
-            .into_iter()
-            .chain(agent.map(AgentHandle::settings_subscriber))
-            .collect();
-        let mut lists: Vec<_> = entry
-            .map(EntryHandle::list_subscriber)
-            .into_iter()
-            .chain(agent.map(AgentHandle::list_subscriber))
-            .collect();
-        if settings.is_empty() {
+        let agent = self.agent.as_ref().map(AgentHandle::address);
+        let Some(address) = entry.map(EntryHandle::peer_address).or(agent) else { return };
+        let news = entry.map(EntryHandle::liveness_subscriber).into_iter().collect();
+        match probe::start(life, address, news, stopped.clone()) {
+            Ok((list, duty)) => {
+                lists.push(list);
+                self.duties.push(duty);
+            }
+            // Direct signs are left: answers, broken connections, leases.
+            Err(error) => warn!("no failure detector at {}: {}", address, error),
+        }
+    }
+
+    fn start_settings(&mut self, config: &Config, stopped: &Receiver<()>) -> io::Result<()> {
+        let entry = self.entry.as_ref().map(EntryHandle::settings_subscriber);
+        let agent = self.agent.as_ref().map(AgentHandle::settings_subscriber);
+        let subscribers: Vec<_> = entry.into_iter().chain(agent).collect();
+        if subscribers.is_empty() {
             return Ok(());
         }
         let name = config.node.name.clone();
         let mut keepers = config.node.keepers.clone();
         keepers.extend(self.keeper.as_ref().map(KeeperHandle::node_address));
-        let (stop, stopped) = async_channel::bounded(1);
-        self.stop_duties = Some(stop);
-        let address = entry.map(EntryHandle::peer_address).or(agent.map(AgentHandle::address));
-        if let Some(address) = address {
-            let news = entry.map(EntryHandle::liveness_subscriber).into_iter().collect();
-            match probe::start(life, address, news, stopped.clone()) {
-                Ok((list, duty)) => {
-                    lists.push(list);
-                    self.duties.push(duty);
-                }
-                // Direct signs are left: answers, broken connections, leases.
-                Err(error) => warn!("no failure detector at {}: {}", address, error),
-            }
-        }
-        let link = settings_link::start(name, keepers, Clock::start(), settings, stopped.clone())?;
+        let clock = Clock::start();
+        let link = settings_link::start(name, keepers, clock, subscribers, stopped.clone())?;
         self.duties.push(link);
-        self.duties.push(watch(platform, config.node.platform_poll, lists, stopped)?);
         Ok(())
     }
 
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -12,11 +12,11 @@
 /// Sends a change of one value of the service, as `KEY=VALUE`.
 fn change(cluster: &Cluster, id: &str, base_version: u64, pair: &str) -> ChangeOutcome {
     let (key, value) = pair.split_once('=').unwrap();
-    let keeper = cluster.keeper_address();
+    let keepers = cluster.keeper_addresses();
     let section = "booking".parse().unwrap();
     let edit = Edit::Set { section, key: key.to_owned(), value: value.to_owned() };
     let request = ChangeRequest { change: id.to_owned(), base_version, edits: vec![edit] };
-    run(|tasks| async move { Operator::new(&[keeper], &tasks.clone()).send(&request).await })
+    run(|tasks| async move { Operator::new(&keepers, &tasks).send(&request).await })
 }
 
 fn accepted(version: u64) -> ChangeOutcome {
@@ -48,7 +48,8 @@
     let mut cluster = start(options());
     assert_eq!(change(&cluster, "c1", 1, "deadline_ms=900"), accepted(2));
     assert_eq!(change(&cluster, "c2", 2, "deadline_ms=800"), accepted(3));
-    cluster.restart_keeper().unwrap();
+    cluster.kill_keeper(0);
+    cluster.start_keeper(0).unwrap();
     assert_eq!(change(&cluster, "c1", 1, "deadline_ms=900"), accepted(2));
     let conflict = ChangeOutcome::Known(ChangeResult::Conflict {
         version: 3,
@@ -64,3 +65,49 @@
     });
     finish(cluster);
 }
+
+/// Three keepers, and settings that may be older than a moment without stopping work.
+fn three_keepers() -> Cluster {
+    start(testbed::ClusterOptions { keepers: 3, ..options() })
+}
+
+#[test]
+fn three_keepers_accept_changes_with_any_one_dead() {
+    let mut cluster = three_keepers();
+    assert_eq!(change(&cluster, "c1", 1, "deadline_ms=900"), accepted(2));
+    for (number, version) in [(0, 3), (1, 4), (2, 5)] {
+        cluster.kill_keeper(number);
+        let value = format!("deadline_ms={}", 800 + version);
+        assert_eq!(
+            change(&cluster, &format!("c{version}"), version - 1, &value),
+            accepted(version)
+        );
+        // A resent change gets its first answer from whoever leads now.
+        assert_eq!(change(&cluster, "c1", 1, "deadline_ms=900"), accepted(2));
+        cluster.start_keeper(number).unwrap();
+    }
+    finish(cluster);
+}
+
+#[test]
+fn two_keepers_lost_with_their_disks_one_after_the_other_lose_no_change() {
+    let mut cluster = three_keepers();
+    assert_eq!(change(&cluster, "c1", 1, "deadline_ms=900"), accepted(2));
+    for (number, version) in [(0, 3), (1, 4)] {
+        cluster.kill_keeper(number);
+        cluster.lose_keeper_disk(number).unwrap();
+        cluster.start_keeper(number).unwrap();
+        // The second loss comes right after the repair of the first.
+        let repaired =
+            |cluster: &Cluster| cluster.keeper_status(number).is_some_and(|status| !status.blank);
+        cluster.wait_for(repaired).unwrap();
+        let value = format!("deadline_ms={}", 800 + version);
+        assert_eq!(
+            change(&cluster, &format!("c{version}"), version - 1, &value),
+            accepted(version)
+        );
+    }
+    assert_eq!(change(&cluster, "c1", 1, "deadline_ms=900"), accepted(2));
+    assert_eq!(change(&cluster, "c5", 4, "deadline_ms=600"), accepted(5));
+    finish(cluster);
+}
