--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -22,4 +22,19 @@
             Command::new("slopes")
                 .about("Memory, processor time and messages of the libraries at growing sizes"),
         )
+        .subcommand(
+            Command::new("policy")
+                .about("Placement policies under load, through the decision libraries, in virtual time")
+                .arg(number("seconds", "120", "Virtual seconds of load in each run"))
+                .arg(number("seed", "1", "Makes the runs"))
+                .arg(
+                    Arg::new("csv").long("csv").value_name("FILE").help("Write the table as CSV"),
+                )
+                .arg(
+                    Arg::new("plot")
+                        .long("plot")
+                        .value_name("FILE")
+                        .help("Write a plot of response over ideal as SVG"),
+                ),
+        )
 }
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod load;
 mod path;
+mod policy;
 mod slopes;
 mod threads;
 
@@ -22,6 +23,7 @@
     let result = match arguments.subcommand() {
         Some(("path", own)) => path::run(own),
         Some(("slopes", _)) => slopes::run(),
+        Some(("policy", own)) => policy::run(own),
         _ => Err("no subcommand".to_owned()),
     };
     match result {
--- a/soak/src/keepers/world.rs
+++ b/soak/src/keepers/world.rs
@@ -180,14 +180,14 @@
         match happening {
             Happening::Message { to, from, message } => {
                 let from = self.keepers[from].name.clone();
-                self.to_keeper(to, Event::Peer(from, message));
+                self.deliver(to, Event::Peer(from, message));
             }
-            Happening::Ask { to, event } => self.to_keeper(to, event),
+            Happening::Ask { to, event } => self.deliver(to, event),
             Happening::Reply { ticket, reply } => self.replied(ticket, Some(reply)),
             Happening::Lost { ticket } => self.replied(ticket, None),
             Happening::Tick(keeper) => {
                 self.keepers[keeper].tick_at = None;
-                self.to_keeper(keeper, Event::Tick);
+                self.deliver(keeper, Event::Tick);
             }
             Happening::Operator(operator) => self.operate(operator),
             Happening::Pull(node) => self.pull(node),
@@ -222,7 +222,7 @@
         self.checks.summary.disks_lost += 1;
     }
 
-    fn to_keeper(&mut self, number: usize, event: Event) {
+    fn deliver(&mut self, number: usize, event: Event) {
         let now = self.now;
         let keeper = &mut self.keepers[number];
         if keeper.keeper.is_none() {
