Token exchange: fewer messages, slots shared by what waits

The reserve of two deviations was more than all idle slots together, so entries asked for ever; an ask answered the exchange before it with nothing; idle exchanges were answered every two seconds though starts had renewed the lease; and in a burst each entry got an equal part of the slots, however much waited at it.

Change: one token in reserve; an ask while an exchange waits adds a second one, answered by the next news; a lease is renewed by any frame; a token goes where most waits beside what is there, told on starts; only spare tokens are asked back, not those lent a moment ago. Asks that move nothing now count as wasted.

--- a/bench/src/policy/mod.rs
+++ b/bench/src/policy/mod.rs
@@ -28,8 +28,9 @@
             tokens::run(&workload, seed, false),
             baseline::run(&workload, seed, Choice::Random),
             baseline::run(&workload, seed, Choice::TwoChoices),
+            baseline::run(&workload, seed, Choice::Central),
         ];
-        let names = ["tokens", "tokens, no claims", "random", "two choices"];
+        let names = ["tokens", "tokens, no claims", "random", "two choices", "(central queue)"];
         for (name, measured) in names.into_iter().zip(runs) {
             let row = Row { scenario: scenario.name, policy: name, measured };
             report::print_row(&row);
--- a/components/agent/src/agent.rs
+++ b/components/agent/src/agent.rs
@@ -14,11 +14,13 @@
     StartResult, SyncReply, SyncRequest,
 };
 
-use crate::sessions::{Sessions, Waiting};
+use crate::sessions::Sessions;
 use crate::{Action, CallId, Event, News, Reply, Request};
 
 /// Memory for outcomes that wait to be settled, in bytes.
 const OUTCOME_BYTES: usize = 4 * 1024 * 1024;
+/// Exchanges of one session that wait; an entry that asks again while one waits adds another.
+const EXCHANGES_WAITING: usize = 4;
 /// Part of a token lease after which a waiting exchange is answered without news.
 const SYNC_PART_OF_LEASE: u32 = 2;
 /// Part of a token lease that an entry may be silent beyond it, for the way of a frame.
@@ -47,7 +49,6 @@
 #[derive(Debug)]
 struct Running {
     session: Session,
-    waiting: bool,
     /// Starts to answer: the first has the token.
     starts: Vec<CallId>,
     settles: Vec<CallId>,
@@ -107,7 +108,7 @@
 
     /// When the next tick is due.
     pub fn next_timer(&self) -> Option<Time> {
-        let sessions = self.sessions.next_timer(self.lease_with_grace());
+        let sessions = self.sessions.next_timer(self.renewal(), self.lease_with_grace());
         sessions.into_iter().chain(self.paused_until).min()
     }
 
@@ -131,6 +132,11 @@
         Window { retention: self.fleet.retention, clock_skew: self.fleet.clock_skew }
     }
 
+    /// After this silence a session's lease has to be renewed.
+    fn renewal(&self) -> Duration {
+        self.fleet.token_lease / SYNC_PART_OF_LEASE
+    }
+
     fn lease_with_grace(&self) -> Duration {
         self.fleet.token_lease + self.fleet.token_lease / LEASE_GRACE_PART
     }
@@ -166,7 +172,7 @@
             Request::Lookup(submission) => self.lookup(now, call, submission, out),
             Request::Start(request) => self.start(now, session, call, request, out),
             Request::Settle(request) => self.settle(call, &request, out),
-            Request::Sync(request) => self.sync(now, session, call, request, out),
+            Request::Sync(request) => self.sync(session, call, request, out),
         }
     }
 
@@ -255,8 +261,7 @@
         debug_assert_eq!(outcome, StartOutcome::Starts);
         self.ledger.want(session, request.wanted);
         self.counters.started += 1;
-        let running =
-            Running { session, waiting: request.waiting, starts: vec![call], settles: Vec::new() };
+        let running = Running { session, starts: vec![call], settles: Vec::new() };
         self.running.insert(request.key, running);
         if self.running.len() > self.setup.slots as usize {
             self.breach(Breach::SlotsOverdrawn, out);
@@ -351,7 +356,7 @@
         if matches!(outcome, TaskOutcome::NeverSent(_)) {
             self.pause(now, out);
         }
-        let mut token = self.ledger.finish(running.session, running.waiting);
+        let mut token = self.ledger.finish(running.session);
         for call in running.starts {
             self.reply_start(call, StartResult::Ended(outcome.clone()), token, out);
             token = false;
@@ -363,18 +368,17 @@
 
     fn sync(
         &mut self,
-        now: Time,
         session: Session,
         call: CallId,
         request: SyncRequest,
         out: &mut Vec<Action>,
     ) {
-        let until = now + self.fleet.token_lease / SYNC_PART_OF_LEASE;
         let Some(state) = self.sessions.get_mut(session) else { return };
-        let replaced = state.waiting.replace(Waiting { call, until });
-        if let Some(replaced) = replaced {
+        state.waiting.push_back(call);
+        if state.waiting.len() > EXCHANGES_WAITING {
             let news = std::mem::take(&mut state.news);
-            self.reply_sync(replaced.call, news, out);
+            let oldest = state.waiting.pop_front();
+            oldest.into_iter().for_each(|call| self.reply_sync(call, news, out));
         }
         self.ledger.give_back(session, request.returned);
         self.ledger.want(session, request.wanted);
@@ -394,9 +398,9 @@
         if !state.has_news() {
             return;
         }
-        let Some(waiting) = state.waiting.take() else { return };
+        let Some(call) = state.waiting.pop_front() else { return };
         let news = std::mem::take(&mut state.news);
-        self.reply_sync(waiting.call, news, out);
+        self.reply_sync(call, news, out);
     }
 
     /// Answers an exchange; one without news was of no use.
@@ -472,7 +476,7 @@
             self.paused_until = None;
             self.ledger.resume();
         }
-        self.answer_long_exchanges(now, out);
+        self.answer_silent(now, out);
         for session in self.sessions.silent(self.lease_with_grace(), now) {
             let idle = self.ledger.end_lease(session);
             if let Some(state) = self.sessions.get_mut(session) {
@@ -490,12 +494,14 @@
         }
     }
 
-    /// Answers exchanges that waited long enough, so that the entry renews its lease.
-    fn answer_long_exchanges(&mut self, now: Time, out: &mut Vec<Action>) {
+    /// Answers an exchange of each session that was silent for long, so that its entry renews the
+    /// lease. Starts renew it too, so that a busy session needs no such answer.
+    fn answer_silent(&mut self, now: Time, out: &mut Vec<Action>) {
+        let renewal = self.renewal();
         let mut due = Vec::new();
         for (_, state) in self.sessions.iter_mut() {
-            if state.waiting.is_some_and(|waiting| waiting.until <= now) {
-                due.extend(state.waiting.take().map(|waiting| waiting.call));
+            if state.heard + renewal <= now {
+                due.extend(state.waiting.pop_front());
             }
         }
         for call in due {
--- a/components/agent/src/sessions.rs
+++ b/components/agent/src/sessions.rs
@@ -9,22 +9,13 @@
 
 use crate::CallId;
 
-/// A token exchange that waits for news.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Waiting {
-    /// The call to answer.
-    pub call: CallId,
-    /// When to answer it without news.
-    pub until: Time,
-}
-
 /// One entry's session.
 #[derive(Clone, Debug)]
 pub(crate) struct SessionState {
     /// When the entry was last heard of on it.
     pub heard: Time,
-    /// The exchange that waits, if any.
-    pub waiting: Option<Waiting>,
+    /// Exchanges that wait for news, oldest first.
+    pub waiting: VecDeque<CallId>,
     /// News that no exchange took yet.
     pub news: SyncReply,
 }
@@ -52,7 +43,8 @@
         if self.closed.contains(&session) {
             return false;
         }
-        let fresh = SessionState { heard: now, waiting: None, news: SyncReply::default() };
+        let fresh =
+            SessionState { heard: now, waiting: VecDeque::new(), news: SyncReply::default() };
         self.open.entry(session).or_insert(fresh).heard = now;
         true
     }
@@ -91,11 +83,12 @@
         self.open.iter().filter(silent).map(|(session, _)| *session).collect()
     }
 
-    /// The next moment at which something is due.
-    pub fn next_timer(&self, lease: Duration) -> Option<Time> {
-        let due = |state: &SessionState| match state.waiting {
-            Some(waiting) => waiting.until,
-            None => state.heard + lease,
+    /// The next moment at which something is due: an answer without news after `renewal` of
+    /// silence, or the end of a lease.
+    pub fn next_timer(&self, renewal: Duration, lease: Duration) -> Option<Time> {
+        let due = |state: &SessionState| match state.waiting.is_empty() {
+            false => state.heard + renewal,
+            true => state.heard + lease,
         };
         self.open.values().map(due).min()
     }
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -177,6 +177,10 @@
         let Some(service) = self.services.get_mut(&at.service) else { return };
         let returned = service.pool.take(target, recalled);
         let holds = service.pool.idle_of(target) > 0 || service.asked_of(target) > 0;
+        if recalled > 0 && returned == 0 {
+            // The agent's asking back and this answer move nothing.
+            self.counters.messages.wasted(MessageKind::Sync, 2);
+        }
         if recalled > 0 || (holds && link.exchanges == 0) {
             self.exchange(now, target, returned, out);
         }
--- a/components/entry/src/place.rs
+++ b/components/entry/src/place.rs
@@ -61,8 +61,7 @@
         if gather.waiting() == 0 {
             service.queue.remove(&team, deadline, arrival, 0);
         }
-        let waiting = service.queue.tasks() > 0;
-        service.set_busy(service.busy + 1, now);
+        service.busy += 1;
         let idle = service.pool.idle();
         let wanted = service.wanted_now(target);
         let request = StartRequest {
@@ -71,7 +70,6 @@
             agent: sent.agent,
             task,
             deadline,
-            waiting,
             wanted,
         };
         self.send_start(target, request, idle, out);
@@ -109,7 +107,7 @@
         let Some(target) = self.targets.id(agent) else { return };
         let service = self.targets.get(target).service.clone();
         if let Some(service) = self.services.get_mut(&service) {
-            service.set_busy(service.busy.saturating_sub(1), now);
+            service.busy = service.busy.saturating_sub(1);
         }
         if let Some(target) = self.targets.on(agent, connection) {
             self.hear(target, now);
--- a/components/entry/src/service.rs
+++ b/components/entry/src/service.rs
@@ -2,8 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use model::{SubmissionId, Time};
-use placement::{FairQueue, Pool, Reserve, TargetId};
+use model::SubmissionId;
+use placement::{FairQueue, Pool, TargetId};
+
+/// Idle tokens to keep at hand, so that a first request finds one. More did not help: see
+/// docs/MEASURES.md.
+const RESERVE: u32 = 1;
 
 /// The queue and the targets of one service at one entry.
 #[derive(Debug)]
@@ -18,7 +22,6 @@
     pub asked_last: TargetId,
     asks: BTreeMap<TargetId, u32>,
     asked: u32,
-    reserve: Reserve,
 }
 
 impl Default for Service {
@@ -31,26 +34,16 @@
             asked_last: TargetId(0),
             asks: BTreeMap::new(),
             asked: 0,
-            reserve: Reserve::default(),
         }
     }
 }
 
 impl Service {
-    /// Notes a sent or ended task.
-    pub fn set_busy(&mut self, busy: u32, now: Time) {
-        self.reserve.note(self.busy as usize, now);
-        self.busy = busy;
-    }
-
-    /// Tokens that are needed besides the idle ones and those asked for already: what waits, and
-    /// the reserve once it is half used up.
+    /// Tokens that are needed besides the idle ones and those asked for already.
     pub fn tokens_needed(&self) -> u32 {
         let waiting = u32::try_from(self.queue.tasks()).unwrap_or(u32::MAX);
         let at_hand = self.pool.idle() + self.asked;
-        let reserve = self.reserve.target();
-        let reserve = if at_hand < waiting + reserve.div_ceil(2) { reserve } else { 0 };
-        (waiting + reserve).saturating_sub(at_hand).min(self.slots)
+        (waiting.saturating_add(RESERVE)).saturating_sub(at_hand)
     }
 
     /// Sets how many tokens a target is asked for.
@@ -62,11 +55,14 @@
         self.asked = self.asked + count - before.unwrap_or(0);
     }
 
-    /// Takes back what a target is asked for, where the idle tokens are enough by now.
+    /// What a target is asked for on a message that goes to it anyway: its part of what waits, or
+    /// nothing where the idle tokens are enough.
     pub fn wanted_now(&mut self, target: TargetId) -> u32 {
         let waiting = u32::try_from(self.queue.tasks()).unwrap_or(u32::MAX);
-        if self.pool.idle() >= waiting.saturating_add(self.reserve.target()) {
+        if self.pool.idle() >= waiting.saturating_add(RESERVE) {
             self.set_asked(target, 0);
+        } else if waiting > 0 {
+            self.set_asked(target, waiting.div_ceil(self.pool.len().max(1) as u32));
         }
         self.asked_of(target)
     }
--- a/components/execution/src/ledger.rs
+++ b/components/execution/src/ledger.rs
@@ -3,6 +3,7 @@
 //! Each idle slot is free, or lent to exactly one entry's session as a token. Tokens travel on
 //! messages that flow anyway: a start spends one, its answer gives it back.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
@@ -20,6 +21,9 @@
     idle: u32,
     /// Tasks running.
     busy: u32,
+    /// Of these, tokens lent since the session was last heard of: it asked for them, and is about
+    /// to spend them.
+    fresh: u32,
     /// Tokens asked for and not yet lent.
     wanted: u32,
     /// Tokens asked back and not yet returned.
@@ -30,6 +34,45 @@
     fn total(self) -> u32 {
         self.idle + self.busy
     }
+
+    /// Tokens that can be asked back.
+    fn spare(self) -> u32 {
+        self.idle.saturating_sub(self.fresh)
+    }
+
+    fn need(self) -> Need {
+        Need { wanted: self.wanted, total: self.total() }
+    }
+}
+
+/// How much a session waits for beside what it has; the greater, the more it needs a token.
+#[derive(Clone, Copy, Debug)]
+struct Need {
+    wanted: u32,
+    total: u32,
+}
+
+impl PartialEq for Need {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Need {}
+
+impl PartialOrd for Need {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Need {
+    /// Compares wanted / (total + 1), without fractions.
+    fn cmp(&self, other: &Self) -> Ordering {
+        let left = u64::from(self.wanted) * u64::from(other.total + 1);
+        let right = u64::from(other.wanted) * u64::from(self.total + 1);
+        left.cmp(&right)
+    }
 }
 
 /// What the ledger wants told to a session.
@@ -84,7 +127,9 @@
 
     /// Sets what a session asks for, in all; replaces what it asked before.
     pub fn want(&mut self, session: Session, wanted: u32) {
-        self.accounts.entry(session).or_default().wanted = wanted;
+        let account = self.accounts.entry(session).or_default();
+        account.wanted = wanted;
+        account.fresh = 0;
         if wanted > 0 && !self.leaving {
             self.waiters.add(session);
         } else {
@@ -125,17 +170,17 @@
 
     /// Ends a task that a session started; returns whether the session keeps the token.
     ///
-    /// `waiting` says whether the session has work waiting for it. A session keeps its token
-    /// unless another waits that has fewer, or has work where this one has none.
-    pub fn finish(&mut self, session: Session, waiting: bool) -> bool {
+    /// It goes to the session that waits for the most beside what it has, so that the slots are
+    /// shared by what waits at each entry; the one that has it keeps it among equals.
+    pub fn finish(&mut self, session: Session) -> bool {
         let Some(account) = self.accounts.get_mut(&session) else {
             self.orphans = self.orphans.saturating_sub(1);
             return false;
         };
         debug_assert!(account.busy > 0, "a finished task was running");
         account.busy = account.busy.saturating_sub(1);
-        let own = account.total();
-        if self.leaving || self.paused || self.another_deserves(session, own, waiting) {
+        let own = account.need();
+        if self.leaving || self.paused || self.another_needs_more(session, own) {
             return false;
         }
         if let Some(account) = self.accounts.get_mut(&session) {
@@ -144,15 +189,10 @@
         true
     }
 
-    fn another_deserves(&self, session: Session, own: u32, waiting: bool) -> bool {
-        let fewest = self
-            .waiters
-            .iter()
-            .filter(|waiter| *waiter != session)
-            .filter_map(|waiter| self.accounts.get(&waiter))
-            .map(|account| account.total())
-            .min();
-        fewest.is_some_and(|total| !waiting || total < own)
+    fn another_needs_more(&self, session: Session, own: Need) -> bool {
+        let others = self.waiters.iter().filter(|waiter| *waiter != session);
+        let accounts = others.filter_map(|waiter| self.accounts.get(&waiter));
+        accounts.map(|account| account.need()).any(|need| need > own)
     }
 
     /// Forgets a session whose connection is gone: its tokens are free, its tasks run on.
@@ -206,6 +246,7 @@
             let Some(session) = self.neediest() else { return };
             let Some(account) = self.accounts.get_mut(&session) else { return };
             account.idle += 1;
+            account.fresh += 1;
             account.wanted -= 1;
             if account.wanted == 0 {
                 self.waiters.remove(session);
@@ -214,10 +255,14 @@
         }
     }
 
-    /// The waiting session with the fewest slots, the longest waiting of several.
+    /// The waiting session that needs a token most, the longest waiting of several.
     fn neediest(&self) -> Option<Session> {
-        let total = |session: &Session| self.accounts.get(session).map(|account| account.total());
-        self.waiters.iter().filter(|session| total(session).is_some()).min_by_key(total)
+        let need = |session: &Session| self.accounts.get(session).map(|account| account.need());
+        let waiting = self.waiters.iter().filter(|session| need(session).is_some());
+        // Of equals the last is taken, so the longest waiting comes last.
+        let mut waiting: Vec<Session> = waiting.collect();
+        waiting.reverse();
+        waiting.into_iter().max_by_key(need)
     }
 
     /// Asks the session with the most idle tokens for half of what it has more than the neediest.
@@ -227,14 +272,18 @@
             return;
         }
         let needy = self.accounts.get(&neediest).copied().unwrap_or_default();
-        let others = self.accounts.iter_mut().filter(|(session, _)| **session != neediest);
-        let Some((session, richest)) = others.max_by_key(|(_, account)| account.idle) else {
+        // One that waits itself will use what it has.
+        let lends = |(session, account): &(&Session, &mut Account)| {
+            **session != neediest && account.wanted == 0
+        };
+        let others = self.accounts.iter_mut().filter(lends);
+        let Some((session, richest)) = others.max_by_key(|(_, account)| account.spare()) else {
             return;
         };
-        if richest.idle <= needy.idle {
+        if richest.spare() <= needy.idle {
             return;
         }
-        let count = needy.wanted.min((richest.idle - needy.idle).div_ceil(2));
+        let count = needy.wanted.min((richest.spare() - needy.idle).div_ceil(2));
         richest.recalled = count;
         out.push(Turn::Recall(*session, count));
     }
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -6,8 +6,6 @@
 
 mod fair;
 mod pool;
-mod reserve;
 
 pub use fair::FairQueue;
 pub use pool::{Pool, Profile, TargetId};
-pub use reserve::Reserve;
--- a/components/wire/src/agent.rs
+++ b/components/wire/src/agent.rs
@@ -47,9 +47,7 @@
     pub task: Arc<str>,
     /// When its answer is of no more use.
     pub deadline: Time,
-    /// Whether the owner has more work waiting for a slot.
-    pub waiting: bool,
-    /// Tokens that the owner now asks this agent for, in all.
+    /// Tokens that the owner now asks this agent for, in all: its part of what waits.
     pub wanted: u32,
 }
 
