A task waits for a better target before it takes a straggling one

Cause: with one target of ten at a third of the speed, p99 over ideal was 2.98: an entry placed there at once whenever it held no other token.

Change: targets that straggle, or whose host is suspected, are used only by a job that has waited a mean service time; their tokens do not count as at hand, so that others are asked for meanwhile.

--- a/components/entry/src/entry.rs
+++ b/components/entry/src/entry.rs
@@ -182,6 +182,7 @@
             match due {
                 Due::Round => self.round_over(now, id, out),
                 Due::Inquiry => self.inquiry_over(id, out),
+                Due::AnyTarget => self.any_target(now, id, out),
                 Due::Deadline => self.deadline_passed(id, out),
             }
         }
--- a/components/entry/src/intake.rs
+++ b/components/entry/src/intake.rs
@@ -183,6 +183,7 @@
             label: Arc::from(format!("{}/{}", request.service, request.kind)),
             arrival: self.arrivals,
             deadline: deadline_at(now, catalog, kind.as_deref(), request),
+            waits_since: now,
             kind,
             claimed_before: false,
             may_relay: true,
--- a/components/entry/src/job.rs
+++ b/components/entry/src/job.rs
@@ -43,6 +43,8 @@
     /// Counts up by arrival.
     pub arrival: u64,
     pub deadline: Time,
+    /// Since when its tasks wait for slots.
+    pub waits_since: Time,
     /// Whether this life of the entry has claimed it before.
     pub claimed_before: bool,
     /// Whether it may be handed to another entry; not where another handed it over.
--- a/components/entry/src/place.rs
+++ b/components/entry/src/place.rs
@@ -5,16 +5,22 @@
 use execution::TaskOutcome;
 use model::{Code, Failure, NodeName, SubmissionId, TaskKey, Time, Verdict};
 use placement::TargetId;
+use settings::KindSettings;
 use telemetry::{Breach, MessageKind, Step};
 use wire::{StartReply, StartRequest, StartResult};
 
 use crate::gather::Sent;
 use crate::job::Phase;
+use crate::kinds::Kinds;
+use crate::table::Due;
 use crate::{Action, Connection, Entry, News};
 
 impl Entry {
     /// Lets an admitted job wait for slots and places what can be placed at once.
     pub(crate) fn enqueue(&mut self, now: Time, id: SubmissionId, out: &mut Vec<Action>) {
+        if let Some(job) = self.table.get_mut(id) {
+            job.waits_since = now;
+        }
         self.wait(id);
         let Some(kind) = self.table.get(id).and_then(|job| job.kind.clone()) else { return };
         self.dispatch(now, &kind.service, out);
@@ -52,8 +58,15 @@
         let Some(job) = self.table.get_mut(id) else { return false };
         let (team, deadline, arrival) = (job.team.clone(), job.deadline, job.arrival);
         let origin = if job.repeatable { self.setup.node.incarnation.0 } else { 0 };
+        let patience = patience(&self.kinds, job.kind.as_deref());
+        let (any, any_at) = (now.since(job.waits_since) >= patience, job.waits_since + patience);
         let Phase::Active(gather) = &mut job.phase else { return false };
-        let Some(target) = service.pool.spend(|rack| gather.on_rack(rack)) else { return false };
+        let Some(target) = service.pool.spend(any, |rack| gather.on_rack(rack)) else {
+            if !any && service.pool.idle() > 0 {
+                self.table.at(any_at, id, Due::AnyTarget);
+            }
+            return false;
+        };
         let at = self.targets.get(target);
         let sent = Sent { target, agent: at.node.incarnation, at: now };
         let Some((index, attempt, task)) = gather.send(sent, at.rack) else { return false };
@@ -76,6 +89,12 @@
         true
     }
 
+    /// A job has waited long enough for any target.
+    pub(crate) fn any_target(&mut self, now: Time, id: SubmissionId, out: &mut Vec<Action>) {
+        let Some(kind) = self.table.get(id).and_then(|job| job.kind.clone()) else { return };
+        self.dispatch(now, &kind.service, out);
+    }
+
     fn send_start(
         &mut self,
         target: TargetId,
@@ -289,3 +308,10 @@
         }
     }
 }
+
+/// How long a task waits for a better target before it takes one that straggles: about as long
+/// as it would lose there.
+fn patience(kinds: &Kinds, kind: Option<&KindSettings>) -> Duration {
+    let Some(kind) = kind else { return Duration::ZERO };
+    kinds.times(kind).map_or(kind.expected, |times| times.mean())
+}
--- a/components/entry/src/service.rs
+++ b/components/entry/src/service.rs
@@ -42,7 +42,7 @@
     /// Tokens that are needed besides the idle ones and those asked for already.
     pub fn tokens_needed(&self) -> u32 {
         let waiting = u32::try_from(self.queue.tasks()).unwrap_or(u32::MAX);
-        let at_hand = self.pool.idle() + self.asked;
+        let at_hand = self.pool.ready() + self.asked;
         (waiting.saturating_add(RESERVE)).saturating_sub(at_hand)
     }
 
@@ -59,7 +59,7 @@
     /// nothing where the idle tokens are enough.
     pub fn wanted_now(&mut self, target: TargetId) -> u32 {
         let waiting = u32::try_from(self.queue.tasks()).unwrap_or(u32::MAX);
-        if self.pool.idle() >= waiting.saturating_add(RESERVE) {
+        if self.pool.ready() >= waiting.saturating_add(RESERVE) {
             self.set_asked(target, 0);
         } else if waiting > 0 {
             self.set_asked(target, waiting.div_ceil(self.pool.len().max(1) as u32));
--- a/components/entry/src/table.rs
+++ b/components/entry/src/table.rs
@@ -17,6 +17,8 @@
     Round,
     /// Holders that have not replied to a question are taken as silent.
     Inquiry,
+    /// Its tasks have waited long enough for any target.
+    AnyTarget,
     /// The deadline.
     Deadline,
 }
--- a/components/placement/src/pool.rs
+++ b/components/placement/src/pool.rs
@@ -31,6 +31,10 @@
 }
 
 impl Target {
+    fn ready(&self) -> u32 {
+        if self.profile.penalty == 0 { self.idle } else { 0 }
+    }
+
     fn rank(&self, id: TargetId) -> Rank {
         (self.profile.penalty, self.profile.remote, u32::MAX - self.idle, self.used, id)
     }
@@ -42,6 +46,8 @@
     targets: BTreeMap<TargetId, Target>,
     ranked: BTreeSet<Rank>,
     idle: u32,
+    /// Of these, tokens of targets that are not to be avoided.
+    ready: u32,
     uses: u64,
 }
 
@@ -58,6 +64,7 @@
         if let Some(old) = self.targets.remove(&id) {
             self.ranked.remove(&old.rank(id));
             self.idle -= old.idle;
+            self.ready -= old.ready();
         }
     }
 
@@ -76,12 +83,16 @@
         taken
     }
 
-    /// Spends a token for a task of a job and tells where the task goes.
+    /// Spends a token for a task of a job and tells where the task goes. Targets that are to be
+    /// avoided are only used where `any` says so.
     ///
     /// `tasks_on_rack` says how many tasks of the job a rack has; among the best few targets that
     /// are alike otherwise, the one on the rack with the fewest wins.
-    pub fn spend(&mut self, tasks_on_rack: impl Fn(u32) -> u32) -> Option<TargetId> {
+    pub fn spend(&mut self, any: bool, tasks_on_rack: impl Fn(u32) -> u32) -> Option<TargetId> {
         let best = *self.ranked.first()?;
+        if best.0 > 0 && !any {
+            return None;
+        }
         let alike = |rank: &&Rank| (rank.0, rank.1) == (best.0, best.1);
         let look = self.ranked.iter().take(SPREAD_LOOK).take_while(alike);
         let id = look.map(|rank| rank.4).min_by_key(|id| tasks_on_rack(self.rack(*id)))?;
@@ -101,6 +112,11 @@
         self.idle
     }
 
+    /// Idle tokens of the targets that are not to be avoided.
+    pub fn ready(&self) -> u32 {
+        self.ready
+    }
+
     /// Idle tokens of one target.
     pub fn idle_of(&self, id: TargetId) -> u32 {
         self.targets.get(&id).map_or(0, |target| target.idle)
@@ -133,10 +149,12 @@
         if let Some(old) = self.targets.insert(id, target) {
             self.ranked.remove(&old.rank(id));
             self.idle -= old.idle;
+            self.ready -= old.ready();
         }
         if target.idle > 0 {
             self.ranked.insert(target.rank(id));
         }
         self.idle += target.idle;
+        self.ready += target.ready();
     }
 }
--- a/components/placement/tests/placement.rs
+++ b/components/placement/tests/placement.rs
@@ -25,17 +25,25 @@
 fn near_and_idle_targets_come_first_and_stragglers_last() {
     let mut pool =
         pool(&[(profile(false, 1, 1), 8), (profile(true, 2, 0), 8), (profile(false, 3, 0), 1)]);
-    let order: Vec<u32> = (0..10).map(|_| pool.spend(|_| 0).unwrap().0).collect();
+    let order: Vec<u32> = (0..10).map(|_| pool.spend(true, |_| 0).unwrap().0).collect();
     assert_eq!(order, [2, 1, 1, 1, 1, 1, 1, 1, 1, 0]);
 }
 
+#[test]
+fn targets_to_be_avoided_are_used_only_when_told() {
+    let mut pool = pool(&[(profile(false, 1, 1), 2)]);
+    assert_eq!((pool.idle(), pool.ready()), (2, 0));
+    assert_eq!(pool.spend(false, |_| 0), None);
+    assert_eq!(pool.spend(true, |_| 0), Some(TargetId(0)));
+}
+
 #[test]
 fn a_job_spreads_over_racks() {
     let rack = |number| (profile(false, number, 0), 4);
     let mut pool = pool(&[rack(1), rack(1), rack(2), rack(3)]);
     let mut on_rack: HashMap<u32, u32> = HashMap::new();
     for _ in 0..6 {
-        let id = pool.spend(|rack| on_rack.get(&rack).copied().unwrap_or(0)).unwrap();
+        let id = pool.spend(true, |rack| on_rack.get(&rack).copied().unwrap_or(0)).unwrap();
         *on_rack.entry(pool.rack(id)).or_default() += 1;
     }
     assert_eq!(on_rack, HashMap::from([(1, 2), (2, 2), (3, 2)]));
@@ -88,7 +96,7 @@
                     let taken = pool.take(id, tokens);
                     if let Some(idle) = expected.get_mut(&target) { *idle -= taken; }
                 }
-                _ => match pool.spend(|_| 0) {
+                _ => match pool.spend(true, |_| 0) {
                     Some(id) => *expected.get_mut(&id.0).unwrap() -= 1,
                     None => prop_assert_eq!(expected.values().sum::<u32>(), 0),
                 }
