A start that is refused gives its token back

Cause: under twice the capacity the slots in use fell from 80 to about 70 within seconds and went on falling: a start refused as too late had not spent its token at the agent, while the entry had, and nobody gave it back.

Change: replies to starts that spent nothing return the token.

--- a/bench/src/policy/baseline.rs
+++ b/bench/src/policy/baseline.rs
@@ -185,5 +185,6 @@
         let done: Time = self.clock.now + CLIENT_LINK;
         let response: Duration = done.since(job.at);
         self.measured.answered(response, job.ideal());
+        self.measured.useful += self.workload.share_of(job);
     }
 }
--- a/components/agent/src/agent.rs
+++ b/components/agent/src/agent.rs
@@ -233,18 +233,19 @@
     ) {
         if request.agent != self.setup.node.incarnation {
             self.counters.stale += 1;
-            return self.reply_start(call, StartResult::Unknown, false, out);
+            let token = self.unspent_token(session);
+            return self.reply_start(call, StartResult::Unknown, token, out);
         }
         if let Some(known) = self.table.look(request.key, &request.owner) {
-            return self.start_known(call, &request, known, out);
+            return self.start_known(session, call, &request, known, out);
         }
         if now >= request.deadline {
-            return self.refuse(call, &request, StartRefusal::TooLate, out);
+            return self.refuse(session, call, &request, StartRefusal::TooLate, out);
         }
         if !self.ledger.spend(session) {
             let leaving = self.ledger.is_leaving();
             let why = if leaving { StartRefusal::Leaving } else { StartRefusal::NoSlot };
-            return self.refuse(call, &request, why, out);
+            return self.refuse(session, call, &request, why, out);
         }
         self.start_new(session, call, request, out);
     }
@@ -272,6 +273,7 @@
     /// A start of a task that the table knows: answered from it, never started again.
     fn start_known(
         &mut self,
+        session: Session,
         call: CallId,
         request: &StartRequest,
         known: StartOutcome,
@@ -295,13 +297,20 @@
                 StartResult::Unknown
             }
         };
-        self.reply_start(call, result, false, out);
+        let token = self.unspent_token(session);
+        self.reply_start(call, result, token, out);
+    }
+
+    /// Whether a session has a token that it sent with a start that did not spend it.
+    fn unspent_token(&self, session: Session) -> bool {
+        self.ledger.idle(session) > 0
     }
 
     /// Refuses a start with proof: the task is barred, so that a copy of the frame that comes
     /// later can't start it either.
     fn refuse(
         &mut self,
+        session: Session,
         call: CallId,
         request: &StartRequest,
         why: StartRefusal,
@@ -313,7 +322,8 @@
             Settled::NotRun => StartResult::NotRun(why),
             _ => StartResult::Unknown,
         };
-        self.reply_start(call, result, false, out);
+        let token = self.unspent_token(session);
+        self.reply_start(call, result, token, out);
     }
 
     fn reply_start(
