--- a/bench/src/policy/tokens.rs
+++ b/bench/src/policy/tokens.rs
@@ -124,8 +124,8 @@
             let setup = entry::Setup { node: entry_node(number), hall: "h1".to_owned() };
             self.entries.push(Entry::new(setup));
             let catalog = catalog.clone();
-            self.to_entry(number, Event::Settings { catalog });
-            self.to_entry(number, Event::Entries { count: SHARES.len() as u32 });
+            self.deliver_to_entry(number, Event::Settings { catalog });
+            self.deliver_to_entry(number, Event::Entries { count: SHARES.len() as u32 });
             self.clock.after(TICK, Happening::EntryTick(number));
             for agent in 0..TARGETS {
                 let request = Request::Hello(HelloRequest { entry: entry_node(number) });
@@ -150,24 +150,24 @@
             Happening::Arrives(job) => self.arrives(job),
             Happening::Call { entry, agent, call, request } => {
                 let session = Session(entry as u64);
-                self.to_agent(agent, agent::Event::Call { session, call, request });
+                self.deliver_to_agent(agent, agent::Event::Call { session, call, request });
             }
             Happening::Reply { entry, agent, call, reply } => {
                 self.reply_arrives(entry, agent, call, *reply);
             }
             Happening::Ends { agent, key } => {
                 let outcome = TaskOutcome::Answer("done".into());
-                self.to_agent(agent, agent::Event::Ended { key, outcome });
+                self.deliver_to_agent(agent, agent::Event::Ended { key, outcome });
             }
             Happening::EntryTick(entry) => {
-                self.to_entry(entry, Event::Tick);
+                self.deliver_to_entry(entry, Event::Tick);
                 let due = self.entries[entry].next_timer();
                 let next = due.map_or(TICK, |due| due.since(self.clock.now)).min(TICK);
                 let next = next.max(Duration::from_millis(1));
                 self.clock.after(next, Happening::EntryTick(entry));
             }
             Happening::AgentTick(agent) => {
-                self.to_agent(agent, agent::Event::Tick);
+                self.deliver_to_agent(agent, agent::Event::Tick);
                 self.clock.after(TICK, Happening::AgentTick(agent));
             }
             Happening::Killed(agent) => self.killed(agent),
@@ -188,10 +188,10 @@
             repeatable: !self.claims,
         };
         let ticket = Ticket(number as u64);
-        self.to_entry(entry, Event::Submit { ticket, request, relayed: false });
+        self.deliver_to_entry(entry, Event::Submit { ticket, request, relayed: false });
     }
 
-    fn to_entry(&mut self, number: usize, event: Event) {
+    fn deliver_to_entry(&mut self, number: usize, event: Event) {
         let mut actions = Vec::new();
         self.entries[number].handle(self.clock.now, event, &mut actions);
         for action in actions {
@@ -230,7 +230,7 @@
         self.clock.after(self.workload.link, Happening::Call { entry, agent, call, request });
     }
 
-    fn to_agent(&mut self, number: usize, event: agent::Event) {
+    fn deliver_to_agent(&mut self, number: usize, event: agent::Event) {
         let Some(agent) = &mut self.agents[number] else { return };
         let mut actions = Vec::new();
         agent.handle(self.clock.now, event, &mut actions);
@@ -274,7 +274,7 @@
             }
             _ => return,
         };
-        self.to_entry(entry, event);
+        self.deliver_to_entry(entry, event);
     }
 
     /// A worker dies: its connections break, and it refuses new ones.
@@ -283,8 +283,8 @@
         let name = agent_node(number).name;
         for entry in 0..self.entries.len() {
             let connection = Connection(number as u64);
-            self.to_entry(entry, Event::Down { agent: name.clone(), connection });
-            self.to_entry(entry, Event::Dead { agent: name.clone() });
+            self.deliver_to_entry(entry, Event::Down { agent: name.clone(), connection });
+            self.deliver_to_entry(entry, Event::Dead { agent: name.clone() });
         }
         let lost = |(_, (agent, _)): &(&CallId, &(usize, Called))| *agent == number;
         let mut calls: Vec<CallId> = self.calls.iter().filter(lost).map(|(id, _)| *id).collect();
@@ -302,7 +302,7 @@
                 Called::Settle(key) => Event::Settled { agent, key, reply: None },
                 Called::Hello | Called::Sync => continue,
             };
-            self.to_entry(entry, event);
+            self.deliver_to_entry(entry, event);
         }
     }
 
--- a/components/entry/src/entry.rs
+++ b/components/entry/src/entry.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use claims::{HOLDERS, Member, View, Views, Window};
-use model::{Code, NodeRef, SubmissionId, Time};
+use model::{Code, NodeRef, SubmissionId, TaskKey, Time};
 use settings::{Catalog, Fleet};
 use telemetry::{Breach, Decision, EntryCounters, MessageKind, Step};
 use wire::RelayReply;
 
 use crate::inquiry::Inquiry;
 use crate::job::Job;
-use crate::kinds::Kinds;
+use crate::kinds::{Flight, Kinds};
 use crate::service::Service;
 use crate::table::{Due, Table};
 use crate::targets::Targets;
@@ -41,10 +41,12 @@
     pub(crate) targets: Targets,
     pub(crate) services: HashMap<String, Service>,
     pub(crate) kinds: Kinds,
+    /// Tasks sent to agents that have not replied.
+    pub(crate) flights: HashMap<TaskKey, Flight>,
     pub(crate) counters: EntryCounters,
     pub(crate) arrivals: u64,
     owner_calls: u64,
-    now: Time,
+    pub(crate) now: Time,
     expired: Time,
 }
 
@@ -63,6 +65,7 @@
             targets: Targets::default(),
             services: HashMap::new(),
             kinds: Kinds::default(),
+            flights: HashMap::new(),
             counters: EntryCounters::default(),
             arrivals: 0,
             owner_calls: 0,
--- a/components/entry/src/kinds.rs
+++ b/components/entry/src/kinds.rs
@@ -1,8 +1,10 @@
 //! What an entry has measured of each kind.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use admission::ServiceTimes;
+use model::Time;
 use settings::KindSettings;
 
 /// Most retries saved up, so that a calm hour does not allow a storm.
@@ -31,6 +33,13 @@
     }
 }
 
+/// A task on its way to a target and back.
+#[derive(Clone, Debug)]
+pub(crate) struct Flight {
+    pub kind: Arc<KindSettings>,
+    pub at: Time,
+}
+
 /// Every kind that was asked for.
 #[derive(Debug, Default)]
 pub(crate) struct Kinds {
--- a/components/entry/src/place.rs
+++ b/components/entry/src/place.rs
@@ -11,7 +11,7 @@
 
 use crate::gather::Sent;
 use crate::job::Phase;
-use crate::kinds::Kinds;
+use crate::kinds::{Flight, Kinds};
 use crate::table::Due;
 use crate::{Action, Connection, Entry, News};
 
@@ -55,11 +55,18 @@
     fn place_next(&mut self, now: Time, name: &str, out: &mut Vec<Action>) -> bool {
         let Some(service) = self.services.get_mut(name) else { return false };
         let Some(id) = service.queue.head() else { return false };
+        if self.is_hopeless(now, id) {
+            self.give_up(id, out);
+            return true;
+        }
+        let Some(service) = self.services.get_mut(name) else { return false };
         let Some(job) = self.table.get_mut(id) else { return false };
         let (team, deadline, arrival) = (job.team.clone(), job.deadline, job.arrival);
         let origin = if job.repeatable { self.setup.node.incarnation.0 } else { 0 };
         let patience = patience(&self.kinds, job.kind.as_deref());
-        let (any, any_at) = (now.since(job.waits_since) >= patience, job.waits_since + patience);
+        // Compared as moments, which are whole microseconds: a timer at `any_at` finds it reached.
+        let any_at = job.waits_since + patience;
+        let any = now >= any_at;
         let Phase::Active(gather) = &mut job.phase else { return false };
         let Some(target) = service.pool.spend(any, |rack| gather.on_rack(rack)) else {
             if !any && service.pool.idle() > 0 {
@@ -89,6 +96,25 @@
         true
     }
 
+    /// Whether a job that waits can't meet its deadline any more, even if slots came now.
+    fn is_hopeless(&self, now: Time, id: SubmissionId) -> bool {
+        let Some(job) = self.table.get(id) else { return false };
+        let (Some(kind), Some(gather)) = (&job.kind, job.gather()) else { return false };
+        let Some(times) = self.kinds.times(kind) else { return false };
+        now + times.slowest_of(gather.waiting()) > job.deadline
+    }
+
+    /// Ends a job that can't meet its deadline, so that its slots go to one that can.
+    fn give_up(&mut self, id: SubmissionId, out: &mut Vec<Action>) {
+        let Some(verdict) = self.table.get(id).and_then(|job| job.gather()).map(|g| g.verdict())
+        else {
+            return;
+        };
+        let message = "the deadline can't be met any more";
+        let failure = Failure::new(Code::DeadlinePassed, verdict, message);
+        self.finish(id, Err(failure), out);
+    }
+
     /// A job has waited long enough for any target.
     pub(crate) fn any_target(&mut self, now: Time, id: SubmissionId, out: &mut Vec<Action>) {
         let Some(kind) = self.table.get(id).and_then(|job| job.kind.clone()) else { return };
@@ -107,6 +133,9 @@
         let Some(connection) = at.connection() else { return };
         let key = request.key;
         self.counters.placed += 1;
+        if let Some(kind) = self.table.get(key.submission).and_then(|job| job.kind.clone()) {
+            self.flights.insert(key, Flight { kind, at: self.now });
+        }
         self.sent(MessageKind::Start);
         out.push(Action::Start { agent: agent.clone(), connection, request });
         let step = Step::Place { index: key.index, target: agent, idle };
@@ -125,6 +154,12 @@
     ) {
         let Some(target) = self.targets.id(agent) else { return };
         let service = self.targets.get(target).service.clone();
+        let flight = self.flights.remove(&key);
+        let answered = matches!(&reply, Some(StartReply { result: StartResult::Ended(end), .. })
+            if matches!(end, TaskOutcome::Answer(_)));
+        if let Some(flight) = flight.filter(|_| answered) {
+            self.note_time(&flight, target, now, out);
+        }
         if let Some(service) = self.services.get_mut(&service) {
             service.busy = service.busy.saturating_sub(1);
         }
@@ -134,7 +169,7 @@
             self.add_tokens(target, u32::from(token));
         }
         match reply {
-            Some(reply) => self.start_result(now, target, key, reply.result, out),
+            Some(reply) => self.start_result(now, key, reply.result, out),
             None => self.fate_open(now, target, key, out),
         }
         self.dispatch(now, &service, out);
@@ -144,13 +179,12 @@
     fn start_result(
         &mut self,
         now: Time,
-        target: TargetId,
         key: TaskKey,
         result: StartResult,
         out: &mut Vec<Action>,
     ) {
         match result {
-            StartResult::Ended(outcome) => self.ended(now, target, key, outcome, out),
+            StartResult::Ended(outcome) => self.ended(now, key, outcome, out),
             StartResult::NotRun(_) => {
                 // The start and its refusal did no work.
                 self.counters.messages.wasted(MessageKind::Start, 2);
@@ -165,7 +199,6 @@
     pub(crate) fn ended(
         &mut self,
         now: Time,
-        target: TargetId,
         key: TaskKey,
         outcome: TaskOutcome,
         out: &mut Vec<Action>,
@@ -175,15 +208,14 @@
             self.counters.late += 1;
             return;
         };
-        let Some(sent) = gather.sent(key.index, key.attempt) else {
+        if gather.sent(key.index, key.attempt).is_none() {
             self.counters.late += 1;
             return;
-        };
+        }
         match outcome {
             TaskOutcome::Answer(text) => {
                 gather.answer(key.index, key.attempt, text);
                 let whole = gather.is_whole();
-                self.note_time(id, target, now.since(sent.at), out);
                 if whole {
                     self.complete(id, out);
                 }
@@ -199,16 +231,11 @@
         }
     }
 
-    /// Notes how long a task took, for estimates and to tell stragglers.
-    fn note_time(
-        &mut self,
-        id: SubmissionId,
-        target: TargetId,
-        time: Duration,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(kind) = self.table.get(id).and_then(|job| job.kind.clone()) else { return };
-        let times = &mut self.kinds.get_mut(&kind).times;
+    /// Notes how long a task took, for estimates and to tell stragglers. Those whose job has its
+    /// outcome already count too: without them long tasks would seem rarer than they are.
+    fn note_time(&mut self, flight: &Flight, target: TargetId, now: Time, out: &mut Vec<Action>) {
+        let time = now.since(flight.at);
+        let times = &mut self.kinds.get_mut(&flight.kind).times;
         let over_mean = time.as_secs_f64() / times.mean().as_secs_f64().max(0.001);
         times.record(time);
         let at = self.targets.get_mut(target);
--- a/components/entry/src/settle.rs
+++ b/components/entry/src/settle.rs
@@ -66,7 +66,7 @@
         match reply {
             None => self.fate_open(now, target, key, out),
             Some(SettleReply::NotRun) => self.place_again(now, key, out),
-            Some(SettleReply::Ended(outcome)) => self.ended(now, target, key, outcome, out),
+            Some(SettleReply::Ended(outcome)) => self.ended(now, key, outcome, out),
             Some(SettleReply::OutcomeDropped) => self.outcome_dropped(key, out),
             Some(SettleReply::Unknown) => {
                 self.task_lost(now, key, "its agent restarted since", out);
