--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -22,6 +22,11 @@
             Command::new("slopes")
                 .about("Memory, processor time and messages of the libraries at growing sizes"),
         )
+        .subcommand(
+            Command::new("changes")
+                .about("How long keepers with synced disks take to accept a change")
+                .arg(number("changes", "300", "Changes, one after the other")),
+        )
         .subcommand(
             Command::new("policy")
                 .about("Placement policies under load, through the decision libraries, in virtual time")
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! `dockpass-bench`: load through all roles on loopback, with stand-in targets.
 
+mod changes;
 mod cli;
 mod load;
 mod path;
@@ -23,6 +24,7 @@
     let result = match arguments.subcommand() {
         Some(("path", own)) => path::run(own),
         Some(("slopes", _)) => slopes::run(),
+        Some(("changes", own)) => changes::run(own),
         Some(("policy", own)) => policy::run(own),
         _ => Err("no subcommand".to_owned()),
     };
