--- a/components/admission/src/service_times.rs
+++ b/components/admission/src/service_times.rs
@@ -15,48 +15,66 @@
 #[derive(Clone, Debug)]
 pub struct ServiceTimes {
     expected: Duration,
-    recent: Histogram<u32>,
-    older: Histogram<u32>,
+    recent: Window,
+    older: Window,
+}
+
+/// Some times, with their sum, so that the mean costs nothing.
+#[derive(Clone, Debug)]
+struct Window {
+    histogram: Histogram<u32>,
+    sum: Duration,
+}
+
+impl Window {
+    fn mean(&self) -> Duration {
+        let count = u32::try_from(self.histogram.len()).unwrap_or(u32::MAX);
+        self.sum / count.max(1)
+    }
 }
 
 impl ServiceTimes {
     /// No times yet; `expected` stands in until there are enough.
     pub fn new(expected: Duration) -> Self {
-        let empty = Histogram::new_with_bounds(1, LONGEST_MS, 1).expect("constant bounds");
+        let histogram = Histogram::new_with_bounds(1, LONGEST_MS, 1).expect("constant bounds");
+        let empty = Window { histogram, sum: Duration::ZERO };
         Self { expected, recent: empty.clone(), older: empty }
     }
 
     /// Adds the time of one task.
     pub fn record(&mut self, time: Duration) {
         let millis = u64::try_from(time.as_millis()).unwrap_or(LONGEST_MS);
-        self.recent.saturating_record(millis.clamp(1, LONGEST_MS));
-        if self.recent.len() >= WINDOW {
+        self.recent.histogram.saturating_record(millis.clamp(1, LONGEST_MS));
+        self.recent.sum += time;
+        if self.recent.histogram.len() >= WINDOW {
             std::mem::swap(&mut self.recent, &mut self.older);
-            self.recent.reset();
+            self.recent.histogram.reset();
+            self.recent.sum = Duration::ZERO;
         }
     }
 
-    fn known(&self) -> &Histogram<u32> {
-        if self.older.len() > self.recent.len() { &self.older } else { &self.recent }
+    fn known(&self) -> &Window {
+        let older = self.older.histogram.len() > self.recent.histogram.len();
+        if older { &self.older } else { &self.recent }
     }
 
     /// The mean time.
     pub fn mean(&self) -> Duration {
         let known = self.known();
-        if known.len() < ENOUGH {
+        if known.histogram.len() < ENOUGH {
             return self.expected;
         }
-        Duration::from_secs_f64(known.mean() / 1_000.0)
+        known.mean()
     }
 
     /// The time within which the slowest of so many tasks ends, more likely than not.
     pub fn slowest_of(&self, tasks: usize) -> Duration {
         let known = self.known();
-        if known.len() < ENOUGH {
+        if known.histogram.len() < ENOUGH {
             return self.expected;
         }
         let quantile = 0.5_f64.powf(1.0 / tasks.max(1) as f64);
-        Duration::from_millis(known.value_at_quantile(quantile))
+        Duration::from_millis(known.histogram.value_at_quantile(quantile))
     }
 }
 
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -5,7 +5,9 @@
 
 mod agent;
 mod event;
+mod exchange;
 mod sessions;
+mod tasks;
 
 pub use agent::{Agent, Setup};
 pub use event::{Action, CallId, Event, News, Reply, Request};
--- /dev/null
+++ b/components/agent/src/tasks.rs
@@ -0,0 +1,178 @@
+//! Tasks: started once, settled, ended.
+
+use execution::{Session, Settled, StartOutcome, TaskOutcome};
+use model::{TaskKey, Time};
+use telemetry::Breach;
+use wire::{SettleReply, SettleRequest, StartRefusal, StartReply, StartRequest, StartResult};
+
+use crate::{Action, Agent, CallId, Reply};
+
+/// A task that the target has.
+#[derive(Debug)]
+pub(crate) struct Running {
+    pub session: Session,
+    /// Starts to answer: the first has the token.
+    pub starts: Vec<CallId>,
+    pub settles: Vec<CallId>,
+}
+
+impl Agent {
+    pub(crate) fn start(
+        &mut self,
+        now: Time,
+        session: Session,
+        call: CallId,
+        request: StartRequest,
+        out: &mut Vec<Action>,
+    ) {
+        if request.agent != self.setup.node.incarnation {
+            self.counters.stale += 1;
+            let token = self.unspent_token(session);
+            return self.reply_start(call, StartResult::Unknown, token, out);
+        }
+        if let Some(known) = self.table.look(request.key, &request.owner) {
+            return self.start_known(session, call, &request, known, out);
+        }
+        if now >= request.deadline {
+            return self.refuse(session, call, &request, StartRefusal::TooLate, out);
+        }
+        if !self.ledger.spend(session) {
+            let leaving = self.ledger.is_leaving();
+            let why = if leaving { StartRefusal::Leaving } else { StartRefusal::NoSlot };
+            return self.refuse(session, call, &request, why, out);
+        }
+        self.start_new(session, call, request, out);
+    }
+
+    fn start_new(
+        &mut self,
+        session: Session,
+        call: CallId,
+        request: StartRequest,
+        out: &mut Vec<Action>,
+    ) {
+        let keep_until = self.window().kept_until(request.key.submission);
+        let outcome = self.table.start(request.key, &request.owner, keep_until);
+        debug_assert_eq!(outcome, StartOutcome::Starts);
+        self.ledger.want(session, request.wanted);
+        self.counters.started += 1;
+        let running = Running { session, starts: vec![call], settles: Vec::new() };
+        self.running.insert(request.key, running);
+        if self.running.len() > self.setup.slots as usize {
+            self.breach(Breach::SlotsOverdrawn, out);
+        }
+        out.push(Action::Run { key: request.key, task: request.task, deadline: request.deadline });
+    }
+
+    /// A start of a task that the table knows: answered from it, never started again.
+    fn start_known(
+        &mut self,
+        session: Session,
+        call: CallId,
+        request: &StartRequest,
+        known: StartOutcome,
+        out: &mut Vec<Action>,
+    ) {
+        self.counters.repeated += 1;
+        let result = match known {
+            StartOutcome::Starts | StartOutcome::AlreadyRunning => {
+                if let Some(running) = self.running.get_mut(&request.key) {
+                    running.starts.push(call);
+                }
+                return;
+            }
+            StartOutcome::AlreadyEnded(Some(outcome)) => StartResult::Ended(outcome),
+            StartOutcome::AlreadyEnded(None) => StartResult::OutcomeDropped,
+            StartOutcome::Barred => StartResult::NotRun(StartRefusal::Barred),
+            StartOutcome::Forgotten => StartResult::Unknown,
+            StartOutcome::OtherOwner(first) => {
+                let second = request.owner.clone();
+                self.breach(Breach::TwoOwners { key: request.key, first, second }, out);
+                StartResult::Unknown
+            }
+        };
+        let token = self.unspent_token(session);
+        self.reply_start(call, result, token, out);
+    }
+
+    /// Whether a session has a token that it sent with a start that did not spend it.
+    fn unspent_token(&self, session: Session) -> bool {
+        self.ledger.idle(session) > 0
+    }
+
+    /// Refuses a start with proof: the task is barred, so that a copy of the frame that comes
+    /// later can't start it either.
+    fn refuse(
+        &mut self,
+        session: Session,
+        call: CallId,
+        request: &StartRequest,
+        why: StartRefusal,
+        out: &mut Vec<Action>,
+    ) {
+        self.counters.refused += 1;
+        let keep_until = self.window().kept_until(request.key.submission);
+        let result = match self.table.settle(request.key, &request.owner, keep_until) {
+            Settled::NotRun => StartResult::NotRun(why),
+            _ => StartResult::Unknown,
+        };
+        let token = self.unspent_token(session);
+        self.reply_start(call, result, token, out);
+    }
+
+    fn reply_start(
+        &mut self,
+        call: CallId,
+        result: StartResult,
+        token: bool,
+        out: &mut Vec<Action>,
+    ) {
+        self.reply(call, Reply::Start(StartReply { result, token }), out);
+    }
+
+    pub(crate) fn settle(&mut self, call: CallId, request: &SettleRequest, out: &mut Vec<Action>) {
+        self.counters.settled += 1;
+        if request.agent != self.setup.node.incarnation {
+            return self.reply(call, Reply::Settle(SettleReply::Unknown), out);
+        }
+        let keep_until = self.window().kept_until(request.key.submission);
+        let reply = match self.table.settle(request.key, &request.owner, keep_until) {
+            Settled::NotRun => SettleReply::NotRun,
+            Settled::Ended(Some(outcome)) => SettleReply::Ended(outcome),
+            Settled::Ended(None) => SettleReply::OutcomeDropped,
+            Settled::Forgotten => SettleReply::Unknown,
+            Settled::Running => {
+                if let Some(running) = self.running.get_mut(&request.key) {
+                    running.settles.push(call);
+                }
+                return;
+            }
+        };
+        self.reply(call, Reply::Settle(reply), out);
+    }
+
+    pub(crate) fn end(
+        &mut self,
+        now: Time,
+        key: TaskKey,
+        outcome: TaskOutcome,
+        out: &mut Vec<Action>,
+    ) {
+        let known = self.table.end(key, outcome.clone());
+        let Some(running) = self.running.remove(&key).filter(|_| known) else {
+            return self.breach(Breach::EndedTwice(key), out);
+        };
+        self.counters.ended += 1;
+        if matches!(outcome, TaskOutcome::NeverSent(_)) {
+            self.pause(now, out);
+        }
+        let mut token = self.ledger.finish(running.session);
+        for call in running.starts {
+            self.reply_start(call, StartResult::Ended(outcome.clone()), token, out);
+            token = false;
+        }
+        for call in running.settles {
+            self.reply(call, Reply::Settle(SettleReply::Ended(outcome.clone())), out);
+        }
+    }
+}
--- a/components/entry/src/place.rs
+++ b/components/entry/src/place.rs
@@ -99,6 +99,10 @@
     /// Whether a job that waits can't meet its deadline any more, even if slots came now.
     fn is_hopeless(&self, now: Time, id: SubmissionId) -> bool {
         let Some(job) = self.table.get(id) else { return false };
+        if job.waits_since == now {
+            // Admission has just looked at it.
+            return false;
+        }
         let (Some(kind), Some(gather)) = (&job.kind, job.gather()) else { return false };
         let Some(times) = self.kinds.times(kind) else { return false };
         now + times.slowest_of(gather.waiting()) > job.deadline
