--- a/components/agent/src/agent.rs
+++ b/components/agent/src/agent.rs
@@ -9,9 +9,7 @@
 use model::{NodeRef, SubmissionId, TaskKey, Time};
 use settings::Fleet;
 use telemetry::{AgentCounters, Breach, MessageKind};
-use wire::{
-    AgentInfo, AgentStatus, SyncReply,
-};
+use wire::{AgentInfo, AgentStatus, SyncReply};
 
 use crate::sessions::Sessions;
 use crate::tasks::Running;
