An entry asks again once twice as much waits

Change: where every target was asked, the next few that were asked for half of what waits by now, or less, are asked again: a message for each doubling.

--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -102,19 +102,19 @@
     /// Asks targets in turn for the tokens that are missing.
     pub(crate) fn ask_for_tokens(&mut self, now: Time, name: &str, out: &mut Vec<Action>) {
         let Some(service) = self.services.get_mut(name) else { return };
-        let mut needed = service.tokens_needed();
+        let needed = service.tokens_needed();
         if needed == 0 {
             return;
         }
-        let each = needed.div_ceil(service.pool.len().max(1) as u32);
-        let round: Vec<TargetId> =
-            service.to_ask().take(needed.div_ceil(each.max(1)) as usize).collect();
+        let targets = service.pool.len().max(1) as u32;
+        let waiting = u32::try_from(service.queue.tasks()).unwrap_or(u32::MAX);
+        let each = needed.div_ceil(targets).max(waiting.div_ceil(targets));
+        let mut round = service.to_ask(each);
+        round.truncate(needed.div_ceil(each.max(1)) as usize);
         for target in round {
             let Some(service) = self.services.get_mut(name) else { return };
-            let count = each.min(needed);
-            needed -= count;
             service.asked_last = target;
-            service.set_asked(target, count);
+            service.set_asked(target, each);
             self.exchange(now, target, 0, out);
         }
     }
--- a/components/entry/src/service.rs
+++ b/components/entry/src/service.rs
@@ -5,6 +5,8 @@
 use model::SubmissionId;
 use placement::{FairQueue, Pool, TargetId};
 
+/// Targets looked at for asking again, each time something happens while work waits.
+const ASK_AGAIN_LOOK: usize = 4;
 /// Idle tokens to keep at hand, so that a first request finds one. More did not help: see
 /// docs/MEASURES.md.
 const RESERVE: u32 = 1;
@@ -72,11 +74,16 @@
         self.asks.get(&target).copied().unwrap_or(0)
     }
 
-    /// Targets to ask next, in turn: those not asked yet.
-    pub fn to_ask(&self) -> impl Iterator<Item = TargetId> + '_ {
-        let all_asked = self.asks.len() >= self.pool.len();
-        let round = self.pool.round_after(self.asked_last).filter(|id| self.asked_of(*id) == 0);
-        round.take(if all_asked { 0 } else { self.pool.len() })
+    /// Targets to ask next, in turn, for `count` each: those not asked yet; where all are, those of
+    /// the next few that were asked for half of it or less, since more waits by now.
+    pub fn to_ask(&mut self, count: u32) -> Vec<TargetId> {
+        let round = self.pool.round_after(self.asked_last);
+        if self.asks.len() < self.pool.len() {
+            return round.filter(|id| self.asked_of(*id) == 0).collect();
+        }
+        let looked_at: Vec<TargetId> = round.take(ASK_AGAIN_LOOK).collect();
+        self.asked_last = looked_at.last().copied().unwrap_or(self.asked_last);
+        looked_at.into_iter().filter(|id| self.asked_of(*id) * 2 <= count).collect()
     }
 
     /// Slots that this entry may count on, where so many entries share the targets.
