--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -109,7 +109,7 @@
         let targets = service.pool.len().max(1) as u32;
         let waiting = u32::try_from(service.queue.tasks()).unwrap_or(u32::MAX);
         let each = needed.div_ceil(targets).max(waiting.div_ceil(targets));
-        let mut round = service.to_ask(each);
+        let mut round = service.next_to_ask(each);
         round.truncate(needed.div_ceil(each.max(1)) as usize);
         for target in round {
             let Some(service) = self.services.get_mut(name) else { return };
--- a/components/entry/src/service.rs
+++ b/components/entry/src/service.rs
@@ -76,7 +76,7 @@
 
     /// Targets to ask next, in turn, for `count` each: those not asked yet; where all are, those of
     /// the next few that were asked for half of it or less, since more waits by now.
-    pub fn to_ask(&mut self, count: u32) -> Vec<TargetId> {
+    pub fn next_to_ask(&mut self, count: u32) -> Vec<TargetId> {
         let round = self.pool.round_after(self.asked_last);
         if self.asks.len() < self.pool.len() {
             return round.filter(|id| self.asked_of(*id) == 0).collect();
