Take away state that nothing reads

Cause: a read of the whole change found fields left over from earlier shapes, and one constant written twice.

Change: a sent task keeps only the life of its agent (its target and time are known from the flight); the time for holders to reply stands once; a pull in the keepers' soak no longer carries when it was asked.

--- a/components/entry/src/claiming.rs
+++ b/components/entry/src/claiming.rs
@@ -14,7 +14,7 @@
 use crate::{Action, Entry, OwnerCall};
 
 /// After this a holder that has not replied is taken as silent.
-const ROUND_TIME: Duration = Duration::from_millis(500);
+pub(crate) const ROUND_TIME: Duration = Duration::from_millis(500);
 /// How long a refused submission is not taken again, so that the refusal is true when it arrives.
 const REFUSAL_HOLDS: Duration = Duration::from_secs(1);
 /// How old a relay may be whose reply is handed on as "not run"; half of the time above, for two
--- a/components/entry/src/gather.rs
+++ b/components/entry/src/gather.rs
@@ -3,17 +3,14 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use model::{Incarnation, Time, Verdict};
-use placement::TargetId;
+use model::{Incarnation, Verdict};
 
 use crate::Answers;
 
-/// Where a task was sent.
+/// To which life of its agent a task was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Sent {
-    pub target: TargetId,
     pub agent: Incarnation,
-    pub at: Time,
 }
 
 #[derive(Clone, Debug)]
@@ -153,8 +150,7 @@
 mod tests {
     use super::*;
 
-    const SENT: Sent =
-        Sent { target: TargetId(0), agent: Incarnation(1), at: Time::from_millis(0) };
+    const SENT: Sent = Sent { agent: Incarnation(1) };
 
     fn two() -> Gather {
         Gather::new(&["a".into(), "b".into()])
--- a/components/entry/src/inquiry.rs
+++ b/components/entry/src/inquiry.rs
@@ -1,20 +1,15 @@
 //! Questions for the outcome of a submission that is not known here: its holders are asked who
 //! owns it, then its owner for the outcome.
 
-use std::time::Duration;
-
 use claims::{Round, RoundState, Vote};
 use model::{Code, Failure, NodeName, SubmissionId, Time, Verdict};
 use telemetry::MessageKind;
 use wire::RelayReply;
 
-use crate::claiming::owner_lost;
+use crate::claiming::{ROUND_TIME, owner_lost};
 use crate::table::Due;
 use crate::{Action, Entry, OwnerCall, Ticket};
 
-/// After this a holder that has not replied is taken as silent.
-const ROUND_TIME: Duration = Duration::from_millis(500);
-
 /// The callers that ask for one submission.
 #[derive(Clone, Debug)]
 pub(crate) struct Inquiry {
--- a/components/entry/src/place.rs
+++ b/components/entry/src/place.rs
@@ -75,7 +75,7 @@
             return false;
         };
         let at = self.targets.get(target);
-        let sent = Sent { target, agent: at.node.incarnation, at: now };
+        let sent = Sent { agent: at.node.incarnation };
         let Some((index, attempt, task)) = gather.send(sent, at.rack) else { return false };
         service.queue.take_task();
         if gather.waiting() == 0 {
--- a/soak/src/keepers/nodes.rs
+++ b/soak/src/keepers/nodes.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use keeper::{Event, Reply};
-use model::{NodeName, Time};
+use model::NodeName;
 use rand::Rng;
 use settings::Tree;
 use wire::{PullReply, PullRequest};
@@ -32,7 +32,7 @@
         let node = &self.nodes[number];
         let (keeper, life) = (node.keeper, node.life);
         let request = PullRequest { node: NodeName::new("n"), have: node.version() };
-        let asker = Asker::Pull { node: number, life, asked: self.now };
+        let asker = Asker::Pull { node: number, life };
         self.ask(keeper, asker, |ticket| Event::Pull(ticket, request));
     }
 
@@ -45,7 +45,7 @@
     }
 
     /// A node got a reply to its pull, or will get none.
-    pub fn pulled(&mut self, number: usize, life: u64, asked: Time, reply: Option<Reply>) {
+    pub fn pulled(&mut self, number: usize, life: u64, reply: Option<Reply>) {
         if self.nodes[number].life != life {
             return;
         }
@@ -64,7 +64,6 @@
             return self.after(away, Happening::NodeStarts(number));
         }
         let pause = if taken { Duration::from_millis(1) } else { Duration::from_millis(200) };
-        debug_assert!(asked <= self.now, "answers come after questions");
         self.after(pause, Happening::Pull(number));
     }
 
--- a/soak/src/keepers/operators.rs
+++ b/soak/src/keepers/operators.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use keeper::{Event, Reply, Ticket};
-use model::Time;
 use rand::Rng;
 use settings::{Edit, SectionPath, Tree};
 use wire::{ChangeRequest, ChangeResult};
@@ -21,7 +20,7 @@
     /// An operator that reads.
     Read { operator: usize, newest: u64 },
     /// A node that pulls, in a life.
-    Pull { node: usize, life: u64, asked: Time },
+    Pull { node: usize, life: u64 },
 }
 
 impl KeeperWorld {
@@ -53,8 +52,8 @@
             (Some(Asker::Change { operator, request, newest, tries }), reply) => {
                 self.change_replied(operator, request, newest, tries, reply);
             }
-            (Some(Asker::Pull { node, life, asked }), reply) => {
-                self.pulled(node, life, asked, reply);
+            (Some(Asker::Pull { node, life }), reply) => {
+                self.pulled(node, life, reply);
             }
             (None, _) => {}
         }
