Consensus: members change one at a time, replicas join, leaders resign

Cause: the users' new machines name three seeds and nothing else; machines of the core are replaced at other addresses, and processes are stopped by plan. The log's members were fixed for ever.

Change: an entry of the log may hold new members, which count as soon as it is in a log; the leader adds a replica that has caught up where fewer vote than are to, or in the place of one silent for 2.5 s, one change at a time and only after an entry of its own term has committed. A replica that is no member asks its contacts to join. A leader that is to stop resigns: it is sure of nothing from then on and asks the follower furthest on to stand.

--- a/components/consensus/src/election.rs
+++ b/components/consensus/src/election.rs
@@ -24,7 +24,10 @@
     /// No leader was heard of: asks whether the others would vote for it.
     pub(crate) fn stand(&mut self, now: Time, out: &mut Vec<Action>) {
         self.wait_for_leader(now);
-        if self.blank || !self.members().contains(&self.name) {
+        if !self.members().contains(&self.name) {
+            return self.ask_to_join(out);
+        }
+        if self.blank {
             return;
         }
         self.leader = None;
@@ -45,6 +48,10 @@
         last: (Term, Index),
         out: &mut Vec<Action>,
     ) {
+        // One that was replaced while it was away does not know it yet.
+        if !self.members().contains(from) {
+            self.join(now, from);
+        }
         let granted = term > self.term && self.would_vote(now, last);
         let term = if granted { term } else { self.term };
         out.push(Action::Send(from.clone(), Message::PreVoteReply { term, granted }));
@@ -52,8 +59,12 @@
 
     /// Whether a log is complete enough and no leader counts on this replica.
     fn would_vote(&self, now: Time, (last_term, last_index): (Term, Index)) -> bool {
+        now >= self.votes_from && self.may_vote((last_term, last_index))
+    }
+
+    /// Whether a log is complete enough.
+    fn may_vote(&self, (last_term, last_index): (Term, Index)) -> bool {
         !self.blank
-            && now >= self.votes_from
             && !matches!(self.role, Role::Leader(_))
             && self.log.is_covered_by(last_term, last_index)
     }
@@ -84,6 +95,27 @@
         if ballot.granted.len() < enough {
             return;
         }
+        self.ask_for_votes(now, false, out);
+    }
+
+    /// The leader has resigned in favour of this replica.
+    pub(crate) fn take_over(&mut self, now: Time, term: Term, out: &mut Vec<Action>) {
+        let fit = !self.blank && self.members().contains(&self.name);
+        if term == self.term && fit && matches!(self.role, Role::Follower) {
+            self.wait_for_leader(now);
+            self.leader = None;
+            self.ask_for_votes(now, true, out);
+        }
+    }
+
+    fn ask_to_join(&self, out: &mut Vec<Action>) {
+        let mut asked: BTreeSet<&NodeName> = self.contacts.iter().collect();
+        asked.extend(self.members());
+        asked.remove(&self.name);
+        out.extend(asked.into_iter().map(|to| Action::Send(to.clone(), Message::Join)));
+    }
+
+    fn ask_for_votes(&mut self, now: Time, transfer: bool, out: &mut Vec<Action>) {
         self.term += 1;
         self.voted_for = Some(self.name.clone());
         self.role = Role::Candidate(Ballot::of(&self.name));
@@ -91,7 +123,7 @@
         out.push(Action::Store(vec![record]));
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
         for other in self.others() {
-            let message = Message::Vote { term: self.term, last_index, last_term };
+            let message = Message::Vote { term: self.term, last_index, last_term, transfer };
             out.push(Action::Send(other, message));
         }
         self.count_votes(now, out);
@@ -101,16 +133,17 @@
         &mut self,
         now: Time,
         from: &NodeName,
-        term: Term,
+        (term, transfer): (Term, bool),
         last: (Term, Index),
         out: &mut Vec<Action>,
     ) {
         // A leader that is heard of is not disturbed by one who stands all the same.
-        if term > self.term && now >= self.votes_from {
+        if term > self.term && (transfer || now >= self.votes_from) {
             self.take_term(term, out);
         }
         let free = self.voted_for.as_ref().is_none_or(|name| name == from);
-        let granted = term == self.term && free && self.would_vote(now, last);
+        let timely = transfer || now >= self.votes_from;
+        let granted = term == self.term && free && timely && self.may_vote(last);
         if granted && self.voted_for.is_none() {
             self.voted_for = Some(from.clone());
             let record = Record::Vote { term, voted_for: self.voted_for.clone() };
--- a/components/consensus/src/event.rs
+++ b/components/consensus/src/event.rs
@@ -28,6 +28,8 @@
         /// The command.
         command: Vec<u8>,
     },
+    /// The process is about to stop: a leader hands over.
+    Resign,
     /// Time has passed.
     Tick,
 }
@@ -62,6 +64,8 @@
     StepsDown(Term),
     /// It follows a leader.
     Follows(NodeName, Term),
+    /// Other replicas vote from now on.
+    Members(Vec<NodeName>),
     /// It has caught up after it began on an empty disk, and votes from now on.
     CaughtUp(Index),
     /// A condition that must always hold does not.
--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -1,6 +1,7 @@
 //! The leader: replicates its log, commits, keeps its lease.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use model::{NodeName, Time};
 
@@ -10,6 +11,10 @@
 
 /// Most entries in one message.
 const BATCH: usize = 64;
+/// A replica that is no member and silent for longer is sent nothing more until it asks again.
+const LEARNER_SILENCE: Duration = Duration::from_secs(3);
+/// A replica whose last acknowledgement is older does not take a member's place.
+const LEARNER_FRESH: Duration = Duration::from_millis(700);
 
 /// How far a follower is.
 #[derive(Clone, Copy, Debug)]
@@ -22,6 +27,19 @@
     acked: Time,
     /// It has not caught up since it began on an empty disk: it does not count.
     blank: bool,
+    /// When it was first sent anything, or asked to join.
+    known: Time,
+}
+
+impl Progress {
+    fn new(next: Index, now: Time) -> Self {
+        Self { next, matched: 0, acked: Time::default(), blank: false, known: now }
+    }
+
+    /// When it was last heard of, or first known.
+    fn heard(&self) -> Time {
+        self.acked.max(self.known)
+    }
 }
 
 /// A leader's state in its term.
@@ -31,6 +49,8 @@
     pub heartbeat_at: Time,
     /// When it began to lead.
     since: Time,
+    /// It has asked another to take over: it is sure of nothing any more.
+    resigned: bool,
 }
 
 impl Leading {
@@ -42,8 +62,13 @@
         now: Time,
         left_out: Option<&NodeName>,
     ) -> Option<Time> {
-        let counts =
-            |(name, progress): &(&NodeName, &Progress)| !progress.blank && left_out != Some(*name);
+        if self.resigned {
+            return None;
+        }
+        let members = replica.members();
+        let counts = |(name, progress): &(&NodeName, &Progress)| {
+            !progress.blank && left_out != Some(*name) && members.contains(name)
+        };
         let acks = self.followers.iter().filter(counts).map(|(_, progress)| progress.acked);
         let mut times: Vec<Time> = acks.chain([now]).collect();
         times.sort_unstable_by(|a, b| b.cmp(a));
@@ -52,13 +77,41 @@
     }
 }
 
+impl Leading {
+    /// The member that has been silent for longest, and longer than `replace_after`.
+    fn silent_member(&self, members: &[NodeName], now: Time, limit: Duration) -> Option<NodeName> {
+        let silent = self.followers.iter().filter(|(name, progress)| {
+            members.contains(name) && now.since(progress.heard().max(self.since)) > limit
+        });
+        silent.min_by_key(|(_, progress)| progress.heard()).map(|(name, _)| name.clone())
+    }
+
+    /// The follower among the members that is furthest behind.
+    fn last_member(&self, members: &[NodeName]) -> Option<NodeName> {
+        let followers = self.followers.iter().filter(|(name, _)| members.contains(name));
+        followers.min_by_key(|(_, progress)| progress.matched).map(|(name, _)| name.clone())
+    }
+
+    /// A replica that is no member, has every committed entry, and was heard of just now.
+    fn fresh_learner(&self, members: &[NodeName], now: Time, commit: Index) -> Option<NodeName> {
+        let fit = |(name, progress): &(&NodeName, &Progress)| {
+            !members.contains(name)
+                && !progress.blank
+                && progress.matched >= commit
+                && now.since(progress.acked) < LEARNER_FRESH
+        };
+        self.followers.iter().find(fit).map(|(name, _)| name.clone())
+    }
+}
+
 impl Replica {
     /// Won an election: leads, and makes a first entry so that earlier ones can commit.
     pub(crate) fn lead(&mut self, now: Time, out: &mut Vec<Action>) {
         let next = self.log.last_index() + 1;
-        let fresh = Progress { next, matched: 0, acked: Time::default(), blank: false };
+        let fresh = Progress::new(next, now);
         let followers = self.others().into_iter().map(|name| (name, fresh)).collect();
-        self.role = Role::Leader(Leading { followers, heartbeat_at: now, since: now });
+        let leading = Leading { followers, heartbeat_at: now, since: now, resigned: false };
+        self.role = Role::Leader(leading);
         self.leader = Some(self.name.clone());
         out.push(Action::News(News::Leads(self.term)));
         self.append_own(Payload::Empty, out);
@@ -70,12 +123,83 @@
         if let Role::Leader(leading) = &mut self.role {
             leading.heartbeat_at = now + self.timing.heartbeat;
         }
-        for follower in self.others() {
+        let Role::Leader(leading) = &self.role else { return };
+        let followers: Vec<NodeName> = leading.followers.keys().cloned().collect();
+        for follower in followers {
             self.send_append(now, &follower, out);
         }
         self.commit_quorum(out);
     }
 
+    /// A replica that is no member asks to be brought up to date.
+    pub(crate) fn join(&mut self, now: Time, from: &NodeName) {
+        let next = self.log.last_index() + 1;
+        if let Role::Leader(leading) = &mut self.role {
+            leading.followers.entry(from.clone()).or_insert(Progress::new(next, now));
+        }
+    }
+
+    /// Asks the follower that is furthest on to lead, and is sure of nothing from then on.
+    pub(crate) fn resign(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.replicate(now, out);
+        let term = self.term;
+        let members = self.members().to_vec();
+        let Role::Leader(leading) = &mut self.role else { return };
+        let fit = leading.followers.iter().filter(|(name, progress)| {
+            !progress.blank && members.contains(name) && now.since(progress.acked) < LEARNER_FRESH
+        });
+        let Some((successor, _)) = fit.max_by_key(|(_, progress)| progress.matched) else { return };
+        let successor = successor.clone();
+        leading.resigned = true;
+        out.push(Action::Send(successor, Message::TakeOver { term }));
+    }
+
+    /// Changes the members by one where too few vote, or one has been silent for long and another
+    /// replica has caught up. Only after an entry of its own term has committed, and one change at
+    /// a time.
+    fn adjust_members(&mut self, now: Time, out: &mut Vec<Action>) {
+        let settled = self.log.term(self.commit) == Some(self.term)
+            && self.log.last_change() <= self.commit;
+        if !settled || !self.is_sure(now) {
+            return;
+        }
+        let Some(members) = self.next_members(now) else { return };
+        self.append_own(Payload::Members(members), out);
+        self.align_followers(now);
+        self.replicate(now, out);
+    }
+
+    fn next_members(&self, now: Time) -> Option<Vec<NodeName>> {
+        let Role::Leader(leading) = &self.role else { return None };
+        let mut members = self.members().to_vec();
+        let silent = leading.silent_member(&members, now, self.timing.replace_after);
+        if members.len() > self.timing.voters {
+            let gone = silent.or_else(|| leading.last_member(&members))?;
+            members.retain(|name| *name != gone);
+            return Some(members);
+        }
+        if members.len() == self.timing.voters && silent.is_none() {
+            return None;
+        }
+        members.push(leading.fresh_learner(&members, now, self.commit)?);
+        members.sort();
+        Some(members)
+    }
+
+    /// Every member but this one is a follower; replicas that are neither members nor heard of are
+    /// forgotten.
+    fn align_followers(&mut self, now: Time) {
+        let fresh = Progress::new(self.log.last_index() + 1, now);
+        let others = self.others();
+        let Role::Leader(leading) = &mut self.role else { return };
+        leading.followers.retain(|name, progress| {
+            others.contains(name) || now.since(progress.heard()) < LEARNER_SILENCE
+        });
+        for name in others {
+            leading.followers.entry(name).or_insert(fresh);
+        }
+    }
+
     /// Shows that it leads, or steps down where no quorum has answered for long.
     pub(crate) fn lead_on(&mut self, now: Time, out: &mut Vec<Action>) {
         let Role::Leader(leading) = &self.role else { return };
@@ -87,6 +211,8 @@
             self.step_down(out);
             return self.wait_for_leader(now);
         }
+        self.align_followers(now);
+        self.adjust_members(now, out);
         self.replicate(now, out);
     }
 
@@ -169,8 +295,11 @@
     /// Commits the entries of its own term that a quorum has on disk, and all before them.
     fn commit_quorum(&mut self, out: &mut Vec<Action>) {
         let Role::Leader(leading) = &self.role else { return };
-        let counted = leading.followers.values().filter(|progress| !progress.blank);
-        let mut matched: Vec<Index> = counted.map(|progress| progress.matched).collect();
+        let members = self.members();
+        let counted = leading.followers.iter().filter(|(name, progress)| {
+            !progress.blank && members.contains(name)
+        });
+        let mut matched: Vec<Index> = counted.map(|(_, progress)| progress.matched).collect();
         matched.push(self.log.last_index());
         matched.sort_unstable_by(|a, b| b.cmp(a));
         let Some(index) = matched.get(self.quorum() - 1).copied() else { return };
--- a/components/consensus/src/log.rs
+++ b/components/consensus/src/log.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use model::NodeName;
+
 use crate::Snapshot;
 
 /// The place of an entry in the log, from 1; 0 is before the first.
@@ -18,6 +20,9 @@
     Empty,
     /// A command of the state machine, as bytes.
     Command(Vec<u8>),
+    /// The replicas that vote from this entry on. It counts as soon as it is in a log, committed or
+    /// not; one entry adds or removes one replica, so that old and new majorities overlap.
+    Members(Vec<NodeName>),
 }
 
 /// One entry of the log.
@@ -36,11 +41,13 @@
 pub(crate) struct Log {
     pub snapshot: Snapshot,
     entries: VecDeque<Entry>,
+    /// The entries that changed the members, oldest first.
+    changes: Vec<Index>,
 }
 
 impl Log {
     pub fn new(snapshot: Snapshot) -> Self {
-        Self { snapshot, entries: VecDeque::new() }
+        Self { snapshot, entries: VecDeque::new(), changes: Vec::new() }
     }
 
     pub fn last_index(&self) -> Index {
@@ -74,6 +81,9 @@
     /// Adds the entry that follows the last.
     pub fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
+        if matches!(entry.payload, Payload::Members(_)) {
+            self.changes.push(entry.index);
+        }
         self.entries.push_back(entry);
     }
 
@@ -81,6 +91,7 @@
     pub fn truncate(&mut self, from: Index) {
         let keep = from.saturating_sub(self.snapshot.index + 1);
         self.entries.truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+        self.changes.retain(|index| *index < from);
     }
 
     /// Replaces the entries up to the snapshot's by it; entries after it stay if they fit.
@@ -89,10 +100,31 @@
             self.entries.retain(|entry| entry.index > snapshot.index);
         } else {
             self.entries.clear();
+            self.changes.clear();
         }
+        self.changes.retain(|index| *index > snapshot.index);
         self.snapshot = snapshot;
     }
 
+    /// Who votes: by the last entry that changed it, committed or not.
+    pub fn members(&self) -> &[NodeName] {
+        self.members_at(Index::MAX)
+    }
+
+    /// Who votes after an entry.
+    pub fn members_at(&self, at: Index) -> &[NodeName] {
+        let change = self.changes.iter().rev().find(|index| **index <= at);
+        match change.and_then(|index| self.get(*index)).map(|entry| &entry.payload) {
+            Some(Payload::Members(members)) => members,
+            _ => &self.snapshot.members,
+        }
+    }
+
+    /// The last entry that changed the members; 0 where it is only in the snapshot.
+    pub fn last_change(&self) -> Index {
+        self.changes.last().copied().unwrap_or(0)
+    }
+
     /// Entries in memory.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/components/consensus/src/message.rs
+++ b/components/consensus/src/message.rs
@@ -32,6 +32,8 @@
         last_index: Index,
         /// That entry's term.
         last_term: Term,
+        /// The leader itself asked the sender to stand: its lease holds up no vote.
+        transfer: bool,
     },
     /// Whether a vote is granted.
     VoteReply {
@@ -40,6 +42,13 @@
         /// Whether it is.
         granted: bool,
     },
+    /// A replica that is no member asks the leader to bring it up to date.
+    Join,
+    /// The leader resigns, and asks the receiver to stand at once.
+    TakeOver {
+        /// The leader's term.
+        term: Term,
+    },
     /// Entries from the leader; none to show that it leads.
     Append {
         /// The leader's term.
@@ -86,7 +95,9 @@
     /// The term that it carries.
     pub fn term(&self) -> Term {
         match self {
+            Self::Join => 0,
             Self::PreVote { term, .. }
+            | Self::TakeOver { term }
             | Self::PreVoteReply { term, .. }
             | Self::Vote { term, .. }
             | Self::VoteReply { term, .. }
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -22,6 +22,11 @@
     /// How long a leader is sure to lead after it sent what a quorum acknowledged. Shorter than
     /// `election` by more than two clocks run apart in that time.
     pub lease: Duration,
+    /// How many replicas are to vote. Where fewer do, or one has been silent for `replace_after`,
+    /// a replica that has caught up takes the place.
+    pub voters: usize,
+    /// Silence after which a member is replaced by another that has caught up, if there is one.
+    pub replace_after: Duration,
 }
 
 impl Default for Timing {
@@ -30,6 +35,8 @@
             heartbeat: Duration::from_millis(100),
             election: Duration::from_millis(600),
             lease: Duration::from_millis(500),
+            voters: 3,
+            replace_after: Duration::from_millis(2_500),
         }
     }
 }
@@ -60,6 +67,8 @@
     /// No vote is granted before: the leader may count on this replica's silence.
     pub(crate) votes_from: Time,
     pub(crate) election_at: Time,
+    /// Replicas that may know the leader, for one that is no member.
+    pub(crate) contacts: Vec<NodeName>,
 }
 
 impl Replica {
@@ -88,6 +97,7 @@
             leader: None,
             votes_from: now + timing.election,
             election_at: now,
+            contacts: Vec::new(),
         };
         // A single replica waits for nobody.
         if replica.members().len() > 1 {
@@ -107,11 +117,22 @@
         match event {
             Event::Message { from, message } => self.message(now, &from, message, out),
             Event::Propose { id, command } => self.propose(now, id, command, out),
+            Event::Resign => self.resign(now, out),
             Event::Tick => {}
         }
         self.tick(now, out);
     }
 
+    /// Names replicas that a replica which is no member asks to be brought up to date by.
+    pub fn set_contacts(&mut self, contacts: Vec<NodeName>) {
+        self.contacts = contacts;
+    }
+
+    /// The replicas that vote.
+    pub fn voters(&self) -> &[NodeName] {
+        self.members()
+    }
+
     /// When the next tick is due.
     pub fn next_timer(&self) -> Time {
         match &self.role {
@@ -164,7 +185,7 @@
     /// Replaces the log up to the last committed entry by the state after it.
     pub fn compact(&mut self, state: Vec<u8>, out: &mut Vec<Action>) {
         let Some(term) = self.log.term(self.commit) else { return };
-        let members = self.members().to_vec();
+        let members = self.log.members_at(self.commit).to_vec();
         self.log.compact(Snapshot { index: self.commit, term, members, state });
         out.push(Action::Rewrite(self.records()));
     }
@@ -181,7 +202,7 @@
     }
 
     pub(crate) fn members(&self) -> &[NodeName] {
-        &self.log.snapshot.members
+        self.log.members()
     }
 
     pub(crate) fn others(&self) -> Vec<NodeName> {
@@ -193,9 +214,6 @@
     }
 
     fn message(&mut self, now: Time, from: &NodeName, message: Message, out: &mut Vec<Action>) {
-        if !self.members().contains(from) && !self.members().is_empty() {
-            return;
-        }
         match message {
             Message::PreVote { term, last_index, last_term } => {
                 self.pre_vote(now, from, term, (last_term, last_index), out);
@@ -203,8 +221,10 @@
             Message::PreVoteReply { term, granted } => {
                 self.pre_vote_reply(now, from, term, granted, out);
             }
-            Message::Vote { term, last_index, last_term } => {
-                self.vote(now, from, term, (last_term, last_index), out);
+            Message::Join => self.join(now, from),
+            Message::TakeOver { term } => self.take_over(now, term, out),
+            Message::Vote { term, last_index, last_term, transfer } => {
+                self.vote(now, from, (term, transfer), (last_term, last_index), out);
             }
             Message::VoteReply { term, granted } => self.vote_reply(now, from, term, granted, out),
             message @ (Message::Append { .. } | Message::Install { .. }) => {
@@ -274,6 +294,9 @@
     pub(crate) fn commit_to(&mut self, index: Index, out: &mut Vec<Action>) {
         while self.commit < index {
             let Some(entry) = self.log.get(self.commit + 1) else { return };
+            if let Payload::Members(members) = &entry.payload {
+                out.push(Action::News(News::Members(members.clone())));
+            }
             out.push(Action::Commit(entry.clone()));
             self.commit += 1;
         }
