--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -158,8 +158,8 @@
     /// replica has caught up. Only after an entry of its own term has committed, and one change at
     /// a time.
     fn adjust_members(&mut self, now: Time, out: &mut Vec<Action>) {
-        let settled = self.log.term(self.commit) == Some(self.term)
-            && self.log.last_change() <= self.commit;
+        let settled =
+            self.log.term(self.commit) == Some(self.term) && self.log.last_change() <= self.commit;
         if !settled || !self.is_sure(now) {
             return;
         }
@@ -296,9 +296,10 @@
     fn commit_quorum(&mut self, out: &mut Vec<Action>) {
         let Role::Leader(leading) = &self.role else { return };
         let members = self.members();
-        let counted = leading.followers.iter().filter(|(name, progress)| {
-            !progress.blank && members.contains(name)
-        });
+        let counted = leading
+            .followers
+            .iter()
+            .filter(|(name, progress)| !progress.blank && members.contains(name));
         let mut matched: Vec<Index> = counted.map(|(_, progress)| progress.matched).collect();
         matched.push(self.log.last_index());
         matched.sort_unstable_by(|a, b| b.cmp(a));
--- /dev/null
+++ b/components/dispatch/src/agents.rs
@@ -0,0 +1,150 @@
+//! The agents that have a session with this entry, and what is free at their targets.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::{NodeName, Resources, Time};
+use wire::{AgentProfile, Load, ToAgent};
+
+use crate::dispatcher::Dispatcher;
+use crate::event::{Action, News, SessionId};
+
+/// One agent.
+#[derive(Debug)]
+pub(crate) struct Agent {
+    /// Who it is; none until it has said so.
+    pub profile: Option<AgentProfile>,
+    pub load: Load,
+    pub heard: Time,
+    beat: Time,
+    next_sequence: u64,
+    /// Starts that its last load does not count in.
+    unseen: VecDeque<(u64, Resources)>,
+    /// Tasks of this entry that are there.
+    pub tasks: usize,
+}
+
+impl Agent {
+    pub fn new(now: Time) -> Self {
+        Self {
+            profile: None,
+            load: Load::default(),
+            heard: now,
+            beat: Time::default(),
+            next_sequence: 1,
+            unseen: VecDeque::new(),
+            tasks: 0,
+        }
+    }
+
+    pub fn name(&self) -> Option<&NodeName> {
+        self.profile.as_ref().map(|profile| &profile.node)
+    }
+
+    /// What is free as far as this entry knows: by the last load, less the starts since.
+    pub fn free(&self) -> Resources {
+        let mut free = self.load.free;
+        self.unseen.iter().for_each(|(_, taken)| free -= *taken);
+        free
+    }
+
+    /// Takes note of a start that is about to be sent; returns its sequence.
+    pub fn take(&mut self, resources: Resources) -> u64 {
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        self.unseen.push_back((sequence, resources));
+        self.tasks += 1;
+        sequence
+    }
+
+    pub fn load_is(&mut self, now: Time, load: Load) {
+        self.heard = now;
+        self.load = load;
+        while self.unseen.front().is_some_and(|(sequence, _)| *sequence <= load.seen) {
+            self.unseen.pop_front();
+        }
+    }
+
+    /// Whether it is of a service and takes new work.
+    pub fn serves(&self, service: &str, now: Time, silence: Duration) -> bool {
+        self.load.open
+            && now.since(self.heard) < silence
+            && self.profile.as_ref().is_some_and(|profile| *profile.service == *service)
+    }
+
+    pub fn has_label(&self, label: &Arc<str>) -> bool {
+        self.profile.as_ref().is_some_and(|profile| profile.labels.contains(label))
+    }
+
+    pub fn capacity(&self) -> Resources {
+        self.profile.as_ref().map(|profile| profile.capacity).unwrap_or_default()
+    }
+}
+
+impl Dispatcher {
+    pub(crate) fn open_agent(&mut self, now: Time, id: SessionId) {
+        self.agents.insert(id, Agent::new(now));
+    }
+
+    pub(crate) fn agent_says_hello(
+        &mut self,
+        id: SessionId,
+        profile: AgentProfile,
+        out: &mut Vec<Action>,
+    ) {
+        // An agent that connects again before its old session is known to be dead.
+        let double = |(other, agent): (&SessionId, &Agent)| {
+            (*other != id && agent.name() == Some(&profile.node)).then_some(*other)
+        };
+        let doubles: Vec<SessionId> = self.agents.iter().filter_map(double).collect();
+        for double in doubles {
+            self.lose_agent(double, "connected again", out);
+        }
+        let Some(agent) = self.agents.get_mut(&id) else { return };
+        out.push(Action::News(News::AgentKnown {
+            agent: profile.node.clone(),
+            service: profile.service.clone(),
+            capacity: profile.capacity,
+        }));
+        agent.profile = Some(profile);
+    }
+
+    pub(crate) fn agent_load(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        load: Load,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(agent) = self.agents.get_mut(&id) else { return };
+        let before = agent.load.open;
+        agent.load_is(now, load);
+        if before != load.open
+            && let Some(name) = agent.name()
+        {
+            out.push(Action::News(News::AgentOpen { agent: name.clone(), open: load.open }));
+        }
+    }
+
+    /// Shows each agent that this entry lives, and gives up those that are silent.
+    pub(crate) fn watch_agents(&mut self, now: Time, out: &mut Vec<Action>) {
+        let mut silent = Vec::new();
+        for (id, agent) in &mut self.agents {
+            if now.since(agent.heard) > self.timing.session_silence {
+                silent.push(*id);
+            } else if now.since(agent.beat) >= self.timing.beat {
+                agent.beat = now;
+                out.push(Action::Send(*id, ToAgent::Beat { heard: agent.load.at }));
+            }
+        }
+        silent.into_iter().for_each(|id| self.lose_agent(id, "silent", out));
+    }
+
+    /// Takes note that the agent was just shown that this entry lives.
+    pub(crate) fn beaten(&mut self, now: Time, id: SessionId) {
+        if let Some(agent) = self.agents.get_mut(&id) {
+            agent.beat = now;
+        }
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/answers.rs
@@ -0,0 +1,76 @@
+//! Answers: each job gets one, and nothing of it goes on after it.
+
+use std::collections::BTreeMap;
+
+use model::{JobId, TaskId, Time};
+use wire::ToAgent;
+
+use crate::dispatcher::Dispatcher;
+use crate::event::{Action, News, Outcome, SessionId};
+use crate::job::TaskState;
+
+impl Dispatcher {
+    pub(crate) fn now(&self) -> Time {
+        self.last_event
+    }
+
+    /// Answers a job and stops what is left of it.
+    pub(crate) fn finish(
+        &mut self,
+        now: Time,
+        id: &JobId,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        self.leave_queue(id);
+        let Some(job) = self.jobs.get_mut(id).filter(|job| job.outcome.is_none()) else { return };
+        debug_assert!(
+            !matches!(outcome, Outcome::NotRun { .. }) || job.is_untouched(),
+            "\"not run\" of a job that may have run"
+        );
+        debug_assert!(
+            outcome != Outcome::Completed || job.open == 0,
+            "\"completed\" with tasks that are not done"
+        );
+        job.outcome = Some(outcome);
+        let tickets = std::mem::take(&mut job.tickets);
+        out.push(Action::News(News::Answered {
+            job: id.clone(),
+            queue: job.request.queue.clone(),
+            outcome,
+            took_ms: now.since(job.submitted).as_secs_f64() * 1e3,
+            objective_ms: job.request.objective.as_millis() as u64,
+            tasks: job.request.shape.count,
+            starts: job.starts,
+            waited_ms: job.waited.as_secs_f64() * 1e3,
+        }));
+        let mut stops: BTreeMap<SessionId, Vec<TaskId>> = BTreeMap::new();
+        for (index, task) in job.tasks.iter().enumerate() {
+            if let TaskState::Placed { session, .. } = task.state {
+                let task = TaskId { job: id.clone(), index: index as u32 };
+                stops.entry(session).or_default().push(task);
+            }
+        }
+        for (session, tasks) in stops {
+            out.push(Action::Send(session, ToAgent::Stop(tasks)));
+        }
+        for ticket in tickets {
+            self.tickets.remove(&ticket);
+            out.push(Action::Answer(ticket, outcome));
+        }
+        self.count(outcome);
+    }
+
+    fn count(&mut self, outcome: Outcome) {
+        let counter = match outcome {
+            Outcome::Completed => &mut self.counters.completed,
+            Outcome::Failed(crate::event::Reason::ClientGone) | Outcome::Cancelled => {
+                &mut self.counters.cancelled
+            }
+            Outcome::Failed(_) => &mut self.counters.failed,
+            Outcome::NotRun { .. } => &mut self.counters.not_run,
+            Outcome::MayHaveRun(_) => &mut self.counters.may_have_run,
+        };
+        *counter += 1;
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/dispatcher.rs
@@ -0,0 +1,356 @@
+//! One life of an entry: its state, and which part takes which event.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use model::{JobId, Time};
+use wire::{Document, ToAgent, ToEntry};
+
+use crate::agents::Agent;
+use crate::event::{Action, Event, JobRequest, News, Outcome, Reason, SessionId, Ticket};
+use crate::job::{Job, TaskState};
+
+/// The times of an entry.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// From one sign of life to the next.
+    pub beat: Duration,
+    /// Silence of an agent after which it is given no new work.
+    pub agent_silence: Duration,
+    /// Silence of an agent after which its session is dead.
+    pub session_silence: Duration,
+    /// A gap between two events after which the process is taken to have stood still: agents have
+    /// given up on it.
+    pub standstill: Duration,
+    /// After the loss of an agent, nothing of what it ran runs any more.
+    pub lost_lease: Duration,
+    /// How long a task waits at an agent for room.
+    pub patience: Duration,
+    /// What part of its objective a job waits for its first room before it is refused.
+    pub refuse_part: f64,
+    /// Left of the client's time when a job is given up, for the answer to arrive.
+    pub answer_margin: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            beat: Duration::from_millis(100),
+            agent_silence: Duration::from_millis(350),
+            session_silence: Duration::from_millis(700),
+            standstill: Duration::from_millis(450),
+            lost_lease: Duration::from_millis(1_150),
+            patience: Duration::from_millis(30),
+            refuse_part: 0.23,
+            answer_margin: Duration::from_millis(20),
+        }
+    }
+}
+
+/// What an entry counts since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DispatcherCounters {
+    /// Jobs handed in.
+    pub submitted: u64,
+    /// Jobs completed.
+    pub completed: u64,
+    /// Jobs that failed.
+    pub failed: u64,
+    /// Jobs that did not run.
+    pub not_run: u64,
+    /// Jobs that may have run.
+    pub may_have_run: u64,
+    /// Jobs cancelled or left by their client.
+    pub cancelled: u64,
+    /// Starts sent.
+    pub starts: u64,
+    /// Starts that were refused without having run.
+    pub refused_starts: u64,
+    /// Tasks that failed.
+    pub failures: u64,
+    /// Tasks that were lost.
+    pub losses: u64,
+    /// Agents that were lost.
+    pub agents_lost: u64,
+}
+
+/// Where a task stands in the queue for room: by priority, by when its job is to end, by when the
+/// job was handed in.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Place {
+    pub priority: u8,
+    pub due: Time,
+    pub job: JobId,
+    pub index: u32,
+}
+
+/// One life of an entry.
+#[derive(Debug)]
+pub struct Dispatcher {
+    pub(crate) timing: Timing,
+    pub(crate) agents: BTreeMap<SessionId, Agent>,
+    pub(crate) jobs: BTreeMap<JobId, Job>,
+    pub(crate) tickets: BTreeMap<Ticket, JobId>,
+    pub(crate) queue: BTreeSet<Place>,
+    /// Starts that go out at the end of the event, by agent and job.
+    pub(crate) outbox: BTreeMap<(SessionId, JobId), Vec<wire::StartTask>>,
+    pub(crate) draining: bool,
+    pub(crate) last_event: Time,
+    waits_ended: Time,
+    document: Option<Document>,
+    pub(crate) counters: DispatcherCounters,
+}
+
+/// From one tick to the next.
+const TICK: Duration = Duration::from_millis(10);
+/// How often jobs are looked at for what has waited too long.
+const WAITS_EVERY: Duration = Duration::from_millis(5);
+const IDLE_TICK: Duration = Duration::from_millis(50);
+
+impl Dispatcher {
+    /// An entry that knows no agent yet.
+    pub fn new(timing: Timing, now: Time) -> Self {
+        Self {
+            timing,
+            agents: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            queue: BTreeSet::new(),
+            outbox: BTreeMap::new(),
+            draining: false,
+            last_event: now,
+            waits_ended: now,
+            document: None,
+            counters: DispatcherCounters::default(),
+        }
+    }
+
+    /// Takes an event and adds the actions that follow.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        let gap = now.since(self.last_event);
+        self.last_event = now;
+        if gap > self.timing.standstill {
+            self.stood_still(gap, out);
+        }
+        match event {
+            Event::AgentOpened(id) => self.open_agent(now, id),
+            Event::AgentClosed(id) => self.lose_agent(id, "closed", out),
+            Event::FromAgent(id, message) => self.from_agent(now, id, message, out),
+            Event::Submit(ticket, request) => self.submit(now, ticket, request, out),
+            Event::Abandon(ticket) => self.abandon(now, ticket, out),
+            Event::Cancel(job) => self.cancel(now, &job, out),
+            Event::Drain => self.draining = true,
+            Event::Tick => {}
+        }
+        self.watch_agents(now, out);
+        self.end_waits(now, out);
+        self.place(now, out);
+        self.send_starts(now, out);
+    }
+
+    /// When the next tick is due.
+    pub fn next_timer(&self, now: Time) -> Time {
+        now + if self.queue.is_empty() { IDLE_TICK } else { TICK }
+    }
+
+    /// The newest document that an agent knew, taken out.
+    pub fn take_document(&mut self) -> Option<Document> {
+        self.document.take()
+    }
+
+    /// Jobs whose client waits.
+    pub fn active(&self) -> usize {
+        self.jobs.values().filter(|job| job.outcome.is_none()).count()
+    }
+
+    /// Whether a job is active here.
+    pub fn has_job(&self, id: &JobId) -> bool {
+        self.jobs.get(id).is_some_and(|job| job.outcome.is_none())
+    }
+
+    /// Jobs of a queue of which no task has left this entry.
+    pub fn waiting(&self, queue: &str) -> usize {
+        let waits = |job: &&Job| {
+            job.outcome.is_none() && *job.request.queue == *queue && job.is_untouched()
+        };
+        self.jobs.values().filter(waits).count()
+    }
+
+    /// Agents that take new work.
+    pub fn open_agents(&self) -> usize {
+        self.agents.values().filter(|agent| agent.load.open).count()
+    }
+
+    /// Agents that have a session.
+    pub fn known_agents(&self) -> usize {
+        self.agents.values().filter(|agent| agent.profile.is_some()).count()
+    }
+
+    /// Tasks that wait for room.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// What it counted.
+    pub fn counters(&self) -> DispatcherCounters {
+        self.counters
+    }
+
+    fn from_agent(&mut self, now: Time, id: SessionId, message: ToEntry, out: &mut Vec<Action>) {
+        match message {
+            ToEntry::Hello { profile, document } => {
+                self.agent_says_hello(id, profile, out);
+                let newest = self.document.as_ref().map_or(0, |document| document.version);
+                if document.as_ref().is_some_and(|document| document.version > newest) {
+                    self.document = document;
+                }
+            }
+            ToEntry::Load(load) => self.agent_load(now, id, load, out),
+            ToEntry::Ended { reports, load } => {
+                self.agent_load(now, id, load, out);
+                for report in reports {
+                    self.task_ended(now, id, report, out);
+                }
+            }
+            ToEntry::Cancelled(job) => self.cancel_own(now, &job, out),
+        }
+    }
+
+    /// Agents have stopped what they ran for this entry, and clients have sent their jobs again
+    /// elsewhere: nothing may go on.
+    fn stood_still(&mut self, gap: Duration, out: &mut Vec<Action>) {
+        out.push(Action::News(News::Standstill { gap_ms: gap.as_millis() as u64 }));
+        let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            self.finish(self.last_event, &id, Outcome::MayHaveRun(Reason::Standstill), out);
+        }
+        let agents: Vec<SessionId> = self.agents.keys().copied().collect();
+        agents.into_iter().for_each(|id| self.lose_agent(id, "stood still", out));
+    }
+
+    fn submit(&mut self, now: Time, ticket: Ticket, request: JobRequest, out: &mut Vec<Action>) {
+        self.counters.submitted += 1;
+        let id = request.id.clone();
+        if let Some(job) = self.jobs.get_mut(&id) {
+            if job.outcome.is_none() {
+                // The client has lost the connection, and this entry does not know it yet.
+                job.tickets.push(ticket);
+                self.tickets.insert(ticket, id);
+            } else {
+                // Tasks of the first try are being stopped: the second begins after that.
+                job.again = Some((ticket, request));
+            }
+            return;
+        }
+        out.push(Action::News(News::Admitted {
+            job: id.clone(),
+            queue: request.queue.clone(),
+            tasks: request.shape.count,
+            objective_ms: request.objective.as_millis() as u64,
+            waiting: self.queue.len(),
+        }));
+        let job = Job::new(now, ticket, request);
+        for index in 0..job.request.shape.count {
+            self.queue.insert(place_of(&job, index));
+        }
+        self.tickets.insert(ticket, id.clone());
+        self.jobs.insert(id, job);
+    }
+
+    fn abandon(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Action>) {
+        let Some(id) = self.tickets.remove(&ticket) else { return };
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.tickets.retain(|other| *other != ticket);
+        if job.again.as_ref().is_some_and(|(again, _)| *again == ticket) {
+            job.again = None;
+        }
+        if job.tickets.is_empty() && job.outcome.is_none() {
+            self.finish(now, &id, Outcome::Failed(Reason::ClientGone), out);
+        }
+    }
+
+    /// A client cancels a job: every agent is told, and tells the entry that has it.
+    fn cancel(&mut self, now: Time, id: &JobId, out: &mut Vec<Action>) {
+        for agent in self.agents.keys() {
+            out.push(Action::Send(*agent, ToAgent::Cancel(id.clone())));
+        }
+        self.cancel_own(now, id, out);
+    }
+
+    fn cancel_own(&mut self, now: Time, id: &JobId, out: &mut Vec<Action>) {
+        if self.has_job(id) {
+            self.finish(now, id, Outcome::Cancelled, out);
+        }
+    }
+
+    /// Ends what has waited for too long.
+    fn end_waits(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now.since(self.waits_ended) < WAITS_EVERY {
+            return;
+        }
+        self.waits_ended = now;
+        let mut over = Vec::new();
+        let mut gone = Vec::new();
+        for (id, job) in &mut self.jobs {
+            if job.outcome.is_some() {
+                if job.is_gone(now) {
+                    gone.push(id.clone());
+                }
+                continue;
+            }
+            for (index, task) in job.tasks.iter_mut().enumerate() {
+                if matches!(task.state, TaskState::Lost { until } if until <= now) {
+                    task.state = TaskState::Waiting;
+                    task.waits_since = now;
+                    self.queue.insert(Place {
+                        priority: job.request.priority,
+                        due: job.submitted + job.request.objective,
+                        job: id.clone(),
+                        index: index as u32,
+                    });
+                }
+            }
+            if let Some(outcome) = overdue(job, now, &self.timing) {
+                over.push((id.clone(), outcome));
+            }
+        }
+        for (id, outcome) in over {
+            self.finish(now, &id, outcome, out);
+        }
+        for id in gone {
+            if let Some((ticket, request)) = self.jobs.remove(&id).and_then(|job| job.again) {
+                self.submit(now, ticket, request, out);
+            }
+        }
+    }
+}
+
+/// How a job ends that has waited for too long, if it has.
+fn overdue(job: &Job, now: Time, timing: &Timing) -> Option<Outcome> {
+    let age = now.since(job.submitted);
+    let untouched = job.is_untouched();
+    if untouched && age >= job.request.objective.mul_f64(timing.refuse_part) {
+        return Some(not_run(Reason::NoRoom, &job.request));
+    }
+    if age + timing.answer_margin >= job.request.deadline {
+        return Some(match untouched {
+            true => not_run(Reason::Deadline, &job.request),
+            false => Outcome::Failed(Reason::Deadline),
+        });
+    }
+    None
+}
+
+fn not_run(reason: Reason, request: &JobRequest) -> Outcome {
+    Outcome::NotRun { reason, retry_after: request.objective }
+}
+
+/// Where a task of a job stands in the queue.
+pub(crate) fn place_of(job: &Job, index: u32) -> Place {
+    Place {
+        priority: job.request.priority,
+        due: job.submitted + job.request.objective,
+        job: job.request.id.clone(),
+        index,
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/event.rs
@@ -0,0 +1,247 @@
+//! What reaches an entry and what it does.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::{JobId, NodeName, Resources, TaskId};
+use wire::{TaskEnd, ToAgent, ToEntry};
+
+/// A client that waits for an answer, numbered by the daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// A connection of an agent, numbered by the daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SessionId(pub u64);
+
+/// What each task of a job asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskShape {
+    /// How many tasks the job has.
+    pub count: u32,
+    /// What one takes.
+    pub resources: Resources,
+    /// How long one is thought to take, in ms.
+    pub estimated_ms: u32,
+    /// A label that the target must have.
+    pub requirement: Option<Arc<str>>,
+    /// A label that the target had better have.
+    pub affinity: Option<Arc<str>>,
+    /// Most tasks of the job on one target.
+    pub most_together: Option<u32>,
+}
+
+/// A job as a client hands it in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobRequest {
+    /// The client's id of it.
+    pub id: JobId,
+    /// The queue that it is in.
+    pub queue: Arc<str>,
+    /// The service whose targets run its tasks.
+    pub service: Arc<str>,
+    /// What the tasks are told to do.
+    pub spec: Arc<str>,
+    /// What the tasks ask for.
+    pub shape: TaskShape,
+    /// 0 goes first.
+    pub priority: u8,
+    /// How often a task may fail.
+    pub max_attempts: u32,
+    /// The time in which it is to end.
+    pub objective: Duration,
+    /// How long the client waits.
+    pub deadline: Duration,
+}
+
+/// Why a job did not end well.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Reason {
+    /// There was no room within a part of the objective.
+    NoRoom,
+    /// No target of the service is known.
+    NoTarget,
+    /// The entry is stopping.
+    Draining,
+    /// A task failed as often as it may.
+    Attempts,
+    /// The client's time is over.
+    Deadline,
+    /// An agent that had tasks of it is gone.
+    AgentLost,
+    /// The entry stood still for too long.
+    Standstill,
+    /// The client went away.
+    ClientGone,
+    /// It was cancelled.
+    Cancelled,
+}
+
+impl Reason {
+    /// The reason as a word.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoRoom => "no-room",
+            Self::NoTarget => "no-target",
+            Self::Draining => "draining",
+            Self::Attempts => "attempts",
+            Self::Deadline => "deadline",
+            Self::AgentLost => "agent-lost",
+            Self::Standstill => "standstill",
+            Self::ClientGone => "client-gone",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// What a client is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Every task is done.
+    Completed,
+    /// It has ended without that.
+    Failed(Reason),
+    /// It was cancelled.
+    Cancelled,
+    /// No task of it ran, nor will.
+    NotRun {
+        /// Why.
+        reason: Reason,
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// Tasks of it may have run; none runs within the time after which clients send again.
+    MayHaveRun(Reason),
+}
+
+/// What reaches an entry.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// An agent has connected.
+    AgentOpened(SessionId),
+    /// The connection is gone.
+    AgentClosed(SessionId),
+    /// An agent's message.
+    FromAgent(SessionId, ToEntry),
+    /// A client hands in a job.
+    Submit(Ticket, JobRequest),
+    /// A client is gone.
+    Abandon(Ticket),
+    /// A client cancels a job, which may be another entry's.
+    Cancel(JobId),
+    /// A planned stop.
+    Drain,
+    /// Time has passed.
+    Tick,
+}
+
+/// What an entry does.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Sends a message to an agent.
+    Send(SessionId, ToAgent),
+    /// Closes the connection of an agent.
+    Close(SessionId),
+    /// Answers a client.
+    Answer(Ticket, Outcome),
+    /// Reports a decision or a change of state.
+    News(News),
+}
+
+/// What an entry decided or came to believe, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// An agent is known with its target.
+    AgentKnown {
+        /// The agent.
+        agent: NodeName,
+        /// Its service.
+        service: Arc<str>,
+        /// What its target has.
+        capacity: Resources,
+    },
+    /// An agent is gone.
+    AgentLost {
+        /// The agent; none where it had not said who it is.
+        agent: Option<NodeName>,
+        /// Why.
+        why: &'static str,
+        /// Tasks that were there.
+        tasks: usize,
+    },
+    /// An agent takes new work, or no longer.
+    AgentOpen {
+        /// The agent.
+        agent: NodeName,
+        /// Whether it does.
+        open: bool,
+    },
+    /// The process stood still.
+    Standstill {
+        /// How long, in ms.
+        gap_ms: u64,
+    },
+    /// A job is taken.
+    Admitted {
+        /// The job.
+        job: JobId,
+        /// Its queue.
+        queue: Arc<str>,
+        /// Its tasks.
+        tasks: u32,
+        /// The time in which it is to end, in ms.
+        objective_ms: u64,
+        /// Tasks that wait for room.
+        waiting: usize,
+    },
+    /// A task is sent to an agent.
+    Placed {
+        /// The task.
+        task: TaskId,
+        /// Which run of it.
+        run: u64,
+        /// The agent.
+        agent: NodeName,
+        /// What is thought to be free there.
+        free: Resources,
+        /// How old that knowledge is, in ms.
+        age_ms: u64,
+    },
+    /// A task did not end well at an agent.
+    TaskEnded {
+        /// The task.
+        task: TaskId,
+        /// The agent.
+        agent: NodeName,
+        /// How it ended.
+        end: TaskEnd,
+        /// Failures of it so far.
+        failures: u32,
+    },
+    /// A job is answered.
+    Answered {
+        /// The job.
+        job: JobId,
+        /// Its queue.
+        queue: Arc<str>,
+        /// The answer.
+        outcome: Outcome,
+        /// Since it was handed in, in ms.
+        took_ms: f64,
+        /// The time in which it was to end, in ms.
+        objective_ms: u64,
+        /// Its tasks.
+        tasks: u32,
+        /// Starts that were sent for it.
+        starts: u32,
+        /// Longest wait of a task for room, in ms.
+        waited_ms: f64,
+    },
+}
--- /dev/null
+++ b/components/dispatch/src/lib.rs
@@ -0,0 +1,19 @@
+//! An entry's decisions where tasks are placed by the room that targets have.
+//!
+//! The entry holds a job for as long as its client waits: it places the tasks at agents with free
+//! room, collects how they end, and answers once, whole. Nothing is kept: a job dies with its
+//! entry, and the agents stop its tasks.
+//!
+//! No clock, socket or thread in here: [`Dispatcher::handle`] takes a time and an event and gives
+//! the actions that follow.
+
+mod agents;
+mod answers;
+mod dispatcher;
+mod event;
+mod job;
+mod place;
+mod reports;
+
+pub use dispatcher::{Dispatcher, DispatcherCounters, Timing};
+pub use event::{Action, Event, JobRequest, News, Outcome, Reason, SessionId, TaskShape, Ticket};
--- /dev/null
+++ b/components/dispatch/src/place.rs
@@ -0,0 +1,180 @@
+//! Which agent gets which task.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use model::{JobId, TaskId, Time};
+use wire::{StartTask, ToAgent};
+
+use crate::agents::Agent;
+use crate::dispatcher::{Dispatcher, Place};
+use crate::event::{Action, JobRequest, News, SessionId};
+use crate::job::{Job, Task, TaskState};
+
+/// Tasks at the head of the queue that are looked at though they do not fit.
+const LOOK_AHEAD: usize = 16;
+/// What a target's slowdown beyond that of others takes from its score.
+const SLOWDOWN_PRICE: f64 = 0.35;
+/// What the label that a task had better have adds to a target's score.
+const AFFINITY_WORTH: f64 = 10.0;
+/// A target this many times slower than the others is left aside while others have room.
+const FAR_SLOWER: f64 = 2.5;
+/// What being far slower, or avoided, takes from a target's score.
+const LAST_RESORT: f64 = 100.0;
+
+impl Dispatcher {
+    /// Places the tasks that find room, the most urgent first.
+    pub(crate) fn place(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let usual = self.usual_slowdown();
+        let mut misses = 0;
+        let mut placed = Vec::new();
+        for place in &self.queue {
+            let Some(job) = self.jobs.get_mut(&place.job) else { continue };
+            let chosen = choose(&self.agents, job, place.index, now, &self.timing, usual);
+            let Some(id) = chosen else {
+                misses += 1;
+                if misses >= LOOK_AHEAD {
+                    break;
+                }
+                continue;
+            };
+            let Some(agent) = self.agents.get_mut(&id) else { continue };
+            let free = agent.free();
+            let start = start(job, place.index, agent, id, now, &self.timing);
+            if let Some(name) = agent.name() {
+                out.push(Action::News(News::Placed {
+                    task: TaskId { job: place.job.clone(), index: place.index },
+                    run: start.run,
+                    agent: name.clone(),
+                    free,
+                    age_ms: now.since(agent.heard).as_millis() as u64,
+                }));
+            }
+            self.counters.starts += 1;
+            self.outbox.entry((id, place.job.clone())).or_default().push(start);
+            placed.push(place.clone());
+        }
+        placed.iter().for_each(|place| {
+            self.queue.remove(place);
+        });
+    }
+
+    /// Sends the starts of this event, those of one job to one agent together.
+    pub(crate) fn send_starts(&mut self, now: Time, out: &mut Vec<Action>) {
+        for ((id, job), tasks) in std::mem::take(&mut self.outbox) {
+            let (Some(agent), Some(known)) = (self.agents.get(&id), self.jobs.get(&job)) else {
+                continue;
+            };
+            let heard = agent.load.at;
+            let spec = known.request.spec.clone();
+            out.push(Action::Send(id, ToAgent::Start { heard, job, spec, tasks }));
+            self.beaten(now, id);
+        }
+    }
+
+    /// The slowdown that half of the agents do not exceed, at least that of estimates which hold.
+    fn usual_slowdown(&self) -> f64 {
+        let slowdown = |agent: &Agent| agent.load.slowdown_percent;
+        let mut all: Vec<u32> =
+            self.agents.values().filter(|agent| agent.load.open).map(slowdown).collect();
+        all.sort_unstable();
+        let median = all.get(all.len() / 2).copied().unwrap_or_default();
+        f64::from(median.max(50))
+    }
+
+    /// Takes the tasks of a job out of the queue.
+    pub(crate) fn leave_queue(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        for index in 0..job.request.shape.count {
+            self.queue.remove(&Place {
+                priority: job.request.priority,
+                due: job.submitted + job.request.objective,
+                job: id.clone(),
+                index,
+            });
+        }
+    }
+}
+
+/// The agent that is best for a task, if any has room.
+fn choose(
+    agents: &BTreeMap<SessionId, Agent>,
+    job: &Job,
+    index: u32,
+    now: Time,
+    timing: &crate::dispatcher::Timing,
+    usual: f64,
+) -> Option<SessionId> {
+    let request = &job.request;
+    let task = &job.tasks[index as usize];
+    let fit = |(id, agent): &(&SessionId, &Agent)| {
+        agent.serves(&request.service, now, timing.agent_silence)
+            && request.shape.resources.fits(&agent.free())
+            && has_requirement(agent, request.shape.requirement.as_ref())
+            && has_place_beside(job, **id)
+            && !(just_tried(task, **id, now) && agents.len() > 1)
+    };
+    let scored = agents.iter().filter(fit).map(|(id, agent)| (*id, score(agent, request, usual)));
+    scored.max_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(id, _)| id)
+}
+
+fn has_requirement(agent: &Agent, label: Option<&Arc<str>>) -> bool {
+    label.is_none_or(|label| agent.has_label(label))
+}
+
+/// Whether one more task of the job may go to an agent.
+fn has_place_beside(job: &Job, id: SessionId) -> bool {
+    let Some(most) = job.request.shape.most_together else { return true };
+    let there =
+        |task: &&Task| matches!(task.state, TaskState::Placed { session, .. } if session == id);
+    job.tasks.iter().filter(there).count() < most as usize
+}
+
+fn just_tried(task: &Task, id: SessionId, now: Time) -> bool {
+    task.avoid.is_some_and(|(avoided, until)| avoided == id && now < until)
+}
+
+/// How good an agent is for a task: the part of it that stays free, less what it is slower.
+fn score(agent: &Agent, request: &JobRequest, usual: f64) -> f64 {
+    let free = agent.free().less(&request.shape.resources);
+    let capacity = agent.capacity().cpu_milli.max(1);
+    let mut score = free.cpu_milli as f64 / capacity as f64;
+    let slower = f64::from(agent.load.slowdown_percent) / usual;
+    score -= (slower - 1.0).max(0.0) * SLOWDOWN_PRICE;
+    if slower > FAR_SLOWER {
+        score -= LAST_RESORT;
+    }
+    if request.shape.affinity.as_ref().is_some_and(|label| agent.has_label(label)) {
+        score += AFFINITY_WORTH;
+    }
+    score
+}
+
+/// Takes note of a task's new run at an agent.
+fn start(
+    job: &mut Job,
+    index: u32,
+    agent: &mut Agent,
+    session: SessionId,
+    now: Time,
+    timing: &crate::dispatcher::Timing,
+) -> StartTask {
+    let sequence = agent.take(job.request.shape.resources);
+    let task = &mut job.tasks[index as usize];
+    task.run += 1;
+    task.state = TaskState::Placed { session, sequence };
+    job.waited = job.waited.max(now.since(task.waits_since));
+    job.starts += 1;
+    StartTask {
+        sequence,
+        index,
+        run: task.run,
+        resources: job.request.shape.resources,
+        estimated_ms: job.request.shape.estimated_ms,
+        patience_ms: timing.patience.as_millis() as u32,
+        priority: job.request.priority,
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/reports.rs
@@ -0,0 +1,135 @@
+//! What becomes of tasks at agents, and of agents.
+
+use std::time::Duration;
+
+use model::{TaskId, Time};
+use wire::{TaskEnd, TaskReport};
+
+use crate::dispatcher::{Dispatcher, place_of};
+use crate::event::{Action, News, Outcome, Reason, SessionId};
+use crate::job::TaskState;
+
+/// How long a task avoids an agent that had no room for it.
+const AVOID_FULL: Duration = Duration::from_millis(20);
+/// How long a task avoids an agent where it failed or was lost.
+const AVOID_BAD: Duration = Duration::from_secs(5);
+/// Ends without an outcome after which a task is given up.
+const LOSSES: u32 = 5;
+
+impl Dispatcher {
+    /// An agent reports what became of a task.
+    pub(crate) fn task_ended(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        report: TaskReport,
+        out: &mut Vec<Action>,
+    ) {
+        let TaskReport { task: key, sequence, end, .. } = report;
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(task) = job.tasks.get_mut(key.index as usize) else { return };
+        if task.state != (TaskState::Placed { session: id, sequence }) {
+            return;
+        }
+        if let Some(agent) = self.agents.get_mut(&id) {
+            agent.tasks = agent.tasks.saturating_sub(1);
+        }
+        job.may_have_run |= !matches!(end, TaskEnd::NotRun(_));
+        task.failures += u32::from(end == TaskEnd::Failed);
+        task.losses += u32::from(matches!(end, TaskEnd::Lost | TaskEnd::Stopped));
+        let again = match end {
+            TaskEnd::Done => None,
+            TaskEnd::Failed | TaskEnd::Lost | TaskEnd::Stopped => Some(AVOID_BAD),
+            TaskEnd::NotRun(wire::Refusal::Room) => Some(AVOID_FULL),
+            TaskEnd::NotRun(_) => Some(AVOID_BAD),
+        };
+        let (failures, losses) = (task.failures, task.losses);
+        match again {
+            Some(avoid) if job.outcome.is_none() => {
+                task.state = TaskState::Waiting;
+                task.avoid = Some((id, now + avoid));
+                task.waits_since = now;
+            }
+            _ => {
+                task.state = TaskState::Over;
+                job.open -= 1;
+            }
+        }
+        let place = place_of(job, key.index);
+        let (open, answered) = (job.open, job.outcome.is_some());
+        let attempts = job.request.max_attempts;
+        self.note_end(id, &key, end, failures, out);
+        if answered {
+            return;
+        }
+        if failures >= attempts.max(1) || losses >= LOSSES {
+            return self.finish(now, &key.job, Outcome::Failed(Reason::Attempts), out);
+        }
+        if again.is_some() {
+            self.queue.insert(place);
+        } else if open == 0 {
+            self.finish(now, &key.job, Outcome::Completed, out);
+        }
+    }
+
+    fn note_end(
+        &mut self,
+        id: SessionId,
+        task: &TaskId,
+        end: TaskEnd,
+        failures: u32,
+        out: &mut Vec<Action>,
+    ) {
+        match end {
+            TaskEnd::Done => return,
+            TaskEnd::Failed => self.counters.failures += 1,
+            TaskEnd::Lost | TaskEnd::Stopped => self.counters.losses += 1,
+            TaskEnd::NotRun(_) => self.counters.refused_starts += 1,
+        }
+        let Some(agent) = self.agents.get(&id).and_then(|agent| agent.name()) else { return };
+        let agent = agent.clone();
+        out.push(Action::News(News::TaskEnded { task: task.clone(), agent, end, failures }));
+    }
+
+    /// An agent's session is dead: it stops what it runs for this entry, or its target's lease
+    /// ends. Jobs that can still be done in time wait for that; the others end.
+    pub(crate) fn lose_agent(&mut self, id: SessionId, why: &'static str, out: &mut Vec<Action>) {
+        let Some(agent) = self.agents.remove(&id) else { return };
+        let now = self.now();
+        self.counters.agents_lost += 1;
+        out.push(Action::News(News::AgentLost {
+            agent: agent.name().cloned(),
+            why,
+            tasks: agent.tasks,
+        }));
+        out.push(Action::Close(id));
+        let until = now + self.timing.lost_lease;
+        let mut hit = Vec::new();
+        for (job_id, job) in &mut self.jobs {
+            let mut lost = 0;
+            for task in &mut job.tasks {
+                if matches!(task.state, TaskState::Placed { session, .. } if session == id) {
+                    task.state = TaskState::Lost { until };
+                    task.losses += 1;
+                    lost += 1;
+                }
+            }
+            if lost == 0 || job.outcome.is_some() {
+                continue;
+            }
+            job.may_have_run = true;
+            let estimate = Duration::from_millis(u64::from(job.request.shape.estimated_ms));
+            let latest = job.submitted + job.request.objective * LATE_TIMES;
+            if until + estimate > latest {
+                hit.push(job_id.clone());
+            }
+        }
+        self.counters.losses += hit.len() as u64;
+        for job in hit {
+            self.finish(now, &job, Outcome::MayHaveRun(Reason::AgentLost), out);
+        }
+    }
+}
+
+/// A job that ends later than this many times its objective is of no use.
+const LATE_TIMES: u32 = 3;
--- a/components/fakes/src/target.rs
+++ b/components/fakes/src/target.rs
@@ -110,14 +110,18 @@
     starts: Starts,
     stopped: async_channel::Receiver<()>,
 ) {
-    let limits =
-        Limits { body_bytes: 1 << 20, read_time: Duration::from_secs(10), connections: 1_000 };
+    let limits = Limits {
+        header_bytes: net::HEADER_BYTES,
+        body_bytes: 1 << 20,
+        read_time: Duration::from_secs(10),
+        connections: 1_000,
+    };
     let handler = move |request: Request<Result<Bytes, BodyError>>| {
         let starts = starts.clone();
         async move { answer(request, time, behaviour, &starts).await }
     };
     net::block_on(|tasks| async move {
-        tasks.spawn(net::serve(listener, tasks.clone(), limits, handler));
+        tasks.spawn(net::serve(listener, tasks.clone(), move || limits, handler));
         // Ends when the handle is dropped.
         let _ = stopped.recv().await;
     });
--- a/components/keeper/src/event.rs
+++ b/components/keeper/src/event.rs
@@ -3,7 +3,9 @@
 use consensus::{Message, Record};
 use model::NodeName;
 use serde::{Deserialize, Serialize};
-use wire::{ChangeRequest, ChangeResult, PullReply, PullRequest};
+use wire::{
+    ChangeRequest, ChangeResult, Document, PullReply, PullRequest, WatchReply, WatchRequest,
+};
 
 use crate::Version;
 
@@ -20,6 +22,14 @@
     Read(Ticket),
     /// An operator reads the last versions.
     History(Ticket),
+    /// An operator replaces the whole document.
+    Replace(Ticket, Document),
+    /// An operator reads the document.
+    Fetch(Ticket),
+    /// A node registers and waits for news.
+    Watch(Ticket, WatchRequest),
+    /// The process is about to stop.
+    Resign,
     /// A node asks for newer settings.
     Pull(Ticket, PullRequest),
     /// Another keeper's message.
@@ -46,6 +56,12 @@
     Tree(TreeReply),
     /// To a question for the last versions.
     History(Vec<Version>),
+    /// To a document: it lasts, or a higher version does.
+    Replaced,
+    /// To a read of the document; none where there never was one.
+    Document(Option<Document>),
+    /// To a node that is registered.
+    Watch(WatchReply),
     /// To a node.
     Pull(PullReply),
     /// This keeper is not sure to lead: nothing is known from it. Of a change, not even whether
@@ -75,6 +91,10 @@
     Log(consensus::News),
     /// A version was accepted.
     Version(u64),
+    /// A document came into force.
+    Document(u64),
+    /// The list of registered nodes is another one.
+    Nodes(usize),
     /// An entry of the log can't be read: written by a newer program, or a bug.
     Unreadable(u64),
 }
--- a/components/keeper/src/keeper.rs
+++ b/components/keeper/src/keeper.rs
@@ -9,9 +9,10 @@
 use model::{NodeName, Time};
 use settings::Tree;
 use thiserror::Error;
-use wire::{ChangeRequest, PullReply, PullRequest};
+use wire::{ChangeRequest, Document, PullReply, PullRequest, WatchReply};
 
-use crate::{Action, Command, Event, News, Reply, State, Ticket, TreeReply};
+use crate::registry::Registry;
+use crate::{Action, Command, Event, LogCommand, News, Reply, State, Ticket, TreeReply};
 
 /// How long a node that has the version in force waits for the next.
 const PULL_TIME: Duration = Duration::from_secs(2);
@@ -58,6 +59,7 @@
     pullers: Vec<Puller>,
     proposals: HashMap<ProposalId, Waiter>,
     next_proposal: u64,
+    registry: Registry,
 }
 
 /// The records of a keeper of a new cluster, with the tree that it begins with.
@@ -87,6 +89,8 @@
     ) -> Result<Self, KeeperError> {
         let replica = Replica::recover(name, records, timing, seed, now)?;
         let state = decode(replica.snapshot())?;
+        let mut registry = Registry::new(seed);
+        registry.document_is(state.document_version());
         Ok(Self {
             replica,
             state,
@@ -94,6 +98,7 @@
             pullers: Vec::new(),
             proposals: HashMap::new(),
             next_proposal: 0,
+            registry,
         })
     }
 
@@ -106,6 +111,16 @@
                 let history = Reply::History(self.state.history(HISTORY));
                 self.if_sure(now, ticket, history, out);
             }
+            Event::Replace(ticket, document) => self.replace(now, ticket, document, out),
+            Event::Fetch(ticket) => {
+                let reply = Reply::Document(self.state.document().cloned());
+                self.if_sure(now, ticket, reply, out);
+            }
+            Event::Watch(ticket, request) => {
+                let ended = self.registry.watch(now, ticket, request);
+                self.answer_watchers(ended, out);
+            }
+            Event::Resign => self.drive(now, consensus::Event::Resign, out),
             Event::Pull(ticket, request) => self.pull(now, ticket, &request, out),
             Event::Peer(from, message) => {
                 self.drive(now, consensus::Event::Message { from, message }, out);
@@ -119,7 +134,8 @@
     pub fn next_timer(&self) -> Time {
         let pulls = self.pullers.iter().map(|puller| puller.until);
         let changes = self.waiters.values().map(|waiter| waiter.until);
-        let due = pulls.chain(changes).min();
+        let watches = self.registry.next_timer();
+        let due = pulls.chain(changes).chain(watches).min();
         due.map_or(self.replica.next_timer(), |due| due.min(self.replica.next_timer()))
     }
 
@@ -133,6 +149,16 @@
         &self.state
     }
 
+    /// How many nodes are registered here.
+    pub fn registered(&self) -> usize {
+        self.registry.len()
+    }
+
+    /// Names keepers that one which is no member asks to be brought up to date by.
+    pub fn set_contacts(&mut self, contacts: Vec<NodeName>) {
+        self.replica.set_contacts(contacts);
+    }
+
     /// The replica below.
     pub fn replica(&self) -> &Replica {
         &self.replica
@@ -145,8 +171,24 @@
         if let Some(first) = self.state.result(&request.change) {
             return out.push(Action::Respond(ticket, Reply::Change(first.clone())));
         }
-        let command = Command { request, taken: now };
-        let command = serde_json::to_vec(&command).expect("plain structs become JSON");
+        let command = LogCommand::Change(Command { request, taken: now });
+        self.propose(now, ticket, &command, out);
+    }
+
+    /// A version that is not above the one in force changes nothing and is acknowledged: what is
+    /// in force lasts.
+    fn replace(&mut self, now: Time, ticket: Ticket, document: Document, out: &mut Vec<Action>) {
+        if !self.replica.is_sure(now) {
+            return self.unsure(ticket, out);
+        }
+        if document.version <= self.state.document_version() {
+            return out.push(Action::Respond(ticket, Reply::Replaced));
+        }
+        self.propose(now, ticket, &LogCommand::Replace(document), out);
+    }
+
+    fn propose(&mut self, now: Time, ticket: Ticket, command: &LogCommand, out: &mut Vec<Action>) {
+        let command = serde_json::to_vec(command).expect("plain structs become JSON");
         self.next_proposal += 1;
         let id = ProposalId(self.next_proposal);
         self.proposals.insert(id, Waiter { ticket, until: now + CHANGE_TIME });
@@ -224,13 +266,17 @@
 
     fn commit(&mut self, now: Time, entry: &Entry, out: &mut Vec<Action>) {
         let Payload::Command(bytes) = &entry.payload else { return };
-        let Ok(command) = serde_json::from_slice::<Command>(bytes) else {
-            return out.push(Action::News(News::Unreadable(entry.index)));
-        };
         let before = self.state.version();
-        let result = self.state.apply(&command);
+        let reply = match serde_json::from_slice::<LogCommand>(bytes) {
+            Ok(LogCommand::Change(command)) => Reply::Change(self.state.apply(&command)),
+            Ok(LogCommand::Replace(document)) => {
+                self.take_document(document, out);
+                Reply::Replaced
+            }
+            Err(_) => return out.push(Action::News(News::Unreadable(entry.index))),
+        };
         if let Some(waiter) = self.waiters.remove(&entry.index) {
-            out.push(Action::Respond(waiter.ticket, Reply::Change(result)));
+            out.push(Action::Respond(waiter.ticket, reply));
         }
         if self.state.version() > before {
             out.push(Action::News(News::Version(self.state.version())));
@@ -238,9 +284,39 @@
         }
     }
 
+    fn take_document(&mut self, document: Document, out: &mut Vec<Action>) {
+        let version = document.version;
+        if self.state.replace(document) {
+            out.push(Action::News(News::Document(version)));
+            self.tell_watchers(out);
+        }
+    }
+
+    fn tell_watchers(&mut self, out: &mut Vec<Action>) {
+        let ended = self.registry.document_is(self.state.document_version());
+        self.answer_watchers(ended, out);
+    }
+
+    /// What is committed here is told whether or not this keeper leads: a node takes the highest
+    /// version that it is told.
+    fn answer_watchers(&self, ended: Vec<crate::registry::Watcher>, out: &mut Vec<Action>) {
+        for watcher in ended {
+            let newer = self.state.document_version() > watcher.document;
+            let reply = WatchReply {
+                document: self.state.document().filter(|_| newer).cloned(),
+                nodes: self.registry.list_unless(watcher.revision),
+                keepers: self.replica.voters().to_vec(),
+            };
+            out.push(Action::Respond(watcher.ticket, Reply::Watch(reply)));
+        }
+    }
+
     fn install(&mut self, snapshot: &Snapshot, out: &mut Vec<Action>) {
         match decode(snapshot) {
-            Ok(state) => self.state = state,
+            Ok(state) => {
+                self.state = state;
+                self.tell_watchers(out);
+            }
             Err(_) => out.push(Action::News(News::Unreadable(snapshot.index))),
         }
     }
@@ -278,6 +354,12 @@
     }
 
     fn end_waits(&mut self, now: Time, out: &mut Vec<Action>) {
+        let before = self.registry.len();
+        let ended = self.registry.tick(now);
+        if self.registry.len() != before {
+            out.push(Action::News(News::Nodes(self.registry.len())));
+        }
+        self.answer_watchers(ended, out);
         if self.pullers.iter().any(|puller| puller.until <= now) {
             self.answer_pullers(now, out);
         }
--- a/components/keeper/src/lib.rs
+++ b/components/keeper/src/lib.rs
@@ -1,12 +1,16 @@
 //! The settings tree as keepers keep it: a replicated log of changes, versions, deltas for nodes.
 //!
+//! Beside the tree they keep one document, which operators replace as a whole, and a list of the
+//! nodes that are registered, which is not replicated.
+//!
 //! No clock, socket or disk in here: [`Keeper::handle`] takes a time and an event and gives the
 //! actions that follow.
 
 mod event;
 mod keeper;
+mod registry;
 mod state;
 
 pub use event::{Action, Event, News, Reply, Ticket, TreeReply};
 pub use keeper::{Keeper, KeeperError, initial_records};
-pub use state::{Command, State, Version};
+pub use state::{Command, LogCommand, State, Version};
--- /dev/null
+++ b/components/keeper/src/registry.rs
@@ -0,0 +1,118 @@
+//! The nodes that are registered at this keeper, and those of them that wait for news.
+//!
+//! The list is soft state: every node registers at every keeper it knows, again and again, so that
+//! a keeper which has just started has the whole list within a second.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use model::{NodeName, Time};
+use wire::{NodeInfo, NodeList, WatchRequest};
+
+use crate::Ticket;
+
+/// How long a node waits for news; it asks again at once.
+const WATCH_TIME: Duration = Duration::from_millis(1_000);
+/// A node that has not asked for so long is no longer listed.
+const EXPIRY: Duration = Duration::from_millis(4_000);
+/// A changed list is told this long after the first change, so that nodes which start together
+/// are told of together.
+const GATHER: Duration = Duration::from_millis(50);
+/// Bits of a revision that count up; the others tell the keeper's lives apart.
+const REVISION_BITS: u32 = 24;
+
+/// A node that waits.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Watcher {
+    pub ticket: Ticket,
+    /// The document that it has.
+    pub document: u64,
+    /// The list that it has.
+    pub revision: u64,
+    until: Time,
+}
+
+/// The list and who waits.
+#[derive(Debug)]
+pub(crate) struct Registry {
+    nodes: BTreeMap<NodeName, (NodeInfo, Time)>,
+    revision: u64,
+    /// The document in force.
+    document: u64,
+    watchers: Vec<Watcher>,
+    /// When a changed list is told.
+    tell_at: Option<Time>,
+}
+
+impl Registry {
+    pub fn new(seed: u64) -> Self {
+        let revision = (seed << REVISION_BITS) | 1;
+        Self { nodes: BTreeMap::new(), revision, document: 0, watchers: Vec::new(), tell_at: None }
+    }
+
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Registers a node; returns it as one to answer where there is news already.
+    pub fn watch(&mut self, now: Time, ticket: Ticket, request: WatchRequest) -> Vec<Watcher> {
+        let WatchRequest { node, document, revision } = request;
+        let known = self.nodes.insert(node.name.clone(), (node.clone(), now));
+        if known.is_none_or(|(before, _)| before != node) {
+            self.changed(now);
+        }
+        let watcher = Watcher { ticket, document, revision, until: now + WATCH_TIME };
+        let settled = self.tell_at.is_none() && revision != self.revision;
+        if document < self.document || settled {
+            return vec![watcher];
+        }
+        self.watchers.push(watcher);
+        Vec::new()
+    }
+
+    /// A document came into force; returns who has to be told.
+    pub fn document_is(&mut self, version: u64) -> Vec<Watcher> {
+        self.document = version;
+        self.take(|watcher| watcher.document < version)
+    }
+
+    /// Lets time pass; returns who has to be answered.
+    pub fn tick(&mut self, now: Time) -> Vec<Watcher> {
+        let before = self.nodes.len();
+        self.nodes.retain(|_, (_, heard)| now.since(*heard) < EXPIRY);
+        if self.nodes.len() < before {
+            self.changed(now);
+        }
+        if self.tell_at.is_some_and(|at| at <= now) {
+            self.tell_at = None;
+            let revision = self.revision;
+            return self.take(|watcher| watcher.revision != revision || watcher.until <= now);
+        }
+        self.take(|watcher| watcher.until <= now)
+    }
+
+    /// When the next tick is due.
+    pub fn next_timer(&self) -> Option<Time> {
+        self.watchers.iter().map(|watcher| watcher.until).chain(self.tell_at).min()
+    }
+
+    /// The list, unless a node has it already.
+    pub fn list_unless(&self, revision: u64) -> Option<NodeList> {
+        if revision == self.revision {
+            return None;
+        }
+        let nodes = self.nodes.values().map(|(node, _)| node.clone()).collect();
+        Some(NodeList { revision: self.revision, nodes })
+    }
+
+    fn changed(&mut self, now: Time) {
+        self.revision += 1;
+        self.tell_at.get_or_insert(now + GATHER);
+    }
+
+    fn take(&mut self, which: impl Fn(&Watcher) -> bool) -> Vec<Watcher> {
+        let (ended, waiting) = self.watchers.drain(..).partition(|watcher| which(watcher));
+        self.watchers = waiting;
+        ended
+    }
+}
--- a/components/keeper/src/state.rs
+++ b/components/keeper/src/state.rs
@@ -6,13 +6,23 @@
 use model::Time;
 use serde::{Deserialize, Serialize};
 use settings::{Catalog, Edit, SectionPath, Tree};
-use wire::{ChangeRequest, ChangeResult, PullReply};
+use wire::{ChangeRequest, ChangeResult, Document, PullReply};
 
 /// Changes whose first answers are remembered: over a week at 1,200 a day.
 const RESULTS_KEPT: usize = 10_000;
 /// Versions whose edits are kept for nodes that lag; a longer lag gets the whole tree.
 const VERSIONS_KEPT: usize = 2_000;
 
+/// What an entry of the log holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum LogCommand {
+    /// A change of the settings tree.
+    Change(Command),
+    /// A whole document.
+    Replace(Document),
+}
+
 /// A change as it stands in the log, with the leader's time when it took it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Command {
@@ -42,6 +52,9 @@
     results: HashMap<String, ChangeResult>,
     /// Ids of remembered changes, oldest first.
     order: VecDeque<String>,
+    /// The operators' document of the highest version.
+    #[serde(default)]
+    document: Option<Document>,
 }
 
 impl State {
@@ -55,6 +68,25 @@
         self.version
     }
 
+    /// The document in force.
+    pub fn document(&self) -> Option<&Document> {
+        self.document.as_ref()
+    }
+
+    /// The version of the document in force; 0 where there is none.
+    pub fn document_version(&self) -> u64 {
+        self.document.as_ref().map_or(0, |document| document.version)
+    }
+
+    /// Takes a document, unless its version is not above the one in force.
+    pub fn replace(&mut self, document: Document) -> bool {
+        let higher = document.version > self.document_version();
+        if higher {
+            self.document = Some(document);
+        }
+        higher
+    }
+
     /// The tree in force.
     pub fn tree(&self) -> &Tree {
         &self.tree
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -5,7 +5,9 @@
 mod failure;
 mod id;
 mod interner;
+mod job;
 mod map;
+mod resources;
 mod time;
 mod verdict;
 
@@ -14,6 +16,8 @@
 pub use failure::{Code, Failure};
 pub use id::{Incarnation, InvalidSubmission, NodeName, NodeRef, SubmissionId, TaskKey};
 pub use interner::{Interned, Interner};
+pub use job::{JobId, TaskId};
 pub use map::Map;
+pub use resources::Resources;
 pub use time::Time;
 pub use verdict::Verdict;
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -10,5 +10,5 @@
 
 pub use client::{Client, ClientError, Reply};
 pub use rpc::{Frames, call_context, connect, frames, pause, tune};
-pub use server::{Body, BodyError, Limits, serve};
+pub use server::{Body, BodyError, HEADER_BYTES, Limits, serve};
 pub use tasks::{Tasks, block_on};
--- a/components/net/src/server.rs
+++ b/components/net/src/server.rs
@@ -21,6 +21,11 @@
 /// Pause after an accept failed, so that a lack of file descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// The shortest limit of a head that can be set.
+const HEADER_BYTES_LEAST: usize = 8_192;
+/// Longest head where no limit is set.
+pub const HEADER_BYTES: usize = 64 * 1024;
+
 /// A whole body.
 pub type Body = Full<Bytes>;
 
@@ -41,6 +46,8 @@
 /// What a client may take of the server.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
+    /// Longest head of a request, in bytes.
+    pub header_bytes: usize,
     /// Longest body, in bytes.
     pub body_bytes: usize,
     /// Longest time for a request's head, and again for its body.
@@ -49,15 +56,18 @@
     pub connections: usize,
 }
 
-/// Accepts connections for ever and answers each request by `handler`.
-pub async fn serve<H, F>(listener: Async<TcpListener>, tasks: Tasks, limits: Limits, handler: H)
+/// Accepts connections for ever and answers each request by `handler`. The limits are asked for at
+/// each connection.
+pub async fn serve<L, H, F>(listener: Async<TcpListener>, tasks: Tasks, limits: L, handler: H)
 where
+    L: Fn() -> Limits,
     H: Fn(Request<Result<Bytes, BodyError>>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
     let open = Rc::new(());
     loop {
         // Every connection has a clone of `open`; the count is the number of connections.
+        let limits = limits();
         if Rc::strong_count(&open) > limits.connections {
             Timer::after(ACCEPT_PAUSE).await;
             continue;
@@ -98,6 +108,7 @@
         }
     });
     let connection = http1::Builder::new()
+        .max_buf_size(limits.header_bytes.max(HEADER_BYTES_LEAST))
         .timer(SmolTimer::new())
         .header_read_timeout(limits.read_time)
         .serve_connection(FuturesIo::new(stream), service);
--- /dev/null
+++ b/components/routing/src/lib.rs
@@ -0,0 +1,7 @@
+//! The routes of a fleet: which request belongs to which queue, and what holds for its jobs.
+
+mod error;
+mod table;
+
+pub use error::InvalidTable;
+pub use table::{Route, RouteTable, ServiceInfo, TransferLimits};
--- /dev/null
+++ b/components/runner/src/event.rs
@@ -0,0 +1,317 @@
+//! What reaches an agent and what it does.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::{Resources, TaskId};
+use wire::{Document, TaskEnd, ToAgent, ToEntry};
+
+/// A connection of an entry, numbered by the daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SessionId(pub u64);
+
+/// One life of a target, by the id that it gives itself.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TargetId(pub Arc<str>);
+
+impl fmt::Display for TargetId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// What a target reports of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetReport {
+    /// Which of its lives.
+    pub id: TargetId,
+    /// The service that it takes work of.
+    pub service: Arc<str>,
+    /// Its data hall.
+    pub hall: Arc<str>,
+    /// Its kind, its rack and the like.
+    pub labels: Vec<Arc<str>>,
+    /// All that it has.
+    pub capacity: Resources,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// While it drains: the least time that is left.
+    pub remaining: Option<Duration>,
+    /// Its steady clock, in ms.
+    pub clock_ms: u64,
+}
+
+/// One run of one task at one life of a target.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RunKey {
+    /// The target's life.
+    pub target: TargetId,
+    /// The task.
+    pub task: TaskId,
+    /// Counts the task's starts.
+    pub run: u64,
+}
+
+/// An order to start a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StartOrder {
+    /// The run.
+    pub key: RunKey,
+    /// What the task is told to do.
+    pub spec: Arc<str>,
+    /// The lease's end on the target's clock, in ms. An order that arrives later is refused.
+    pub deadline_ms: u64,
+    /// Higher than that of any earlier life of the agent.
+    pub fencing_token: u64,
+}
+
+/// An order to stop a run, or to refuse it if it comes later.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StopOrder {
+    /// The run.
+    pub key: RunKey,
+    /// Higher than that of any earlier life of the agent.
+    pub fencing_token: u64,
+}
+
+/// An order to renew the lease, and to answer once a run ends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HoldOrder {
+    /// The target's life.
+    pub target: TargetId,
+    /// The lease's end on the target's clock, in ms; `None` where it is not to be renewed.
+    pub deadline_ms: Option<u64>,
+    /// Higher than that of any earlier life of the agent.
+    pub fencing_token: u64,
+    /// The last end that is taken note of.
+    pub last_seen: u64,
+    /// How long to wait for an end.
+    pub wait: Duration,
+}
+
+/// Why a target refuses a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartRefusal {
+    /// It has seen a higher fencing token.
+    Fence,
+    /// A run as high was stopped or has ended there.
+    Old,
+    /// The deadline has passed.
+    Late,
+    /// It has no room.
+    Room,
+    /// Another reason.
+    Other,
+}
+
+/// A target's answer to a start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StartReply {
+    /// The run is there.
+    Taken {
+        /// Its clock, in ms.
+        clock_ms: u64,
+    },
+    /// The run is not there.
+    Refused {
+        /// Its clock, in ms; 0 if not told.
+        clock_ms: u64,
+        /// Why.
+        reason: StartRefusal,
+    },
+    /// It can't read the order.
+    Invalid,
+    /// It is not well, and has done nothing.
+    Unhealthy,
+    /// Another life has its address.
+    OtherLife,
+    /// No answer: it may have been done, or may be later.
+    Silent,
+}
+
+/// A target's answer to a stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopReply {
+    /// The run is stopping, has ended, or will never start.
+    Done,
+    /// Another life has its address.
+    OtherLife,
+    /// It was not done, or not answered.
+    Silent,
+}
+
+/// A run that a target lists.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetRun {
+    /// The task.
+    pub task: TaskId,
+    /// Which run.
+    pub run: u64,
+}
+
+/// How a target says that a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndReason {
+    /// It is done.
+    Done,
+    /// It failed, by its own fault or the target's.
+    Failed,
+    /// It was stopped.
+    Stopped,
+    /// The lease ran out.
+    Lapsed,
+    /// Another reason.
+    Other,
+}
+
+/// An end that a target lists.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetEnd {
+    /// Counts the ends of the target's life.
+    pub number: u64,
+    /// The run that ended; `None` for a name that no agent gives.
+    pub run: Option<TargetRun>,
+    /// How.
+    pub reason: EndReason,
+}
+
+/// A target's answer to a hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HoldReply {
+    /// The lease is renewed.
+    Lists {
+        /// Its clock, in ms.
+        clock_ms: u64,
+        /// What runs.
+        running: Vec<TargetRun>,
+        /// What ended since the last end that was taken note of.
+        ended: Vec<TargetEnd>,
+    },
+    /// It has seen a higher fencing token.
+    Fence {
+        /// Its clock, in ms.
+        clock_ms: u64,
+    },
+    /// Another life has its address.
+    OtherLife,
+    /// No answer.
+    Silent,
+}
+
+/// What reaches an agent.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// An entry was connected to.
+    SessionOpened(SessionId),
+    /// The connection is gone.
+    SessionClosed(SessionId),
+    /// An entry's message.
+    FromEntry(SessionId, ToAgent),
+    /// The target reports of itself.
+    Target(TargetReport),
+    /// The target says that it ends now.
+    TargetLeft(TargetId),
+    /// The answer to a start.
+    Started(RunKey, StartReply),
+    /// The answer to a stop.
+    Stopped(RunKey, StopReply),
+    /// The answer to a hold.
+    Held(TargetId, HoldReply),
+    /// A newer document.
+    Document(Document),
+    /// A planned stop: takes no new work.
+    Drain,
+    /// Time has passed.
+    Tick,
+}
+
+/// What an agent does.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Sends a message to an entry.
+    Send(SessionId, ToEntry),
+    /// Closes the connection of an entry.
+    Close(SessionId),
+    /// Orders the target to start a run.
+    Start(StartOrder),
+    /// Orders the target to stop a run.
+    Stop(StopOrder),
+    /// Renews the lease.
+    Hold(HoldOrder),
+    /// Reports a decision or a change of state.
+    News(News),
+}
+
+/// What an agent decided or came to believe, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum News {
+    /// A target's new life is taken on.
+    TargetFound {
+        /// Its life.
+        id: TargetId,
+        /// The fencing token that it is given.
+        fencing_token: u64,
+    },
+    /// A target's life is over.
+    TargetGone {
+        /// Its life.
+        id: TargetId,
+        /// Runs that went with it.
+        lost: usize,
+    },
+    /// The target does not answer.
+    TargetSilent(TargetId),
+    /// The target answers again.
+    TargetHeard(TargetId),
+    /// The target is about to leave: no new work.
+    TargetDrains(TargetId),
+    /// The target fails what it runs: left out for a while.
+    TargetLeftOut {
+        /// Failures in a row.
+        failures: u32,
+        /// How long, in ms.
+        for_ms: u64,
+    },
+    /// The target runs tasks well again.
+    TargetTakenBack,
+    /// A session with an entry opened.
+    SessionOpened(SessionId),
+    /// A session is dead: what ran for it is stopped.
+    SessionLost {
+        /// The session.
+        session: SessionId,
+        /// Why.
+        why: &'static str,
+        /// Runs that are stopped.
+        runs: usize,
+    },
+    /// A run was started, refused or ended.
+    Run {
+        /// The task.
+        task: TaskId,
+        /// Which run.
+        run: u64,
+        /// What became of it.
+        end: TaskEnd,
+        /// How long it waited for room, in ms.
+        waited_ms: u64,
+        /// How long it ran, in ms.
+        ran_ms: u64,
+        /// What was free at that moment.
+        free: Resources,
+    },
+    /// A run is stopped because it takes far longer than it was thought to.
+    Stuck {
+        /// The task.
+        task: TaskId,
+        /// How long it ran, in ms.
+        ran_ms: u64,
+        /// How long it was thought to take, in ms.
+        estimated_ms: u32,
+    },
+    /// A start was not answered: it is stopped.
+    StartSilent(TaskId),
+    /// The target lists a run that this life of the agent did not start: it is stopped.
+    Orphan(TaskId),
+}
--- /dev/null
+++ b/components/runner/src/hold.rs
@@ -0,0 +1,164 @@
+//! The target's lease: one standing hold renews it and brings ends.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use model::{TaskId, Time};
+use wire::TaskEnd;
+
+use crate::event::{
+    Action, EndReason, HoldOrder, HoldReply, News, RunKey, StopOrder, TargetEnd, TargetId,
+    TargetRun,
+};
+use crate::orders::LEASE_SLACK;
+use crate::run::RunState;
+use crate::runner::Runner;
+
+/// Silence, besides the wait of a hold, after which the lease is not renewed any more.
+const RENEW_SILENCE: Duration = Duration::from_millis(450);
+/// Pause before a hold that failed is tried again.
+const RETRY: Duration = Duration::from_millis(40);
+/// A run that this many holds in a row did not list, nor its end, is gone.
+const UNLISTED: u32 = 3;
+/// A hold that was sent this soon after a start may not list its run yet.
+const START_SLACK: Duration = Duration::from_millis(100);
+
+impl Runner {
+    /// Sends the next hold where none is under way, and takes note of a silent target.
+    pub(crate) fn watch_target(&mut self, now: Time, out: &mut Vec<Action>) {
+        let timing = self.timing;
+        let Some(target) = &mut self.target else { return };
+        if target.holding.is_none() && target.hold_from <= now {
+            target.holding = Some(now);
+            // A target that does not answer is no longer renewed, so that its lease surely ends.
+            let renews = now.since(target.heard) <= timing.hold_wait + RENEW_SILENCE;
+            if renews {
+                target.renewed = now;
+            }
+            out.push(Action::Hold(HoldOrder {
+                target: target.id().clone(),
+                deadline_ms: renews.then(|| target.deadline_ms(now, timing.lease)),
+                fencing_token: target.fencing_token,
+                last_seen: target.last_seen,
+                wait: timing.hold_wait,
+            }));
+        }
+        let silent = now.since(target.heard) > timing.hold_wait + timing.hold_silence;
+        if silent && !target.silent {
+            target.silent = true;
+            out.push(Action::News(News::TargetSilent(target.id().clone())));
+            self.mark_dirty();
+        }
+        self.end_lapsed(now, out);
+    }
+
+    /// What a target ran that has not answered since its lease ran out is gone.
+    fn end_lapsed(&mut self, now: Time, out: &mut Vec<Action>) {
+        let Some(target) = &self.target else { return };
+        let lease = self.timing.lease + LEASE_SLACK;
+        if now.since(target.renewed) <= lease {
+            return;
+        }
+        let old = |since: Time| now.since(since) > lease;
+        let tasks: Vec<TaskId> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.takes_room() && old(run.since))
+            .map(|(task, _)| task.clone())
+            .collect();
+        tasks.iter().for_each(|task| self.end(now, task, TaskEnd::Lost, out));
+    }
+
+    /// The target answered something.
+    pub(crate) fn target_heard(&mut self, now: Time, clock_ms: u64) {
+        if let Some(target) = &mut self.target {
+            target.clock_is(now, clock_ms);
+        }
+    }
+
+    /// The target answered a hold.
+    pub(crate) fn held(
+        &mut self,
+        now: Time,
+        id: &TargetId,
+        reply: HoldReply,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(target) = self.target.as_mut().filter(|target| target.id() == id) else { return };
+        let sent = target.holding.take().unwrap_or(now);
+        match reply {
+            HoldReply::Lists { clock_ms, running, ended } => {
+                target.clock_is(now, clock_ms);
+                target.heard = now;
+                if std::mem::take(&mut target.silent) {
+                    out.push(Action::News(News::TargetHeard(id.clone())));
+                    self.mark_dirty();
+                }
+                self.take_ends(now, ended, out);
+                self.compare(now, sent, &running, out);
+            }
+            HoldReply::Fence { clock_ms } => {
+                target.clock_is(now, clock_ms);
+                target.hold_from = now + RETRY;
+                self.raise_fence();
+            }
+            HoldReply::OtherLife => self.target_gone(now, out),
+            HoldReply::Silent => target.hold_from = now + RETRY,
+        }
+    }
+
+    fn take_ends(&mut self, now: Time, ended: Vec<TargetEnd>, out: &mut Vec<Action>) {
+        for end in ended {
+            let Some(target) = &mut self.target else { return };
+            if end.number <= target.last_seen {
+                continue;
+            }
+            target.last_seen = end.number;
+            let Some(TargetRun { task, run }) = end.run else { continue };
+            let Some(known) = self.runs.get(&task).filter(|known| known.run == run) else {
+                continue;
+            };
+            let stopping = match known.state {
+                RunState::Stopping(stopping) => Some(stopping),
+                _ => None,
+            };
+            let outcome = match end.reason {
+                EndReason::Done => TaskEnd::Done,
+                EndReason::Failed => TaskEnd::Failed,
+                EndReason::Stopped if stopping.is_some_and(|stop| !stop.doubtful) => {
+                    TaskEnd::Stopped
+                }
+                EndReason::Stopped | EndReason::Lapsed | EndReason::Other => TaskEnd::Lost,
+            };
+            self.end(now, &task, outcome, out);
+        }
+    }
+
+    /// Compares what the target lists with what is known: it may run what an earlier life of the
+    /// agent started, and may have lost what this one did.
+    fn compare(&mut self, now: Time, sent: Time, running: &[TargetRun], out: &mut Vec<Action>) {
+        let listed: BTreeSet<(&TaskId, u64)> =
+            running.iter().map(|run| (&run.task, run.run)).collect();
+        let mut gone = Vec::new();
+        for (task, run) in &mut self.runs {
+            if listed.contains(&(task, run.run)) {
+                run.unlisted = 0;
+            } else if run.state == RunState::Running && run.since + START_SLACK < sent {
+                run.unlisted += 1;
+                if run.unlisted >= UNLISTED {
+                    gone.push(task.clone());
+                }
+            }
+        }
+        gone.iter().for_each(|task| self.end(now, task, TaskEnd::Lost, out));
+        let Some(target) = &self.target else { return };
+        for run in running {
+            if self.runs.get(&run.task).is_some_and(|known| known.run == run.run) {
+                continue;
+            }
+            out.push(Action::News(News::Orphan(run.task.clone())));
+            let key = RunKey { target: target.id().clone(), task: run.task.clone(), run: run.run };
+            out.push(Action::Stop(StopOrder { key, fencing_token: target.fencing_token }));
+        }
+    }
+}
--- /dev/null
+++ b/components/runner/src/orders.rs
@@ -0,0 +1,269 @@
+//! Starts and stops: which runs get room, and what the target answers.
+
+use std::time::Duration;
+
+use model::{TaskId, Time};
+use wire::{Refusal, TaskEnd};
+
+use crate::event::{
+    Action, News, RunKey, StartOrder, StartRefusal, StartReply, StopOrder, StopReply,
+};
+use crate::run::{Run, RunState, Stopping};
+use crate::runner::{Runner, report_health};
+
+/// A stop that was not answered is sent again after this.
+const STOP_AGAIN: Duration = Duration::from_millis(100);
+/// Added to the time that a stop may take, for the list that shows its end to arrive.
+const LIST_SLACK: Duration = Duration::from_millis(80);
+/// How much longer than its lease a target may run on: its clock may be 2% slow.
+pub(crate) const LEASE_SLACK: Duration = Duration::from_millis(60);
+/// How often a start gets a higher number before it is given up.
+const RENUMBERINGS: u32 = 6;
+/// A task that runs longer than this many times its estimate is stuck,
+const STUCK_TIMES: u32 = 4;
+/// and longer than this besides.
+const STUCK_LEAST: Duration = Duration::from_millis(250);
+
+impl Runner {
+    /// Starts the runs that have room, the most urgent first.
+    pub(crate) fn admit(&mut self, now: Time, out: &mut Vec<Action>) {
+        if !self.is_open(now) {
+            return;
+        }
+        let mut waiting: Vec<(u8, Time, TaskId)> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.state == RunState::Waiting)
+            .map(|(task, run)| (run.priority, run.asked, task.clone()))
+            .collect();
+        if waiting.is_empty() {
+            return;
+        }
+        waiting.sort();
+        let mut free = self.free();
+        for (_, _, task) in waiting {
+            let on_trial = self.target.as_ref().is_some_and(|target| target.health.on_trial());
+            if on_trial && self.runs.values().any(Run::takes_room) {
+                return;
+            }
+            let Some(run) = self.runs.get_mut(&task) else { continue };
+            if !run.resources.fits(&free) {
+                continue;
+            }
+            free -= run.resources;
+            run.state = RunState::Starting;
+            run.since = now;
+            self.send_start(now, &task, out);
+        }
+    }
+
+    fn send_start(&mut self, now: Time, task: &TaskId, out: &mut Vec<Action>) {
+        let (Some(target), Some(run)) = (&self.target, self.runs.get(task)) else { return };
+        out.push(Action::Start(StartOrder {
+            key: RunKey { target: target.id().clone(), task: task.clone(), run: run.run },
+            spec: run.spec.clone(),
+            deadline_ms: target.deadline_ms(now, self.timing.start_life),
+            fencing_token: target.fencing_token,
+        }));
+    }
+
+    pub(crate) fn send_stop(&self, task: &TaskId, out: &mut Vec<Action>) {
+        let (Some(target), Some(run)) = (&self.target, self.runs.get(task)) else { return };
+        out.push(Action::Stop(StopOrder {
+            key: RunKey { target: target.id().clone(), task: task.clone(), run: run.run },
+            fencing_token: target.fencing_token,
+        }));
+    }
+
+    /// The run that a key names, if it is here and the target's life is the same.
+    fn find(&mut self, key: &RunKey) -> Option<&mut Run> {
+        let same_life = self.target.as_ref().is_some_and(|target| *target.id() == key.target);
+        self.runs.get_mut(&key.task).filter(|run| same_life && run.run == key.run)
+    }
+
+    /// The target answered a start.
+    pub(crate) fn started(
+        &mut self,
+        now: Time,
+        key: &RunKey,
+        reply: StartReply,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(run) = self.find(key) else { return };
+        let stopping = matches!(run.state, RunState::Stopping(_));
+        match reply {
+            StartReply::Taken { clock_ms } => {
+                if let RunState::Stopping(stopping) = &mut run.state {
+                    // It runs after all: the stop that is under way ends it.
+                    stopping.doubtful = false;
+                } else {
+                    run.state = RunState::Running;
+                    run.since = now;
+                }
+                self.counters.started += 1;
+                self.target_heard(now, clock_ms);
+            }
+            StartReply::Refused { clock_ms, reason } => {
+                self.target_heard(now, clock_ms);
+                self.refused(now, &key.task, reason, stopping, out);
+            }
+            StartReply::Invalid => self.end(now, &key.task, TaskEnd::Failed, out),
+            StartReply::Unhealthy => {
+                if let Some(target) = &mut self.target {
+                    report_health(target.health.failed(now), out);
+                }
+                self.end(now, &key.task, TaskEnd::NotRun(Refusal::Target), out);
+            }
+            StartReply::OtherLife => self.target_gone(now, out),
+            StartReply::Silent => self.start_silent(now, &key.task, stopping, out),
+        }
+    }
+
+    fn refused(
+        &mut self,
+        now: Time,
+        task: &TaskId,
+        reason: StartRefusal,
+        stopping: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(run) = self.runs.get_mut(task) else { return };
+        if stopping {
+            return self.end(now, task, TaskEnd::NotRun(Refusal::Target), out);
+        }
+        if reason == StartRefusal::Room {
+            self.counters.no_room += 1;
+        }
+        let again = run.renumbered < RENUMBERINGS;
+        run.renumbered += 1;
+        match reason {
+            // A run as high was there for another entry: counts on from far above it.
+            StartRefusal::Old if again => {
+                run.run += 1 << run.renumbered;
+                self.send_start(now, task, out);
+            }
+            StartRefusal::Late if again => self.send_start(now, task, out),
+            StartRefusal::Fence if again => {
+                self.raise_fence();
+                self.send_start(now, task, out);
+            }
+            StartRefusal::Room => self.end(now, task, TaskEnd::NotRun(Refusal::Room), out),
+            _ => self.end(now, task, TaskEnd::NotRun(Refusal::Target), out),
+        }
+    }
+
+    /// The target may have seen a token that is higher than its clock was told to be.
+    pub(crate) fn raise_fence(&mut self) {
+        let now = self.last_event;
+        if let Some(target) = &mut self.target {
+            let clock = target.deadline_ms(now, Duration::ZERO);
+            target.fencing_token = clock.max(target.fencing_token + 1);
+        }
+    }
+
+    /// A start was not answered: it may run, or may be carried out later. A stop of the same run
+    /// is the proof that it does not.
+    fn start_silent(&mut self, now: Time, task: &TaskId, stopping: bool, out: &mut Vec<Action>) {
+        self.counters.silent_starts += 1;
+        if stopping {
+            return;
+        }
+        out.push(Action::News(News::StartSilent(task.clone())));
+        let Some(run) = self.runs.get_mut(task) else { return };
+        let stopping = Stopping { doubtful: true, sent: now, acknowledged: None };
+        run.state = RunState::Stopping(stopping);
+        self.send_stop(task, out);
+    }
+
+    /// The target answered a stop.
+    pub(crate) fn stop_answered(
+        &mut self,
+        now: Time,
+        key: &RunKey,
+        reply: StopReply,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(run) = self.find(key) else { return };
+        match (reply, &mut run.state) {
+            (StopReply::Done, RunState::Stopping(stopping)) => {
+                stopping.acknowledged.get_or_insert(now);
+            }
+            (StopReply::OtherLife, _) => self.target_gone(now, out),
+            _ => {}
+        }
+    }
+
+    /// Sends stops again, and ends runs that surely do not run any more.
+    pub(crate) fn repeat_stops(&mut self, now: Time, out: &mut Vec<Action>) {
+        let Some(target) = &self.target else { return };
+        let lapsed = now.since(target.renewed) > self.timing.lease + LEASE_SLACK;
+        let stopped = self.timing.stop_time + LIST_SLACK;
+        let mut again = Vec::new();
+        let mut ended = Vec::new();
+        for (task, run) in &mut self.runs {
+            let RunState::Stopping(stopping) = &mut run.state else { continue };
+            match stopping.acknowledged {
+                Some(at) if now.since(at) > stopped => ended.push(task.clone()),
+                None if lapsed && now.since(run.since) > self.timing.lease + LEASE_SLACK => {
+                    ended.push(task.clone());
+                }
+                None if now.since(stopping.sent) > STOP_AGAIN => {
+                    stopping.sent = now;
+                    again.push(task.clone());
+                }
+                _ => {}
+            }
+        }
+        again.iter().for_each(|task| self.send_stop(task, out));
+        ended.iter().for_each(|task| self.end(now, task, TaskEnd::Lost, out));
+    }
+
+    /// Stops runs that take far longer than they were thought to: the target may be stuck.
+    pub(crate) fn stop_stuck(&mut self, now: Time, out: &mut Vec<Action>) {
+        let Some(target) = &self.target else { return };
+        let slow = (target.slowdown_percent / 100.0).clamp(1.0, 4.0);
+        let stuck = |run: &Run| {
+            let estimate = Duration::from_millis(u64::from(run.estimated_ms)).mul_f64(slow);
+            let ran = now.since(run.since);
+            run.state == RunState::Running
+                && run.estimated_ms > 0
+                && ran > estimate * STUCK_TIMES
+                && ran > STUCK_LEAST + estimate
+        };
+        let tasks: Vec<TaskId> =
+            self.runs.iter().filter(|(_, run)| stuck(run)).map(|(task, _)| task.clone()).collect();
+        for task in tasks {
+            let Some(run) = self.runs.get(&task) else { continue };
+            out.push(Action::News(News::Stuck {
+                task: task.clone(),
+                ran_ms: now.since(run.since).as_millis() as u64,
+                estimated_ms: run.estimated_ms,
+            }));
+            if let Some(target) = &mut self.target {
+                report_health(target.health.failed(now), out);
+            }
+            self.mark_dirty();
+            self.stop(now, &task, out);
+        }
+    }
+
+    /// Gives up runs that waited too long for room.
+    pub(crate) fn expire_waiting(&mut self, now: Time, out: &mut Vec<Action>) {
+        let expired = |run: &Run| run.state == RunState::Waiting && run.expires <= now;
+        let tasks: Vec<TaskId> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| expired(run))
+            .map(|(task, _)| task.clone())
+            .collect();
+        tasks.iter().for_each(|task| self.end(now, task, TaskEnd::NotRun(Refusal::Room), out));
+    }
+
+    /// Gives up all that waits.
+    pub(crate) fn refuse_waiting(&mut self, now: Time, why: Refusal, out: &mut Vec<Action>) {
+        let waits = |run: &Run| run.state == RunState::Waiting;
+        let tasks: Vec<TaskId> =
+            self.runs.iter().filter(|(_, run)| waits(run)).map(|(task, _)| task.clone()).collect();
+        tasks.iter().for_each(|task| self.end(now, task, TaskEnd::NotRun(why), out));
+    }
+}
--- /dev/null
+++ b/components/runner/src/runner.rs
@@ -0,0 +1,360 @@
+//! One life of an agent: its state, and which part takes which event.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::{JobId, NodeName, Resources, TaskId, Time};
+use wire::{Document, Refusal, TaskEnd, TaskReport};
+
+use crate::event::{Action, Event, News, SessionId, TargetId, TargetReport};
+use crate::health::Change;
+use crate::run::{Run, RunState, Stopping};
+use crate::sessions::Session;
+use crate::target::Target;
+
+/// The times of an agent.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// The longest lease that a target gives.
+    pub lease: Duration,
+    /// How long a hold waits for an end.
+    pub hold_wait: Duration,
+    /// A target that has not answered a hold for so long gets no new work.
+    pub hold_silence: Duration,
+    /// How long a start may be on its way to the target.
+    pub start_life: Duration,
+    /// How long the target takes to stop a run.
+    pub stop_time: Duration,
+    /// Silence of an entry after which its session is dead.
+    pub session_silence: Duration,
+    /// Age of what an entry heard after which its starts are refused.
+    pub start_age: Duration,
+    /// A gap between two events after which the process is taken to have stood still.
+    pub standstill: Duration,
+    /// From one report of the load to the next, at least.
+    pub load_gap: Duration,
+    /// From one report of the load to the next, at most.
+    pub load_interval: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_millis(1_000),
+            hold_wait: Duration::from_millis(350),
+            hold_silence: Duration::from_millis(600),
+            start_life: Duration::from_millis(400),
+            stop_time: Duration::from_millis(50),
+            session_silence: Duration::from_millis(600),
+            start_age: Duration::from_millis(500),
+            standstill: Duration::from_millis(400),
+            load_gap: Duration::from_millis(8),
+            load_interval: Duration::from_millis(100),
+        }
+    }
+}
+
+/// What an agent counts since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RunnerCounters {
+    /// Tasks asked for.
+    pub asked: u64,
+    /// Starts that the target took.
+    pub started: u64,
+    /// Tasks done.
+    pub done: u64,
+    /// Tasks failed.
+    pub failed: u64,
+    /// Tasks that did not run.
+    pub not_run: u64,
+    /// Tasks stopped.
+    pub stopped: u64,
+    /// Tasks that are gone without an outcome.
+    pub lost: u64,
+    /// Starts that the target refused for want of room.
+    pub no_room: u64,
+    /// Starts that the target did not answer.
+    pub silent_starts: u64,
+    /// Sessions that died.
+    pub sessions_lost: u64,
+}
+
+/// One life of an agent.
+#[derive(Debug)]
+pub struct Runner {
+    pub(crate) node: NodeName,
+    pub(crate) timing: Timing,
+    pub(crate) target: Option<Target>,
+    /// Lives of the target that are over.
+    pub(crate) gone: Vec<TargetId>,
+    pub(crate) sessions: BTreeMap<SessionId, Session>,
+    pub(crate) runs: BTreeMap<TaskId, Run>,
+    pub(crate) document: Option<Document>,
+    /// Jobs that were cancelled, and when that is forgotten.
+    pub(crate) cancelled: BTreeMap<JobId, Time>,
+    pub(crate) draining: bool,
+    pub(crate) last_event: Time,
+    pub(crate) counters: RunnerCounters,
+}
+
+/// Lives of the target that are remembered as over.
+const GONE_KEPT: usize = 16;
+/// From one tick to the next, at most.
+const TICK: Duration = Duration::from_millis(20);
+const IDLE_TICK: Duration = Duration::from_millis(100);
+
+impl Runner {
+    /// An agent that has not heard of its target yet.
+    pub fn new(node: NodeName, timing: Timing, now: Time) -> Self {
+        Self {
+            node,
+            timing,
+            target: None,
+            gone: Vec::new(),
+            sessions: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            document: None,
+            cancelled: BTreeMap::new(),
+            draining: false,
+            last_event: now,
+            counters: RunnerCounters::default(),
+        }
+    }
+
+    /// Takes an event and adds the actions that follow.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        if now.since(self.last_event) > self.timing.standstill {
+            // What waited meanwhile may be far too old: entries have given up on this agent.
+            self.lose_all_sessions("stood still", out);
+        }
+        self.last_event = now;
+        match event {
+            Event::SessionOpened(session) => self.open_session(now, session, out),
+            Event::SessionClosed(session) => self.lose_session(session, "closed", out),
+            Event::FromEntry(session, message) => self.from_entry(now, session, message, out),
+            Event::Target(report) => self.target_reports(now, report, out),
+            Event::TargetLeft(id) => {
+                if self.target.as_ref().is_some_and(|target| *target.id() == id) {
+                    self.target_gone(now, out);
+                }
+            }
+            Event::Started(key, reply) => self.started(now, &key, reply, out),
+            Event::Stopped(key, reply) => self.stop_answered(now, &key, reply, out),
+            Event::Held(id, reply) => self.held(now, &id, reply, out),
+            Event::Document(document) => self.take_document(document),
+            Event::Drain => self.drain(now, out),
+            Event::Tick => {}
+        }
+        self.tick(now, out);
+    }
+
+    /// When the next tick is due.
+    pub fn next_timer(&self, now: Time) -> Time {
+        let waits = |run: &Run| run.state != RunState::Running;
+        let busy = self.runs.values().any(waits) || self.sessions.values().any(Session::is_dirty);
+        now + if busy { TICK } else { IDLE_TICK }
+    }
+
+    /// Whether nothing runs or waits.
+    pub fn is_idle(&self) -> bool {
+        self.runs.is_empty()
+    }
+
+    /// What it counted.
+    pub fn counters(&self) -> RunnerCounters {
+        self.counters
+    }
+
+    /// Tasks that wait, and tasks at the target.
+    pub fn sizes(&self) -> (usize, usize) {
+        let waiting = self.runs.values().filter(|run| !run.takes_room()).count();
+        (waiting, self.runs.len() - waiting)
+    }
+
+    /// The newest document that it knows.
+    pub fn document_version(&self) -> u64 {
+        self.document.as_ref().map_or(0, |document| document.version)
+    }
+
+    /// What no run takes, waiting ones aside.
+    pub(crate) fn free(&self) -> Resources {
+        let Some(target) = &self.target else { return Resources::default() };
+        let mut free = target.capacity();
+        self.runs.values().filter(|run| run.takes_room()).for_each(|run| free -= run.resources);
+        free
+    }
+
+    /// Whether the target takes new work.
+    pub(crate) fn is_open(&self, now: Time) -> bool {
+        let fit = |target: &Target| {
+            !target.report.draining && !target.silent && !target.health.is_out(now)
+        };
+        !self.draining && self.target.as_ref().is_some_and(fit)
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.end_silent_sessions(now, out);
+        self.cancelled.retain(|_, until| *until > now);
+        if let Some(target) = &mut self.target {
+            target.forget(now);
+        }
+        self.watch_target(now, out);
+        self.stop_stuck(now, out);
+        self.expire_waiting(now, out);
+        self.repeat_stops(now, out);
+        self.admit(now, out);
+        self.report_loads(now, out);
+    }
+
+    fn drain(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.draining = true;
+        self.refuse_waiting(now, Refusal::Closed, out);
+        self.mark_dirty();
+    }
+
+    pub(crate) fn take_document(&mut self, document: Document) {
+        if document.version > self.document_version() {
+            self.document = Some(document);
+        }
+    }
+
+    fn target_reports(&mut self, now: Time, report: TargetReport, out: &mut Vec<Action>) {
+        if self.gone.contains(&report.id) {
+            return;
+        }
+        let known = self.target.as_ref().map(|target| target.id().clone());
+        if known.as_ref() != Some(&report.id) {
+            if known.is_some() {
+                self.target_gone(now, out);
+            }
+            let target = Target::new(report, now);
+            out.push(Action::News(News::TargetFound {
+                id: target.id().clone(),
+                fencing_token: target.fencing_token,
+            }));
+            self.target = Some(target);
+            self.say_hello(out);
+        } else if let Some(target) = &mut self.target {
+            let drains = report.draining && !target.report.draining;
+            let moved =
+                target.report.capacity != report.capacity || target.report.labels != report.labels;
+            target.report = report;
+            if drains {
+                out.push(Action::News(News::TargetDrains(target.id().clone())));
+            }
+            if moved {
+                self.say_hello(out);
+            }
+            if drains {
+                self.refuse_waiting(now, Refusal::Closed, out);
+            }
+        }
+        self.mark_dirty();
+    }
+
+    /// A life of the target is over, and all that ran there with it.
+    pub(crate) fn target_gone(&mut self, now: Time, out: &mut Vec<Action>) {
+        let Some(target) = self.target.take() else { return };
+        self.gone.push(target.id().clone());
+        if self.gone.len() > GONE_KEPT {
+            self.gone.remove(0);
+        }
+        let tasks: Vec<TaskId> = self.runs.keys().cloned().collect();
+        out.push(Action::News(News::TargetGone { id: target.id().clone(), lost: tasks.len() }));
+        for task in tasks {
+            let waiting = self.runs.get(&task).is_some_and(|run| !run.takes_room());
+            let end = if waiting { TaskEnd::NotRun(Refusal::Closed) } else { TaskEnd::Lost };
+            self.end(now, &task, end, out);
+        }
+        self.mark_dirty();
+    }
+
+    /// A run is over: tells its entry, and frees its room.
+    pub(crate) fn end(&mut self, now: Time, task: &TaskId, end: TaskEnd, out: &mut Vec<Action>) {
+        let Some(run) = self.runs.remove(task) else { return };
+        let ran = if run.takes_room() { now.since(run.since) } else { Duration::ZERO };
+        self.count(end);
+        self.learn(now, &run, end, ran, out);
+        out.push(Action::News(News::Run {
+            task: task.clone(),
+            run: run.run,
+            end,
+            waited_ms: run.since.since(run.asked).as_millis() as u64,
+            ran_ms: ran.as_millis() as u64,
+            free: self.free(),
+        }));
+        self.mark_dirty();
+        let Some(session) = run.session else { return };
+        let report = TaskReport {
+            task: task.clone(),
+            sequence: run.sequence,
+            end,
+            ran_ms: ran.as_millis() as u32,
+        };
+        self.report_end(session, report);
+    }
+
+    /// What an end says of the target.
+    fn learn(&mut self, now: Time, run: &Run, end: TaskEnd, ran: Duration, out: &mut Vec<Action>) {
+        let Some(target) = &mut self.target else { return };
+        let change = match end {
+            TaskEnd::Done => {
+                target.ran(now, ran, run.estimated_ms);
+                target.health.succeeded()
+            }
+            TaskEnd::Failed => target.health.failed(now),
+            _ => Change::None,
+        };
+        report_health(change, out);
+    }
+
+    fn count(&mut self, end: TaskEnd) {
+        let counter = match end {
+            TaskEnd::Done => &mut self.counters.done,
+            TaskEnd::Failed => &mut self.counters.failed,
+            TaskEnd::Stopped => &mut self.counters.stopped,
+            TaskEnd::NotRun(_) => &mut self.counters.not_run,
+            TaskEnd::Lost => &mut self.counters.lost,
+        };
+        *counter += 1;
+    }
+
+    /// Stops a run, whatever state it is in.
+    pub(crate) fn stop(&mut self, now: Time, task: &TaskId, out: &mut Vec<Action>) {
+        let Some(run) = self.runs.get_mut(task) else { return };
+        match run.state {
+            RunState::Waiting => {
+                self.end(now, task, TaskEnd::NotRun(Refusal::Cancelled), out);
+            }
+            RunState::Starting | RunState::Running => {
+                let doubtful = run.state == RunState::Starting;
+                run.state =
+                    RunState::Stopping(Stopping { doubtful, sent: now, acknowledged: None });
+                self.send_stop(task, out);
+            }
+            RunState::Stopping(_) => {}
+        }
+    }
+
+    /// The tasks of a job that are here.
+    pub(crate) fn tasks_of(&self, job: &JobId) -> Vec<TaskId> {
+        self.runs.keys().filter(|task| task.job == *job).cloned().collect()
+    }
+
+    /// The name of the service, for the profile.
+    pub(crate) fn service(&self) -> Arc<str> {
+        self.target.as_ref().map_or_else(|| Arc::from(""), |target| target.report.service.clone())
+    }
+}
+
+pub(crate) fn report_health(change: Change, out: &mut Vec<Action>) {
+    match change {
+        Change::None => {}
+        Change::LeftOut { failures, pause } => {
+            let for_ms = pause.as_millis() as u64;
+            out.push(Action::News(News::TargetLeftOut { failures, for_ms }));
+        }
+        Change::TakenBack => out.push(Action::News(News::TargetTakenBack)),
+    }
+}
--- /dev/null
+++ b/components/runner/src/sessions.rs
@@ -0,0 +1,231 @@
+//! Sessions with entries: who is heard of, what each is told.
+
+use std::time::Duration;
+
+use model::{JobId, TaskId, Time};
+use wire::{AgentProfile, Load, Refusal, StartTask, TaskEnd, TaskReport, ToAgent, ToEntry};
+
+use crate::event::{Action, News, SessionId};
+use crate::run::{Run, RunState};
+use crate::runner::Runner;
+
+/// How long a cancelled job is remembered.
+const CANCELLED_KEPT: Duration = Duration::from_secs(20);
+
+/// One session.
+#[derive(Debug)]
+pub(crate) struct Session {
+    heard: Time,
+    /// The last start that was taken or refused.
+    seen: u64,
+    /// The entry has not been told the last change of the load.
+    dirty: bool,
+    told: Time,
+    /// Ends to be told.
+    reports: Vec<TaskReport>,
+}
+
+impl Session {
+    /// Whether there is something to tell.
+    pub fn is_dirty(&self) -> bool {
+        self.dirty || !self.reports.is_empty()
+    }
+}
+
+impl Runner {
+    pub(crate) fn open_session(&mut self, now: Time, id: SessionId, out: &mut Vec<Action>) {
+        let session =
+            Session { heard: now, seen: 0, dirty: true, told: Time::default(), reports: vec![] };
+        self.sessions.insert(id, session);
+        out.push(Action::News(News::SessionOpened(id)));
+        if self.target.is_some() {
+            out.push(Action::Send(id, self.hello()));
+        }
+    }
+
+    /// Tells every entry who this agent is.
+    pub(crate) fn say_hello(&mut self, out: &mut Vec<Action>) {
+        for id in self.sessions.keys() {
+            out.push(Action::Send(*id, self.hello()));
+        }
+    }
+
+    fn hello(&self) -> ToEntry {
+        let report = self.target.as_ref().map(|target| &target.report);
+        let profile = AgentProfile {
+            node: self.node.clone(),
+            service: self.service(),
+            hall: report.map_or_else(|| "".into(), |report| report.hall.clone()),
+            labels: report.map_or_else(Vec::new, |report| report.labels.clone()),
+            capacity: report.map(|report| report.capacity).unwrap_or_default(),
+        };
+        ToEntry::Hello { profile, document: self.document.clone() }
+    }
+
+    pub(crate) fn from_entry(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        message: ToAgent,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        session.heard = now;
+        match message {
+            ToAgent::Beat { .. } => {}
+            ToAgent::Start { heard, job, spec, tasks } => {
+                let late = now.since(heard) > self.timing.start_age;
+                for task in tasks {
+                    self.ask(now, id, &job, &spec, task, late);
+                }
+            }
+            ToAgent::Stop(tasks) => {
+                for task in tasks {
+                    if self.runs.get(&task).is_some_and(|run| run.session == Some(id)) {
+                        self.stop(now, &task, out);
+                    }
+                }
+            }
+            ToAgent::Cancel(job) => self.cancel(now, id, &job, out),
+        }
+    }
+
+    /// An entry asks for a task.
+    fn ask(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        job: &JobId,
+        spec: &std::sync::Arc<str>,
+        start: StartTask,
+        late: bool,
+    ) {
+        self.counters.asked += 1;
+        let task = TaskId { job: job.clone(), index: start.index };
+        let refusal = if late {
+            Some(Refusal::Late)
+        } else if self.cancelled.contains_key(job) {
+            Some(Refusal::Cancelled)
+        } else if !self.is_open(now) {
+            Some(Refusal::Closed)
+        } else if self.runs.contains_key(&task) {
+            // A run of it for another entry, or an earlier one, has not come to its end yet.
+            Some(Refusal::Target)
+        } else {
+            None
+        };
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.seen = start.sequence;
+            session.dirty = true;
+        }
+        if let Some(refusal) = refusal {
+            self.counters.not_run += 1;
+            let end = TaskEnd::NotRun(refusal);
+            let report = TaskReport { task, sequence: start.sequence, end, ran_ms: 0 };
+            return self.report_end(id, report);
+        }
+        let run = Run {
+            session: Some(id),
+            sequence: start.sequence,
+            run: start.run,
+            spec: spec.clone(),
+            resources: start.resources,
+            estimated_ms: start.estimated_ms,
+            priority: start.priority,
+            asked: now,
+            expires: now + Duration::from_millis(u64::from(start.patience_ms)),
+            since: now,
+            state: RunState::Waiting,
+            renumbered: 0,
+            unlisted: 0,
+        };
+        self.runs.insert(task, run);
+    }
+
+    /// A job is cancelled at an entry: its tasks end here, and the entry that owns it is told.
+    fn cancel(&mut self, now: Time, from: SessionId, job: &JobId, out: &mut Vec<Action>) {
+        self.cancelled.insert(job.clone(), now + CANCELLED_KEPT);
+        for task in self.tasks_of(job) {
+            self.stop(now, &task, out);
+        }
+        for id in self.sessions.keys().filter(|id| **id != from) {
+            out.push(Action::Send(*id, ToEntry::Cancelled(job.clone())));
+        }
+    }
+
+    pub(crate) fn lose_session(&mut self, id: SessionId, why: &'static str, out: &mut Vec<Action>) {
+        if self.sessions.remove(&id).is_none() {
+            return;
+        }
+        self.counters.sessions_lost += 1;
+        let of_session = |(_, run): &(&TaskId, &Run)| run.session == Some(id);
+        let tasks: Vec<TaskId> =
+            self.runs.iter().filter(of_session).map(|(task, _)| task.clone()).collect();
+        out.push(Action::News(News::SessionLost { session: id, why, runs: tasks.len() }));
+        out.push(Action::Close(id));
+        for task in tasks {
+            if let Some(run) = self.runs.get_mut(&task) {
+                run.session = None;
+            }
+            self.stop(self.last_event, &task, out);
+        }
+    }
+
+    pub(crate) fn lose_all_sessions(&mut self, why: &'static str, out: &mut Vec<Action>) {
+        let ids: Vec<SessionId> = self.sessions.keys().copied().collect();
+        ids.into_iter().for_each(|id| self.lose_session(id, why, out));
+    }
+
+    pub(crate) fn end_silent_sessions(&mut self, now: Time, out: &mut Vec<Action>) {
+        let silence = self.timing.session_silence;
+        let silent = |(_, session): &(&SessionId, &Session)| now.since(session.heard) > silence;
+        let ids: Vec<SessionId> = self.sessions.iter().filter(silent).map(|(id, _)| *id).collect();
+        ids.into_iter().for_each(|id| self.lose_session(id, "silent", out));
+    }
+
+    pub(crate) fn report_end(&mut self, id: SessionId, report: TaskReport) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.reports.push(report);
+        }
+    }
+
+    pub(crate) fn mark_dirty(&mut self) {
+        self.sessions.values_mut().for_each(|session| session.dirty = true);
+    }
+
+    /// Tells each entry of ends at once, and of the load now and then.
+    pub(crate) fn report_loads(&mut self, now: Time, out: &mut Vec<Action>) {
+        let load = self.load(now);
+        for (id, session) in &mut self.sessions {
+            let load = Load { seen: session.seen, ..load };
+            let age = now.since(session.told);
+            if !session.reports.is_empty() {
+                let reports = std::mem::take(&mut session.reports);
+                out.push(Action::Send(*id, ToEntry::Ended { reports, load }));
+            } else if age >= self.timing.load_interval
+                || (session.dirty && age >= self.timing.load_gap)
+            {
+                out.push(Action::Send(*id, ToEntry::Load(load)));
+            } else {
+                continue;
+            }
+            session.dirty = false;
+            session.told = now;
+        }
+    }
+
+    fn load(&self, now: Time) -> Load {
+        let mut free = self.free();
+        let waiting = self.runs.values().filter(|run| !run.takes_room());
+        waiting.for_each(|run| free -= run.resources);
+        let on_trial = self.target.as_ref().is_some_and(|target| target.health.on_trial());
+        let slowdown = self.target.as_ref().map_or(0.0, |target| target.slowdown_percent);
+        Load {
+            at: now,
+            free,
+            seen: 0,
+            open: self.is_open(now) && (!on_trial || self.runs.is_empty()),
+            slowdown_percent: slowdown as u32,
+        }
+    }
+}
--- /dev/null
+++ b/components/runner/src/target.rs
@@ -0,0 +1,102 @@
+//! One life of the target, as the agent knows it.
+
+use std::time::Duration;
+
+use model::{Resources, Time};
+
+use crate::event::{TargetId, TargetReport};
+use crate::health::Health;
+
+/// One life of the target.
+#[derive(Debug)]
+pub(crate) struct Target {
+    pub report: TargetReport,
+    pub fencing_token: u64,
+    /// The last end that is taken note of.
+    pub last_seen: u64,
+    pub health: Health,
+    /// Its clock as it was told last, and when.
+    clock: (u64, Time),
+    /// A hold is under way since then.
+    pub holding: Option<Time>,
+    /// When the last hold was sent that may have renewed the lease.
+    pub renewed: Time,
+    /// When it answered last.
+    pub heard: Time,
+    /// The next hold is not sent before.
+    pub hold_from: Time,
+    pub silent: bool,
+    /// How long tasks take against their estimates, in hundredths, smoothed.
+    pub slowdown_percent: f64,
+    /// When the slowdown was learned or worn off last.
+    judged: Time,
+}
+
+/// Weight of one task in the smoothed slowdown.
+const SLOWDOWN_WEIGHT: f64 = 0.15;
+/// Without an end for so long, what was learned wears off by a part,
+const FORGET_EVERY: Duration = Duration::from_millis(200);
+/// this part.
+const FORGET_WEIGHT: f64 = 0.1;
+/// The slowdown of a target that nothing is known of.
+const NO_SLOWDOWN: f64 = 100.0;
+
+impl Target {
+    pub fn new(report: TargetReport, now: Time) -> Self {
+        Self {
+            // Its clock only goes forward, so that this is higher than what any earlier life of
+            // the agent took, without anything on a disk.
+            fencing_token: report.clock_ms,
+            clock: (report.clock_ms, now),
+            report,
+            last_seen: 0,
+            health: Health::default(),
+            holding: None,
+            renewed: now,
+            heard: now,
+            hold_from: now,
+            silent: false,
+            slowdown_percent: NO_SLOWDOWN,
+            judged: now,
+        }
+    }
+
+    pub fn id(&self) -> &TargetId {
+        &self.report.id
+    }
+
+    /// Takes its clock from an answer.
+    pub fn clock_is(&mut self, now: Time, clock_ms: u64) {
+        if clock_ms > 0 {
+            self.clock = (clock_ms, now);
+        }
+    }
+
+    /// A moment on its clock, from now on.
+    pub fn deadline_ms(&self, now: Time, span: Duration) -> u64 {
+        let (clock, at) = self.clock;
+        clock + (now.since(at) + span).as_millis() as u64
+    }
+
+    /// What was learned of its speed wears off while nothing ends there.
+    pub fn forget(&mut self, now: Time) {
+        if now.since(self.judged) >= FORGET_EVERY {
+            self.judged = now;
+            self.slowdown_percent += (NO_SLOWDOWN - self.slowdown_percent) * FORGET_WEIGHT;
+        }
+    }
+
+    /// Takes a task's time against its estimate.
+    pub fn ran(&mut self, now: Time, ran: Duration, estimated_ms: u32) {
+        self.judged = now;
+        if estimated_ms == 0 {
+            return;
+        }
+        let percent = ran.as_secs_f64() * 1e5 / f64::from(estimated_ms);
+        self.slowdown_percent += (percent - self.slowdown_percent) * SLOWDOWN_WEIGHT;
+    }
+
+    pub fn capacity(&self) -> Resources {
+        self.report.capacity
+    }
+}
--- a/components/wire/src/keeper.rs
+++ b/components/wire/src/keeper.rs
@@ -4,6 +4,8 @@
 use serde::{Deserialize, Serialize};
 use settings::{Edit, Tree};
 
+use crate::{WatchReply, WatchRequest};
+
 /// A change of the settings tree as an operator sends it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChangeRequest {
@@ -89,4 +91,6 @@
     async fn peer(message: PeerMessage);
     /// Waits a while for settings newer than the node's.
     async fn pull(request: PullRequest) -> PullReply;
+    /// Registers a node, and waits a while for a newer document or other nodes.
+    async fn watch(request: WatchRequest) -> WatchReply;
 }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -8,6 +8,8 @@
 mod agent;
 mod entry;
 mod keeper;
+mod registry;
+mod session;
 
 pub use agent::{
     AgentInfo, AgentService, AgentServiceClient, AgentStatus, HelloRequest, SettleReply,
@@ -18,3 +20,5 @@
     ChangeRequest, ChangeResult, KeeperService, KeeperServiceClient, PeerMessage, PullReply,
     PullRequest,
 };
+pub use registry::{Document, NodeInfo, NodeList, NodeRole, WatchReply, WatchRequest};
+pub use session::{AgentProfile, Load, Refusal, StartTask, TaskEnd, TaskReport, ToAgent, ToEntry};
--- /dev/null
+++ b/components/wire/src/registry.rs
@@ -0,0 +1,70 @@
+//! How nodes register at keepers, and what they learn there.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use model::{Incarnation, NodeName};
+use serde::{Deserialize, Serialize};
+
+/// The configuration as operators send it: a whole text with its version. Keepers keep it and
+/// don't look inside.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// The operators' version; the highest holds.
+    pub version: u64,
+    /// The text, as it was sent.
+    pub body: Arc<str>,
+}
+
+/// What a registered node does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum NodeRole {
+    /// Takes requests of callers.
+    Entry,
+    /// Stands beside a target.
+    Agent,
+}
+
+/// A node as it registers.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct NodeInfo {
+    /// Its name, unique in the fleet.
+    pub name: NodeName,
+    /// What it does.
+    pub role: NodeRole,
+    /// Where other nodes reach it.
+    pub address: SocketAddr,
+    /// Which of its lives.
+    pub incarnation: Incarnation,
+}
+
+/// Asks a keeper for news, and registers the node there for a few seconds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WatchRequest {
+    /// The node that asks.
+    pub node: NodeInfo,
+    /// The version of the document that it has; 0 for none.
+    pub document: u64,
+    /// The revision of this keeper's list of nodes that it has; 0 for none.
+    pub revision: u64,
+}
+
+/// The nodes that are registered at one keeper.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeList {
+    /// Told apart at this keeper only.
+    pub revision: u64,
+    /// The nodes.
+    pub nodes: Vec<NodeInfo>,
+}
+
+/// A keeper's news.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WatchReply {
+    /// The document, where it is newer than the node's. It is committed.
+    pub document: Option<Document>,
+    /// The nodes, where the list is another than the node's.
+    pub nodes: Option<NodeList>,
+    /// The keepers that vote, by the addresses that they are named by.
+    pub keepers: Vec<NodeName>,
+}
--- /dev/null
+++ b/components/wire/src/session.rs
@@ -0,0 +1,153 @@
+//! What an entry and an agent say to each other over their session: a connection that the agent
+//! opens, with typed messages both ways.
+//!
+//! Both sides take the session for dead after a silence. An agent stops what it runs for an entry
+//! as soon as their session is dead, so that a job which is sent again elsewhere never runs twice
+//! at once.
+
+use std::sync::Arc;
+
+use model::{JobId, NodeName, Resources, TaskId, Time};
+use serde::{Deserialize, Serialize};
+
+use crate::Document;
+
+/// Who an agent is and what its target is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentProfile {
+    /// The agent.
+    pub node: NodeName,
+    /// The service that its target takes work of.
+    pub service: Arc<str>,
+    /// The data hall.
+    pub hall: Arc<str>,
+    /// The target's kind, rack and the like.
+    pub labels: Vec<Arc<str>>,
+    /// All that the target has.
+    pub capacity: Resources,
+}
+
+/// How much a target can take now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// The agent's clock.
+    pub at: Time,
+    /// What is free, with all that waits at the agent already taken off.
+    pub free: Resources,
+    /// The sequence of the last start of this session that is counted in.
+    pub seen: u64,
+    /// Whether the agent takes new work.
+    pub open: bool,
+    /// How long tasks take there against their estimates, in hundredths.
+    pub slowdown_percent: u32,
+}
+
+/// One task to start.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartTask {
+    /// Counts the starts of this session, from 1.
+    pub sequence: u64,
+    /// The task's place in its job.
+    pub index: u32,
+    /// Which run of the task this is, from 1.
+    pub run: u64,
+    /// What it takes.
+    pub resources: Resources,
+    /// How long it is thought to take, in ms.
+    pub estimated_ms: u32,
+    /// How long it may wait at the agent for room, in ms.
+    pub patience_ms: u32,
+    /// 0 goes first.
+    pub priority: u8,
+}
+
+/// From an entry to an agent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ToAgent {
+    /// A sign of life.
+    Beat {
+        /// The agent's clock as the entry heard it last.
+        heard: Time,
+    },
+    /// Starts tasks of one job.
+    Start {
+        /// The agent's clock as the entry heard it last: a start that was held up is refused.
+        heard: Time,
+        /// The job.
+        job: JobId,
+        /// What the tasks are told to do.
+        spec: Arc<str>,
+        /// The tasks.
+        tasks: Vec<StartTask>,
+    },
+    /// Stops tasks, or forgets those that wait.
+    Stop(Vec<TaskId>),
+    /// Another entry was asked to cancel a job: stops its tasks, whoever started them.
+    Cancel(JobId),
+}
+
+/// Why an agent did not start a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Refusal {
+    /// There was no room in time.
+    Room,
+    /// The agent takes no new work.
+    Closed,
+    /// The target refused it, or did not answer and can't start it any more.
+    Target,
+    /// The message was held up.
+    Late,
+    /// The job is cancelled.
+    Cancelled,
+}
+
+/// What became of a task at an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum TaskEnd {
+    /// It is done.
+    Done,
+    /// It failed.
+    Failed,
+    /// It was stopped.
+    Stopped,
+    /// It did not run and won't.
+    NotRun(Refusal),
+    /// It ran and is gone without an outcome.
+    Lost,
+}
+
+/// What became of one run of a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskReport {
+    /// The task.
+    pub task: TaskId,
+    /// The sequence of its start.
+    pub sequence: u64,
+    /// What became of it.
+    pub end: TaskEnd,
+    /// How long it ran, in ms.
+    pub ran_ms: u32,
+}
+
+/// From an agent to an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ToEntry {
+    /// The first message, and again when the target is another.
+    Hello {
+        /// Who the agent is.
+        profile: AgentProfile,
+        /// The newest document that it knows.
+        document: Option<Document>,
+    },
+    /// How much it can take. Also a sign of life.
+    Load(Load),
+    /// What became of tasks.
+    Ended {
+        /// The tasks.
+        reports: Vec<TaskReport>,
+        /// How much it can take after that.
+        load: Load,
+    },
+    /// A job was cancelled at another entry.
+    Cancelled(JobId),
+}
--- a/daemon/src/agent_role/mod.rs
+++ b/daemon/src/agent_role/mod.rs
@@ -19,7 +19,7 @@
 use crate::clock::Clock;
 use crate::config::{AgentConfig, NodeConfig};
 use crate::driver::RING;
-use crate::platform::ListSubscriber;
+use crate::hosts::ListSubscriber;
 use crate::settings_link::{Subscriber, Update};
 use crate::threads::{Duty, join, spawn};
 
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -38,6 +38,15 @@
     },
 }
 
+/// What targets have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scheduling {
+    /// Slots, all alike.
+    Slots,
+    /// Room of processor, memory and accelerators.
+    Room,
+}
+
 /// Who a node is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NodeConfig {
@@ -55,6 +64,12 @@
     pub platform: String,
     /// How often the list is read.
     pub platform_poll: Duration,
+    /// What targets have.
+    pub scheduling: Scheduling,
+    /// With room: the port at which keepers listen for nodes.
+    pub node_port: u16,
+    /// With room: where counters are served.
+    pub metrics: Option<SocketAddr>,
     /// Folder of the logs; standard error and no decision log where there is none.
     pub logs: Option<PathBuf>,
     /// How often the counters are logged.
@@ -66,7 +81,9 @@
 pub struct EntryConfig {
     /// Where callers reach it.
     pub listen: SocketAddr,
-    /// Where other entries reach it.
+    /// With room: where the balancer asks whether it is ready.
+    pub ready_listen: Option<SocketAddr>,
+    /// Where other entries, with room agents, reach it.
     pub peer_listen: SocketAddr,
     /// How long it goes on taking requests after it said that it is not ready.
     pub drain_notice: Duration,
@@ -98,6 +115,10 @@
     pub data: PathBuf,
     /// The tree that a new cluster begins with.
     pub initial: Option<PathBuf>,
+    /// With room: begins a new cluster on an empty disk.
+    pub found: bool,
+    /// With room: keepers that may be lost at once.
+    pub tolerated_losses: usize,
     /// Every keeper of the cluster with its address for nodes; none for a single keeper.
     pub peers: Vec<(NodeName, SocketAddr)>,
 }
@@ -174,6 +195,12 @@
         keepers: sections.value(NODE, "keepers")?.addresses().to_vec(),
         platform: text("platform")?,
         platform_poll: millis("platform_poll_ms")?,
+        scheduling: match sections.value(NODE, "scheduling")?.text() {
+            "room" => Scheduling::Room,
+            _ => Scheduling::Slots,
+        },
+        node_port: u16::try_from(sections.value(NODE, "node_port")?.integer()).unwrap_or(0),
+        metrics: optional_address(sections, NODE, "metrics")?,
         logs: (!logs.is_empty()).then(|| PathBuf::from(logs)),
         counters_every: millis("counters_every_ms")?,
     })
@@ -195,6 +222,7 @@
     let notice = sections.value(ENTRY, "drain_notice_ms")?.integer();
     Ok(EntryConfig {
         listen: address(sections, ENTRY, "listen")?,
+        ready_listen: optional_address(sections, ENTRY, "ready_listen")?,
         peer_listen: address(sections, ENTRY, "peer_listen")?,
         drain_notice: Duration::from_millis(notice),
     })
@@ -219,6 +247,8 @@
         node_listen: address(sections, KEEPER, "node_listen")?,
         data: PathBuf::from(sections.required(KEEPER, "data")?.text()),
         initial: (!initial.is_empty()).then(|| PathBuf::from(initial)),
+        found: sections.value(KEEPER, "found")?.flag(),
+        tolerated_losses: sections.value(KEEPER, "tolerated_losses")?.integer() as usize,
         peers: peers(sections)?,
     })
 }
@@ -242,6 +272,23 @@
     Ok(peers)
 }
 
+/// Reads `IP:PORT` where it is written.
+fn optional_address(
+    sections: &Sections,
+    section: &str,
+    key: &str,
+) -> Result<Option<SocketAddr>, SettingsError> {
+    let value = sections.value(section, key)?;
+    let text = value.text();
+    if text.is_empty() {
+        return Ok(None);
+    }
+    match text.parse() {
+        Ok(address) => Ok(Some(address)),
+        Err(_) => Err(SettingsError::key(section, key, format!("'{text}' is not IP:PORT"))),
+    }
+}
+
 fn address(sections: &Sections, section: &str, key: &str) -> Result<SocketAddr, SettingsError> {
     match sections.required(section, key)? {
         Value::Address(address) => Ok(address),
--- a/daemon/src/config/check.rs
+++ b/daemon/src/config/check.rs
@@ -6,7 +6,7 @@
 use settings::SettingsError;
 
 use super::keys::{AGENT, ENTRY, KEEPER, NODE};
-use super::{Config, KeeperConfig};
+use super::{Config, KeeperConfig, Scheduling};
 
 /// Refuses a configuration whose parts do not go together.
 pub(super) fn check(config: &Config) -> Result<(), SettingsError> {
@@ -14,6 +14,9 @@
         return Err(SettingsError::key(NODE, "roles", "has to be written"));
     }
     check_platform(&config.node.platform)?;
+    if config.node.scheduling == Scheduling::Room {
+        return check_room(config);
+    }
     let needs_settings = config.entry.is_some() || config.agent.is_some();
     if needs_settings && config.node.keepers.is_empty() {
         return Err(SettingsError::key(NODE, "keepers", "has to be written"));
@@ -32,6 +35,28 @@
     Ok(())
 }
 
+/// With room a node plays one role, and finds all others through the keepers.
+fn check_room(config: &Config) -> Result<(), SettingsError> {
+    let missing = |section, key| Err(SettingsError::key(section, key, "has to be written"));
+    if config.node.roles.len() != 1 {
+        return Err(SettingsError::key(NODE, "roles", "with room a node plays one role"));
+    }
+    if config.node.keepers.is_empty() {
+        return missing(NODE, "keepers");
+    }
+    if config.node.node_port == 0 {
+        return missing(NODE, "node_port");
+    }
+    if config.entry.is_some_and(|entry| entry.ready_listen.is_none()) {
+        return missing(ENTRY, "ready_listen");
+    }
+    check_ports(config)?;
+    match &config.keeper {
+        Some(keeper) => check_writable(KEEPER, "data", &keeper.data),
+        None => Ok(()),
+    }
+}
+
 /// A cluster of keepers has an odd number of them, this one among them.
 fn check_peers(config: &Config, keeper: &KeeperConfig) -> Result<(), SettingsError> {
     let refuse = |reason: &str| Err(SettingsError::key(KEEPER, "peers", reason));
--- a/daemon/src/config/keys.rs
+++ b/daemon/src/config/keys.rs
@@ -43,6 +43,24 @@
         default: "500",
         help: "How often the list is read.",
     },
+    Key {
+        name: "scheduling",
+        value_type: ValueType::Choice(&["slots", "room"]),
+        default: "slots",
+        help: "What targets have: slots, all alike, or room of processor, memory and accelerators.",
+    },
+    Key {
+        name: "node_port",
+        value_type: ValueType::Integer { min: 0, max: 65_535, unit: "port" },
+        default: "0",
+        help: "With room: the port at which every keeper listens for nodes. Has to be written.",
+    },
+    Key {
+        name: "metrics",
+        value_type: ValueType::Text,
+        default: "",
+        help: "With room: IP:PORT where counters and latencies are served as text at /metrics.",
+    },
     Key {
         name: "logs",
         value_type: ValueType::Text,
@@ -64,11 +82,17 @@
         default: "",
         help: "Where callers reach it over HTTP. Has to be written.",
     },
+    Key {
+        name: "ready_listen",
+        value_type: ValueType::Text,
+        default: "",
+        help: "With room: IP:PORT where the balancer asks whether it is ready. Has to be written.",
+    },
     Key {
         name: "peer_listen",
         value_type: ValueType::Address,
         default: "",
-        help: "Where other entries reach it. Has to be written.",
+        help: "Where other entries, with room agents, reach it. Has to be written.",
     },
     Key {
         name: "drain_notice_ms",
@@ -83,7 +107,7 @@
         name: "listen",
         value_type: ValueType::Address,
         default: "",
-        help: "Where entries reach it. Has to be written.",
+        help: "Where entries, with room its target, reach it. Has to be written.",
     },
     Key {
         name: "target",
@@ -136,6 +160,18 @@
         default: "",
         help: "INI file with the tree that --init-keeper begins with.",
     },
+    Key {
+        name: "found",
+        value_type: ValueType::Flag,
+        default: "false",
+        help: "With room: begins a new cluster on an empty disk, if it is one of [node] keepers.",
+    },
+    Key {
+        name: "tolerated_losses",
+        value_type: ValueType::Integer { min: 0, max: 3, unit: "keepers" },
+        default: "1",
+        help: "With room: keepers that may be lost at once; twice as many and one vote.",
+    },
     Key {
         name: "peers",
         value_type: ValueType::Members,
--- a/daemon/src/entry_role/listen.rs
+++ b/daemon/src/entry_role/listen.rs
@@ -24,8 +24,12 @@
 use super::decide::{Ask, Input};
 
 /// Limits of callers' connections.
-const LIMITS: Limits =
-    Limits { body_bytes: BODY_BYTES_MAX, read_time: Duration::from_secs(10), connections: 20_000 };
+const LIMITS: Limits = Limits {
+    header_bytes: net::HEADER_BYTES,
+    body_bytes: BODY_BYTES_MAX,
+    read_time: Duration::from_secs(10),
+    connections: 20_000,
+};
 
 /// Listens until told to stop; connections that are open then go on.
 pub(crate) async fn run(
@@ -41,7 +45,7 @@
         let server = server.clone();
         async move { server.answer(request).await }
     };
-    let serve = net::serve(listener, tasks.clone(), LIMITS, handler);
+    let serve = net::serve(listener, tasks.clone(), || LIMITS, handler);
     let stop = async {
         // Ends when the handle is dropped.
         let _ = stopped.recv().await;
--- a/daemon/src/entry_role/mod.rs
+++ b/daemon/src/entry_role/mod.rs
@@ -22,7 +22,7 @@
 use crate::config::{EntryConfig, NodeConfig};
 use crate::decisions::DecisionLog;
 use crate::driver::RING;
-use crate::platform::ListSubscriber;
+use crate::hosts::ListSubscriber;
 use crate::probe::LivenessSubscriber;
 use crate::settings_link::{Subscriber, Update};
 use crate::threads::{Duty, join, spawn};
--- a/daemon/src/keeper_role/decide.rs
+++ b/daemon/src/keeper_role/decide.rs
@@ -14,8 +14,10 @@
 use spdlog::{error, info, warn};
 
 use super::KeeperError;
+use super::news_lines;
 use super::peers::ToPeers;
 use crate::driver::Decider;
+use crate::event_log::EventLog;
 
 /// What reaches the deciding thread.
 #[derive(Debug)]
@@ -24,6 +26,8 @@
     Ask(Ask, Sender<Reply>),
     /// Another keeper's message.
     Peer(NodeName, Message),
+    /// The process is about to stop: a leader hands over.
+    Resign,
     /// A question for the keeper's status.
     Status(Sender<KeeperStatus>),
 }
@@ -39,6 +43,12 @@
     History,
     /// Newer settings.
     Pull(wire::PullRequest),
+    /// A whole document for the one in force.
+    Replace(wire::Document),
+    /// The document in force.
+    Fetch,
+    /// News for a node that registers.
+    Watch(wire::WatchRequest),
 }
 
 /// What a keeper tells of itself.
@@ -56,6 +66,12 @@
     pub committed: u64,
     /// The version of the tree here.
     pub version: u64,
+    /// The version of the document here.
+    pub document: u64,
+    /// Nodes that are registered here.
+    pub nodes: usize,
+    /// The keepers that vote.
+    pub voters: Vec<String>,
     /// Whether it does not vote because it has not caught up.
     pub blank: bool,
     /// Bytes of its journal.
@@ -72,6 +88,7 @@
     next_ticket: u64,
     actions: Vec<Action>,
     broken: bool,
+    log: Option<EventLog>,
 }
 
 /// Reads a keeper's journal.
@@ -96,6 +113,7 @@
         keeper: Keeper,
         journal: Journal,
         peers: Sender<ToPeers>,
+        log: Option<EventLog>,
     ) -> Self {
         info!("keeper {}: settings {} recovered", name, keeper.version());
         Self {
@@ -107,6 +125,7 @@
             next_ticket: 0,
             actions: Vec::new(),
             broken: false,
+            log,
         }
     }
 
@@ -119,6 +138,9 @@
             Ask::Read => Event::Read(ticket),
             Ask::History => Event::History(ticket),
             Ask::Pull(request) => Event::Pull(ticket, request),
+            Ask::Replace(document) => Event::Replace(ticket, document),
+            Ask::Fetch => Event::Fetch(ticket),
+            Ask::Watch(request) => Event::Watch(ticket, request),
         };
         self.keeper.handle(now, event, &mut self.actions);
     }
@@ -132,6 +154,9 @@
             term: replica.term(),
             committed: replica.committed(),
             version: self.keeper.version(),
+            document: self.keeper.state().document_version(),
+            nodes: self.keeper.registered(),
+            voters: replica.voters().iter().map(ToString::to_string).collect(),
             blank: replica.is_blank(),
             journal_bytes: self.journal.bytes(),
         }
@@ -159,7 +184,10 @@
                         let _ = waiting.try_send(reply);
                     }
                 }
-                Action::News(news) => self.log(&news),
+                Action::News(news) => match &self.log {
+                    Some(log) => news_lines::write(log, &news),
+                    None => self.log(&news),
+                },
             }
         }
     }
@@ -197,6 +225,11 @@
             News::Log(Log::Violation(violation)) => {
                 error!("keeper {}: BREACH: {}", name, violation);
             }
+            News::Log(Log::Members(members)) => {
+                info!("keeper {}: {} keepers vote", name, members.len());
+            }
+            News::Document(version) => info!("keeper {}: document {} accepted", name, version),
+            News::Nodes(count) => info!("keeper {}: {} nodes are registered", name, count),
             News::Version(version) => info!("keeper {}: settings {} accepted", name, version),
             News::Unreadable(index) => {
                 error!("keeper {}: entry {} can't be read", name, index);
@@ -214,6 +247,7 @@
             Input::Peer(from, message) => {
                 self.keeper.handle(now, Event::Peer(from, message), &mut self.actions);
             }
+            Input::Resign => self.keeper.handle(now, Event::Resign, &mut self.actions),
             Input::Status(reply) => {
                 let _ = reply.try_send(self.status(now));
             }
--- a/daemon/src/keeper_role/listen.rs
+++ b/daemon/src/keeper_role/listen.rs
@@ -1,6 +1,6 @@
 //! The keeper's listening thread: HTTP from operators, tarpc from nodes.
 
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
 use async_channel::Sender;
@@ -8,20 +8,29 @@
 use futures::StreamExt;
 use futures_lite::future;
 use hyper::body::Bytes;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HeaderValue, LOCATION};
 use hyper::{Request, Response, StatusCode};
 use keeper::Reply;
+use model::NodeName;
 use net::{Body, BodyError, Limits, Tasks};
+use platform::OperatorCall;
 use serde::Serialize;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
-use wire::{ChangeRequest, ChangeResult, KeeperService, PeerMessage, PullReply, PullRequest};
+use wire::{
+    ChangeRequest, ChangeResult, KeeperService, PeerMessage, PullReply, PullRequest, WatchReply,
+    WatchRequest,
+};
 
 use super::decide::{Ask, Input};
 
 /// Limits of operators' connections.
-const LIMITS: Limits =
-    Limits { body_bytes: 4 * 1024 * 1024, read_time: Duration::from_secs(10), connections: 1_000 };
+const LIMITS: Limits = Limits {
+    header_bytes: net::HEADER_BYTES,
+    body_bytes: 4 * 1024 * 1024,
+    read_time: Duration::from_secs(10),
+    connections: 1_000,
+};
 
 /// A problem told to an operator.
 #[derive(Serialize)]
@@ -30,19 +39,30 @@
     message: &'a str,
 }
 
+/// What the operators' side needs.
+#[derive(Clone)]
+pub(crate) struct Operators {
+    /// The deciding thread's ring.
+    pub ring: Sender<Input>,
+    /// Where operators reach this keeper; other keepers have the same port.
+    pub address: SocketAddr,
+    /// Whether operators speak the users' platform's way.
+    pub room: bool,
+}
+
 /// Listens until the deciding thread ends.
 pub(crate) async fn run(
     tasks: Tasks,
     listener: Async<TcpListener>,
     node_listener: Async<TcpListener>,
-    ring: Sender<Input>,
+    operators: Operators,
 ) {
-    let calls = ring.clone();
+    let ring = operators.ring.clone();
     let handler = move |request| {
-        let ring = calls.clone();
-        async move { answer(&ring, request).await }
+        let operators = operators.clone();
+        async move { answer(&operators, request).await }
     };
-    let operators = net::serve(listener, tasks.clone(), LIMITS, handler);
+    let operators = net::serve(listener, tasks.clone(), || LIMITS, handler);
     let nodes = serve_nodes(node_listener, tasks.clone(), ring.clone());
     let stop = ring.closed();
     future::or(future::or(operators, nodes), stop).await;
@@ -83,6 +103,14 @@
             _ => PullReply::Unsure { leader: None },
         }
     }
+
+    async fn watch(self, _: Context, request: WatchRequest) -> WatchReply {
+        match ask(&self.ring, Ask::Watch(request)).await {
+            Some(Reply::Watch(reply)) => reply,
+            // The keeper is ending; the connection ends with it.
+            _ => WatchReply { document: None, nodes: None, keepers: Vec::new() },
+        }
+    }
 }
 
 /// Asks the deciding thread; `None` where it has ended.
@@ -93,10 +121,16 @@
 }
 
 async fn answer(
-    ring: &Sender<Input>,
+    operators: &Operators,
     request: Request<Result<Bytes, BodyError>>,
 ) -> Response<Body> {
+    let ring = &operators.ring;
     let (head, body) = request.into_parts();
+    if operators.room
+        && let Some(call) = OperatorCall::read(&head.method, head.uri.path())
+    {
+        return document_call(operators, call, head.uri.path(), body).await;
+    }
     match (head.method.as_str(), head.uri.path()) {
         ("GET", "/v1/settings") => respond(ask(ring, Ask::Read).await),
         ("GET", "/v1/history") => respond(ask(ring, Ask::History).await),
@@ -109,13 +143,66 @@
     }
 }
 
+/// A call for the document; one that only the leader can answer is sent on to it.
+async fn document_call(
+    operators: &Operators,
+    call: OperatorCall,
+    path: &str,
+    body: Result<Bytes, BodyError>,
+) -> Response<Body> {
+    let asked = match (call, body) {
+        (OperatorCall::Fetch, _) => Ask::Fetch,
+        (OperatorCall::Replace, Ok(body)) => match platform::read_document(&body) {
+            Ok(document) => Ask::Replace(document),
+            Err(error) => return problem(400, "invalid", &error.to_string()),
+        },
+        (OperatorCall::Replace, Err(error)) => {
+            let status = if error == BodyError::TooLong { 413 } else { 400 };
+            return problem(status, "bad-body", &error.to_string());
+        }
+    };
+    match ask(&operators.ring, asked).await {
+        Some(Reply::Replaced) => json(200, &serde_json::json!({})),
+        Some(Reply::Document(Some(document))) => whole(&document.body),
+        Some(Reply::Document(None)) => problem(503, "no-document", "there never was one"),
+        Some(Reply::Unsure(Some(leader))) => send_on(operators.address, &leader, path),
+        _ => unsure(None),
+    }
+}
+
+/// The document as it was sent.
+fn whole(body: &str) -> Response<Body> {
+    let mut response = Response::new(Body::from(body.to_owned()));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+/// Sends a caller on to the leader.
+fn send_on(own: SocketAddr, leader: &NodeName, path: &str) -> Response<Body> {
+    let address = leader.as_str().parse::<SocketAddr>().ok();
+    let Some(address) = address.filter(|address| address.ip() != own.ip()) else {
+        return unsure(None);
+    };
+    let place = format!("http://{}{path}", SocketAddr::new(address.ip(), own.port()));
+    let mut response = problem(307, "not-leader", "ask the leader");
+    match HeaderValue::from_str(&place) {
+        Ok(place) => {
+            response.headers_mut().insert(LOCATION, place);
+            response
+        }
+        Err(_) => unsure(None),
+    }
+}
+
 fn respond(reply: Option<Reply>) -> Response<Body> {
     match reply {
         Some(Reply::Tree(tree)) => json(200, &tree),
         Some(Reply::History(versions)) => json(200, &versions),
         Some(Reply::Change(result)) => json(status(&result), &result),
         Some(Reply::Unsure(leader)) => unsure(leader),
-        Some(Reply::Pull(_)) | None => problem(503, "not-ready", "the keeper is stopping"),
+        Some(Reply::Pull(_) | Reply::Replaced | Reply::Document(_) | Reply::Watch(_)) | None => {
+            problem(503, "not-ready", "the keeper is stopping")
+        }
     }
 }
 
--- a/daemon/src/keeper_role/mod.rs
+++ b/daemon/src/keeper_role/mod.rs
@@ -3,6 +3,7 @@
 
 mod decide;
 mod listen;
+mod news_lines;
 mod peers;
 
 use std::collections::HashMap;
@@ -22,9 +23,10 @@
 use thiserror::Error;
 
 use crate::clock::Clock;
-use crate::config::{KeeperConfig, NodeConfig};
+use crate::config::{KeeperConfig, NodeConfig, Scheduling};
 use crate::driver::RING;
-use crate::platform::ListSubscriber;
+use crate::event_log::EventLog;
+use crate::hosts::ListSubscriber;
 use crate::threads::{Duty, join, spawn};
 
 pub use decide::KeeperStatus;
@@ -41,6 +43,15 @@
     pub node: NodeConfig,
     /// The keeper's part of the configuration.
     pub keeper: KeeperConfig,
+    /// Where lines of changes of state go; those of the daemon's plain log otherwise.
+    pub(crate) log: Option<EventLog>,
+}
+
+impl KeeperOptions {
+    /// Options without a log of lines.
+    pub fn new(node: NodeConfig, keeper: KeeperConfig) -> Self {
+        Self { node, keeper, log: None }
+    }
 }
 
 /// Why a keeper can't start.
@@ -101,23 +112,38 @@
 impl KeeperHandle {
     /// Recovers the state and starts the threads.
     pub fn start(options: KeeperOptions) -> Result<Self, KeeperError> {
-        let KeeperOptions { node, keeper: config } = options;
+        let KeeperOptions { mut node, keeper: config, log } = options;
+        if node.scheduling == Scheduling::Room {
+            // Keepers find each other by address, so that is what they are named by.
+            node.name = NodeName::new(&config.node_listen.to_string());
+        }
+        let contacts = contacts(&node);
         let clock = Clock::start();
         let listener = Async::<TcpListener>::bind(config.listen)?;
         let node_listener = Async::<TcpListener>::bind(config.node_listen)?;
         let address = listener.get_ref().local_addr()?;
         let node_address = node_listener.get_ref().local_addr()?;
-        let (journal, records) = journal_or_blank(&node.name, &config)?;
+        let (journal, records) = journal_or_blank(&node.name, &config, &contacts)?;
         let seed = uuid::Uuid::new_v4().as_u128() as u64;
-        let keeper =
-            Keeper::recover(node.name.clone(), records, Timing::default(), seed, clock.now())?;
+        let timing = match node.scheduling {
+            Scheduling::Room => {
+                Timing { voters: config.tolerated_losses * 2 + 1, ..Timing::default() }
+            }
+            Scheduling::Slots => {
+                Timing { voters: config.members(&node.name).len(), ..Timing::default() }
+            }
+        };
+        let mut keeper = Keeper::recover(node.name.clone(), records, timing, seed, clock.now())?;
+        keeper.set_contacts(contacts);
         let (ring, inputs) = async_channel::bounded(RING);
         let (peers, to_peers) = async_channel::bounded(RING);
-        let decider = KeeperDecider::new(node.name.clone(), keeper, journal, peers.clone());
+        let decider = KeeperDecider::new(node.name.clone(), keeper, journal, peers.clone(), log);
         let decide = spawn("keeper-decide", move |_| crate::driver::drive(decider, inputs, clock))?;
         let calls = ring.clone();
+        let room = node.scheduling == Scheduling::Room;
+        let operators = listen::Operators { ring: calls, address, room };
         let listen = spawn("keeper-listen", move |tasks| {
-            listen::run(tasks, listener, node_listener, calls)
+            listen::run(tasks, listener, node_listener, operators)
         })?;
         let others: HashMap<NodeName, SocketAddr> =
             config.peers.iter().filter(|(name, _)| *name != node.name).cloned().collect();
@@ -144,6 +170,23 @@
         status.recv_blocking().ok()
     }
 
+    /// Asks a leader to hand over, before a planned stop.
+    pub(crate) fn resign(&self) {
+        // A keeper that has ended leads no more.
+        let _ = self.ring.try_send(Input::Resign);
+    }
+
+    /// Waits until the keeper has ended by itself: its disk failed.
+    pub(crate) fn ended(&self) -> impl Future<Output = ()> + use<> {
+        let ring = self.ring.clone();
+        async move { ring.closed().await }
+    }
+
+    /// Where its status is had from.
+    pub(crate) fn status_source(&self) -> StatusSource {
+        StatusSource(self.ring.clone())
+    }
+
     pub(crate) fn list_subscriber(&self) -> ListSubscriber {
         let peers = self.peers.clone();
         Box::new(move |list: &HostList| peers.send_blocking(ToPeers::Hosts(list.clone())).is_ok())
@@ -157,13 +200,39 @@
     }
 }
 
+/// Asks a keeper for its status.
+pub(crate) struct StatusSource(Sender<Input>);
+
+impl StatusSource {
+    /// Its status; none once it has stopped.
+    pub fn now(&self) -> Option<KeeperStatus> {
+        let (reply, status) = async_channel::bounded(1);
+        self.0.try_send(Input::Status(reply)).ok()?;
+        status.recv_blocking().ok()
+    }
+}
+
+/// With room: the keepers that the configuration names, by the addresses that they go by.
+fn contacts(node: &NodeConfig) -> Vec<NodeName> {
+    if node.scheduling != Scheduling::Room {
+        return Vec::new();
+    }
+    let name =
+        |seed: &SocketAddr| NodeName::new(&SocketAddr::new(seed.ip(), node.node_port).to_string());
+    node.keepers.iter().map(name).collect()
+}
+
 /// The journal's records; those of an empty disk where there is no journal, and others to catch
 /// up from.
 fn journal_or_blank(
     name: &NodeName,
     config: &KeeperConfig,
+    contacts: &[NodeName],
 ) -> Result<(journal::Journal, Vec<Record>), KeeperError> {
     let path = config.data.join(JOURNAL);
+    if !contacts.is_empty() {
+        return founded_or_blank(name, config.found, contacts, &path);
+    }
     let members = config.members(name);
     if !path.exists() && members.len() == 1 {
         return Err(KeeperError::NotBegun(path.display().to_string()));
@@ -182,6 +251,33 @@
     Ok((journal, records))
 }
 
+/// With room: the journal's records; on an empty disk those of a new cluster, where this keeper is
+/// one of its founders, or else of a replica that asks to join.
+fn founded_or_blank(
+    name: &NodeName,
+    found: bool,
+    contacts: &[NodeName],
+    path: &Path,
+) -> Result<(journal::Journal, Vec<Record>), KeeperError> {
+    let (mut journal, records, cut) = read_journal(path)?;
+    if cut > 0 {
+        warn!("keeper {}: cut a torn record of {} bytes", name, cut);
+    }
+    if !records.is_empty() {
+        return Ok((journal, records));
+    }
+    let records = if found && contacts.contains(name) {
+        let mut members = contacts.to_vec();
+        members.sort();
+        keeper::initial_records(members, Tree::default())
+    } else {
+        Replica::blank_records(Vec::new())
+    };
+    let bytes: Vec<Vec<u8>> = records.iter().map(write_record).collect();
+    journal.rewrite(&bytes)?;
+    Ok((journal, records))
+}
+
 fn initial_tree(path: Option<&Path>) -> Result<Tree, KeeperError> {
     let Some(path) = path else { return Ok(Tree::default()) };
     let text = std::fs::read_to_string(path)?;
--- /dev/null
+++ b/daemon/src/keeper_role/news_lines.rs
@@ -0,0 +1,41 @@
+//! The keeper's changes of state as lines of the log.
+
+use keeper::News;
+use model::NodeName;
+use serde_json::json;
+
+use crate::event_log::{Budget, EventLog};
+
+/// Writes a change of state.
+pub(super) fn write(log: &EventLog, news: &News) {
+    use consensus::News as Log;
+    match news {
+        News::Log(Log::Leads(term)) => log.line("leads", Budget::Full, || json!({"term": term})),
+        News::Log(Log::StepsDown(term)) => {
+            log.line("steps-down", Budget::Full, || json!({"term": term}));
+        }
+        News::Log(Log::Follows(leader, term)) => {
+            log.line("follows", Budget::Full, || json!({"leader": leader.as_str(), "term": term}))
+        }
+        News::Log(Log::Members(members)) => log.line("members", Budget::Full, || {
+            let members: Vec<&str> = members.iter().map(NodeName::as_str).collect();
+            json!({"members": members})
+        }),
+        News::Log(Log::CaughtUp(index)) => {
+            log.line("caught-up", Budget::Full, || json!({"index": index}));
+        }
+        News::Log(Log::Violation(violation)) => {
+            log.line("breach", Budget::Full, || json!({"breach": violation.to_string()}));
+        }
+        News::Version(version) => {
+            log.line("settings", Budget::Full, || json!({"version": version}));
+        }
+        News::Document(version) => {
+            log.line("document", Budget::Full, || json!({"version": version}));
+        }
+        News::Nodes(count) => log.line("nodes", Budget::Full, || json!({"count": count})),
+        News::Unreadable(index) => {
+            log.line("entry-unreadable", Budget::Full, || json!({"index": index}));
+        }
+    }
+}
--- a/daemon/src/keeper_role/peers.rs
+++ b/daemon/src/keeper_role/peers.rs
@@ -40,20 +40,18 @@
 ) {
     let addresses: Addresses = Rc::new(RefCell::new(addresses));
     let mut lanes: HashMap<NodeName, Sender<Message>> = HashMap::new();
-    for name in addresses.borrow().keys() {
-        let (lane, waiting) = async_channel::bounded(WAITING);
-        let lane_task =
-            send_to(own.clone(), name.clone(), tasks.clone(), addresses.clone(), waiting);
-        tasks.spawn(lane_task);
-        lanes.insert(name.clone(), lane);
-    }
     while let Ok(input) = inputs.recv().await {
         match input {
             ToPeers::Message(to, message) => {
-                if let Some(lane) = lanes.get(&to) {
-                    // A message that finds no room is as one that is lost.
-                    let _ = lane.try_send(message);
-                }
+                let lane = lanes.entry(to.clone()).or_insert_with(|| {
+                    let (lane, waiting) = async_channel::bounded(WAITING);
+                    let lane_task =
+                        send_to(own.clone(), to, tasks.clone(), addresses.clone(), waiting);
+                    tasks.spawn(lane_task);
+                    lane
+                });
+                // A message that finds no room is as one that is lost.
+                let _ = lane.try_send(message);
             }
             ToPeers::Hosts(list) => set_addresses(&addresses, &list),
         }
@@ -78,8 +76,9 @@
     waiting: Receiver<Message>,
 ) {
     while !waiting.is_closed() {
-        let address = addresses.borrow().get(&to).copied();
-        let Some(address) = address else { return };
+        let known = addresses.borrow().get(&to).copied();
+        // A keeper that is in no list goes by its address.
+        let Some(address) = known.or_else(|| to.as_str().parse().ok()) else { return };
         let Ok(stream) = net::connect(address).await else {
             // What waited for a keeper that is gone is of no more use.
             while waiting.try_recv().is_ok() {}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -9,21 +9,25 @@
 mod decisions;
 mod driver;
 mod entry_role;
+mod event_log;
+mod hosts;
 mod keeper_role;
 mod logs;
 mod node;
-mod platform;
 mod probe;
+mod room;
 mod settings_link;
 mod threads;
 
 pub use agent_role::{AgentHandle, AgentOptions};
 pub use config::{
-    AgentConfig, Config, ConfigError, EntryConfig, KeeperConfig, NodeConfig, print_reference,
+    AgentConfig, Config, ConfigError, EntryConfig, KeeperConfig, NodeConfig, Scheduling,
+    print_reference,
 };
 pub use decisions::DecisionLog;
 pub use entry_role::{EntryHandle, EntryOptions};
+pub use hosts::Platform;
 pub use keeper_role::{KeeperError, KeeperHandle, KeeperOptions, KeeperStatus, init_keeper};
 pub use logs::{LogError, init_logs};
 pub use node::{Node, NodeError};
-pub use platform::Platform;
+pub use room::{RoomError, run_room};
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -5,7 +5,9 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use daemon::{Config, Node, Platform, init_keeper, init_logs, print_reference};
+use daemon::{
+    Config, Node, Platform, Scheduling, init_keeper, init_logs, print_reference, run_room,
+};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use spdlog::{critical, info};
@@ -41,7 +43,14 @@
     if arguments.get_flag("init-keeper") {
         return init(&config);
     }
-    match run(&config) {
+    if config.node.scheduling == Scheduling::Room {
+        return finish(run_room(&config, Path::new(path)));
+    }
+    finish(run(&config))
+}
+
+fn finish<E: std::fmt::Display>(result: Result<(), E>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("dockpassd: {error}");
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -13,8 +13,8 @@
 use crate::config::Config;
 use crate::decisions::DecisionLog;
 use crate::entry_role::{EntryHandle, EntryOptions};
+use crate::hosts::{ListSubscriber, Platform, watch};
 use crate::keeper_role::{KeeperError, KeeperHandle, KeeperOptions};
-use crate::platform::{ListSubscriber, Platform, watch};
 use crate::probe;
 use crate::settings_link;
 use crate::threads::{Duty, join};
@@ -194,6 +194,6 @@
 
 fn start_keeper(config: &Config) -> Result<Option<KeeperHandle>, NodeError> {
     let Some(keeper) = config.keeper.clone() else { return Ok(None) };
-    let options = KeeperOptions { node: config.node.clone(), keeper };
+    let options = KeeperOptions::new(config.node.clone(), keeper);
     Ok(Some(KeeperHandle::start(options)?))
 }
--- a/daemon/src/probe.rs
+++ b/daemon/src/probe.rs
@@ -13,7 +13,7 @@
 use spdlog::{info, warn};
 
 use crate::clock::Clock;
-use crate::platform::ListSubscriber;
+use crate::hosts::ListSubscriber;
 use crate::threads::{Duty, spawn_until};
 
 /// Longest datagram taken, in bytes.
--- /dev/null
+++ b/daemon/src/room/agent.rs
@@ -0,0 +1,270 @@
+//! An agent beside a target that has room: the runner with its sockets, on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use hyper::Method;
+use model::Time;
+use net::{Client, Tasks};
+use platform::HttpOrder;
+use runner::{
+    Action, Event, HoldOrder, HoldReply, Runner, SessionId, StartOrder, StartReply, StopOrder,
+    StopReply, Timing,
+};
+use serde_json::json;
+use wire::{NodeInfo, NodeRole, ToEntry};
+
+use super::metrics::{self, Page};
+use super::session::{self, Outgoing};
+use super::watch::Watch;
+use super::{RoomError, Started, agent_news, io_error, target_http, until_stopped};
+use crate::clock::Clock;
+use crate::config::AgentConfig;
+use crate::event_log::{Budget, EventLog};
+
+/// How long the target may take to answer a start or a stop.
+const ORDER_TIME: Duration = Duration::from_millis(70);
+/// How much longer than it was asked to wait the target may take to answer a hold.
+const HOLD_SLACK: Duration = Duration::from_millis(200);
+/// Pause before an entry is connected to again.
+const RETRY_PAUSE: Duration = Duration::from_millis(120);
+/// An entry that is no longer listed is still tried for so long.
+const ENTRY_KEPT: Duration = Duration::from_secs(30);
+/// The longest time of a planned stop.
+const STOP_TIME: Duration = Duration::from_millis(4_800);
+/// How often a stopping agent looks whether it is done.
+const STOP_POLL: Duration = Duration::from_millis(20);
+/// How long what a stopping agent says last may take to leave.
+const LAST_WORDS: Duration = Duration::from_millis(60);
+
+/// An agent's state, shared by the tasks of its thread.
+pub(super) struct Agent {
+    pub log: EventLog,
+    clock: Clock,
+    tasks: Tasks,
+    /// Orders other than holds.
+    orders: Client,
+    holds: Client,
+    runner: RefCell<Runner>,
+    sessions: RefCell<HashMap<SessionId, Outgoing<ToEntry>>>,
+    /// Entries that are connected to, and until when they are tried.
+    entries: RefCell<BTreeMap<SocketAddr, Time>>,
+    next: Cell<u64>,
+}
+
+/// Runs the agent until it is told to stop.
+pub(super) fn run(started: Started) -> Result<(), RoomError> {
+    let Some(config) = started.config.agent.clone() else { return Ok(()) };
+    net::block_on(|tasks| async move { serve(started, config, tasks).await })
+}
+
+async fn serve(started: Started, config: AgentConfig, tasks: Tasks) -> Result<(), RoomError> {
+    let clock = started.clock;
+    let node = &started.config.node;
+    let agent = Rc::new(Agent {
+        log: started.log.clone(),
+        clock,
+        tasks: tasks.clone(),
+        orders: Client::new(config.target, tasks.clone()),
+        holds: Client::new(config.target, tasks.clone()),
+        runner: RefCell::new(Runner::new(node.name.clone(), Timing::default(), clock.now())),
+        sessions: RefCell::default(),
+        entries: RefCell::default(),
+        next: Cell::new(0),
+    });
+    let listener =
+        Async::<TcpListener>::bind(config.listen).map_err(io_error(config.listen.to_string()))?;
+    target_http::serve(listener, &tasks, agent.clone());
+    if let Some(address) = node.metrics {
+        let shown = agent.clone();
+        metrics::serve(address, &tasks, move |page| shown.fill(page))
+            .map_err(io_error(address.to_string()))?;
+    }
+    tasks.spawn(keep_time(agent.clone()));
+    let watch = agent.start_watch(&started, config.listen);
+    until_stopped(&started, |config| watch.set_seeds(&config.node.keepers)).await;
+    agent.drain().await;
+    Ok(())
+}
+
+async fn keep_time(agent: Rc<Agent>) {
+    loop {
+        let now = agent.clock.now();
+        let due = agent.runner.borrow().next_timer(now);
+        Timer::after(due.since(now)).await;
+        agent.feed(Event::Tick);
+    }
+}
+
+impl Agent {
+    fn start_watch(self: &Rc<Self>, started: &Started, address: SocketAddr) -> Rc<Watch> {
+        let node = &started.config.node;
+        let own = NodeInfo {
+            name: node.name.clone(),
+            role: NodeRole::Agent,
+            address,
+            incarnation: started.life,
+        };
+        let (for_documents, for_nodes) = (self.clone(), self.clone());
+        Watch::start(
+            own,
+            self.tasks.clone(),
+            self.log.clone(),
+            node.node_port,
+            &node.keepers,
+            Box::new(move |document| for_documents.feed(Event::Document(document))),
+            Box::new(move |nodes| for_nodes.nodes_are(nodes)),
+        )
+    }
+
+    /// Connects to entries that are new in the list.
+    fn nodes_are(self: &Rc<Self>, nodes: &[NodeInfo]) {
+        let until = self.clock.now() + ENTRY_KEPT;
+        for node in nodes.iter().filter(|node| node.role == NodeRole::Entry) {
+            let known = self.entries.borrow_mut().insert(node.address, until).is_some();
+            if !known {
+                let (agent, address) = (self.clone(), node.address);
+                self.tasks.spawn(async move { agent.stay_connected(address).await });
+            }
+        }
+    }
+
+    /// Keeps a session with an entry for as long as the entry is listed, and a while longer: an
+    /// entry that has restarted while no keeper can be reached is found again so.
+    async fn stay_connected(self: Rc<Self>, address: SocketAddr) {
+        loop {
+            if let Ok(stream) = net::connect(address).await {
+                self.next.set(self.next.get() + 1);
+                let id = SessionId(self.next.get());
+                let (outgoing, waiting) = Outgoing::new();
+                self.sessions.borrow_mut().insert(id, outgoing);
+                self.log.line(
+                    "entry-heard",
+                    Budget::Full,
+                    || json!({"entry": address.to_string(), "session": id.0}),
+                );
+                self.feed(Event::SessionOpened(id));
+                let taker = self.clone();
+                let take = move |message| taker.feed(Event::FromEntry(id, message));
+                session::run(stream, waiting, take).await;
+                self.sessions.borrow_mut().remove(&id);
+                self.feed(Event::SessionClosed(id));
+                // While it answers, it is listed or was so a moment ago.
+                let until = self.clock.now() + ENTRY_KEPT;
+                self.entries.borrow_mut().insert(address, until);
+            }
+            Timer::after(RETRY_PAUSE).await;
+            let now = self.clock.now();
+            if self.entries.borrow().get(&address).is_none_or(|until| *until < now) {
+                self.entries.borrow_mut().remove(&address);
+                return;
+            }
+        }
+    }
+
+    /// Hands an event to the runner and does what follows.
+    pub fn feed(self: &Rc<Self>, event: Event) {
+        let mut actions = Vec::new();
+        self.runner.borrow_mut().handle(self.clock.now(), event, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Send(id, message) => {
+                let sent = self.sessions.borrow().get(&id).is_some_and(|entry| entry.send(message));
+                if !sent {
+                    // Its end is told once the connection is closed.
+                    self.sessions.borrow_mut().remove(&id);
+                }
+            }
+            Action::Close(id) => {
+                self.sessions.borrow_mut().remove(&id);
+            }
+            Action::Start(order) => {
+                let agent = self.clone();
+                self.tasks.spawn(async move { agent.start(order).await });
+            }
+            Action::Stop(order) => {
+                let agent = self.clone();
+                self.tasks.spawn(async move { agent.stop(order).await });
+            }
+            Action::Hold(order) => {
+                let agent = self.clone();
+                self.tasks.spawn(async move { agent.hold(order).await });
+            }
+            Action::News(news) => agent_news::write(&self.log, &news),
+        }
+    }
+
+    async fn start(self: Rc<Self>, order: StartOrder) {
+        let reply = send(&self.orders, platform::start_order(&order), ORDER_TIME).await;
+        let reply = reply
+            .map_or(StartReply::Silent, |reply| platform::read_start(reply.status, &reply.body));
+        self.feed(Event::Started(order.key, reply));
+    }
+
+    async fn stop(self: Rc<Self>, order: StopOrder) {
+        let reply = send(&self.orders, platform::stop_order(&order), ORDER_TIME).await;
+        let reply = reply.map_or(StopReply::Silent, |reply| platform::read_stop(reply.status));
+        self.feed(Event::Stopped(order.key, reply));
+    }
+
+    async fn hold(self: Rc<Self>, order: HoldOrder) {
+        let time = order.wait + HOLD_SLACK;
+        let reply = send(&self.holds, platform::hold_order(&order), time).await;
+        let reply =
+            reply.map_or(HoldReply::Silent, |reply| platform::read_hold(reply.status, &reply.body));
+        self.feed(Event::Held(order.target, reply));
+    }
+
+    /// A planned stop: takes no new work, waits for what runs, ends.
+    async fn drain(self: &Rc<Self>) {
+        let began = self.clock.now();
+        let (waiting, running) = self.runner.borrow().sizes();
+        self.log.line("draining", Budget::Full, || json!({"waiting": waiting, "running": running}));
+        self.feed(Event::Drain);
+        while !self.runner.borrow().is_idle() && self.clock.now().since(began) < STOP_TIME {
+            Timer::after(STOP_POLL).await;
+        }
+        Timer::after(LAST_WORDS).await;
+    }
+
+    fn fill(&self, page: &mut Page) {
+        let runner = self.runner.borrow();
+        let counters = runner.counters();
+        let ends = [
+            ("done", counters.done),
+            ("failed", counters.failed),
+            ("stopped", counters.stopped),
+            ("not_run", counters.not_run),
+            ("lost", counters.lost),
+        ];
+        page.value("tasks_asked_total", "", counters.asked);
+        page.value("tasks_started_total", "", counters.started);
+        for (end, count) in ends {
+            page.value("tasks_ended_total", &format!("{{end=\"{end}\"}}"), count);
+        }
+        page.value("starts_without_room_total", "", counters.no_room);
+        page.value("starts_unanswered_total", "", counters.silent_starts);
+        page.value("sessions_lost_total", "", counters.sessions_lost);
+        page.value("sessions", "", self.sessions.borrow().len() as u64);
+        let (waiting, running) = runner.sizes();
+        page.value("tasks", "{state=\"waiting\"}", waiting as u64);
+        page.value("tasks", "{state=\"running\"}", running as u64);
+        page.value("configuration_version", "", runner.document_version());
+        page.value("log_lines_omitted_total", "", self.log.omitted());
+    }
+}
+
+/// Sends an order; `None` where there is no whole answer in time.
+async fn send(client: &Client, order: HttpOrder, time: Duration) -> Option<net::Reply> {
+    let HttpOrder { path, headers, body } = order;
+    client.send(Method::POST, path, headers, body.into(), time).await.ok()
+}
--- /dev/null
+++ b/daemon/src/room/agent_news.rs
@@ -0,0 +1,71 @@
+//! The agent's decisions as lines of the log.
+
+use runner::News;
+use serde_json::json;
+use wire::TaskEnd;
+
+use crate::event_log::{Budget, EventLog};
+
+/// Writes a decision or a change of state.
+pub(super) fn write(log: &EventLog, news: &News) {
+    match news {
+        News::TargetFound { id, fencing_token } => log.line(
+            "target-found",
+            Budget::Full,
+            || json!({"target": &*id.0, "fencing_token": fencing_token}),
+        ),
+        News::TargetGone { id, lost } => {
+            log.line("target-gone", Budget::Full, || json!({"target": &*id.0, "lost": lost}))
+        }
+        News::TargetSilent(id) => {
+            log.line("target-silent", Budget::Full, || json!({"target": &*id.0}));
+        }
+        News::TargetHeard(id) => {
+            log.line("target-heard", Budget::Full, || json!({"target": &*id.0}));
+        }
+        News::TargetDrains(id) => {
+            log.line("target-drains", Budget::Full, || json!({"target": &*id.0}));
+        }
+        News::TargetLeftOut { failures, for_ms } => {
+            log.line(
+                "target-left-out",
+                Budget::Full,
+                || json!({"failures": failures, "for_ms": for_ms}),
+            );
+        }
+        News::TargetTakenBack => log.line("target-taken-back", Budget::Full, || json!({})),
+        News::SessionOpened(session) => {
+            log.line("session-opened", Budget::Full, || json!({"session": session.0}));
+        }
+        News::SessionLost { session, why, runs } => log.line(
+            "session-lost",
+            Budget::Full,
+            || json!({"session": session.0, "why": why, "runs": runs}),
+        ),
+        News::Run { task, run, end, waited_ms, ran_ms, free } => {
+            let (kind, budget) = match end {
+                TaskEnd::Done => ("done", Budget::Sampled),
+                _ => ("run-ended", Budget::Full),
+            };
+            log.line(kind, budget, || {
+                json!({"job": task.job.as_str(), "task": task.index, "run": run,
+                    "end": format!("{end:?}"), "waited_ms": waited_ms, "ran_ms": ran_ms,
+                    "free": free.to_string()})
+            });
+        }
+        News::Stuck { task, ran_ms, estimated_ms } => log.line("stuck", Budget::Full, || {
+            json!({"job": task.job.as_str(), "task": task.index, "ran_ms": ran_ms,
+                "estimated_ms": estimated_ms})
+        }),
+        News::StartSilent(task) => log.line(
+            "start-silent",
+            Budget::Full,
+            || json!({"job": task.job.as_str(), "task": task.index}),
+        ),
+        News::Orphan(task) => log.line(
+            "orphan",
+            Budget::Full,
+            || json!({"job": task.job.as_str(), "task": task.index}),
+        ),
+    }
+}
--- /dev/null
+++ b/daemon/src/room/entry.rs
@@ -0,0 +1,351 @@
+//! An entry whose targets have room: the dispatcher with its sockets, on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use async_io::{Async, Timer};
+use dispatch::{Action, Dispatcher, Event, Outcome, SessionId, Ticket, Timing};
+use net::Tasks;
+use routing::RouteTable;
+use serde_json::json;
+use telemetry::Latency;
+use wire::{Document, NodeInfo, NodeRole, ToAgent};
+
+use super::entry_news;
+use super::metrics::{self, Page};
+use super::session::{self, Outgoing};
+use super::watch::Watch;
+use super::{RoomError, Started, entry_http, io_error, until_stopped};
+use crate::clock::Clock;
+use crate::config::EntryConfig;
+use crate::event_log::{Budget, EventLog};
+
+/// After a planned stop began, the entry goes on for at least so long: the balancer has to notice.
+const NOTICE: Duration = Duration::from_millis(2_600);
+/// The longest time of a planned stop.
+const STOP_TIME: Duration = Duration::from_millis(5_400);
+/// Without a request for so long, a stopping entry is taken to be no longer used.
+const QUIET: Duration = Duration::from_millis(300);
+/// How often a stopping entry looks whether it is done.
+const STOP_POLL: Duration = Duration::from_millis(50);
+/// Pause before a failed accept is tried again.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// The latencies of the jobs of one queue.
+pub(super) type Latencies = HashMap<String, Latency>;
+
+/// An entry's state, shared by the tasks of its thread.
+pub(super) struct Entry {
+    pub log: EventLog,
+    clock: Clock,
+    dispatcher: RefCell<Dispatcher>,
+    /// The routes in force; none before the first configuration.
+    table: RefCell<Option<Rc<RouteTable>>>,
+    agents: RefCell<HashMap<SessionId, Outgoing<ToAgent>>>,
+    waiting: RefCell<HashMap<Ticket, Sender<Outcome>>>,
+    latencies: RefCell<Latencies>,
+    /// Answers by their status.
+    statuses: RefCell<HashMap<u16, u64>>,
+    next: Cell<u64>,
+    draining: Cell<bool>,
+    last_request: Cell<model::Time>,
+    watch: RefCell<Option<Rc<Watch>>>,
+}
+
+/// Runs the entry until it is told to stop.
+pub(super) fn run(started: Started) -> Result<(), RoomError> {
+    let Some(config) = started.config.entry else { return Ok(()) };
+    net::block_on(|tasks| async move { serve(started, config, tasks).await })
+}
+
+async fn serve(started: Started, config: EntryConfig, tasks: Tasks) -> Result<(), RoomError> {
+    let clock = started.clock;
+    let entry = Rc::new(Entry {
+        log: started.log.clone(),
+        clock,
+        dispatcher: RefCell::new(Dispatcher::new(Timing::default(), clock.now())),
+        table: RefCell::default(),
+        agents: RefCell::default(),
+        waiting: RefCell::default(),
+        latencies: RefCell::default(),
+        statuses: RefCell::default(),
+        next: Cell::new(0),
+        draining: Cell::new(false),
+        last_request: Cell::new(clock.now()),
+        watch: RefCell::default(),
+    });
+    let bind = |address: SocketAddr| {
+        Async::<TcpListener>::bind(address).map_err(io_error(address.to_string()))
+    };
+    let callers = bind(config.listen)?;
+    let agents = bind(config.peer_listen)?;
+    if let Some(address) = config.ready_listen {
+        entry_http::serve_ready(bind(address)?, &tasks, entry.clone());
+    }
+    if let Some(address) = started.config.node.metrics {
+        let shown = entry.clone();
+        metrics::serve(address, &tasks, move |page| shown.fill(page))
+            .map_err(io_error(address.to_string()))?;
+    }
+    tasks.spawn(accept_agents(entry.clone(), agents, tasks.clone()));
+    tasks.spawn(keep_time(entry.clone()));
+    entry.start_watch(&started, config.peer_listen, &tasks);
+    entry_http::serve_callers(callers, &tasks, entry.clone());
+    until_stopped(&started, |config| {
+        if let Some(watch) = &*entry.watch.borrow() {
+            watch.set_seeds(&config.node.keepers);
+        }
+    })
+    .await;
+    entry.drain().await;
+    Ok(())
+}
+
+async fn accept_agents(entry: Rc<Entry>, listener: Async<TcpListener>, tasks: Tasks) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            Timer::after(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let id = SessionId(entry.number());
+        let (outgoing, waiting) = Outgoing::new();
+        entry.agents.borrow_mut().insert(id, outgoing);
+        entry.feed(Event::AgentOpened(id));
+        let entry = entry.clone();
+        tasks.spawn(async move {
+            let taker = entry.clone();
+            let take = move |message| taker.feed(Event::FromAgent(id, message));
+            session::run(stream, waiting, take).await;
+            entry.agents.borrow_mut().remove(&id);
+            entry.feed(Event::AgentClosed(id));
+        });
+    }
+}
+
+async fn keep_time(entry: Rc<Entry>) {
+    loop {
+        let now = entry.clock.now();
+        let due = entry.dispatcher.borrow().next_timer(now);
+        Timer::after(due.since(now)).await;
+        entry.feed(Event::Tick);
+    }
+}
+
+impl Entry {
+    fn number(&self) -> u64 {
+        self.next.set(self.next.get() + 1);
+        self.next.get()
+    }
+
+    fn start_watch(self: &Rc<Self>, started: &Started, address: SocketAddr, tasks: &Tasks) {
+        let node = &started.config.node;
+        let own = NodeInfo {
+            name: node.name.clone(),
+            role: NodeRole::Entry,
+            address,
+            incarnation: started.life,
+        };
+        let entry = self.clone();
+        let take = Box::new(move |document: Document| entry.take_document(&document, "keeper"));
+        let watch = Watch::start(
+            own,
+            tasks.clone(),
+            self.log.clone(),
+            node.node_port,
+            &node.keepers,
+            take,
+            Box::new(|_| {}),
+        );
+        *self.watch.borrow_mut() = Some(watch);
+    }
+
+    /// Hands an event to the dispatcher and does what follows.
+    pub fn feed(&self, event: Event) {
+        let mut actions = Vec::new();
+        let now = self.clock.now();
+        let document = {
+            let mut dispatcher = self.dispatcher.borrow_mut();
+            dispatcher.handle(now, event, &mut actions);
+            dispatcher.take_document()
+        };
+        for action in actions {
+            self.act(action);
+        }
+        if let Some(document) = document {
+            self.take_document(&document, "agent");
+        }
+    }
+
+    fn act(&self, action: Action) {
+        match action {
+            Action::Send(id, message) => {
+                let sent = self.agents.borrow().get(&id).is_some_and(|agent| agent.send(message));
+                if !sent {
+                    // Its end is told once the connection is closed.
+                    self.agents.borrow_mut().remove(&id);
+                }
+            }
+            Action::Close(id) => {
+                self.agents.borrow_mut().remove(&id);
+            }
+            Action::Answer(ticket, outcome) => {
+                if let Some(waiting) = self.waiting.borrow_mut().remove(&ticket) {
+                    // The client may be gone.
+                    let _ = waiting.try_send(outcome);
+                }
+            }
+            Action::News(news) => {
+                entry_news::note_latency(&news, &mut self.latencies.borrow_mut());
+                entry_news::write(&self.log, &news);
+            }
+        }
+    }
+
+    /// Puts a configuration into force, unless its version is not above the one in force.
+    fn take_document(&self, document: &Document, from: &'static str) {
+        let have = self.table.borrow().as_ref().map_or(0, |table| table.version);
+        if document.version <= have {
+            return;
+        }
+        match platform::read_table(&document.body) {
+            Ok(table) => {
+                self.log.line("configuration", Budget::Full, || {
+                    json!({"version": table.version, "before": have, "routes": table.len(),
+                        "from": from})
+                });
+                *self.table.borrow_mut() = Some(Rc::new(table));
+                if let Some(watch) = &*self.watch.borrow() {
+                    watch.has_document(document.version);
+                }
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                self.log.line(
+                    "configuration-unreadable",
+                    Budget::Full,
+                    || json!({"version": document.version, "error": reason}),
+                );
+            }
+        }
+    }
+
+    /// The routes in force.
+    pub fn table(&self) -> Option<Rc<RouteTable>> {
+        self.table.borrow().clone()
+    }
+
+    /// Whether it can serve requests that come now.
+    pub fn is_ready(&self) -> bool {
+        !self.draining.get()
+            && self.table.borrow().is_some()
+            && self.dispatcher.borrow().known_agents() > 0
+    }
+
+    pub fn is_draining(&self) -> bool {
+        self.draining.get()
+    }
+
+    /// Takes note of a request.
+    pub fn requested(&self) {
+        self.last_request.set(self.clock.now());
+    }
+
+    /// Takes note of an answer.
+    pub fn answered(&self, status: u16) {
+        *self.statuses.borrow_mut().entry(status).or_default() += 1;
+    }
+
+    /// Hands in a job; the answer comes over the returned channel. Dropping the guard before tells
+    /// that the client is gone.
+    pub fn submit(
+        self: &Rc<Self>,
+        request: dispatch::JobRequest,
+    ) -> (async_channel::Receiver<Outcome>, Guard) {
+        let ticket = Ticket(self.number());
+        let (sender, answer) = async_channel::bounded(1);
+        self.waiting.borrow_mut().insert(ticket, sender);
+        let guard = Guard { entry: self.clone(), ticket };
+        self.feed(Event::Submit(ticket, request));
+        (answer, guard)
+    }
+
+    pub fn has_job(&self, id: &model::JobId) -> bool {
+        self.dispatcher.borrow().has_job(id)
+    }
+
+    pub fn waiting(&self, queue: &str) -> usize {
+        self.dispatcher.borrow().waiting(queue)
+    }
+
+    /// A planned stop: says that it is not ready, goes on until nobody asks any more, ends.
+    async fn drain(&self) {
+        self.draining.set(true);
+        self.feed(Event::Drain);
+        let began = self.clock.now();
+        let active = self.dispatcher.borrow().active();
+        self.log.line("draining", Budget::Full, || json!({"jobs": active}));
+        loop {
+            Timer::after(STOP_POLL).await;
+            let now = self.clock.now();
+            let age = now.since(began);
+            let quiet = now.since(self.last_request.get()) > QUIET;
+            let idle = self.dispatcher.borrow().active() == 0;
+            if age > STOP_TIME || (age > NOTICE && quiet && idle) {
+                return;
+            }
+        }
+    }
+
+    fn fill(&self, page: &mut Page) {
+        let dispatcher = self.dispatcher.borrow();
+        let counters = dispatcher.counters();
+        let outcomes = [
+            ("completed", counters.completed),
+            ("failed", counters.failed),
+            ("not_run", counters.not_run),
+            ("may_have_run", counters.may_have_run),
+            ("cancelled", counters.cancelled),
+        ];
+        page.value("jobs_submitted_total", "", counters.submitted);
+        for (outcome, count) in outcomes {
+            page.value("jobs_total", &format!("{{outcome=\"{outcome}\"}}"), count);
+        }
+        page.value("starts_total", "", counters.starts);
+        page.value("starts_refused_total", "", counters.refused_starts);
+        page.value("task_failures_total", "", counters.failures);
+        page.value("task_losses_total", "", counters.losses);
+        page.value("agents_lost_total", "", counters.agents_lost);
+        page.value("agents", "{state=\"known\"}", dispatcher.known_agents() as u64);
+        page.value("agents", "{state=\"open\"}", dispatcher.open_agents() as u64);
+        page.value("jobs_active", "", dispatcher.active() as u64);
+        page.value("tasks_queued", "", dispatcher.queued() as u64);
+        page.value("ready", "", u64::from(self.is_ready()));
+        let version = self.table.borrow().as_ref().map_or(0, |table| table.version);
+        page.value("configuration_version", "", version);
+        page.value("log_lines_omitted_total", "", self.log.omitted());
+        for (status, count) in &*self.statuses.borrow() {
+            page.value("answers_total", &format!("{{status=\"{status}\"}}"), *count);
+        }
+        for (queue, latency) in &*self.latencies.borrow() {
+            page.latency("job", "queue", queue, latency);
+        }
+    }
+}
+
+/// A client that waits; dropped before the answer when the client goes away.
+pub(super) struct Guard {
+    entry: Rc<Entry>,
+    ticket: Ticket,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if self.entry.waiting.borrow_mut().remove(&self.ticket).is_some() {
+            self.entry.feed(Event::Abandon(self.ticket));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/room/entry_http.rs
@@ -0,0 +1,178 @@
+//! The entry's HTTP: callers, and the balancer's question whether it is ready.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Async;
+use dispatch::Outcome;
+use hyper::body::Bytes;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
+use hyper::{Request, Response, StatusCode};
+use net::{Body, BodyError, Limits, Tasks};
+use platform::{BadJob, CallerCall, Malformed, Reply};
+use routing::{Route, TransferLimits};
+use serde_json::json;
+
+use super::entry::Entry;
+use crate::event_log::Budget;
+
+/// Most open connections of callers.
+const CONNECTIONS: usize = 3_000;
+/// Limits of the balancer's connections.
+const READY_LIMITS: Limits = Limits {
+    header_bytes: net::HEADER_BYTES,
+    body_bytes: 4_096,
+    read_time: Duration::from_secs(30),
+    connections: 64,
+};
+/// When to come back to an entry that has no configuration yet.
+const NO_TABLE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Serves callers until the process ends.
+pub(super) fn serve_callers(listener: Async<TcpListener>, tasks: &Tasks, entry: Rc<Entry>) {
+    let limited = entry.clone();
+    let limits = move || {
+        let limits = limited.table().map_or_else(TransferLimits::default, |table| table.limits);
+        Limits {
+            header_bytes: limits.header_bytes,
+            body_bytes: limits.body_bytes,
+            // The time for a head counts from the answer before it, so it is that of an idle
+            // connection.
+            read_time: limits.idle_time.max(limits.header_time),
+            connections: CONNECTIONS,
+        }
+    };
+    let handler = move |request| {
+        let entry = entry.clone();
+        async move { answer(&entry, request).await }
+    };
+    tasks.spawn(net::serve(listener, tasks.clone(), limits, handler));
+}
+
+/// Serves the balancer's question until the process ends.
+pub(super) fn serve_ready(listener: Async<TcpListener>, tasks: &Tasks, entry: Rc<Entry>) {
+    let handler = move |_: Request<Result<Bytes, BodyError>>| {
+        let status = if entry.is_ready() { 200 } else { 503 };
+        async move { plain(status, "") }
+    };
+    tasks.spawn(net::serve(listener, tasks.clone(), || READY_LIMITS, handler));
+}
+
+async fn answer(entry: &Rc<Entry>, request: Request<Result<Bytes, BodyError>>) -> Response<Body> {
+    entry.requested();
+    let mut response = route(entry, request).await;
+    if entry.is_draining() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    entry.answered(response.status().as_u16());
+    response
+}
+
+async fn route(entry: &Rc<Entry>, request: Request<Result<Bytes, BodyError>>) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let Some(table) = entry.table() else {
+        let reply = problem(503, "no configuration yet");
+        return render(&Reply { retry_after: Some(NO_TABLE_PAUSE), ..reply });
+    };
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let host = head.uri.host().unwrap_or(host);
+    let path = head.uri.path();
+    let Some(route) = table.find(host, path) else {
+        let version = table.version;
+        entry.log.line(
+            "no-queue",
+            Budget::Full,
+            || json!({"host": host, "path": path, "version": version}),
+        );
+        return render(&problem(404, "no such queue"));
+    };
+    let call = match CallerCall::read(route, &head.method, path) {
+        Ok(call) => call,
+        Err(error) => {
+            let status = if error == Malformed::BadMethod { 405 } else { 400 };
+            return render(&refuse(entry, path, status, &error.to_string()));
+        }
+    };
+    match (call, body) {
+        (CallerCall::Submit(id), Ok(body)) => {
+            match platform::read_job(route, id, &head.headers, &body) {
+                Ok(job) => submit(entry, job).await,
+                Err(error) => render(&refuse(entry, path, status_of(&error), &error.to_string())),
+            }
+        }
+        (CallerCall::Submit(_), Err(error)) => {
+            let status = match error {
+                BodyError::TooLong => 413,
+                BodyError::TooSlow => 408,
+                BodyError::Broken => 400,
+            };
+            render(&refuse(entry, path, status, &error.to_string()))
+        }
+        (CallerCall::State(id), _) => render(&platform::state_reply(entry.has_job(&id))),
+        (CallerCall::Cancel(id), _) => cancel(entry, id),
+        (CallerCall::Count, _) => render(&count(entry, route)),
+    }
+}
+
+fn status_of(error: &BadJob) -> u16 {
+    match error {
+        BadJob::Unsupported(_) => 503,
+        _ => 400,
+    }
+}
+
+fn count(entry: &Entry, route: &Route) -> Reply {
+    platform::count_reply(entry.waiting(&route.name))
+}
+
+async fn submit(entry: &Rc<Entry>, job: dispatch::JobRequest) -> Response<Body> {
+    let (answer, _guard) = entry.submit(job);
+    // The channel is closed only with the entry.
+    let outcome = answer.recv().await;
+    let outcome = outcome.unwrap_or(Outcome::MayHaveRun(dispatch::Reason::Draining));
+    render(&platform::reply(outcome))
+}
+
+/// Every agent is told; what runs ends within moments.
+fn cancel(entry: &Entry, id: model::JobId) -> Response<Body> {
+    let known = entry.has_job(&id);
+    entry.log.line("cancel", Budget::Full, || json!({"job": id.as_str(), "here": known}));
+    entry.feed(dispatch::Event::Cancel(id));
+    render(&match known {
+        true => Reply { status: 200, retry_after: None, body: "{}".to_owned() },
+        false => platform::state_reply(false),
+    })
+}
+
+/// A request that is refused for what it is.
+fn refuse(entry: &Entry, path: &str, status: u16, reason: &str) -> Reply {
+    entry.log.line(
+        "malformed",
+        Budget::Full,
+        || json!({"path": path, "status": status, "reason": reason}),
+    );
+    problem(status, reason)
+}
+
+fn problem(status: u16, reason: &str) -> Reply {
+    Reply { status, retry_after: None, body: json!({"error": reason}).to_string() }
+}
+
+fn render(reply: &Reply) -> Response<Body> {
+    let mut response = plain(reply.status, &reply.body);
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(after) = reply.retry_after {
+        // Whole seconds, at least one.
+        let seconds = after.as_secs_f64().ceil().max(1.0) as u64;
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
+fn plain(status: u16, body: &str) -> Response<Body> {
+    let mut response = Response::new(Body::from(body.to_owned()));
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response
+}
--- /dev/null
+++ b/daemon/src/room/entry_news.rs
@@ -0,0 +1,91 @@
+//! The entry's decisions as lines of the log.
+
+use dispatch::{News, Outcome};
+use serde_json::{Value, json};
+use std::time::Duration;
+use telemetry::Latency;
+
+use super::entry::Latencies;
+use crate::event_log::{Budget, EventLog};
+
+/// Adds a completed job to the latencies of its queue.
+pub(super) fn note_latency(news: &News, latencies: &mut Latencies) {
+    let News::Answered { queue, outcome: Outcome::Completed, took_ms, .. } = news else { return };
+    let took = Duration::from_secs_f64(took_ms / 1e3);
+    if !latencies.contains_key(&**queue) {
+        latencies.insert(queue.to_string(), Latency::default());
+    }
+    if let Some(latency) = latencies.get_mut(&**queue) {
+        latency.record(took);
+    }
+}
+
+/// The answer as a word, and its reason.
+fn outcome_fields(outcome: Outcome) -> (&'static str, &'static str) {
+    match outcome {
+        Outcome::Completed => ("completed", ""),
+        Outcome::Failed(reason) => ("failed", reason.as_str()),
+        Outcome::Cancelled => ("cancelled", ""),
+        Outcome::NotRun { reason, .. } => ("not-run", reason.as_str()),
+        Outcome::MayHaveRun(reason) => ("may-have-run", reason.as_str()),
+    }
+}
+
+/// Writes a decision or a change of state.
+pub(super) fn write(log: &EventLog, news: &News) {
+    match news {
+        News::AgentKnown { agent, service, capacity } => {
+            log.line("agent-known", Budget::Full, || {
+                json!({"agent": agent.as_str(), "service": &**service,
+                    "capacity": capacity.to_string()})
+            });
+        }
+        News::AgentLost { agent, why, tasks } => log.line("agent-lost", Budget::Full, || {
+            json!({"agent": agent.as_ref().map(model::NodeName::as_str), "why": why,
+                "tasks": tasks})
+        }),
+        News::AgentOpen { agent, open } => {
+            log.line("agent-open", Budget::Full, || json!({"agent": agent.as_str(), "open": open}))
+        }
+        News::Standstill { gap_ms } => {
+            log.line("standstill", Budget::Full, || json!({"gap_ms": gap_ms}));
+        }
+        News::Admitted { job, queue, tasks, objective_ms, waiting } => {
+            log.line("admitted", Budget::Sampled, || {
+                json!({"job": job.as_str(), "queue": &**queue, "tasks": tasks,
+                    "objective_ms": objective_ms, "waiting": waiting})
+            });
+        }
+        News::Placed { task, run, agent, free, age_ms } => {
+            log.line("placed", Budget::Sampled, || {
+                json!({"job": task.job.as_str(), "task": task.index, "run": run,
+                    "agent": agent.as_str(), "free": free.to_string(), "age_ms": age_ms})
+            });
+        }
+        News::TaskEnded { task, agent, end, failures } => {
+            log.line("task-ended", Budget::Full, || {
+                json!({"job": task.job.as_str(), "task": task.index, "agent": agent.as_str(),
+                    "end": format!("{end:?}"), "failures": failures})
+            });
+        }
+        News::Answered { outcome, .. } => {
+            let (kind, budget) = match outcome {
+                Outcome::Completed => ("completed", Budget::Sampled),
+                _ => ("answered", Budget::Full),
+            };
+            log.line(kind, budget, || answered(news));
+        }
+    }
+}
+
+fn answered(news: &News) -> Value {
+    let News::Answered { job, queue, outcome, took_ms, objective_ms, tasks, starts, waited_ms } =
+        news
+    else {
+        return json!({});
+    };
+    let (word, reason) = outcome_fields(*outcome);
+    json!({"job": job.as_str(), "queue": &**queue, "outcome": word, "reason": reason,
+        "took_ms": took_ms, "objective_ms": objective_ms, "tasks": tasks, "starts": starts,
+        "waited_ms": waited_ms})
+}
