--- /dev/null
+++ b/daemon/src/room/metrics.rs
@@ -0,0 +1,80 @@
+//! Counters and latencies as text, in the form that monitoring reads.
+
+use std::cell::RefCell;
+use std::fmt::Write as _;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Async;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use net::{Body, Limits, Tasks};
+use telemetry::Latency;
+
+/// Limits of the connections of monitoring.
+const LIMITS: Limits = Limits {
+    header_bytes: net::HEADER_BYTES,
+    body_bytes: 4_096,
+    read_time: Duration::from_secs(10),
+    connections: 16,
+};
+/// The quantiles that are told.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 0.999];
+
+/// A page of figures.
+#[derive(Default)]
+pub(crate) struct Page(String);
+
+impl Page {
+    /// Adds a counter or a gauge.
+    pub fn value(&mut self, name: &str, labels: &str, value: u64) {
+        let _ = writeln!(self.0, "dockpass_{name}{labels} {value}");
+    }
+
+    /// Adds a histogram as quantiles in seconds, with its count.
+    pub fn latency(&mut self, name: &str, label: &str, value: &str, latency: &Latency) {
+        for quantile in QUANTILES {
+            let seconds = latency.at(quantile).as_secs_f64();
+            let _ = writeln!(
+                self.0,
+                "dockpass_{name}_seconds{{{label}=\"{value}\",quantile=\"{quantile}\"}} {seconds}"
+            );
+        }
+        let _ = writeln!(
+            self.0,
+            "dockpass_{name}_seconds_count{{{label}=\"{value}\"}} {}",
+            latency.len()
+        );
+    }
+}
+
+/// Serves a page that is made at each request.
+pub(crate) fn serve(
+    address: SocketAddr,
+    tasks: &Tasks,
+    fill: impl Fn(&mut Page) + 'static,
+) -> std::io::Result<()> {
+    let listener = Async::<TcpListener>::bind(address)?;
+    let fill = Rc::new(RefCell::new(fill));
+    let handler = move |request: Request<_>| {
+        let fill = fill.clone();
+        async move { respond(&request, &*fill.borrow()) }
+    };
+    tasks.spawn(net::serve(listener, tasks.clone(), || LIMITS, handler));
+    Ok(())
+}
+
+fn respond<B>(request: &Request<B>, fill: &impl Fn(&mut Page)) -> Response<Body> {
+    let mut page = Page::default();
+    if request.uri().path() != "/metrics" {
+        let mut response = Response::new(Body::from("see /metrics\n"));
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    }
+    fill(&mut page);
+    let mut response = Response::new(Body::from(page.0));
+    let text = HeaderValue::from_static("text/plain; version=0.0.4");
+    response.headers_mut().insert(CONTENT_TYPE, text);
+    response
+}
--- /dev/null
+++ b/daemon/src/room/session.rs
@@ -0,0 +1,64 @@
+//! A session between an entry and an agent: a connection with batches of typed messages both ways.
+
+use async_channel::{Receiver, Sender};
+use async_io::Async;
+use futures::{SinkExt, StreamExt};
+use futures_lite::future;
+use serde::{Deserialize, Serialize};
+use std::net::TcpStream;
+
+/// Messages that wait to be sent; a session whose other side does not read is closed.
+const RING: usize = 4_096;
+/// Most messages in one frame.
+const BATCH: usize = 256;
+
+/// The sending side of a session. Dropping it closes the connection.
+pub(crate) struct Outgoing<M> {
+    ring: Sender<M>,
+}
+
+impl<M> Outgoing<M> {
+    /// A ring for a session that is about to run.
+    pub fn new() -> (Self, Receiver<M>) {
+        let (ring, waiting) = async_channel::bounded(RING);
+        (Self { ring }, waiting)
+    }
+
+    /// Sends a message; false where the ring is full or the session over.
+    pub fn send(&self, message: M) -> bool {
+        self.ring.try_send(message).is_ok()
+    }
+}
+
+/// Runs a session until either side ends it: sends what waits, hands on what comes.
+pub(crate) async fn run<Out, In>(
+    stream: Async<TcpStream>,
+    waiting: Receiver<Out>,
+    mut take: impl FnMut(In),
+) where
+    Out: Serialize,
+    In: for<'de> Deserialize<'de>,
+{
+    net::tune(&stream);
+    let frames = net::frames::<Vec<In>, Vec<Out>>(stream);
+    let (mut sink, mut source) = frames.split();
+    let send = async move {
+        while let Ok(first) = waiting.recv().await {
+            let mut batch = vec![first];
+            while batch.len() < BATCH
+                && let Ok(next) = waiting.try_recv()
+            {
+                batch.push(next);
+            }
+            if sink.send(batch).await.is_err() {
+                return;
+            }
+        }
+    };
+    let receive = async move {
+        while let Some(Ok(batch)) = source.next().await {
+            batch.into_iter().for_each(&mut take);
+        }
+    };
+    future::or(send, receive).await;
+}
--- /dev/null
+++ b/daemon/src/room/target_http.rs
@@ -0,0 +1,66 @@
+//! The agent's HTTP: what its target reports.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Async;
+use hyper::body::Bytes;
+use hyper::{Request, Response, StatusCode};
+use net::{Body, BodyError, Limits, Tasks};
+use platform::TargetCall;
+use runner::{Event, TargetId};
+use serde_json::json;
+
+use super::agent::Agent;
+use crate::event_log::Budget;
+
+/// Limits of the target's connections.
+const LIMITS: Limits = Limits {
+    header_bytes: net::HEADER_BYTES,
+    body_bytes: 256 * 1024,
+    read_time: Duration::from_secs(30),
+    connections: 64,
+};
+
+/// Serves the target until the process ends.
+pub(super) fn serve(listener: Async<TcpListener>, tasks: &Tasks, agent: Rc<Agent>) {
+    let handler = move |request| {
+        let agent = agent.clone();
+        async move { answer(&agent, request) }
+    };
+    tasks.spawn(net::serve(listener, tasks.clone(), || LIMITS, handler));
+}
+
+fn answer(agent: &Rc<Agent>, request: Request<Result<Bytes, BodyError>>) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    match (TargetCall::read(&head.method, head.uri.path()), body) {
+        (Some(TargetCall::Beat(id)), Ok(body)) => match platform::read_beat(&id, &body) {
+            Ok(report) => {
+                agent.feed(Event::Target(report));
+                reply(200, "{}".to_owned())
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                agent.log.line("malformed", Budget::Full, || json!({"reason": reason}));
+                reply(400, json!({"error": reason}).to_string())
+            }
+        },
+        (Some(TargetCall::Leave(id)), _) => {
+            agent.feed(Event::TargetLeft(TargetId(Arc::from(id))));
+            reply(200, "{}".to_owned())
+        }
+        (Some(TargetCall::Beat(_)), Err(error)) => {
+            reply(400, json!({"error": error.to_string()}).to_string())
+        }
+        (None, _) => reply(404, "{}".to_owned()),
+    }
+}
+
+fn reply(status: u16, body: String) -> Response<Body> {
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response
+}
