A job given up after it ran may have run; a lone overdue task is let run

Cause: LOST on both sites: jobs whose time was over, or whose tasks had been stopped as stuck five times, were shown as failed though no task had failed as often as it may. Tasks were stopped as stuck at four times an estimate that is off by 40% and more.

Change: only tasks that failed max_attempts times make a job failed; a run is stopped as stuck only beside a second overdue one, or where nothing ends, and only the first run. Consensus keeps its members unless told how many are to vote: the soak of five keepers had begun to remove two.

--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -171,14 +171,15 @@
 
     fn next_members(&self, now: Time) -> Option<Vec<NodeName>> {
         let Role::Leader(leading) = &self.role else { return None };
+        let voters = self.timing.voters?;
         let mut members = self.members().to_vec();
         let silent = leading.silent_member(&members, now, self.timing.replace_after);
-        if members.len() > self.timing.voters {
+        if members.len() > voters {
             let gone = silent.or_else(|| leading.last_member(&members))?;
             members.retain(|name| *name != gone);
             return Some(members);
         }
-        if members.len() == self.timing.voters && silent.is_none() {
+        if members.len() == voters && silent.is_none() {
             return None;
         }
         members.push(leading.fresh_learner(&members, now, self.commit)?);
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -23,8 +23,8 @@
     /// `election` by more than two clocks run apart in that time.
     pub lease: Duration,
     /// How many replicas are to vote. Where fewer do, or one has been silent for `replace_after`,
-    /// a replica that has caught up takes the place.
-    pub voters: usize,
+    /// a replica that has caught up takes the place. `None`: the members never change.
+    pub voters: Option<usize>,
     /// Silence after which a member is replaced by another that has caught up, if there is one.
     pub replace_after: Duration,
 }
@@ -35,7 +35,7 @@
             heartbeat: Duration::from_millis(100),
             election: Duration::from_millis(600),
             lease: Duration::from_millis(500),
-            voters: 3,
+            voters: None,
             replace_after: Duration::from_millis(2_500),
         }
     }
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -335,7 +335,7 @@
     if age + timing.answer_margin >= job.request.deadline {
         return Some(match untouched {
             true => not_run(Reason::Deadline, &job.request),
-            false => Outcome::Failed(Reason::Deadline),
+            false => Outcome::MayHaveRun(Reason::Deadline),
         });
     }
     None
--- a/components/dispatch/src/event.rs
+++ b/components/dispatch/src/event.rs
@@ -66,6 +66,8 @@
     Draining,
     /// A task failed as often as it may.
     Attempts,
+    /// A task was lost too often.
+    Losses,
     /// The client's time is over.
     Deadline,
     /// An agent that had tasks of it is gone.
@@ -86,6 +88,7 @@
             Self::NoTarget => "no-target",
             Self::Draining => "draining",
             Self::Attempts => "attempts",
+            Self::Losses => "losses",
             Self::Deadline => "deadline",
             Self::AgentLost => "agent-lost",
             Self::Standstill => "standstill",
@@ -106,7 +109,7 @@
 pub enum Outcome {
     /// Every task is done.
     Completed,
-    /// It has ended without that.
+    /// It has ended without that: a task failed as often as it may, or nobody waits any more.
     Failed(Reason),
     /// It was cancelled.
     Cancelled,
--- a/components/dispatch/src/reports.rs
+++ b/components/dispatch/src/reports.rs
@@ -62,9 +62,12 @@
         if answered {
             return;
         }
-        if failures >= attempts.max(1) || losses >= LOSSES {
+        if failures >= attempts.max(1) {
             return self.finish(now, &key.job, Outcome::Failed(Reason::Attempts), out);
         }
+        if losses >= LOSSES {
+            return self.finish(now, &key.job, Outcome::MayHaveRun(Reason::Losses), out);
+        }
         if again.is_some() {
             self.queue.insert(place);
         } else if open == 0 {
--- a/components/runner/src/orders.rs
+++ b/components/runner/src/orders.rs
@@ -19,10 +19,18 @@
 pub(crate) const LEASE_SLACK: Duration = Duration::from_millis(60);
 /// How often a start gets a higher number before it is given up.
 const RENUMBERINGS: u32 = 6;
-/// A task that runs longer than this many times its estimate is stuck,
-const STUCK_TIMES: u32 = 4;
-/// and longer than this besides.
-const STUCK_LEAST: Duration = Duration::from_millis(250);
+/// A run is overdue after this many times its estimate,
+const OVERDUE_TIMES: u32 = 3;
+/// far overdue after this many,
+const FAR_OVERDUE_TIMES: u32 = 8;
+/// and this besides.
+const OVERDUE_LEAST: Duration = Duration::from_millis(120);
+/// A target where nothing has ended for so long while a run is overdue may be stuck.
+const NOTHING_ENDS: Duration = Duration::from_millis(400);
+/// The most that a target's slowdown stretches estimates.
+const SLOWEST: f64 = 4.0;
+/// The number of a task's first run.
+const FIRST_RUN: u64 = 1;
 
 impl Runner {
     /// Starts the runs that have room, the most urgent first.
@@ -218,22 +226,33 @@
         ended.iter().for_each(|task| self.end(now, task, TaskEnd::Lost, out));
     }
 
-    /// Stops runs that take far longer than they were thought to: the target may be stuck.
+    /// Stops runs that take far longer than they were thought to: the target may be stuck. One
+    /// run alone may only have been thought too short, so it takes a second one that is overdue,
+    /// or nothing ending there for a while; and a task that was stopped once is let run.
     pub(crate) fn stop_stuck(&mut self, now: Time, out: &mut Vec<Action>) {
         let Some(target) = &self.target else { return };
-        let slow = (target.slowdown_percent / 100.0).clamp(1.0, 4.0);
-        let stuck = |run: &Run| {
+        let slow = (target.slowdown_percent / 100.0).clamp(1.0, SLOWEST);
+        let still = now.since(target.ended) > NOTHING_ENDS;
+        let overdue = |run: &Run, times: u32| {
             let estimate = Duration::from_millis(u64::from(run.estimated_ms)).mul_f64(slow);
             let ran = now.since(run.since);
             run.state == RunState::Running
+                && run.run == FIRST_RUN
                 && run.estimated_ms > 0
-                && ran > estimate * STUCK_TIMES
-                && ran > STUCK_LEAST + estimate
+                && ran > estimate * times + OVERDUE_LEAST
         };
-        let tasks: Vec<TaskId> =
-            self.runs.iter().filter(|(_, run)| stuck(run)).map(|(task, _)| task.clone()).collect();
-        for task in tasks {
+        let late: Vec<TaskId> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| overdue(run, OVERDUE_TIMES))
+            .map(|(task, _)| task.clone())
+            .collect();
+        let stuck = late.len() >= 2 || still;
+        for task in late {
             let Some(run) = self.runs.get(&task) else { continue };
+            if !stuck && !overdue(run, FAR_OVERDUE_TIMES) {
+                continue;
+            }
             out.push(Action::News(News::Stuck {
                 task: task.clone(),
                 ran_ms: now.since(run.since).as_millis() as u64,
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -298,6 +298,9 @@
     /// What an end says of the target.
     fn learn(&mut self, now: Time, run: &Run, end: TaskEnd, ran: Duration, out: &mut Vec<Action>) {
         let Some(target) = &mut self.target else { return };
+        if !matches!(end, TaskEnd::NotRun(_)) {
+            target.ended = now;
+        }
         let change = match end {
             TaskEnd::Done => {
                 target.ran(now, ran, run.estimated_ms);
--- a/components/runner/src/target.rs
+++ b/components/runner/src/target.rs
@@ -30,6 +30,8 @@
     pub slowdown_percent: f64,
     /// When the slowdown was learned or worn off last.
     judged: Time,
+    /// When a run ended there last.
+    pub ended: Time,
 }
 
 /// Weight of one task in the smoothed slowdown.
@@ -58,6 +60,7 @@
             silent: false,
             slowdown_percent: NO_SLOWDOWN,
             judged: now,
+            ended: now,
         }
     }
 
--- a/daemon/src/keeper_role/mod.rs
+++ b/daemon/src/keeper_role/mod.rs
@@ -125,14 +125,8 @@
         let node_address = node_listener.get_ref().local_addr()?;
         let (journal, records) = journal_or_blank(&node.name, &config, &contacts)?;
         let seed = uuid::Uuid::new_v4().as_u128() as u64;
-        let timing = match node.scheduling {
-            Scheduling::Room => {
-                Timing { voters: config.tolerated_losses * 2 + 1, ..Timing::default() }
-            }
-            Scheduling::Slots => {
-                Timing { voters: config.members(&node.name).len(), ..Timing::default() }
-            }
-        };
+        let voters = (node.scheduling == Scheduling::Room).then(|| config.tolerated_losses * 2 + 1);
+        let timing = Timing { voters, ..Timing::default() };
         let mut keeper = Keeper::recover(node.name.clone(), records, timing, seed, clock.now())?;
         keeper.set_contacts(contacts);
         let (ring, inputs) = async_channel::bounded(RING);
