--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -14,10 +14,12 @@
 mod keepers;
 mod network;
 mod nodes;
+mod room;
 mod script;
 mod world;
 
 pub use checks::{Summary, Violation};
 pub use keepers::{KeeperSummary, run_keepers};
+pub use room::{RoomSummary, RoomTimes, run_room, run_room_with};
 pub use script::{Expectation, Frame, Outcome, Script, ScriptError, Step, TimedStep, Way};
 pub use world::{Options, run};
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use clap::{Arg, ArgAction, Command, value_parser};
-use soak::{KeeperSummary, Options, Summary, Violation, run, run_keepers};
+use soak::{KeeperSummary, Options, RoomSummary, Summary, Violation, run, run_keepers, run_room};
 
 /// How often progress is shown, in runs.
 const SHOW_EVERY: u64 = 5_000;
@@ -23,6 +23,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Run keepers, operators and nodes instead of entries and agents"),
         )
+        .arg(
+            Arg::new("room")
+                .long("room")
+                .action(ArgAction::SetTrue)
+                .help("Run entries and agents whose targets have room"),
+        )
         .arg(
             Arg::new("trace")
                 .long("trace")
@@ -38,6 +44,10 @@
         let runner = |options| run_keepers(&options);
         let (total, failed) = run_all(first, seeds, trace, runner, KeeperSummary::add);
         (format!("{total:?}"), failed)
+    } else if arguments.get_flag("room") {
+        let runner = |options| run_room(&options);
+        let (total, failed) = run_all(first, seeds, trace, runner, RoomSummary::add);
+        (format!("{total:?}"), failed)
     } else {
         let (total, failed) = run_all(first, seeds, trace, run, Summary::add);
         (format!("{total:?}"), failed)
--- /dev/null
+++ b/soak/src/room/checks.rs
@@ -0,0 +1,158 @@
+//! What must always hold where targets have room, checked from outside the libraries.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use dispatch::Outcome;
+use model::{JobId, TaskId, Time};
+use runner::EndReason;
+
+use crate::checks::Violation;
+
+/// A start may be on its way for so long when its job is answered.
+const ON_ITS_WAY: Duration = Duration::from_millis(400);
+/// After a target's notice that it leaves reached its agent, nothing starts there.
+const DRAIN_TIME: Duration = Duration::from_millis(200);
+
+/// What a run did.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RoomSummary {
+    /// Jobs answered as completed.
+    pub completed: u64,
+    /// Jobs answered as failed.
+    pub failed: u64,
+    /// Jobs answered as not run.
+    pub not_run: u64,
+    /// Jobs answered as may have run.
+    pub may_have_run: u64,
+    /// Jobs that were handed in again.
+    pub again: u64,
+    /// Tasks that began to run.
+    pub started: u64,
+    /// Runs that were stopped or lapsed.
+    pub thrown_away: u64,
+    /// Starts that targets refused for want of room.
+    pub no_room: u64,
+    /// Faults that happened.
+    pub faults: u64,
+    /// Jobs handed in after the last fault, and completed.
+    pub calm: u64,
+}
+
+impl RoomSummary {
+    /// Adds another run's numbers.
+    pub fn add(&mut self, other: &Self) {
+        self.completed += other.completed;
+        self.failed += other.failed;
+        self.not_run += other.not_run;
+        self.may_have_run += other.may_have_run;
+        self.again += other.again;
+        self.started += other.started;
+        self.thrown_away += other.thrown_away;
+        self.no_room += other.no_room;
+        self.faults += other.faults;
+        self.calm += other.calm;
+    }
+}
+
+/// What is known of one job.
+#[derive(Debug, Default)]
+struct Known {
+    /// When it was handed in last.
+    submitted: Time,
+    answered: Option<(Time, Outcome)>,
+    done: BTreeSet<u32>,
+    failures: BTreeMap<u32, u32>,
+    tasks: u32,
+    max_attempts: u32,
+    last_start: Option<Time>,
+}
+
+/// Watches targets and clients.
+#[derive(Debug, Default)]
+pub(super) struct Checks {
+    pub summary: RoomSummary,
+    pub violations: Vec<Violation>,
+    jobs: BTreeMap<JobId, Known>,
+}
+
+impl Checks {
+    pub fn violation(&mut self, time: Time, what: String) {
+        self.violations.push(Violation { time, what });
+    }
+
+    pub fn submitted(&mut self, now: Time, id: &JobId, tasks: u32, max_attempts: u32) {
+        let known = self.jobs.entry(id.clone()).or_default();
+        if known.tasks > 0 {
+            self.summary.again += 1;
+        }
+        known.submitted = now;
+        known.answered = None;
+        known.done.clear();
+        known.failures.clear();
+        known.tasks = tasks;
+        known.max_attempts = max_attempts;
+    }
+
+    /// A task begins to run; `elsewhere` says whether another run of it goes on.
+    pub fn started(&mut self, now: Time, task: &TaskId, elsewhere: bool, drains: Option<Time>) {
+        self.summary.started += 1;
+        if elsewhere {
+            self.violation(now, format!("{task} runs twice at once"));
+        }
+        if drains.is_some_and(|since| now.since(since) > DRAIN_TIME) {
+            self.violation(now, format!("{task} starts at a target that leaves"));
+        }
+        let Some(known) = self.jobs.get_mut(&task.job) else {
+            return self.violation(now, format!("{task} starts though nobody asked for it"));
+        };
+        known.last_start = Some(now);
+        if let Some((at, outcome)) = known.answered {
+            let not_run = matches!(outcome, Outcome::NotRun { .. });
+            if not_run || now.since(at) > ON_ITS_WAY {
+                self.violation(now, format!("{task} starts after {outcome:?} at {at}"));
+            }
+        }
+    }
+
+    pub fn ended(&mut self, task: &TaskId, reason: EndReason) {
+        if matches!(reason, EndReason::Stopped | EndReason::Lapsed) {
+            self.summary.thrown_away += 1;
+        }
+        let Some(known) = self.jobs.get_mut(&task.job) else { return };
+        match reason {
+            EndReason::Done => {
+                known.done.insert(task.index);
+            }
+            EndReason::Failed => *known.failures.entry(task.index).or_default() += 1,
+            _ => {}
+        }
+    }
+
+    pub fn answered(&mut self, now: Time, id: &JobId, outcome: Outcome) {
+        let Some(known) = self.jobs.get_mut(id) else { return };
+        known.answered = Some((now, outcome));
+        let wrong = match outcome {
+            Outcome::Completed => {
+                self.summary.completed += 1;
+                (known.done.len() as u32) < known.tasks
+            }
+            Outcome::Failed(_) => {
+                self.summary.failed += 1;
+                !known.failures.values().any(|count| *count >= known.max_attempts)
+            }
+            Outcome::NotRun { .. } => {
+                self.summary.not_run += 1;
+                known.last_start.is_some_and(|start| start >= known.submitted)
+            }
+            Outcome::MayHaveRun(_) => {
+                self.summary.may_have_run += 1;
+                false
+            }
+            Outcome::Cancelled => false,
+        };
+        if wrong {
+            self.violation(now, format!("{id}: answered {outcome:?}, which is not so"));
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/room/client.rs
@@ -0,0 +1,67 @@
+//! Clients: they hand in jobs, wait, and send again what may have run.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dispatch::{JobRequest, TaskShape};
+use model::{JobId, Resources, Time};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+/// How long after a broken try a client sends again.
+pub(super) const RESEND: Duration = Duration::from_millis(1_300);
+/// Most tries of a client.
+pub(super) const TRIES: u32 = 3;
+
+/// One client with its job.
+#[derive(Clone, Debug)]
+pub(super) struct Client {
+    pub request: JobRequest,
+    /// How long each task takes, and whether it fails by its own fault.
+    pub work: Vec<(Duration, bool)>,
+    pub tries: u32,
+    /// The entry and ticket of the present try.
+    pub at: Option<(usize, u64)>,
+    /// Handed in after the last fault.
+    pub calm: bool,
+    pub first: Time,
+}
+
+impl Client {
+    pub fn new(number: u32, rng: &mut ChaCha8Rng, now: Time, calm: bool) -> Self {
+        let kinds = [(60_u64, 8_u32, 0_u8, 4_u32), (900, 4, 2, 2), (200, 2, 1, 3)];
+        let (mean, width, priority, max_attempts) = kinds[rng.random_range(0..kinds.len())];
+        let count = rng.random_range(1..=width);
+        let work = (0..count)
+            .map(|_| {
+                let millis = mean as f64 * rng.random_range(0.6..1.6);
+                (Duration::from_secs_f64(millis / 1e3), rng.random_bool(0.005))
+            })
+            .collect();
+        let estimated_ms = (mean as f64 * rng.random_range(0.7..1.4)) as u32;
+        let objective = Duration::from_millis(u64::from(estimated_ms) * 16 / 10 + 60);
+        let request = JobRequest {
+            id: JobId::new(&format!("{number:016x}")),
+            queue: Arc::from("queue"),
+            service: Arc::from("work"),
+            spec: Arc::from("spec"),
+            shape: TaskShape {
+                count,
+                resources: Resources {
+                    cpu_milli: rng.random_range(1_200..2_300),
+                    memory_mb: 64,
+                    gpu: 0,
+                },
+                estimated_ms,
+                requirement: None,
+                affinity: None,
+                most_together: None,
+            },
+            priority,
+            max_attempts,
+            objective,
+            deadline: objective * 3 + Duration::from_millis(500),
+        };
+        Self { request, work, tries: 0, at: None, calm, first: now }
+    }
+}
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -2,7 +2,12 @@
 
 use std::thread;
 
-use soak::{KeeperSummary, Options, Summary, Violation, run, run_keepers};
+use std::time::Duration;
+
+use soak::{
+    KeeperSummary, Options, RoomSummary, RoomTimes, Summary, Violation, run, run_keepers, run_room,
+    run_room_with,
+};
 
 /// How many seeds.
 const SEEDS: u64 = 200;
@@ -57,3 +62,61 @@
 fn a_seed_makes_the_same_run_again() {
     assert_eq!(run(Options::new(7)), run(Options::new(7)));
 }
+
+#[test]
+fn two_hundred_seeds_of_room_hold() {
+    let total = run_all(|options| run_room(&options), RoomSummary::add);
+    // The runs have to reach what they are for.
+    assert!(total.completed > 20_000 && total.calm > 2_000, "{total:?}");
+    assert!(total.not_run > 1_000 && total.may_have_run > 500, "{total:?}");
+    assert!(total.failed > 200 && total.faults > 1_000 && total.again > 2_000, "{total:?}");
+}
+
+#[test]
+fn a_seed_of_room_makes_the_same_run_again() {
+    let summary = run_room(&Options::new(7));
+    assert!(summary.is_ok());
+    assert_eq!(summary, run_room(&Options::new(7)));
+}
+
+/// A deliberate break of a rule has to be found, or the seeds prove nothing about it.
+fn assert_found(times: RoomTimes, what: &str) {
+    let finds = |seed| {
+        let violations = run_room_with(&Options::new(seed), times).err().unwrap_or_default();
+        violations.iter().any(|violation| violation.what.contains(what))
+    };
+    assert!((0..SEEDS).any(finds), "not found: {what}");
+}
+
+#[test]
+fn an_agent_that_runs_on_for_a_dead_entry_is_found() {
+    let mut times = RoomTimes::default();
+    times.agent.session_silence = Duration::from_secs(30);
+    assert_found(times, "runs twice at once");
+}
+
+#[test]
+fn an_entry_that_does_not_wait_for_a_lost_lease_is_found() {
+    let mut times = RoomTimes::default();
+    times.entry.lost_lease = Duration::ZERO;
+    assert_found(times, "runs twice at once");
+}
+
+#[test]
+fn an_entry_that_goes_on_after_a_standstill_is_found() {
+    let mut times = RoomTimes::default();
+    times.entry.standstill = Duration::from_secs(60);
+    times.entry.session_silence = Duration::from_secs(60);
+    times.entry.agent_silence = Duration::from_secs(60);
+    times.agent.start_age = Duration::from_secs(60);
+    times.agent.session_silence = Duration::from_secs(60);
+    assert_found(times, "");
+}
+
+#[test]
+fn a_start_that_may_be_carried_out_seconds_later_is_found() {
+    let mut times = RoomTimes::default();
+    times.agent.start_life = Duration::from_secs(60);
+    times.agent.lease = Duration::from_millis(100);
+    assert_found(times, "");
+}
