An agent lets the lease of orphans run out; what lay unread through a standstill is refused

Mended: no renewal and no start while orphans are listed, unless own tasks run; submissions within 100 ms after a standstill are refused as not run.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -105,12 +105,16 @@
     pub(crate) draining: bool,
     pub(crate) last_event: Time,
     waits_ended: Time,
+    /// What is read before may have lain unread through a standstill.
+    stale_until: Time,
     document: Option<Document>,
     pub(crate) counters: DispatcherCounters,
 }
 
 /// From one tick to the next.
 const TICK: Duration = Duration::from_millis(10);
+/// What is read so soon after a standstill may be old.
+const STALE: Duration = Duration::from_millis(100);
 /// How often jobs are looked at for what has waited too long.
 const WAITS_EVERY: Duration = Duration::from_millis(5);
 const IDLE_TICK: Duration = Duration::from_millis(50);
@@ -128,6 +132,7 @@
             draining: false,
             last_event: now,
             waits_ended: now,
+            stale_until: now,
             document: None,
             counters: DispatcherCounters::default(),
         }
@@ -231,13 +236,22 @@
         let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
         for id in ids {
             self.finish(self.last_event, &id, Outcome::MayHaveRun(Reason::Standstill), out);
+            let again = self.jobs.get_mut(&id).and_then(|job| job.again.take());
+            if let Some((ticket, request)) = again {
+                self.refuse(ticket, &request, Reason::Standstill, out);
+            }
         }
+        self.stale_until = self.last_event + STALE;
         let agents: Vec<SessionId> = self.agents.keys().copied().collect();
         agents.into_iter().for_each(|id| self.lose_agent(id, "stood still", out));
     }
 
     fn submit(&mut self, now: Time, ticket: Ticket, request: JobRequest, out: &mut Vec<Action>) {
         self.counters.submitted += 1;
+        if now < self.stale_until {
+            // Its client may have sent it again elsewhere long ago.
+            return self.refuse(ticket, &request, Reason::Standstill, out);
+        }
         let id = request.id.clone();
         if let Some(job) = self.jobs.get_mut(&id) {
             if job.outcome.is_none() {
@@ -265,6 +279,20 @@
         self.jobs.insert(id, job);
     }
 
+    /// Answers a job that is not taken.
+    fn refuse(
+        &mut self,
+        ticket: Ticket,
+        request: &JobRequest,
+        reason: Reason,
+        out: &mut Vec<Action>,
+    ) {
+        let outcome = not_run(reason, request);
+        self.counters.not_run += 1;
+        out.push(Action::News(News::Refused { job: request.id.clone(), reason }));
+        out.push(Action::Answer(ticket, outcome));
+    }
+
     fn abandon(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Action>) {
         let Some(id) = self.tickets.remove(&ticket) else { return };
         let Some(job) = self.jobs.get_mut(&id) else { return };
--- a/components/dispatch/src/event.rs
+++ b/components/dispatch/src/event.rs
@@ -217,6 +217,13 @@
         /// Tasks that wait for room.
         waiting: usize,
     },
+    /// A job is not taken.
+    Refused {
+        /// The job.
+        job: JobId,
+        /// Why.
+        reason: Reason,
+    },
     /// A task is sent to an agent.
     Placed {
         /// The task.
--- a/components/runner/src/hold.rs
+++ b/components/runner/src/hold.rs
@@ -16,6 +16,8 @@
 
 /// Silence, besides the wait of a hold, after which the lease is not renewed any more.
 const RENEW_SILENCE: Duration = Duration::from_millis(450);
+/// How long a hold waits while orphans are stopped.
+const ORPHAN_WAIT: Duration = Duration::from_millis(30);
 /// Pause before a hold that failed is tried again.
 const RETRY: Duration = Duration::from_millis(40);
 /// A run that this many holds in a row did not list, nor its end, is gone.
@@ -31,7 +33,8 @@
         if target.holding.is_none() && target.hold_from <= now {
             target.holding = Some(now);
             // A target that does not answer is no longer renewed, so that its lease surely ends.
-            let renews = now.since(target.heard) <= timing.hold_wait + RENEW_SILENCE;
+            let heard = now.since(target.heard) <= timing.hold_wait + RENEW_SILENCE;
+            let renews = heard && (!target.has_orphans || !self.runs.is_empty());
             if renews {
                 target.renewed = now;
             }
@@ -40,7 +43,7 @@
                 deadline_ms: renews.then(|| target.deadline_ms(now, timing.lease)),
                 fencing_token: target.fencing_token,
                 last_seen: target.last_seen,
-                wait: timing.hold_wait,
+                wait: if target.has_orphans { ORPHAN_WAIT } else { timing.hold_wait },
             }));
         }
         let silent = now.since(target.heard) > timing.hold_wait + timing.hold_silence;
@@ -151,14 +154,19 @@
             }
         }
         gone.iter().for_each(|task| self.end(now, task, TaskEnd::Lost, out));
-        let Some(target) = &self.target else { return };
+        let Some(target) = &mut self.target else { return };
+        let had_orphans = std::mem::take(&mut target.has_orphans);
         for run in running {
             if self.runs.get(&run.task).is_some_and(|known| known.run == run.run) {
                 continue;
             }
+            target.has_orphans = true;
             out.push(Action::News(News::Orphan(run.task.clone())));
             let key = RunKey { target: target.id().clone(), task: run.task.clone(), run: run.run };
             out.push(Action::Stop(StopOrder { key, fencing_token: target.fencing_token }));
         }
+        if had_orphans != target.has_orphans {
+            self.mark_dirty();
+        }
     }
 }
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -188,7 +188,10 @@
     /// Whether the target takes new work.
     pub(crate) fn is_open(&self, now: Time) -> bool {
         let fit = |target: &Target| {
-            !target.report.draining && !target.silent && !target.health.is_out(now)
+            !target.report.draining
+                && !target.silent
+                && !target.health.is_out(now)
+                && !(target.has_orphans && self.runs.is_empty())
         };
         !self.draining && self.target.as_ref().is_some_and(fit)
     }
--- a/components/runner/src/target.rs
+++ b/components/runner/src/target.rs
@@ -26,6 +26,9 @@
     /// The next hold is not sent before.
     pub hold_from: Time,
     pub silent: bool,
+    /// It may run what an earlier life of the agent started: its lease is left to run out, and
+    /// nothing is started there.
+    pub has_orphans: bool,
     /// How long tasks take against their estimates, in hundredths, smoothed.
     pub slowdown_percent: f64,
     /// When the slowdown was learned or worn off last.
@@ -58,6 +61,7 @@
             heard: now,
             hold_from: now,
             silent: false,
+            has_orphans: true,
             slowdown_percent: NO_SLOWDOWN,
             judged: now,
             ended: now,
--- a/daemon/src/room/entry_news.rs
+++ b/daemon/src/room/entry_news.rs
@@ -56,6 +56,11 @@
                     "objective_ms": objective_ms, "waiting": waiting})
             });
         }
+        News::Refused { job, reason } => log.line(
+            "refused",
+            Budget::Full,
+            || json!({"job": job.as_str(), "reason": reason.as_str()}),
+        ),
         News::Placed { task, run, agent, free, age_ms } => {
             log.line("placed", Budget::Sampled, || {
                 json!({"job": task.job.as_str(), "task": task.index, "run": run,
--- a/soak/src/room/world.rs
+++ b/soak/src/room/world.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use dispatch::{Dispatcher, Outcome, Ticket};
+use dispatch::{Dispatcher, JobRequest, Outcome, Ticket};
 use model::{JobId, NodeName, Resources, TaskId, Time};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -50,6 +50,8 @@
     Beat(usize),
     Dial(usize, usize),
     Submit(JobId),
+    Unread(usize, u64, Ticket, JobRequest),
+    Gone(usize, u64, Ticket),
     GiveUp(JobId, u32),
     Fault(Fault),
     EntryBack(usize),
@@ -261,7 +263,10 @@
     fn happen(&mut self, happening: Happening) {
         match happening {
             Happening::EntryTick(entry, life) => {
-                if self.entries[entry].life == life {
+                let frozen = self.entries[entry].frozen;
+                if frozen > self.now {
+                    self.at_time(frozen, Happening::EntryTick(entry, life));
+                } else if self.entries[entry].life == life {
                     self.feed_entry(entry, dispatch::Event::Tick);
                     let process = &self.entries[entry];
                     if let Some(dispatcher) = &process.dispatcher {
@@ -271,7 +276,10 @@
                 }
             }
             Happening::AgentTick(agent, life) => {
-                if self.agents[agent].life == life {
+                let frozen = self.agents[agent].frozen;
+                if frozen > self.now {
+                    self.at_time(frozen, Happening::AgentTick(agent, life));
+                } else if self.agents[agent].life == life {
                     self.feed_agent(agent, runner::Event::Tick);
                     let process = &self.agents[agent];
                     if let Some(runner) = &process.runner {
@@ -300,6 +308,22 @@
             Happening::Beat(agent) => self.beat(agent),
             Happening::Dial(agent, entry) => self.dial(agent, entry),
             Happening::Submit(id) => self.submit(&id),
+            Happening::Unread(entry, life, ticket, request) => {
+                let frozen = self.entries[entry].frozen;
+                if frozen > self.now {
+                    self.at_time(frozen, Happening::Unread(entry, life, ticket, request));
+                } else if self.entries[entry].life == life {
+                    self.feed_entry(entry, dispatch::Event::Submit(ticket, request));
+                }
+            }
+            Happening::Gone(entry, life, ticket) => {
+                let frozen = self.entries[entry].frozen;
+                if frozen > self.now {
+                    self.at_time(frozen, Happening::Gone(entry, life, ticket));
+                } else if self.entries[entry].life == life {
+                    self.feed_entry(entry, dispatch::Event::Abandon(ticket));
+                }
+            }
             Happening::GiveUp(id, tries) => self.give_up(&id, tries),
             Happening::Fault(fault) => self.strike(fault),
             Happening::EntryBack(entry) => {
@@ -674,9 +698,11 @@
         let request = client.request.clone();
         self.checks.submitted(self.now, id, request.shape.count, request.max_attempts);
         self.at(request.deadline, Happening::GiveUp(id.clone(), tries));
-        if self.entries[entry].frozen > self.now {
-            // It lies unread; what is read after the standstill is of no use any more.
-            return;
+        let frozen = self.entries[entry].frozen;
+        if frozen > self.now {
+            // It lies unread for so long.
+            let life = self.entries[entry].life;
+            return self.at_time(frozen, Happening::Unread(entry, life, Ticket(ticket), request));
         }
         self.feed_entry(entry, dispatch::Event::Submit(Ticket(ticket), request));
     }
@@ -689,9 +715,9 @@
         let Some((entry, ticket)) = client.at.take() else { return };
         let process = &mut self.entries[entry];
         process.jobs.remove(&Ticket(ticket));
-        if process.frozen <= self.now {
-            self.feed_entry(entry, dispatch::Event::Abandon(Ticket(ticket)));
-        }
+        let (frozen, life) = (process.frozen, process.life);
+        let seen = frozen.max(self.now);
+        self.at_time(seen, Happening::Gone(entry, life, Ticket(ticket)));
         self.send_again(id);
     }
 
@@ -723,10 +749,14 @@
             Fault::KillEntry { entry, down, silent } => self.kill_entry(entry, down, silent),
             Fault::KillAgent { agent, down } => self.kill_agent(agent, down),
             Fault::FreezeEntry { entry, span } => {
-                self.entries[entry].frozen = self.now + span;
+                let until = self.now + span;
+                let frozen = &mut self.entries[entry].frozen;
+                *frozen = until.max(*frozen);
             }
             Fault::FreezeAgent { agent, span } => {
-                self.agents[agent].frozen = self.now + span;
+                let until = self.now + span;
+                let frozen = &mut self.agents[agent].frozen;
+                *frozen = until.max(*frozen);
             }
             Fault::CrashTarget { agent, down } => {
                 self.agents[agent].target = None;
