Leases short enough that two deaths in a row never let a task run twice

Change: silence 450 ms, lease 750 ms; every order that renews is counted; no renewal while a stop is unanswered for 75 ms.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -43,7 +43,7 @@
             agent_silence: Duration::from_millis(350),
             session_silence: Duration::from_millis(700),
             standstill: Duration::from_millis(450),
-            lost_lease: Duration::from_millis(1_150),
+            lost_lease: Duration::from_millis(1_250),
             patience: Duration::from_millis(30),
             refuse_part: 0.23,
             refuse_part_most: 0.45,
--- a/components/runner/src/hold.rs
+++ b/components/runner/src/hold.rs
@@ -10,14 +10,15 @@
     Action, EndReason, HoldOrder, HoldReply, News, RunKey, StopOrder, TargetEnd, TargetId,
     TargetRun,
 };
-use crate::orders::LEASE_SLACK;
-use crate::run::RunState;
+use crate::run::{Run, RunState};
 use crate::runner::Runner;
 
 /// Silence, besides the wait of a hold, after which the lease is not renewed any more.
 const RENEW_SILENCE: Duration = Duration::from_millis(450);
 /// How long a hold waits while orphans are stopped.
 const ORPHAN_WAIT: Duration = Duration::from_millis(30);
+/// A stop that is not answered for so long may go unheeded.
+const STOP_ANSWER: Duration = Duration::from_millis(75);
 /// Pause before a hold that failed is tried again.
 const RETRY: Duration = Duration::from_millis(40);
 /// A run that this many holds in a row did not list, nor its end, is gone.
@@ -29,14 +30,16 @@
     /// Sends the next hold where none is under way, and takes note of a silent target.
     pub(crate) fn watch_target(&mut self, now: Time, out: &mut Vec<Action>) {
         let timing = self.timing;
+        let unheeded = self.has_unheeded_stop(now);
         let Some(target) = &mut self.target else { return };
         if target.holding.is_none() && target.hold_from <= now {
             target.holding = Some(now);
             // A target that does not answer is no longer renewed, so that its lease surely ends.
             let heard = now.since(target.heard) <= timing.hold_wait + RENEW_SILENCE;
-            let renews = heard && (!target.has_orphans || !self.runs.is_empty());
+            let orphans_only = target.has_orphans && self.runs.is_empty();
+            let renews = heard && !orphans_only && !unheeded;
             if renews {
-                target.renewed = now;
+                target.renew(now, timing.lease);
             }
             out.push(Action::Hold(HoldOrder {
                 target: target.id().clone(),
@@ -55,18 +58,27 @@
         self.end_lapsed(now, out);
     }
 
+    /// Whether a stop was not answered, so that only the end of the lease surely stops its run.
+    fn has_unheeded_stop(&self, now: Time) -> bool {
+        let unheeded = |run: &Run| match run.state {
+            RunState::Stopping(stop) => {
+                stop.acknowledged.is_none() && now.since(stop.first_sent) > STOP_ANSWER
+            }
+            _ => false,
+        };
+        self.runs.values().any(unheeded)
+    }
+
     /// What a target ran that has not answered since its lease ran out is gone.
     fn end_lapsed(&mut self, now: Time, out: &mut Vec<Action>) {
         let Some(target) = &self.target else { return };
-        let lease = self.timing.lease + LEASE_SLACK;
-        if now.since(target.renewed) <= lease {
+        if !target.has_lapsed(now) {
             return;
         }
-        let old = |since: Time| now.since(since) > lease;
         let tasks: Vec<TaskId> = self
             .runs
             .iter()
-            .filter(|(_, run)| run.takes_room() && old(run.since))
+            .filter(|(_, run)| run.takes_room())
             .map(|(task, _)| task.clone())
             .collect();
         tasks.iter().for_each(|task| self.end(now, task, TaskEnd::Lost, out));
--- a/components/runner/src/orders.rs
+++ b/components/runner/src/orders.rs
@@ -15,8 +15,6 @@
 const STOP_AGAIN: Duration = Duration::from_millis(100);
 /// Added to the time that a stop may take, for the list that shows its end to arrive.
 const LIST_SLACK: Duration = Duration::from_millis(80);
-/// How much longer than its lease a target may run on: its clock may be 2% slow.
-pub(crate) const LEASE_SLACK: Duration = Duration::from_millis(60);
 /// How often a start gets a higher number before it is given up.
 const RENUMBERINGS: u32 = 6;
 /// A run is overdue after this many times its estimate,
@@ -66,7 +64,8 @@
     }
 
     fn send_start(&mut self, now: Time, task: &TaskId, out: &mut Vec<Action>) {
-        let (Some(target), Some(run)) = (&self.target, self.runs.get(task)) else { return };
+        let (Some(target), Some(run)) = (&mut self.target, self.runs.get(task)) else { return };
+        target.renew(now, self.timing.start_life);
         out.push(Action::Start(StartOrder {
             key: RunKey { target: target.id().clone(), task: task.clone(), run: run.run },
             spec: run.spec.clone(),
@@ -178,8 +177,7 @@
         }
         out.push(Action::News(News::StartSilent(task.clone())));
         let Some(run) = self.runs.get_mut(task) else { return };
-        let stopping = Stopping { doubtful: true, sent: now, acknowledged: None };
-        run.state = RunState::Stopping(stopping);
+        run.state = RunState::Stopping(Stopping::new(now, true));
         self.send_stop(task, out);
     }
 
@@ -204,7 +202,7 @@
     /// Sends stops again, and ends runs that surely do not run any more.
     pub(crate) fn repeat_stops(&mut self, now: Time, out: &mut Vec<Action>) {
         let Some(target) = &self.target else { return };
-        let lapsed = now.since(target.renewed) > self.timing.lease + LEASE_SLACK;
+        let lapsed = target.has_lapsed(now);
         let stopped = self.timing.stop_time + LIST_SLACK;
         let mut again = Vec::new();
         let mut ended = Vec::new();
@@ -212,9 +210,7 @@
             let RunState::Stopping(stopping) = &mut run.state else { continue };
             match stopping.acknowledged {
                 Some(at) if now.since(at) > stopped => ended.push(task.clone()),
-                None if lapsed && now.since(run.since) > self.timing.lease + LEASE_SLACK => {
-                    ended.push(task.clone());
-                }
+                None if lapsed => ended.push(task.clone()),
                 None if now.since(stopping.sent) > STOP_AGAIN => {
                     stopping.sent = now;
                     again.push(task.clone());
--- a/components/runner/src/run.rs
+++ b/components/runner/src/run.rs
@@ -24,12 +24,20 @@
 pub(crate) struct Stopping {
     /// Nobody knows whether it ever ran.
     pub doubtful: bool,
+    /// When the stop was sent first.
+    pub first_sent: Time,
     /// When the stop was sent last; it is sent again until it is answered.
     pub sent: Time,
     /// When the target acknowledged it.
     pub acknowledged: Option<Time>,
 }
 
+impl Stopping {
+    pub fn new(now: Time, doubtful: bool) -> Self {
+        Self { doubtful, first_sent: now, sent: now, acknowledged: None }
+    }
+}
+
 /// One run.
 #[derive(Debug)]
 pub(crate) struct Run {
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -16,7 +16,9 @@
 /// The times of an agent.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
-    /// The longest lease that a target gives.
+    /// How long a target's lease is. With `session_silence` it has to be shorter than the time
+    /// after which clients send again: then nothing of a first try runs beside the second, even
+    /// where an entry and an agent die one after the other.
     pub lease: Duration,
     /// How long a hold waits for an end.
     pub hold_wait: Duration,
@@ -41,13 +43,13 @@
 impl Default for Timing {
     fn default() -> Self {
         Self {
-            lease: Duration::from_millis(1_000),
-            hold_wait: Duration::from_millis(350),
-            hold_silence: Duration::from_millis(600),
-            start_life: Duration::from_millis(400),
+            lease: Duration::from_millis(750),
+            hold_wait: Duration::from_millis(250),
+            hold_silence: Duration::from_millis(500),
+            start_life: Duration::from_millis(300),
             stop_time: Duration::from_millis(50),
-            session_silence: Duration::from_millis(600),
-            start_age: Duration::from_millis(500),
+            session_silence: Duration::from_millis(450),
+            start_age: Duration::from_millis(400),
             standstill: Duration::from_millis(400),
             load_gap: Duration::from_millis(8),
             load_interval: Duration::from_millis(100),
@@ -335,8 +337,7 @@
             }
             RunState::Starting | RunState::Running => {
                 let doubtful = run.state == RunState::Starting;
-                run.state =
-                    RunState::Stopping(Stopping { doubtful, sent: now, acknowledged: None });
+                run.state = RunState::Stopping(Stopping::new(now, doubtful));
                 self.send_stop(task, out);
             }
             RunState::Stopping(_) => {}
--- a/components/runner/src/target.rs
+++ b/components/runner/src/target.rs
@@ -19,8 +19,8 @@
     clock: (u64, Time),
     /// A hold is under way since then.
     pub holding: Option<Time>,
-    /// When the last hold was sent that may have renewed the lease.
-    pub renewed: Time,
+    /// What runs there may run until then, at the latest.
+    lease_ends: Time,
     /// When it answered last.
     pub heard: Time,
     /// The next hold is not sent before.
@@ -37,6 +37,10 @@
     pub ended: Time,
 }
 
+/// How much longer a span may take on the target's clock.
+const SLOWEST_CLOCK: f64 = 1.02;
+/// How long an order that is answered may be on its way, and lists of what ended.
+const ORDER_SLACK: Duration = Duration::from_millis(40);
 /// Weight of one task in the smoothed slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.15;
 /// Without an end for so long, what was learned wears off by a part,
@@ -57,7 +61,7 @@
             last_seen: 0,
             health: Health::default(),
             holding: None,
-            renewed: now,
+            lease_ends: now,
             heard: now,
             hold_from: now,
             silent: false,
@@ -85,6 +89,17 @@
         clock + (now.since(at) + span).as_millis() as u64
     }
 
+    /// An order is sent that renews the lease by a span from when it is carried out; the target's
+    /// clock may be slow.
+    pub fn renew(&mut self, now: Time, span: Duration) {
+        self.lease_ends = self.lease_ends.max(now + span.mul_f64(SLOWEST_CLOCK) + ORDER_SLACK);
+    }
+
+    /// Whether its lease has surely run out.
+    pub fn has_lapsed(&self, now: Time) -> bool {
+        now > self.lease_ends
+    }
+
     /// What was learned of its speed wears off while nothing ends there.
     pub fn forget(&mut self, now: Time) {
         if now.since(self.judged) >= FORGET_EVERY {
