--- /dev/null
+++ b/components/consensus/tests/cluster/mod.rs
@@ -0,0 +1,186 @@
+//! Replicas that exchange messages in virtual time, each with a disk.
+
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+use std::time::Duration;
+
+use consensus::{
+    Action, Entry, Event, Message, News, Payload, ProposalId, Record, Replica, Timing,
+    initial_records,
+};
+use model::{NodeName, Time};
+
+const START: Time = Time::from_millis(1_000_000);
+const HOP: Duration = Duration::from_millis(2);
+
+/// One replica with its disk.
+pub struct Node {
+    pub replica: Option<Replica>,
+    pub disk: Vec<Record>,
+    pub committed: Vec<Entry>,
+}
+
+/// Replicas, and which of them can't be reached.
+pub struct Cluster {
+    pub now: Time,
+    pub nodes: BTreeMap<NodeName, Node>,
+    pub cut: BTreeSet<NodeName>,
+    timing: Timing,
+    frames: BinaryHeap<Reverse<(Time, u64)>>,
+    contents: HashMap<u64, (NodeName, NodeName, Message)>,
+    sequence: u64,
+    proposals: u64,
+    lives: u64,
+}
+
+pub fn name(number: usize) -> NodeName {
+    NodeName::new(&format!("k{number}"))
+}
+
+impl Cluster {
+    /// Replicas whose members never change.
+    pub fn new(count: usize) -> Self {
+        Self::with_timing(count, Timing::default())
+    }
+
+    /// Replicas of which so many are to vote.
+    pub fn with_voters(count: usize) -> Self {
+        Self::with_timing(count, Timing { voters: Some(count), ..Timing::default() })
+    }
+
+    fn with_timing(count: usize, timing: Timing) -> Self {
+        let members: Vec<NodeName> = (1..=count).map(name).collect();
+        let records = initial_records(members.clone(), b"state".to_vec());
+        let node = |name: &NodeName| {
+            let node = Node { replica: None, disk: records.clone(), committed: Vec::new() };
+            (name.clone(), node)
+        };
+        let nodes = members.iter().map(node).collect();
+        let mut cluster = Self {
+            now: START,
+            nodes,
+            cut: BTreeSet::new(),
+            timing,
+            frames: BinaryHeap::new(),
+            contents: HashMap::new(),
+            sequence: 0,
+            proposals: 0,
+            lives: 0,
+        };
+        members.iter().for_each(|name| cluster.start(name));
+        cluster
+    }
+
+    pub fn start(&mut self, name: &NodeName) {
+        self.lives += 1;
+        let node = self.nodes.get_mut(name).unwrap();
+        let replica =
+            Replica::recover(name.clone(), node.disk.clone(), self.timing, self.lives, self.now);
+        let mut replica = replica.unwrap();
+        replica.set_contacts(self.nodes.keys().cloned().collect());
+        let node = self.nodes.get_mut(name).unwrap();
+        node.replica = Some(replica);
+        node.committed.clear();
+    }
+
+    /// Starts a replica on an empty disk that knows nothing but whom to ask.
+    pub fn add(&mut self, name: &NodeName) {
+        let disk = Replica::blank_records(Vec::new());
+        let node = Node { replica: None, disk, committed: Vec::new() };
+        self.nodes.insert(name.clone(), node);
+        self.start(name);
+    }
+
+    pub fn kill(&mut self, name: &NodeName) {
+        self.nodes.get_mut(name).unwrap().replica = None;
+    }
+
+    pub fn lose_disk(&mut self, name: &NodeName) {
+        self.nodes.get_mut(name).unwrap().disk = Replica::blank_records(Vec::new());
+    }
+
+    pub fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(1);
+            while self.frames.peek().is_some_and(|Reverse((time, _))| *time <= self.now) {
+                let Reverse((_, sequence)) = self.frames.pop().unwrap();
+                let (from, to, message) = self.contents.remove(&sequence).unwrap();
+                self.handle(&to, Event::Message { from, message });
+            }
+            let names: Vec<NodeName> = self.nodes.keys().cloned().collect();
+            for name in &names {
+                self.handle(name, Event::Tick);
+            }
+        }
+    }
+
+    pub fn handle(&mut self, name: &NodeName, event: Event) -> Vec<Action> {
+        let now = self.now;
+        // One that is gone for good takes nothing.
+        let Some(node) = self.nodes.get_mut(name) else { return Vec::new() };
+        let Some(replica) = &mut node.replica else { return Vec::new() };
+        let mut actions = Vec::new();
+        replica.handle(now, event, &mut actions);
+        for action in &actions {
+            match action {
+                Action::Store(records) => node.disk.extend(records.clone()),
+                Action::Rewrite(records) => node.disk = records.clone(),
+                Action::Commit(entry) => node.committed.push(entry.clone()),
+                Action::News(News::Violation(violation)) => panic!("{name}: {violation}"),
+                _ => {}
+            }
+        }
+        for action in &actions {
+            if let Action::Send(to, message) = action {
+                self.send(name, to, message.clone());
+            }
+        }
+        actions
+    }
+
+    pub fn send(&mut self, from: &NodeName, to: &NodeName, message: Message) {
+        if self.cut.contains(from) || self.cut.contains(to) {
+            return;
+        }
+        self.sequence += 1;
+        self.frames.push(Reverse((self.now + HOP, self.sequence)));
+        self.contents.insert(self.sequence, (from.clone(), to.clone(), message));
+    }
+
+    pub fn replica(&self, name: &NodeName) -> &Replica {
+        self.nodes[name].replica.as_ref().expect("it lives")
+    }
+
+    /// The replica that is sure to lead; at most one is.
+    pub fn leader(&self) -> Option<NodeName> {
+        let sure = |(_, node): &(&NodeName, &Node)| {
+            node.replica.as_ref().is_some_and(|replica| replica.is_sure(self.now))
+        };
+        let leaders: Vec<NodeName> =
+            self.nodes.iter().filter(sure).map(|(name, _)| name.clone()).collect();
+        assert!(leaders.len() <= 1, "{leaders:?} are sure at once");
+        leaders.into_iter().next()
+    }
+
+    /// Proposes a command at the leader and waits until it is committed there.
+    pub fn propose(&mut self, command: &[u8]) -> bool {
+        let Some(leader) = self.leader() else { return false };
+        self.proposals += 1;
+        let id = ProposalId(self.proposals);
+        self.handle(&leader, Event::Propose { id, command: command.to_vec() });
+        self.run_for(Duration::from_millis(50));
+        self.has(&leader, command)
+    }
+
+    pub fn has(&self, name: &NodeName, command: &[u8]) -> bool {
+        let is = |entry: &Entry| entry.payload == Payload::Command(command.to_vec());
+        self.nodes[name].committed.iter().any(is)
+    }
+}
+
+/// Long enough for an election.
+pub const ELECTION: Duration = Duration::from_secs(3);
