--- /dev/null
+++ b/components/keeper/tests/document.rs
@@ -0,0 +1,205 @@
+//! The operators' document and the registry of nodes, at one keeper that leads alone.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use consensus::Timing;
+use keeper::{Action, Event, Keeper, Reply, Ticket, initial_records};
+use model::{Incarnation, NodeName, Time};
+use settings::Tree;
+use wire::{Document, NodeInfo, NodeRole, WatchReply, WatchRequest};
+
+const START: Time = Time::from_millis(1_000_000);
+
+/// A keeper with the records that it stored.
+struct One {
+    keeper: Keeper,
+    records: Vec<consensus::Record>,
+    now: Time,
+    tickets: u64,
+}
+
+impl One {
+    fn new() -> Self {
+        let name = NodeName::new("k1");
+        let records = initial_records(vec![name], Tree::default());
+        let mut one = Self::from_records(records);
+        one.run_for(Duration::from_secs(2));
+        one
+    }
+
+    fn from_records(records: Vec<consensus::Record>) -> Self {
+        let name = NodeName::new("k1");
+        let keeper = Keeper::recover(name, records.clone(), Timing::default(), 1, START);
+        Self { keeper: keeper.expect("the records are sound"), records, now: START, tickets: 0 }
+    }
+
+    fn handle(&mut self, event: Event) -> Vec<(Ticket, Reply)> {
+        let mut actions = Vec::new();
+        self.keeper.handle(self.now, event, &mut actions);
+        let mut replies = Vec::new();
+        for action in actions {
+            match action {
+                Action::Store(records) => self.records.extend(records),
+                Action::Rewrite(records) => self.records = records,
+                Action::Respond(ticket, reply) => replies.push((ticket, reply)),
+                _ => {}
+            }
+        }
+        replies
+    }
+
+    fn run_for(&mut self, time: Duration) -> Vec<(Ticket, Reply)> {
+        let end = self.now + time;
+        let mut replies = Vec::new();
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(10);
+            replies.extend(self.handle(Event::Tick));
+        }
+        replies
+    }
+
+    fn ticket(&mut self) -> Ticket {
+        self.tickets += 1;
+        Ticket(self.tickets)
+    }
+
+    fn replace(&mut self, version: u64, body: &str) -> Option<Reply> {
+        let ticket = self.ticket();
+        let event = Event::Replace(ticket, Document { version, body: Arc::from(body) });
+        let mut replies = self.handle(event);
+        replies.extend(self.run_for(Duration::from_millis(50)));
+        replies.into_iter().find(|(to, _)| *to == ticket).map(|(_, reply)| reply)
+    }
+
+    fn fetch(&mut self) -> Option<Document> {
+        let ticket = self.ticket();
+        match self.handle(Event::Fetch(ticket)).pop() {
+            Some((_, Reply::Document(document))) => document,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn watch(&mut self, node: NodeInfo, document: u64, revision: u64) -> Ticket {
+        let ticket = self.ticket();
+        let replies = self.handle(Event::Watch(ticket, WatchRequest { node, document, revision }));
+        assert!(replies.is_empty(), "{replies:?}");
+        ticket
+    }
+}
+
+fn node(number: u16) -> NodeInfo {
+    NodeInfo {
+        name: NodeName::new(&format!("n{number}")),
+        role: NodeRole::Entry,
+        address: ([127, 0, 0, 1], number).into(),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn watch_reply(replies: Vec<(Ticket, Reply)>, ticket: Ticket) -> Option<WatchReply> {
+    replies.into_iter().find_map(|(to, reply)| match reply {
+        Reply::Watch(reply) if to == ticket => Some(reply),
+        _ => None,
+    })
+}
+
+#[test]
+fn the_highest_version_holds_and_every_valid_one_is_acknowledged() {
+    let mut one = One::new();
+    assert_eq!(one.fetch(), None);
+    assert_eq!(one.replace(7, "seven"), Some(Reply::Replaced));
+    assert_eq!(one.replace(3, "three"), Some(Reply::Replaced));
+    assert_eq!(one.replace(7, "other seven"), Some(Reply::Replaced));
+    assert_eq!(one.replace(7, "seven"), Some(Reply::Replaced), "sent again");
+    let document = one.fetch().expect("there is one");
+    assert_eq!((document.version, &*document.body), (7, "seven"));
+    assert_eq!(one.replace(9, "nine"), Some(Reply::Replaced));
+    assert_eq!(one.fetch().expect("there is one").version, 9);
+}
+
+#[test]
+fn a_document_outlives_a_restart() {
+    let mut one = One::new();
+    one.replace(7, "seven");
+    let mut again = One::from_records(one.records.clone());
+    again.run_for(Duration::from_secs(2));
+    assert_eq!(again.fetch().expect("it is kept").version, 7);
+}
+
+#[test]
+fn a_keeper_that_is_not_sure_to_lead_tells_nothing() {
+    let mut one = One::new();
+    one.replace(7, "seven");
+    one.handle(Event::Resign);
+    let names = ["k1", "k2", "k3"].map(NodeName::new);
+    let mut alone = One::from_records(initial_records(names.to_vec(), Tree::default()));
+    alone.run_for(Duration::from_secs(5));
+    assert_eq!(alone.replace(8, "eight"), Some(Reply::Unsure(None)));
+    let ticket = alone.ticket();
+    assert_eq!(alone.handle(Event::Fetch(ticket)), [(ticket, Reply::Unsure(None))]);
+}
+
+#[test]
+fn a_watching_node_is_told_of_a_document_at_once() {
+    let mut one = One::new();
+    let first = one.watch(node(1), 0, 0);
+    let list = watch_reply(one.run_for(Duration::from_millis(100)), first).expect("a list");
+    let revision = list.nodes.expect("the first list").revision;
+    let waits = one.watch(node(1), 0, revision);
+    let ticket = one.ticket();
+    let event = Event::Replace(ticket, Document { version: 7, body: Arc::from("seven") });
+    let told = watch_reply(one.handle(event), waits).expect("told with the commit");
+    assert_eq!(told.document.map(|document| document.version), Some(7));
+    assert_eq!(told.nodes, None, "the list is the same");
+}
+
+#[test]
+fn a_watching_node_is_told_of_other_nodes_and_answered_within_a_second() {
+    let mut one = One::new();
+    let first = one.watch(node(1), 0, 0);
+    let list = watch_reply(one.run_for(Duration::from_millis(100)), first).expect("a list");
+    let list = list.nodes.expect("the first list");
+    assert_eq!(list.nodes, [node(1)]);
+    let waits = one.watch(node(1), 0, list.revision);
+    one.watch(node(2), 0, 0);
+    let told = watch_reply(one.run_for(Duration::from_millis(100)), waits).expect("a list");
+    let list = told.nodes.expect("another list");
+    assert_eq!(list.nodes, [node(1), node(2)]);
+    let waits = one.watch(node(1), 0, list.revision);
+    let told = watch_reply(one.run_for(Duration::from_millis(1_100)), waits).expect("an answer");
+    assert_eq!((told.nodes, told.document), (None, None), "no news");
+}
+
+#[test]
+fn a_node_that_asks_no_more_is_no_longer_listed() {
+    let mut one = One::new();
+    one.watch(node(2), 0, 0);
+    let mut revision = 0;
+    let mut listed = Vec::new();
+    for _ in 0..8 {
+        let ticket = one.watch(node(1), 0, revision);
+        let reply = watch_reply(one.run_for(Duration::from_millis(1_100)), ticket);
+        if let Some(list) = reply.and_then(|reply| reply.nodes) {
+            revision = list.revision;
+            listed = list.nodes;
+        }
+    }
+    assert_eq!(listed, [node(1)]);
+}
+
+#[test]
+fn a_keeper_that_restarts_tells_what_it_has_kept() {
+    let mut one = One::new();
+    one.replace(7, "seven");
+    for number in 0..1_001_u64 {
+        // Enough for a snapshot.
+        one.replace(8 + number, "later");
+    }
+    let mut again = One::from_records(one.records.clone());
+    let ticket = again.ticket();
+    let request = WatchRequest { node: node(1), document: 0, revision: 0 };
+    let replies = again.handle(Event::Watch(ticket, request));
+    let told = watch_reply(replies, ticket).expect("told at once");
+    assert!(told.document.is_some_and(|document| document.version >= 1_000));
+}
--- a/daemon/src/keeper_role/decide.rs
+++ b/daemon/src/keeper_role/decide.rs
@@ -28,6 +28,8 @@
     Peer(NodeName, Message),
     /// The process is about to stop: a leader hands over.
     Resign,
+    /// The configuration names other keepers.
+    Contacts(Vec<NodeName>),
     /// A question for the keeper's status.
     Status(Sender<KeeperStatus>),
 }
@@ -248,6 +250,7 @@
                 self.keeper.handle(now, Event::Peer(from, message), &mut self.actions);
             }
             Input::Resign => self.keeper.handle(now, Event::Resign, &mut self.actions),
+            Input::Contacts(contacts) => self.keeper.set_contacts(contacts),
             Input::Status(reply) => {
                 let _ = reply.try_send(self.status(now));
             }
--- a/daemon/src/keeper_role/mod.rs
+++ b/daemon/src/keeper_role/mod.rs
@@ -170,6 +170,12 @@
         let _ = self.ring.try_send(Input::Resign);
     }
 
+    /// The configuration names other keepers.
+    pub(crate) fn set_contacts(&self, node: &NodeConfig) {
+        // A keeper that has ended asks nobody.
+        let _ = self.ring.try_send(Input::Contacts(contacts(node)));
+    }
+
     /// Waits until the keeper has ended by itself: its disk failed.
     pub(crate) fn ended(&self) -> impl Future<Output = ()> + use<> {
         let ring = self.ring.clone();
--- a/daemon/src/room/keeper.rs
+++ b/daemon/src/room/keeper.rs
@@ -33,7 +33,7 @@
         }
         let broken = handle.ended();
         let stopped = async {
-            until_stopped(&started, |_| {}).await;
+            until_stopped(&started, |config| handle.set_contacts(&config.node)).await;
             handle.resign();
             Timer::after(HAND_OVER).await;
         };
