--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -32,9 +32,9 @@
 impl Default for Timing {
     fn default() -> Self {
         Self {
-            heartbeat: Duration::from_millis(100),
-            election: Duration::from_millis(600),
-            lease: Duration::from_millis(500),
+            heartbeat: Duration::from_millis(80),
+            election: Duration::from_millis(400),
+            lease: Duration::from_millis(320),
             voters: None,
             replace_after: Duration::from_millis(2_500),
         }
--- a/daemon/src/keeper_role/decide.rs
+++ b/daemon/src/keeper_role/decide.rs
@@ -117,7 +117,9 @@
         peers: Sender<ToPeers>,
         log: Option<EventLog>,
     ) -> Self {
-        info!("keeper {}: settings {} recovered", name, keeper.version());
+        if log.is_none() {
+            info!("keeper {}: settings {} recovered", name, keeper.version());
+        }
         Self {
             name,
             keeper,
--- a/daemon/src/room/entry.rs
+++ b/daemon/src/room/entry.rs
@@ -32,6 +32,12 @@
 const STOP_TIME: Duration = Duration::from_millis(5_400);
 /// How often a stopping entry looks whether it is done.
 const STOP_POLL: Duration = Duration::from_millis(50);
+/// An entry that can't serve listens after so long all the same.
+const LISTEN_AFTER: Duration = Duration::from_secs(4);
+/// How often a starting entry looks whether it is ready.
+const READY_POLL: Duration = Duration::from_millis(20);
+/// Pause before a port that can't be had is tried again.
+const BIND_PAUSE: Duration = Duration::from_millis(250);
 /// Pause before a failed accept is tried again.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -88,7 +94,6 @@
     let bind = |address: SocketAddr| {
         Async::<TcpListener>::bind(address).map_err(io_error(address.to_string()))
     };
-    let callers = bind(config.listen)?;
     let agents = bind(config.peer_listen)?;
     if let Some(address) = config.ready_listen {
         entry_http::serve_ready(bind(address)?, &tasks, entry.clone());
@@ -103,7 +108,22 @@
     entry.start_watch(&started, config.peer_listen, &tasks);
     let (accepting, closed) = async_channel::bounded(1);
     *entry.accepting.borrow_mut() = Some(accepting);
-    entry_http::serve_callers(callers, &tasks, entry.clone(), closed);
+    let (to_serve, serving) = (entry.clone(), tasks.clone());
+    tasks.spawn(async move {
+        to_serve.until_ready().await;
+        let callers = loop {
+            match bind(config.listen) {
+                _ if to_serve.is_draining() => return,
+                Ok(callers) => break callers,
+                Err(error) => {
+                    let reason = error.to_string();
+                    to_serve.log.line("no-listener", Budget::Full, || json!({"error": reason}));
+                    Timer::after(BIND_PAUSE).await;
+                }
+            }
+        };
+        entry_http::serve_callers(callers, &serving, to_serve, closed);
+    });
     until_stopped(&started, |config| {
         if let Some(watch) = &*entry.watch.borrow() {
             watch.set_seeds(&config.node.keepers);
@@ -145,6 +165,15 @@
 }
 
 impl Entry {
+    /// Waits until it can serve. A caller who finds nobody listening comes back a little later; one
+    /// who is refused is lost. After a while it listens all the same, to say why it can't serve.
+    async fn until_ready(&self) {
+        let began = self.clock.now();
+        while !self.is_ready() && self.clock.now().since(began) < LISTEN_AFTER {
+            Timer::after(READY_POLL).await;
+        }
+    }
+
     fn number(&self) -> u64 {
         self.next.set(self.next.get() + 1);
         self.next.get()
