dockpass explain: follows one request through the logs of several processes

It reads lines behind any prefix, shows the request's own decisions with the changes of state at its nodes, and names the decision that ended it.

--- /dev/null
+++ b/components/explain/src/lib.rs
@@ -0,0 +1,7 @@
+//! Follows one request through the logs of several processes, to the decision that ended it.
+
+mod history;
+mod line;
+
+pub use history::{History, Verdict};
+pub use line::Line;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -26,6 +26,7 @@
         .subcommand(settings())
         .subcommand(service())
         .subcommand(decisions())
+        .subcommand(explain())
         .subcommand(
             Command::new("completions")
                 .about("Print a shell's completions")
@@ -52,6 +53,20 @@
         )
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Follow one request through the logs of entries and agents")
+        .arg(Arg::new("id").value_name("ID").required(true).help("The request's id"))
+        .arg(
+            Arg::new("logs")
+                .value_name("FILE")
+                .value_hint(ValueHint::FilePath)
+                .required(true)
+                .num_args(1..)
+                .help("Logs of any processes, in any order; other lines are left out"),
+        )
+}
+
 fn submit() -> Command {
     Command::new("submit")
         .about("Submit jobs of a file to a running entry, for trying a service")
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -11,6 +11,7 @@
 mod completions;
 mod decisions;
 mod demo;
+mod explain;
 mod service;
 mod settings;
 mod status;
@@ -74,6 +75,7 @@
         Some(("settings", own)) => settings::run(own),
         Some(("service", own)) => service::run(own),
         Some(("decisions", own)) => decisions::run(own),
+        Some(("explain", own)) => explain::run(own),
         Some(("completions", own)) => completions::run(own),
         _ => Err(CommandError::BadInput("no subcommand".to_owned())),
     }
