--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -148,7 +148,7 @@
         match event {
             Event::AgentOpened(id) => self.open_agent(now, id),
             Event::AgentClosed(id) => self.lose_agent(id, "closed", out),
-            Event::FromAgent(id, message) => self.from_agent(now, id, message, out),
+            Event::FromAgent(id, message) => self.hear_agent(now, id, message, out),
             Event::Submit(ticket, request) => self.submit(now, ticket, request, out),
             Event::Abandon(ticket) => self.abandon(now, ticket, out),
             Event::Cancel(job) => self.cancel(now, &job, out),
@@ -209,7 +209,7 @@
         self.counters
     }
 
-    fn from_agent(&mut self, now: Time, id: SessionId, message: ToEntry, out: &mut Vec<Action>) {
+    fn hear_agent(&mut self, now: Time, id: SessionId, message: ToEntry, out: &mut Vec<Action>) {
         match message {
             ToEntry::Hello { profile, document } => {
                 self.agent_says_hello(id, profile, out);
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -134,7 +134,7 @@
         match event {
             Event::SessionOpened(session) => self.open_session(now, session, out),
             Event::SessionClosed(session) => self.lose_session(session, "closed", out),
-            Event::FromEntry(session, message) => self.from_entry(now, session, message, out),
+            Event::FromEntry(session, message) => self.hear_entry(now, session, message, out),
             Event::Target(report) => self.target_reports(now, report, out),
             Event::TargetLeft(id) => {
                 if self.target.as_ref().is_some_and(|target| *target.id() == id) {
@@ -189,13 +189,11 @@
 
     /// Whether the target takes new work.
     pub(crate) fn is_open(&self, now: Time) -> bool {
-        let fit = |target: &Target| {
-            !target.report.draining
-                && !target.silent
-                && !target.health.is_out(now)
-                && !(target.has_orphans && self.runs.is_empty())
+        let closed = |target: &Target| {
+            let orphans_only = target.has_orphans && self.runs.is_empty();
+            target.report.draining || target.silent || target.health.is_out(now) || orphans_only
         };
-        !self.draining && self.target.as_ref().is_some_and(fit)
+        !self.draining && self.target.as_ref().is_some_and(|target| !closed(target))
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
--- a/components/runner/src/sessions.rs
+++ b/components/runner/src/sessions.rs
@@ -62,7 +62,7 @@
         ToEntry::Hello { profile, document: self.document.clone() }
     }
 
-    pub(crate) fn from_entry(
+    pub(crate) fn hear_entry(
         &mut self,
         now: Time,
         id: SessionId,
--- a/soak/src/room/mod.rs
+++ b/soak/src/room/mod.rs
@@ -4,10 +4,15 @@
 //! dockpass: it carries messages between the libraries and checks what must always hold, by what
 //! targets and clients see.
 
+mod callers;
 mod checks;
 mod client;
 mod faults;
 mod link;
+mod orders;
+mod processes;
+mod sessions;
+mod strikes;
 mod target;
 mod world;
 
--- /dev/null
+++ b/soak/src/room/orders.rs
@@ -0,0 +1,116 @@
+//! Orders at targets, and what targets report.
+
+use std::time::Duration;
+
+use model::{Resources, TaskId};
+use runner::{HoldOrder, StartOrder, StartReply, StopOrder};
+
+use super::world::{BEAT, Call, Happening, TARGET_TICK, World};
+
+impl World {
+    pub(super) fn target_start(&mut self, call: Call, order: StartOrder, late: bool) {
+        let agent = call.agent;
+        let Some((work, fails, resources)) = self.work_of(&order.key.task) else { return };
+        let now = self.now;
+        let Some(target) = &mut self.agents[agent].target else { return };
+        let (reply, began) = target.start(now, &order, resources, work, fails);
+        if matches!(reply, StartReply::Refused { reason: runner::StartRefusal::Room, .. }) {
+            self.checks.summary.no_room += 1;
+        }
+        if began {
+            let task = &order.key.task;
+            let elsewhere = self.agents.iter().enumerate().any(|(other, process)| {
+                other != agent
+                    && process.target.as_ref().is_some_and(|target| target.running().contains(task))
+            });
+            let drains = self.agents[agent].drains;
+            self.note(|| format!("target {agent} starts {task}"));
+            self.checks.started(now, task, elsewhere, drains);
+        }
+        if !late {
+            let hop = self.hop();
+            self.at(hop, Happening::Started(call, order.key, reply));
+        }
+    }
+
+    pub(super) fn work_of(&self, task: &TaskId) -> Option<(Duration, bool, Resources)> {
+        let client = self.clients.get(&task.job)?;
+        let (work, fails) = *client.work.get(task.index as usize)?;
+        Some((work, fails, client.request.shape.resources))
+    }
+
+    pub(super) fn target_stop(&mut self, call: Call, order: &StopOrder, late: bool) {
+        let agent = call.agent;
+        let now = self.now;
+        let Some(target) = &mut self.agents[agent].target else { return };
+        let reply = target.stop(now, order);
+        if !late {
+            let hop = self.hop();
+            self.at(hop, Happening::Stopped(call, order.key.clone(), reply));
+        }
+    }
+
+    pub(super) fn target_hold(&mut self, call: Call, order: HoldOrder) {
+        let agent = call.agent;
+        let now = self.now;
+        let Some(target) = &mut self.agents[agent].target else { return };
+        match target.hold(now, &order, false) {
+            Some(reply) => {
+                let hop = self.hop();
+                self.at(hop, Happening::Held(call, order, reply));
+            }
+            None => {
+                let wait = order.wait;
+                self.agents[agent].waiting = Some((call, order));
+                self.at(wait, Happening::HoldOver(call));
+            }
+        }
+    }
+
+    pub(super) fn hold_over(&mut self, call: Call) {
+        let waits = |(waiting, _): &(Call, HoldOrder)| *waiting == call;
+        if self.agents[call.agent].waiting.as_ref().is_some_and(waits) {
+            self.answer_hold(call.agent);
+        }
+    }
+
+    pub(super) fn answer_hold(&mut self, agent: usize) {
+        let now = self.now;
+        let Some((call, order)) = self.agents[agent].waiting.take() else { return };
+        let Some(target) = &mut self.agents[agent].target else { return };
+        if let Some(reply) = target.hold(now, &order, true) {
+            let hop = self.hop();
+            self.at(hop, Happening::Held(call, order, reply));
+        }
+    }
+
+    pub(super) fn pass_targets(&mut self) {
+        let now = self.now;
+        for agent in 0..self.agents.len() {
+            let Some(target) = &mut self.agents[agent].target else { continue };
+            let ended = target.pass(now);
+            for end in &ended {
+                self.note(|| format!("target {agent}: {} ends {:?}", end.task, end.reason));
+                self.checks.ended(&end.task, end.reason);
+            }
+            if !ended.is_empty() {
+                self.answer_hold(agent);
+            }
+        }
+        self.at(TARGET_TICK, Happening::Targets);
+    }
+
+    pub(super) fn beat(&mut self, agent: usize) {
+        let now = self.now;
+        let process = &mut self.agents[agent];
+        let report = process.target.as_ref().map(|target| target.report(now));
+        let awake = process.runner.is_some() && process.frozen <= now;
+        if let Some(report) = report.filter(|_| awake) {
+            if report.draining {
+                process.drains.get_or_insert(now);
+            }
+            self.feed_agent(agent, runner::Event::Target(report));
+        }
+        self.at(BEAT, Happening::Beat(agent));
+    }
+}
--- /dev/null
+++ b/soak/src/room/processes.rs
@@ -0,0 +1,125 @@
+//! Entries and agents: what they are told, and what they do.
+
+use std::time::Duration;
+
+use rand::Rng;
+use runner::{HoldOrder, HoldReply, StartReply, StopReply};
+
+use super::link::Parcel;
+use super::world::{Call, HOLD_SLACK, Happening, ORDER_TIME, World};
+
+impl World {
+    pub(super) fn feed_entry(&mut self, entry: usize, event: dispatch::Event) {
+        let process = &mut self.entries[entry];
+        let Some(dispatcher) = &mut process.dispatcher else { return };
+        let mut actions = Vec::new();
+        dispatcher.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.note(|| format!("entry {entry}: {action:?}"));
+            match action {
+                dispatch::Action::Send(id, message) => {
+                    if let Some(session) = self.entries[entry].sessions.get(&id.0).copied() {
+                        self.send(session, Parcel::ToAgent(message));
+                    }
+                }
+                dispatch::Action::Close(id) => {
+                    if let Some(session) = self.entries[entry].sessions.remove(&id.0) {
+                        self.close_at_entry(session);
+                    }
+                }
+                dispatch::Action::Answer(ticket, outcome) => self.answer(entry, ticket, outcome),
+                dispatch::Action::News(_) => {}
+            }
+        }
+    }
+
+    pub(super) fn feed_agent(&mut self, agent: usize, event: runner::Event) {
+        let process = &mut self.agents[agent];
+        let Some(runner) = &mut process.runner else { return };
+        let mut actions = Vec::new();
+        runner.handle(self.now, event, &mut actions);
+        let life = process.life;
+        for action in actions {
+            self.note(|| format!("agent {agent}: {action:?}"));
+            match action {
+                runner::Action::Send(id, message) => {
+                    if let Some(session) = self.agents[agent].sessions.get(&id.0).copied() {
+                        self.send(session, Parcel::ToEntry(message));
+                    }
+                }
+                runner::Action::Close(id) => {
+                    if let Some(session) = self.agents[agent].sessions.remove(&id.0) {
+                        self.close_at_agent(session);
+                    }
+                }
+                runner::Action::Start(order) => {
+                    let (hop, late) = self.order_time(agent);
+                    let call = self.call(agent, life);
+                    self.at(hop, Happening::Start(call, order.clone(), late));
+                    let silent = Happening::Started(call, order.key, StartReply::Silent);
+                    self.at(ORDER_TIME, silent);
+                }
+                runner::Action::Stop(order) => {
+                    let (hop, late) = self.order_time(agent);
+                    let call = self.call(agent, life);
+                    self.at(hop, Happening::Stop(call, order.clone(), late));
+                    let silent = Happening::Stopped(call, order.key, StopReply::Silent);
+                    self.at(ORDER_TIME, silent);
+                }
+                runner::Action::Hold(order) => {
+                    let (hop, late) = self.order_time(agent);
+                    let call = self.call(agent, life);
+                    if !late {
+                        self.at(hop, Happening::Hold(call, order.clone()));
+                    }
+                    let time = order.wait + HOLD_SLACK;
+                    self.at(time, Happening::Held(call, order, HoldReply::Silent));
+                }
+                runner::Action::News(_) => {}
+            }
+        }
+    }
+
+    /// How long an order takes to the target, and whether it is carried out late, unanswered.
+    pub(super) fn order_time(&mut self, agent: usize) -> (Duration, bool) {
+        let mute = self.agents[agent].target.as_ref().is_some_and(|target| target.mute);
+        if mute && self.rng.random_bool(0.6) {
+            (Duration::from_millis(self.rng.random_range(2_000..9_000)), true)
+        } else {
+            (Duration::from_micros(self.rng.random_range(200..1_500)), false)
+        }
+    }
+
+    pub(super) fn call(&mut self, agent: usize, life: u64) -> Call {
+        self.sequence += 1;
+        self.calls.insert(self.sequence);
+        Call { agent, life, number: self.sequence }
+    }
+
+    /// An answer, or its absence, reaches the agent; the first that comes counts.
+    pub(super) fn answer_agent(&mut self, call: Call, event: runner::Event) {
+        if !self.calls.contains(&call.number) {
+            return;
+        }
+        let process = &self.agents[call.agent];
+        if process.life == call.life && process.frozen > self.now {
+            let until = process.frozen;
+            let again = match event {
+                runner::Event::Started(key, reply) => Happening::Started(call, key, reply),
+                runner::Event::Stopped(key, reply) => Happening::Stopped(call, key, reply),
+                runner::Event::Held(target, reply) => {
+                    let (deadline_ms, wait) = (None, Duration::ZERO);
+                    let order =
+                        HoldOrder { target, deadline_ms, fencing_token: 0, last_seen: 0, wait };
+                    Happening::Held(call, order, reply)
+                }
+                _ => return,
+            };
+            return self.at_time(until, again);
+        }
+        self.calls.remove(&call.number);
+        if process.life == call.life {
+            self.feed_agent(call.agent, event);
+        }
+    }
+}
