A stopping entry serves what still comes over open connections

Change: after its listener is closed, an entry still takes a job that can end before the process has to; each answer closes its connection, so that requests dry up.

--- a/daemon/src/room/entry.rs
+++ b/daemon/src/room/entry.rs
@@ -60,8 +60,9 @@
     draining: Cell<bool>,
     /// How often the balancer was told that a stopping entry is not ready.
     notices: Cell<u32>,
-    /// Takes no new requests any more: the end of a planned stop.
-    closing: Cell<bool>,
+    /// Set at the end of a planned stop, when no new connections are taken any more: when the
+    /// process ends at the latest.
+    closing: Cell<Option<model::Time>>,
     /// Dropped to take no new connections.
     accepting: RefCell<Option<Sender<()>>>,
     watch: RefCell<Option<Rc<Watch>>>,
@@ -87,7 +88,7 @@
         next: Cell::new(0),
         draining: Cell::new(false),
         notices: Cell::new(0),
-        closing: Cell::new(false),
+        closing: Cell::new(None),
         accepting: RefCell::default(),
         watch: RefCell::default(),
     });
@@ -287,9 +288,11 @@
         self.draining.get()
     }
 
-    /// Whether it takes no new requests any more.
-    pub fn is_closing(&self) -> bool {
-        self.closing.get()
+    /// At the end of a planned stop: how much time is left for what still comes over connections
+    /// that are open.
+    pub fn time_left(&self) -> Option<Duration> {
+        let until = self.closing.get()?;
+        Some(until.since(self.clock.now()))
     }
 
     /// The balancer was told whether the entry is ready.
@@ -327,7 +330,8 @@
     }
 
     /// A planned stop: says that it is not ready and goes on until the balancer has noticed; then
-    /// takes nothing new, finishes what it has, ends.
+    /// takes no new connections, finishes what it has, ends. Each answer closes its connection, so
+    /// that requests dry up.
     async fn drain(&self) {
         self.draining.set(true);
         self.feed(Event::Drain);
@@ -339,11 +343,12 @@
             let now = self.clock.now();
             let age = now.since(began);
             let idle = self.dispatcher.borrow().active() == 0;
-            if age > STOP_TIME || (self.closing.get() && idle) {
+            let closing = self.closing.get().is_some();
+            if age > STOP_TIME || (closing && idle) {
                 return;
             }
-            if !self.closing.get() && (age > NOTICE || self.notices.get() >= NOTICES) {
-                self.closing.set(true);
+            if !closing && (age > NOTICE || self.notices.get() >= NOTICES) {
+                self.closing.set(Some(began + STOP_TIME));
                 self.accepting.borrow_mut().take();
                 let active = self.dispatcher.borrow().active();
                 self.log.line("closing", Budget::Full, || json!({"jobs": active}));
--- a/daemon/src/room/entry_http.rs
+++ b/daemon/src/room/entry_http.rs
@@ -83,10 +83,6 @@
 
 async fn route(entry: &Rc<Entry>, request: Request<Result<Bytes, BodyError>>) -> Response<Body> {
     let (head, body) = request.into_parts();
-    if entry.is_closing() {
-        let reply = problem(503, "not run: stopping");
-        return render(&Reply { retry_after: Some(NO_TABLE_PAUSE), ..reply });
-    }
     let Some(table) = entry.table() else {
         let reply = problem(503, "no configuration yet");
         return render(&Reply { retry_after: Some(NO_TABLE_PAUSE), ..reply });
@@ -143,6 +139,15 @@
 }
 
 async fn submit(entry: &Rc<Entry>, job: dispatch::JobRequest) -> Response<Body> {
+    if entry.time_left().is_some_and(|left| job.objective > left) {
+        entry.log.line(
+            "refused",
+            Budget::Full,
+            || json!({"job": job.id.as_str(), "reason": dispatch::Reason::Draining.as_str()}),
+        );
+        let reply = problem(503, "not run: stopping");
+        return render(&Reply { retry_after: Some(NO_TABLE_PAUSE), ..reply });
+    }
     let (answer, _guard) = entry.submit(job);
     // The channel is closed only with the entry.
     let outcome = answer.recv().await;
