What a target began while it was well does not speak for it

Change: only runs that began after the first failure of a row, or after the target was left out, reset its failures or take it back; three in a row suffice; a task that has failed is not given to a target on trial.

Three tests failed first.

--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -127,6 +127,7 @@
             && has_requirement(agent, request.shape.requirement.as_ref())
             && has_place_beside(job, **id)
             && !(just_tried(task, **id, now) && agents.len() > 1)
+            && !(agent.load.on_trial && task.failures > 0)
     };
     let scored = agents.iter().filter(fit).map(|(id, agent)| (*id, score(agent, request, usual)));
     scored.max_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(id, _)| id)
--- a/components/dispatch/tests/dispatcher.rs
+++ b/components/dispatch/tests/dispatcher.rs
@@ -82,6 +82,7 @@
             free: Resources { cpu_milli, memory_mb: 32_768, gpu: 0 },
             seen: u64::MAX,
             open: true,
+            on_trial: false,
             slowdown_percent: 100,
         }
     }
@@ -427,3 +428,18 @@
     entry.submit(job(4, 200));
     assert!(entry.starts().iter().all(|(agent, ..)| *agent != 2));
 }
+
+#[test]
+fn a_task_that_has_failed_is_not_given_to_a_target_on_trial() {
+    let mut entry = Entry::new();
+    entry.agent(1, 16_000, &[]);
+    entry.agent(2, 8_000, &[]);
+    entry.agent(3, 4_000, &[]);
+    let load = Load { on_trial: true, ..entry.load_of(8_000) };
+    entry.handle(Event::FromAgent(SessionId(2), ToEntry::Load(load)));
+    entry.submit(job(1, 200));
+    let first = entry.starts();
+    assert_eq!(first[0].0, 1);
+    entry.report(&first[0], TaskEnd::Failed);
+    assert_eq!(entry.starts()[0].0, 3, "though the second has more room");
+}
--- a/components/runner/src/orders.rs
+++ b/components/runner/src/orders.rs
@@ -117,7 +117,7 @@
             StartReply::Invalid => self.end(now, &key.task, TaskEnd::Failed, out),
             StartReply::Unhealthy => {
                 if let Some(target) = &mut self.target {
-                    report_health(target.health.failed(now), out);
+                    report_health(target.health.failed(now, now), out);
                 }
                 self.end(now, &key.task, TaskEnd::NotRun(Refusal::Target), out);
             }
@@ -246,6 +246,7 @@
         let stuck = late.len() >= 2 || still;
         for task in late {
             let Some(run) = self.runs.get(&task) else { continue };
+            let began = run.since;
             if !stuck && !overdue(run, FAR_OVERDUE_TIMES) {
                 continue;
             }
@@ -255,7 +256,7 @@
                 estimated_ms: run.estimated_ms,
             }));
             if let Some(target) = &mut self.target {
-                report_health(target.health.failed(now), out);
+                report_health(target.health.failed(now, began), out);
             }
             self.mark_dirty();
             self.stop(now, &task, out);
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -307,9 +307,9 @@
         let change = match end {
             TaskEnd::Done => {
                 target.ran(now, ran, run.estimated_ms);
-                target.health.succeeded()
+                target.health.succeeded(run.since)
             }
-            TaskEnd::Failed => target.health.failed(now),
+            TaskEnd::Failed => target.health.failed(now, run.since),
             _ => Change::None,
         };
         report_health(change, out);
--- a/components/runner/src/sessions.rs
+++ b/components/runner/src/sessions.rs
@@ -225,6 +225,7 @@
             free,
             seen: 0,
             open: self.is_open(now) && (!on_trial || self.runs.is_empty()),
+            on_trial,
             slowdown_percent: slowdown as u32,
         }
     }
--- a/components/runner/tests/runner.rs
+++ b/components/runner/tests/runner.rs
@@ -405,3 +405,36 @@
     agent.run_for(450);
     assert!(!agent.stops.is_empty(), "several overdue, and nothing ends");
 }
+
+#[test]
+fn a_success_from_before_the_failures_does_not_take_a_target_back() {
+    let mut agent = Agent::new();
+    agent.ask("old", 1, 0);
+    let old = agent.take_starts();
+    agent.run_for(20);
+    agent.ask("a", 4, 0);
+    let starts = agent.take_starts();
+    for (number, start) in starts.iter().enumerate() {
+        agent.hold(&[], &[(number as u64 + 1, &start.key, EndReason::Failed)]);
+    }
+    agent.hold(&[], &[(9, &old[0].key, EndReason::Done)]);
+    agent.run_for(20);
+    assert!(!agent.open, "it began before the target turned bad");
+}
+
+#[test]
+fn a_success_from_before_does_not_break_a_row_of_failures() {
+    let mut agent = Agent::new();
+    agent.ask("old", 1, 0);
+    let old = agent.take_starts();
+    agent.run_for(20);
+    agent.ask("a", 4, 0);
+    let starts = agent.take_starts();
+    agent.hold(&[], &[(1, &starts[0].key, EndReason::Failed)]);
+    agent.hold(&[], &[(2, &starts[1].key, EndReason::Failed)]);
+    agent.hold(&[], &[(3, &old[0].key, EndReason::Done)]);
+    agent.hold(&[], &[(4, &starts[2].key, EndReason::Failed)]);
+    agent.hold(&[], &[(5, &starts[3].key, EndReason::Failed)]);
+    agent.run_for(20);
+    assert!(!agent.open);
+}
--- a/components/wire/src/session.rs
+++ b/components/wire/src/session.rs
@@ -38,6 +38,8 @@
     pub seen: u64,
     /// Whether the agent takes new work.
     pub open: bool,
+    /// Whether the target failed what it ran and is tried with one task at a time.
+    pub on_trial: bool,
     /// How long tasks take there against their estimates, in hundredths.
     pub slowdown_percent: u32,
 }
