--- a/components/runner/src/health.rs
+++ b/components/runner/src/health.rs
@@ -10,9 +10,9 @@
 /// Failures in a row after which the target is left out.
 const FAILURES: u32 = 3;
 /// How long it is left out the first time; twice as long each time after.
-const FIRST_PAUSE: Duration = Duration::from_millis(800);
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// The longest pause.
-const LONGEST_PAUSE: Duration = Duration::from_millis(4_000);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// What changed by an end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
