The whole path by room as real processes, with a stand-in target

Four tests on loopback: a configuration and jobs, a planned stop of an entry and an agent under load, a killed agent, a keeper away. The last one failed first: an entry said that it was ready up to 20 ms before it listened, so that a caller found nobody. Ready means listening now.

--- a/daemon/src/room/entry.rs
+++ b/daemon/src/room/entry.rs
@@ -57,6 +57,8 @@
     /// Answers by their status.
     statuses: RefCell<HashMap<u16, u64>>,
     next: Cell<u64>,
+    /// Callers find it.
+    listening: Cell<bool>,
     draining: Cell<bool>,
     /// How often the balancer was told that a stopping entry is not ready.
     notices: Cell<u32>,
@@ -86,6 +88,7 @@
         latencies: RefCell::default(),
         statuses: RefCell::default(),
         next: Cell::new(0),
+        listening: Cell::new(false),
         draining: Cell::new(false),
         notices: Cell::new(0),
         closing: Cell::new(None),
@@ -123,6 +126,7 @@
                 }
             }
         };
+        to_serve.listening.set(true);
         entry_http::serve_callers(callers, &serving, to_serve, closed);
     });
     until_stopped(&started, |config| {
@@ -170,7 +174,7 @@
     /// who is refused is lost. After a while it listens all the same, to say why it can't serve.
     async fn until_ready(&self) {
         let began = self.clock.now();
-        while !self.is_ready() && self.clock.now().since(began) < LISTEN_AFTER {
+        while !self.can_serve() && self.clock.now().since(began) < LISTEN_AFTER {
             Timer::after(READY_POLL).await;
         }
     }
@@ -277,11 +281,14 @@
         self.table.borrow().clone()
     }
 
+    /// Whether it could serve requests, if it listened for them.
+    fn can_serve(&self) -> bool {
+        self.table.borrow().is_some() && self.dispatcher.borrow().known_agents() > 0
+    }
+
     /// Whether it can serve requests that come now.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get()
-            && self.table.borrow().is_some()
-            && self.dispatcher.borrow().known_agents() > 0
+        self.listening.get() && !self.draining.get() && self.can_serve()
     }
 
     pub fn is_draining(&self) -> bool {
--- /dev/null
+++ b/daemon/tests/room.rs
@@ -0,0 +1,129 @@
+//! The whole path as real processes: a keeper, an entry, agents, and stand-ins for targets.
+
+mod room_support;
+
+use std::thread;
+use std::time::Duration;
+
+use room_support::{Fleet, StandInTarget, call, eventually};
+
+const COMPLETED: &str = "{\"state\":\"completed\"}";
+const SHORT: Duration = Duration::from_secs(2);
+
+fn target(fleet: &Fleet, number: usize) -> StandInTarget {
+    StandInTarget::start(fleet.target(number), fleet.agent(number), &format!("i-{number}"))
+}
+
+#[test]
+fn a_configuration_and_jobs_travel_the_whole_path() {
+    let fleet = Fleet::new(2);
+    let targets = [target(&fleet, 0), target(&fleet, 1)];
+    let _processes = ["keeper", "entry", "agent0", "agent1"].map(|name| fleet.start(name));
+    fleet.configure(7);
+    fleet.until_ready();
+    let answer = fleet.job(1, 10, 100).expect("it is answered");
+    assert_eq!((answer.status, answer.body.as_str()), (200, COMPLETED));
+    let starts: usize = targets.iter().map(|target| target.seen.lock().unwrap().starts.len()).sum();
+    assert_eq!(starts, 10, "each task once");
+    assert!(targets.iter().all(|target| target.seen.lock().unwrap().most <= 8));
+
+    // What is malformed or unknown gets a clear answer.
+    let ask = |method, path: &str, body: &str| {
+        call(fleet.entry(), method, path, body, SHORT).expect("it is answered")
+    };
+    assert_eq!(ask("POST", "/nowhere/0000000000000001", "{}").status, 404);
+    assert_eq!(ask("POST", "/q/short", "{}").status, 400);
+    assert_eq!(ask("POST", "/q/0000000000000002", "{\"steps\":").status, 400);
+    assert_eq!(ask("POST", "/q/0000000000000002", &"x".repeat(20_000)).status, 413);
+    let kept = ask("POST", "/q/0000000000000002", "{\"steps\":[{\"count\":1}]}");
+    assert_eq!(kept.status, 503);
+    assert!(kept.body.contains("kept"), "{kept:?}");
+    assert_eq!(ask("GET", "/q/", "").body, "{\"waiting\":0}");
+    assert_eq!(ask("GET", "/q/0000000000000001", "").status, 410);
+
+    // The configuration is read back as it was sent, and what is invalid is refused.
+    let fetch = call(fleet.keeper(), "GET", "/configuration/fetch", "", SHORT);
+    assert!(fetch.is_some_and(|answer| answer.body.contains("\"version\":7")));
+    let invalid = "{\"version\":9,\"routes\":[]";
+    let refused = call(fleet.keeper(), "POST", "/configuration/replace", invalid, SHORT);
+    assert_eq!(refused.map(|answer| answer.status), Some(400));
+
+    // The figures name what happened.
+    let page = call(fleet.metrics(), "GET", "/metrics", "", SHORT).expect("a page").body;
+    assert!(page.contains("dockpass_jobs_total{outcome=\"completed\"} 1\n"), "{page}");
+    assert!(page.contains("dockpass_configuration_version 7\n"), "{page}");
+    assert!(page.contains("dockpass_job_seconds_count{queue=\"q\"} 1\n"), "{page}");
+}
+
+#[test]
+fn a_planned_stop_of_an_entry_and_an_agent_cuts_nothing() {
+    let fleet = Fleet::new(2);
+    let _targets = [target(&fleet, 0), target(&fleet, 1)];
+    let _others = ["keeper", "agent1"].map(|name| fleet.start(name));
+    let mut agent = fleet.start("agent0");
+    let mut entry = fleet.start("entry");
+    fleet.configure(7);
+    fleet.until_ready();
+    thread::scope(|scope| {
+        let jobs: Vec<_> = (1..=4)
+            .map(|id| {
+                let fleet = &fleet;
+                scope.spawn(move || fleet.job(id, 3, 600))
+            })
+            .collect();
+        let busy = || {
+            let page = call(fleet.metrics(), "GET", "/metrics", "", SHORT);
+            page.is_some_and(|page| page.body.contains("dockpass_starts_total 12\n"))
+        };
+        eventually("all tasks are started", busy);
+        agent.signal("TERM");
+        entry.signal("TERM");
+        for job in jobs {
+            let answer = job.join().expect("no panic").expect("it is answered");
+            assert_eq!((answer.status, answer.body.as_str()), (200, COMPLETED));
+            assert!(answer.head.contains("connection: close"), "{answer:?}");
+        }
+        assert!(agent.wait() && entry.wait(), "both end well");
+    });
+}
+
+#[test]
+fn a_killed_agent_ends_its_jobs_and_serves_again_once_it_is_back() {
+    let fleet = Fleet::new(1);
+    let target = target(&fleet, 0);
+    let _others = ["keeper", "entry"].map(|name| fleet.start(name));
+    let agent = fleet.start("agent0");
+    fleet.configure(7);
+    fleet.until_ready();
+    thread::scope(|scope| {
+        let job = scope.spawn(|| fleet.job(1, 2, 300));
+        eventually("it runs", || target.seen.lock().unwrap().starts.len() == 2);
+        drop(agent);
+        let answer = job.join().expect("no panic").expect("it is answered");
+        assert_eq!(answer.status, 504, "it may have run: {answer:?}");
+    });
+    let _agent = fleet.start("agent0");
+    let mut id = 2;
+    eventually("jobs are served again", || {
+        id += 1;
+        fleet.job(id, 2, 50).is_some_and(|answer| answer.body == COMPLETED)
+    });
+}
+
+#[test]
+fn a_keeper_that_restarts_has_its_configuration_and_entries_go_on_without_it() {
+    let fleet = Fleet::new(1);
+    let _target = target(&fleet, 0);
+    let keeper = fleet.start("keeper");
+    let _others = ["entry", "agent0"].map(|name| fleet.start(name));
+    fleet.configure(7);
+    fleet.until_ready();
+    drop(keeper);
+    let answer = fleet.job(1, 2, 50).expect("it is answered");
+    assert_eq!(answer.body, COMPLETED, "without any keeper");
+    let _keeper = fleet.start("keeper");
+    eventually("the configuration is read back", || {
+        call(fleet.keeper(), "GET", "/configuration/fetch", "", SHORT)
+            .is_some_and(|answer| answer.status == 200 && answer.body.contains("\"version\":7"))
+    });
+}
--- /dev/null
+++ b/daemon/tests/room_support/mod.rs
@@ -0,0 +1,233 @@
+//! Real processes of a fleet whose targets have room, on loopback addresses of their own, with a
+//! stand-in for a target that takes orders.
+
+mod target;
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use tempfile::TempDir;
+
+pub use target::StandInTarget;
+
+/// Longest wait for anything to come about.
+const PATIENCE: Duration = Duration::from_secs(20);
+const NODE_PORT: u16 = 7_101;
+
+/// Tells the fleets of one test run apart.
+static FLEETS: AtomicU32 = AtomicU32::new(0);
+
+/// An answer.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+/// One process; killed when dropped.
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    fn start(config: &PathBuf) -> Self {
+        let child = Command::new(env!("CARGO_BIN_EXE_dockpassd"))
+            .arg("--config")
+            .arg(config)
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the daemon starts");
+        Self { child }
+    }
+
+    /// Sends a signal by name.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args([&format!("-{name}"), &pid]).status();
+        assert!(sent.is_ok_and(|status| status.success()));
+    }
+
+    /// Waits for its end; returns whether it ended well.
+    pub fn wait(&mut self) -> bool {
+        self.child.wait().expect("it ends").success()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A keeper, an entry, agents and their targets.
+pub struct Fleet {
+    folder: TempDir,
+    network: String,
+    agents: usize,
+}
+
+impl Fleet {
+    /// Writes the files of a fleet with so many agents.
+    pub fn new(agents: usize) -> Self {
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed) + 1;
+        let pid = std::process::id();
+        // A network of its own: no port is shared with anything else on this host.
+        let network = format!("127.{}.{}", 1 + pid % 250, 1 + (pid / 250 + number * 31) % 250);
+        let folder = tempfile::tempdir().expect("a folder");
+        let fleet = Self { folder, network, agents };
+        fleet.write_files();
+        fleet
+    }
+
+    fn address(&self, host: usize, port: u16) -> SocketAddr {
+        format!("{}.{host}:{port}", self.network).parse().expect("an address")
+    }
+
+    pub fn keeper(&self) -> SocketAddr {
+        self.address(1, 7_100)
+    }
+
+    pub fn entry(&self) -> SocketAddr {
+        self.address(2, 7_300)
+    }
+
+    pub fn ready(&self) -> SocketAddr {
+        self.address(2, 7_301)
+    }
+
+    pub fn target(&self, number: usize) -> SocketAddr {
+        self.address(10 + number, 7_500)
+    }
+
+    pub fn agent(&self, number: usize) -> SocketAddr {
+        self.address(10 + number, 7_400)
+    }
+
+    fn write_files(&self) {
+        let common = |name: &str, role: &str| {
+            format!(
+                "[node]\nname = {name}\nroles = {role}\nscheduling = room\n\
+                 node_port = {NODE_PORT}\nkeepers = {}\n",
+                self.keeper()
+            )
+        };
+        let data = self.folder.path().join("data");
+        fs::create_dir_all(&data).expect("a folder");
+        let keeper = format!(
+            "{}[keeper]\nlisten = {}\nnode_listen = {}\ndata = {}\nfound = true\n\
+             tolerated_losses = 0\n",
+            common("k1", "keeper"),
+            self.keeper(),
+            self.address(1, NODE_PORT),
+            data.display()
+        );
+        let entry = format!(
+            "{}metrics = {}\n[entry]\nlisten = {}\nready_listen = {}\npeer_listen = {}\n",
+            common("e1", "entry"),
+            self.address(2, 7_900),
+            self.entry(),
+            self.ready(),
+            self.address(2, NODE_PORT)
+        );
+        self.write("keeper", &keeper);
+        self.write("entry", &entry);
+        for number in 0..self.agents {
+            let agent = format!(
+                "{}[agent]\nlisten = {}\ntarget = {}\nservice = work\n",
+                common(&format!("a{number}"), "agent"),
+                self.agent(number),
+                self.target(number)
+            );
+            self.write(&format!("agent{number}"), &agent);
+        }
+    }
+
+    fn write(&self, name: &str, text: &str) {
+        fs::write(self.file(name), text).expect("the file is written");
+    }
+
+    fn file(&self, name: &str) -> PathBuf {
+        self.folder.path().join(format!("{name}.ini"))
+    }
+
+    /// Starts the process of a name: `keeper`, `entry`, `agent0` and so on.
+    pub fn start(&self, name: &str) -> Process {
+        Process::start(&self.file(name))
+    }
+
+    /// Where the entry tells its figures.
+    pub fn metrics(&self) -> SocketAddr {
+        self.address(2, 7_900)
+    }
+
+    /// Sends a configuration until it is acknowledged.
+    pub fn configure(&self, version: u64) {
+        let body = serde_json::json!({"version": version,
+            "routes": [{"name": "q", "host": "queue.example", "path_prefix": "/q/",
+                "timeout_ms": 1500, "target_latency_ms": 60, "priority": 0, "service": "work",
+                "max_attempts": 2, "stretch": 1.6}],
+            "services": [{"name": "work", "rejects_overload": true}],
+            "limits": {"max_body_bytes": 10_000}})
+        .to_string();
+        eventually("the configuration is acknowledged", || {
+            call(self.keeper(), "POST", "/configuration/replace", &body, Duration::from_secs(5))
+                .is_some_and(|answer| answer.status == 200)
+        });
+    }
+
+    /// Waits until the entry says that it is ready.
+    pub fn until_ready(&self) {
+        eventually("the entry is ready", || {
+            call(self.ready(), "GET", "/readiness", "", Duration::from_secs(1))
+                .is_some_and(|answer| answer.status == 200)
+        });
+    }
+
+    /// Hands in a job of equal tasks and waits for the answer.
+    pub fn job(&self, id: u64, count: u32, work_ms: u64) -> Option<Answer> {
+        let body = serde_json::json!({"spec": work_ms.to_string(), "best_effort": true,
+            "steps": [{"count": count, "cpu": 1000, "mem_mb": 64, "estimated_ms": work_ms}]});
+        let path = format!("/q/{id:016x}");
+        call(self.entry(), "POST", &path, &body.to_string(), PATIENCE)
+    }
+}
+
+/// Waits until something is so.
+pub fn eventually(what: &str, mut is_so: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !is_so() {
+        assert!(began.elapsed() < PATIENCE, "not so in time: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Sends one request over a connection of its own; `None` without a whole answer.
+pub fn call(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    time: Duration,
+) -> Option<Answer> {
+    let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
+    stream.set_read_timeout(Some(time)).ok()?;
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nHost: queue.example\r\nConnection: close\r\n\
+         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let status = head.split_whitespace().nth(1)?.parse().ok()?;
+    Some(Answer { status, head: head.to_lowercase(), body: body.to_owned() })
+}
