--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -260,7 +260,14 @@
                 self.tickets.insert(ticket, id);
             } else {
                 // Tasks of the first try are being stopped: the second begins after that.
-                job.again = Some((ticket, request));
+                let earlier = job.again.replace((ticket, request));
+                self.tickets.insert(ticket, id);
+                if let Some((earlier, _)) = earlier {
+                    // Its client has sent the job once more since.
+                    self.tickets.remove(&earlier);
+                    let outcome = Outcome::MayHaveRun(Reason::ClientGone);
+                    out.push(Action::Answer(earlier, outcome));
+                }
             }
             return;
         }
--- a/components/dispatch/tests/dispatcher.rs
+++ b/components/dispatch/tests/dispatcher.rs
@@ -443,3 +443,34 @@
     entry.report(&first[0], TaskEnd::Failed);
     assert_eq!(entry.starts()[0].0, 3, "though the second has more room");
 }
+
+#[test]
+fn a_second_try_whose_client_leaves_does_not_begin() {
+    let mut entry = Entry::new();
+    entry.agent(1, 16_000, &[]);
+    let first = entry.submit(job(1, 200));
+    let starts = entry.starts();
+    entry.handle(Event::Abandon(first));
+    let second = entry.submit(job(1, 200));
+    entry.handle(Event::Abandon(second));
+    entry.report(&starts[0], TaskEnd::Stopped);
+    entry.run_for(50, &[(1, 16_000)]);
+    assert!(entry.starts().is_empty(), "nobody waits for it");
+}
+
+#[test]
+fn each_of_several_tries_that_wait_is_answered() {
+    let mut entry = Entry::new();
+    entry.agent(1, 16_000, &[]);
+    let first = entry.submit(job(1, 200));
+    let starts = entry.starts();
+    entry.handle(Event::Abandon(first));
+    let second = entry.submit(job(1, 200));
+    let third = entry.submit(job(1, 200));
+    assert!(matches!(entry.answer(second), Some(Outcome::MayHaveRun(_))));
+    entry.report(&starts[0], TaskEnd::Stopped);
+    entry.run_for(20, &[(1, 16_000)]);
+    let starts = entry.starts();
+    entry.report(&starts[0], TaskEnd::Done);
+    assert_eq!(entry.answer(third), Some(Outcome::Completed));
+}
--- a/daemon/tests/room.rs
+++ b/daemon/tests/room.rs
@@ -55,6 +55,24 @@
     assert!(page.contains("dockpass_job_seconds_count{queue=\"q\"} 1\n"), "{page}");
 }
 
+#[test]
+fn a_log_that_nobody_reads_holds_up_nothing() {
+    let fleet = Fleet::new(1);
+    let _target = target(&fleet, 0);
+    let _others = ["keeper", "agent0"].map(|name| fleet.start(name));
+    let _entry = fleet.start_unread("entry");
+    fleet.configure(7);
+    fleet.until_ready();
+    // Each of these writes a line of 200 bytes and more: the pipe takes 64 KiB, the ring 4,096 lines.
+    let path = format!("/q/{}", "long".repeat(1_000));
+    for _ in 0..400 {
+        let answer = call(fleet.entry(), "POST", &path, "{}", SHORT).expect("it is answered");
+        assert_eq!(answer.status, 400);
+    }
+    let answer = fleet.job(1, 4, 50).expect("it is answered");
+    assert_eq!(answer.body, COMPLETED);
+}
+
 #[test]
 fn a_planned_stop_of_an_entry_and_an_agent_cuts_nothing() {
     let fleet = Fleet::new(2);
--- a/daemon/tests/room_support/mod.rs
+++ b/daemon/tests/room_support/mod.rs
@@ -1,8 +1,12 @@
 //! Real processes of a fleet whose targets have room, on loopback addresses of their own, with a
 //! stand-in for a target that takes orders.
 
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
 mod target;
 
+use std::cell::Cell;
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -33,26 +37,38 @@
 /// One process; killed when dropped.
 pub struct Process {
     child: Child,
+    told_to_stop: Cell<bool>,
 }
 
 impl Process {
-    fn start(config: &PathBuf) -> Self {
+    fn start(config: &PathBuf, log: Stdio) -> Self {
         let child = Command::new(env!("CARGO_BIN_EXE_dockpassd"))
             .arg("--config")
             .arg(config)
-            .stdout(Stdio::null())
+            .stdout(log)
             .spawn()
             .expect("the daemon starts");
-        Self { child }
+        Self { child, told_to_stop: Cell::new(false) }
     }
 
     /// Sends a signal by name.
     pub fn signal(&self, name: &str) {
+        self.told_to_stop.set(self.told_to_stop.get() || name == "TERM");
         let pid = self.child.id().to_string();
         let sent = Command::new("kill").args([&format!("-{name}"), &pid]).status();
         assert!(sent.is_ok_and(|status| status.success()));
     }
 
+    /// Whether it has not ended.
+    pub fn is_up(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Whether it was told to stop by plan.
+    pub fn was_told_to_stop(&self) -> bool {
+        self.told_to_stop.get()
+    }
+
     /// Waits for its end; returns whether it ended well.
     pub fn wait(&mut self) -> bool {
         self.child.wait().expect("it ends").success()
@@ -160,7 +176,12 @@
 
     /// Starts the process of a name: `keeper`, `entry`, `agent0` and so on.
     pub fn start(&self, name: &str) -> Process {
-        Process::start(&self.file(name))
+        Process::start(&self.file(name), Stdio::null())
+    }
+
+    /// Starts a process whose log goes into a pipe that nobody reads.
+    pub fn start_unread(&self, name: &str) -> Process {
+        Process::start(&self.file(name), Stdio::piped())
     }
 
     /// Where the entry tells its figures.
@@ -193,10 +214,15 @@
 
     /// Hands in a job of equal tasks and waits for the answer.
     pub fn job(&self, id: u64, count: u32, work_ms: u64) -> Option<Answer> {
+        self.job_within(id, count, work_ms, PATIENCE)
+    }
+
+    /// Hands in a job of equal tasks and waits so long for the answer.
+    pub fn job_within(&self, id: u64, count: u32, work_ms: u64, time: Duration) -> Option<Answer> {
         let body = serde_json::json!({"spec": work_ms.to_string(), "best_effort": true,
             "steps": [{"count": count, "cpu": 1000, "mem_mb": 64, "estimated_ms": work_ms}]});
         let path = format!("/q/{id:016x}");
-        call(self.entry(), "POST", &path, &body.to_string(), PATIENCE)
+        call(self.entry(), "POST", &path, &body.to_string(), time)
     }
 }
 
--- a/daemon/tests/room_support/target.rs
+++ b/daemon/tests/room_support/target.rs
@@ -30,6 +30,8 @@
     pub starts: BTreeMap<String, u32>,
     /// Most tasks at once.
     pub most: usize,
+    /// When each run began and ended.
+    pub spans: Vec<(String, Instant, Option<Instant>)>,
 }
 
 /// A running stand-in; it ends when dropped.
@@ -80,6 +82,25 @@
     }
 }
 
+impl StandInTarget {
+    /// Tasks of which two runs went on at once, at any targets.
+    pub fn ran_twice_at_once(targets: &[Self]) -> Vec<String> {
+        let mut spans: BTreeMap<String, Vec<(Instant, Instant)>> = BTreeMap::new();
+        let now = Instant::now();
+        for target in targets {
+            let seen = target.seen.lock().expect("nobody panicked with it");
+            for (task, began, ended) in &seen.spans {
+                spans.entry(task.clone()).or_default().push((*began, ended.unwrap_or(now)));
+            }
+        }
+        spans.retain(|_, runs| {
+            runs.sort();
+            runs.windows(2).any(|pair| pair[0].1 > pair[1].0)
+        });
+        spans.into_keys().collect()
+    }
+}
+
 impl Drop for StandInTarget {
     fn drop(&mut self) {
         self.stop.take();
@@ -183,6 +204,13 @@
 
     fn end(&mut self, task: &str, how: &'static str) {
         let Some(run) = self.runs.remove(task) else { return };
+        let over = Instant::now().min(run.ends).min(run.lease);
+        let mut seen = self.seen.lock().expect("nobody panicked with it");
+        let span = seen.spans.iter_mut().rev().find(|(name, _, end)| name == task && end.is_none());
+        if let Some((_, _, end)) = span {
+            *end = Some(over);
+        }
+        drop(seen);
         self.barred.insert(task.to_owned(), run.number);
         self.ended.push((self.next, task.to_owned(), run.number, how));
         self.next += 1;
@@ -210,6 +238,7 @@
         self.runs
             .insert(task.clone(), Run { number, ends: now + Duration::from_millis(work), lease });
         let mut seen = self.seen.lock().expect("nobody panicked with it");
+        seen.spans.push((task.clone(), now, None));
         *seen.starts.entry(task).or_default() += 1;
         seen.most = seen.most.max(self.runs.len());
         respond(200, &json!({"clock_ms": clock_ms}))
