--- a/components/consensus/src/record.rs
+++ b/components/consensus/src/record.rs
@@ -37,6 +37,9 @@
     Append(Vec<Entry>),
     /// The entries from an index on are void.
     Truncate(Index),
+    /// Every entry up to an index was committed when this was written. Only written together with
+    /// other records, so that it costs no sync of its own: it may be behind.
+    Commit(Index),
 }
 
 /// Why records lead to no state.
@@ -62,6 +65,7 @@
     pub term: Term,
     pub voted_for: Option<NodeName>,
     pub blank: bool,
+    pub commit: Index,
 }
 
 /// The last entry that the state of a new cluster covers; higher than that of an empty disk, so
@@ -81,7 +85,7 @@
         return Err(RecoverError::NoSnapshot);
     };
     let log = Log::new(snapshot);
-    let mut recovered = Recovered { log, term: 0, voted_for: None, blank: false };
+    let mut recovered = Recovered { log, term: 0, voted_for: None, blank: false, commit: 0 };
     for record in records {
         match record {
             Record::Snapshot(snapshot) => recovered.log.compact(snapshot),
@@ -92,8 +96,11 @@
             }
             Record::Append(entries) => append(&mut recovered.log, entries)?,
             Record::Truncate(from) => recovered.log.truncate(from),
+            Record::Commit(index) => recovered.commit = recovered.commit.max(index),
         }
     }
+    let covered = recovered.log.snapshot.index;
+    recovered.commit = recovered.commit.clamp(covered, recovered.log.last_index());
     recovered.term = recovered.term.max(recovered.log.last_term());
     Ok(recovered)
 }
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -83,7 +83,6 @@
         now: Time,
     ) -> Result<Self, RecoverError> {
         let recovered = recover(records)?;
-        let commit = recovered.log.snapshot.index;
         let mut replica = Self {
             name,
             timing,
@@ -92,7 +91,7 @@
             voted_for: recovered.voted_for,
             blank: recovered.blank,
             log: recovered.log,
-            commit,
+            commit: recovered.commit,
             role: Role::Follower,
             leader: None,
             votes_from: now + timing.election,
@@ -112,6 +111,15 @@
         vec![Record::Snapshot(snapshot), Record::Blank(true)]
     }
 
+    /// The entries after the snapshot that the journal showed to be committed, oldest first. They
+    /// are not reported by [`Action::Commit`]: the state machine applies them after
+    /// [`Replica::recover`], before it hands in the first event.
+    pub fn recovered_entries(&self) -> Vec<Entry> {
+        let first = self.log.snapshot.index + 1;
+        let count = self.commit + 1 - first;
+        self.log.from(first, usize::try_from(count).unwrap_or(usize::MAX))
+    }
+
     /// Takes an event and adds the actions that follow.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
@@ -198,6 +206,7 @@
             Record::Blank(self.blank),
             Record::Vote { term: self.term, voted_for: self.voted_for.clone() },
             Record::Append(entries),
+            Record::Commit(self.commit),
         ]
     }
 
@@ -249,7 +258,8 @@
     pub(crate) fn append_own(&mut self, payload: Payload, out: &mut Vec<Action>) -> Index {
         let index = self.log.last_index() + 1;
         let entry = Entry { index, term: self.term, payload };
-        out.push(Action::Store(vec![Record::Append(vec![entry.clone()])]));
+        let records = vec![Record::Commit(self.commit), Record::Append(vec![entry.clone()])];
+        out.push(Action::Store(records));
         self.log.push(entry);
         index
     }
--- a/components/consensus/src/replication.rs
+++ b/components/consensus/src/replication.rs
@@ -26,7 +26,8 @@
         self.follow(now, from, out);
         match message {
             Message::Append { prev_index, prev_term, entries, commit, sent, sure, .. } => {
-                let Some(last) = self.take_entries(prev_index, prev_term, entries, out) else {
+                let before = (prev_index, prev_term);
+                let Some(last) = self.take_entries(before, entries, commit, out) else {
                     let hint = self.log.last_index().min(prev_index.saturating_sub(1));
                     return self.reply(from, false, hint, sent, out);
                 };
@@ -66,9 +67,9 @@
     /// or `None` where the one before them is missing or another.
     fn take_entries(
         &mut self,
-        prev_index: Index,
-        prev_term: Term,
+        (prev_index, prev_term): (Index, Term),
         entries: Vec<Entry>,
+        commit: Index,
         out: &mut Vec<Action>,
     ) -> Option<Index> {
         let covered = prev_index < self.log.snapshot.index;
@@ -93,6 +94,7 @@
             records.push(Record::Truncate(first));
         }
         records.push(Record::Append(fresh.clone()));
+        records.push(Record::Commit(commit.min(last)));
         fresh.into_iter().for_each(|entry| self.log.push(entry));
         out.push(Action::Store(records));
         Some(last)
--- a/components/consensus/tests/cluster/mod.rs
+++ b/components/consensus/tests/cluster/mod.rs
@@ -82,8 +82,8 @@
         let mut replica = replica.unwrap();
         replica.set_contacts(self.nodes.keys().cloned().collect());
         let node = self.nodes.get_mut(name).unwrap();
+        node.committed = replica.recovered_entries();
         node.replica = Some(replica);
-        node.committed.clear();
     }
 
     /// Starts a replica on an empty disk that knows nothing but whom to ask.
--- a/components/consensus/tests/replicas.rs
+++ b/components/consensus/tests/replicas.rs
@@ -142,3 +142,43 @@
     cluster.run_for(Duration::from_millis(300));
     assert!(cluster.has(&behind, b"after"));
 }
+
+#[test]
+fn a_replica_that_restarts_knows_what_was_committed_before_anyone_leads() {
+    let mut cluster = Cluster::new(3);
+    cluster.run_for(ELECTION);
+    assert!(cluster.propose(b"first"));
+    assert!(cluster.propose(b"second"));
+    for number in 1..=3 {
+        cluster.kill(&name(number));
+    }
+    for number in 1..=3 {
+        cluster.start(&name(number));
+        assert!(cluster.has(&name(number), b"first"), "k{number} has forgotten it");
+    }
+    assert_eq!(cluster.leader(), None);
+    cluster.run_for(ELECTION);
+    assert!(cluster.propose(b"third"));
+    cluster.run_for(Duration::from_millis(300));
+    for number in 1..=3 {
+        let committed = &cluster.nodes[&name(number)].committed;
+        let indexes: Vec<u64> = committed.iter().map(|entry| entry.index).collect();
+        let first = indexes[0];
+        let in_order: Vec<u64> = (first..first + indexes.len() as u64).collect();
+        assert_eq!(indexes, in_order, "k{number} committed an entry twice, or left one out");
+    }
+}
+
+#[test]
+fn an_entry_that_only_a_minority_has_is_not_taken_for_committed_after_a_restart() {
+    let mut cluster = Cluster::new(3);
+    cluster.run_for(ELECTION);
+    assert!(cluster.propose(b"kept"));
+    let leader = cluster.leader().unwrap();
+    cluster.cut.insert(leader.clone());
+    assert!(!cluster.propose(b"lonely"));
+    cluster.kill(&leader);
+    cluster.start(&leader);
+    assert!(cluster.has(&leader, b"kept"));
+    assert!(!cluster.has(&leader, b"lonely"));
+}
--- a/components/keeper/src/keeper.rs
+++ b/components/keeper/src/keeper.rs
@@ -89,17 +89,36 @@
     ) -> Result<Self, KeeperError> {
         let replica = Replica::recover(name, records, timing, seed, now)?;
         let state = decode(replica.snapshot())?;
-        let mut registry = Registry::new(seed);
-        registry.document_is(state.document_version());
-        Ok(Self {
+        let mut keeper = Self {
             replica,
             state,
             waiters: HashMap::new(),
             pullers: Vec::new(),
             proposals: HashMap::new(),
             next_proposal: 0,
-            registry,
-        })
+            registry: Registry::new(seed),
+        };
+        keeper.apply_recovered();
+        Ok(keeper)
+    }
+
+    /// Applies what the journal showed to be committed, so that nodes are told of it at once, and
+    /// not only after an election.
+    fn apply_recovered(&mut self) {
+        for entry in self.replica.recovered_entries() {
+            let Payload::Command(bytes) = &entry.payload else { continue };
+            match serde_json::from_slice::<LogCommand>(bytes) {
+                Ok(LogCommand::Change(command)) => {
+                    self.state.apply(&command);
+                }
+                Ok(LogCommand::Replace(document)) => {
+                    self.state.replace(document);
+                }
+                // It was reported when it was committed first.
+                Err(_) => {}
+            }
+        }
+        self.registry.document_is(self.state.document_version());
     }
 
     /// Takes an event and adds the actions that follow.
--- a/components/keeper/tests/document.rs
+++ b/components/keeper/tests/document.rs
@@ -203,3 +203,21 @@
     let told = watch_reply(replies, ticket).expect("told at once");
     assert!(told.document.is_some_and(|document| document.version >= 1_000));
 }
+
+#[test]
+fn a_keeper_that_restarts_tells_nodes_of_its_document_before_anyone_leads() {
+    let mut one = One::new();
+    assert_eq!(one.replace(7, "seven"), Some(Reply::Replaced));
+    assert_eq!(one.replace(9, "nine"), Some(Reply::Replaced));
+    let mut again = One::from_records(one.records.clone());
+    let ticket = again.ticket();
+    let request = WatchRequest { node: node(1), document: 0, revision: 0 };
+    let replies = again.handle(Event::Watch(ticket, request));
+    let reply = watch_reply(replies, ticket).expect("it is answered at once");
+    // The last commit may not be on the disk yet, the one before it is.
+    let document = reply.document.expect("it has one");
+    assert!(document.version >= 7, "{}", document.version);
+    let ticket = again.ticket();
+    let unsure = again.handle(Event::Fetch(ticket));
+    assert_eq!(unsure, [(ticket, Reply::Unsure(None))], "operators are not told before it leads");
+}
--- a/daemon/src/keeper_role/decide.rs
+++ b/daemon/src/keeper_role/decide.rs
@@ -11,13 +11,14 @@
 use journal::{Journal, JournalError};
 use keeper::{Action, Event, Keeper, News, Reply, Ticket};
 use model::{NodeName, Time};
+use serde_json::json;
 use spdlog::{error, info, warn};
 
 use super::KeeperError;
 use super::news_lines;
 use super::peers::ToPeers;
 use crate::driver::Decider;
-use crate::event_log::EventLog;
+use crate::event_log::{Budget, EventLog};
 
 /// What reaches the deciding thread.
 #[derive(Debug)]
@@ -117,8 +118,15 @@
         peers: Sender<ToPeers>,
         log: Option<EventLog>,
     ) -> Self {
-        if log.is_none() {
-            info!("keeper {}: settings {} recovered", name, keeper.version());
+        match &log {
+            Some(log) => log.line("recovered", Budget::Full, || {
+                let replica = keeper.replica();
+                let document = keeper.state().document_version();
+                let (term, committed) = (replica.term(), replica.committed());
+                json!({"document": document, "term": term, "committed": committed,
+                    "blank": replica.is_blank(), "journal_bytes": journal.bytes()})
+            }),
+            None => info!("keeper {}: settings {} recovered", name, keeper.version()),
         }
         Self {
             name,
