Agents notice orders that are left unanswered sooner, and judge runs by what the target listed

A lost hold cost 450 ms in which no end was seen; runs that had ended long ago were taken for stuck, stopped, counted as losses, and the target was left out: 109 runs and 17 targets within 9 s, on targets that were well. Change: a hold waits 120 ms instead of 250 and is given up 50 ms later instead of 200; starts and stops are given up after 40 ms instead of 70, stops are repeated after 60 instead of 100; a run is overdue only by a list that came after. The two times of the daemon and of the soak are one now, in the runner's timing.

--- a/components/runner/src/orders.rs
+++ b/components/runner/src/orders.rs
@@ -12,9 +12,9 @@
 use crate::runner::{Runner, report_health};
 
 /// A stop that was not answered is sent again after this.
-const STOP_AGAIN: Duration = Duration::from_millis(100);
+const STOP_AGAIN: Duration = Duration::from_millis(60);
 /// Added to the time that a stop may take, for the list that shows its end to arrive.
-const LIST_SLACK: Duration = Duration::from_millis(80);
+const LIST_SLACK: Duration = Duration::from_millis(30);
 /// How often a start gets a higher number before it is given up.
 const RENUMBERINGS: u32 = 6;
 /// A run is overdue after this many times its estimate,
@@ -225,13 +225,17 @@
     /// Stops runs that take far longer than they were thought to: the target may be stuck. One
     /// run alone may only have been thought too short, so it takes a second one that is overdue,
     /// or nothing ending there for a while; and a task that was stopped once is let run.
+    ///
+    /// What counts is what the target said last: while it leaves a hold unanswered, runs may have
+    /// ended that it could not tell of.
     pub(crate) fn stop_stuck(&mut self, now: Time, out: &mut Vec<Action>) {
         let Some(target) = &self.target else { return };
+        let heard = target.heard;
         let slow = (target.slowdown_percent / 100.0).clamp(1.0, SLOWEST);
-        let still = now.since(target.ended) > NOTHING_ENDS;
+        let still = heard.since(target.ended) > NOTHING_ENDS;
         let overdue = |run: &Run, times: u32| {
             let estimate = Duration::from_millis(u64::from(run.estimated_ms)).mul_f64(slow);
-            let ran = now.since(run.since);
+            let ran = heard.since(run.since);
             run.state == RunState::Running
                 && run.run == FIRST_RUN
                 && run.estimated_ms > 0
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -20,8 +20,12 @@
     /// after which clients send again: then nothing of a first try runs beside the second, even
     /// where an entry and an agent die one after the other.
     pub lease: Duration,
-    /// How long a hold waits for an end.
+    /// How long the target may take to answer a start or a stop: it stands beside the agent.
+    pub order_time: Duration,
+    /// How long a hold waits for an end. While a hold is lost nothing is known of the target.
     pub hold_wait: Duration,
+    /// How much longer than it was asked to wait the target may take to answer a hold.
+    pub hold_slack: Duration,
     /// A target that has not answered a hold for so long gets no new work.
     pub hold_silence: Duration,
     /// How long a start may be on its way to the target.
@@ -44,7 +48,9 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_millis(750),
-            hold_wait: Duration::from_millis(250),
+            order_time: Duration::from_millis(40),
+            hold_wait: Duration::from_millis(120),
+            hold_slack: Duration::from_millis(50),
             hold_silence: Duration::from_millis(500),
             start_life: Duration::from_millis(300),
             stop_time: Duration::from_millis(50),
@@ -157,6 +163,11 @@
         self.tick(now, out);
     }
 
+    /// Its times.
+    pub fn timing(&self) -> &Timing {
+        &self.timing
+    }
+
     /// When the next tick is due.
     pub fn next_timer(&self, now: Time) -> Time {
         let waits = |run: &Run| run.state != RunState::Running;
--- a/daemon/src/room/agent.rs
+++ b/daemon/src/room/agent.rs
@@ -26,10 +26,6 @@
 use crate::config::AgentConfig;
 use crate::event_log::{Budget, EventLog};
 
-/// How long the target may take to answer a start or a stop.
-const ORDER_TIME: Duration = Duration::from_millis(70);
-/// How much longer than it was asked to wait the target may take to answer a hold.
-const HOLD_SLACK: Duration = Duration::from_millis(200);
 /// Pause before an entry is connected to again.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 /// An entry that is no longer listed is still tried for so long.
@@ -203,21 +199,27 @@
         }
     }
 
+    fn timing(&self) -> Timing {
+        *self.runner.borrow().timing()
+    }
+
     async fn start(self: Rc<Self>, order: StartOrder) {
-        let reply = send(&self.orders, platform::start_order(&order), ORDER_TIME).await;
+        let reply =
+            send(&self.orders, platform::start_order(&order), self.timing().order_time).await;
         let reply = reply
             .map_or(StartReply::Silent, |reply| platform::read_start(reply.status, &reply.body));
         self.feed(Event::Started(order.key, reply));
     }
 
     async fn stop(self: Rc<Self>, order: StopOrder) {
-        let reply = send(&self.orders, platform::stop_order(&order), ORDER_TIME).await;
+        let reply =
+            send(&self.orders, platform::stop_order(&order), self.timing().order_time).await;
         let reply = reply.map_or(StopReply::Silent, |reply| platform::read_stop(reply.status));
         self.feed(Event::Stopped(order.key, reply));
     }
 
     async fn hold(self: Rc<Self>, order: HoldOrder) {
-        let time = order.wait + HOLD_SLACK;
+        let time = order.wait + self.timing().hold_slack;
         let reply = send(&self.holds, platform::hold_order(&order), time).await;
         let reply =
             reply.map_or(HoldReply::Silent, |reply| platform::read_hold(reply.status, &reply.body));
--- a/soak/src/room/processes.rs
+++ b/soak/src/room/processes.rs
@@ -6,7 +6,7 @@
 use runner::{HoldOrder, HoldReply, StartReply, StopReply};
 
 use super::link::Parcel;
-use super::world::{Call, HOLD_SLACK, Happening, ORDER_TIME, World};
+use super::world::{Call, Happening, World};
 
 impl World {
     pub(super) fn feed_entry(&mut self, entry: usize, event: dispatch::Event) {
@@ -39,6 +39,7 @@
         let mut actions = Vec::new();
         runner.handle(self.now, event, &mut actions);
         let life = process.life;
+        let timing = *runner.timing();
         for action in actions {
             self.note(|| format!("agent {agent}: {action:?}"));
             match action {
@@ -57,14 +58,14 @@
                     let call = self.call(agent, life);
                     self.at(hop, Happening::Start(call, order.clone(), late));
                     let silent = Happening::Started(call, order.key, StartReply::Silent);
-                    self.at(ORDER_TIME, silent);
+                    self.at(timing.order_time, silent);
                 }
                 runner::Action::Stop(order) => {
                     let (hop, late) = self.order_time(agent);
                     let call = self.call(agent, life);
                     self.at(hop, Happening::Stop(call, order.clone(), late));
                     let silent = Happening::Stopped(call, order.key, StopReply::Silent);
-                    self.at(ORDER_TIME, silent);
+                    self.at(timing.order_time, silent);
                 }
                 runner::Action::Hold(order) => {
                     let (hop, late) = self.order_time(agent);
@@ -72,7 +73,7 @@
                     if !late {
                         self.at(hop, Happening::Hold(call, order.clone()));
                     }
-                    let time = order.wait + HOLD_SLACK;
+                    let time = order.wait + timing.hold_slack;
                     self.at(time, Happening::Held(call, order, HoldReply::Silent));
                 }
                 runner::Action::News(_) => {}
