A start that is not answered is sent again under its number before it is stopped

A target takes each number once, so the same start again is harmless and tells at once whether it runs. Change: up to three starts of one number; a refusal after an unanswered one proves nothing and leads to the stop.

--- a/components/runner/src/orders.rs
+++ b/components/runner/src/orders.rs
@@ -15,6 +15,8 @@
 const STOP_AGAIN: Duration = Duration::from_millis(60);
 /// Added to the time that a stop may take, for the list that shows its end to arrive.
 const LIST_SLACK: Duration = Duration::from_millis(30);
+/// Starts of one number that may go unanswered before the run is stopped instead.
+const UNANSWERED: u32 = 3;
 /// How often a start gets a higher number before it is given up.
 const RENUMBERINGS: u32 = 6;
 /// A run is overdue after this many times its estimate,
@@ -98,6 +100,7 @@
     ) {
         let Some(run) = self.find(key) else { return };
         let stopping = matches!(run.state, RunState::Stopping(_));
+        let doubtful = run.unanswered > 0;
         match reply {
             StartReply::Taken { clock_ms } => {
                 if let RunState::Stopping(stopping) = &mut run.state {
@@ -114,6 +117,11 @@
                 self.target_heard(now, clock_ms);
                 self.refused(now, &key.task, reason, stopping, out);
             }
+            StartReply::Invalid | StartReply::Unhealthy if doubtful => {
+                if !stopping {
+                    self.stop_doubtful(now, &key.task, out);
+                }
+            }
             StartReply::Invalid => self.end(now, &key.task, TaskEnd::Failed, out),
             StartReply::Unhealthy => {
                 if let Some(target) = &mut self.target {
@@ -135,12 +143,20 @@
         out: &mut Vec<Action>,
     ) {
         let Some(run) = self.runs.get_mut(task) else { return };
+        let doubtful = run.unanswered > 0;
+        if stopping && doubtful {
+            return;
+        }
         if stopping {
             return self.end(now, task, TaskEnd::NotRun(Refusal::Target), out);
         }
         if reason == StartRefusal::Room {
             self.counters.no_room += 1;
         }
+        if doubtful && !matches!(reason, StartRefusal::Fence | StartRefusal::Late) {
+            // An earlier start of this number may have run to its end, or may be carried out yet.
+            return self.stop_doubtful(now, task, out);
+        }
         let again = run.renumbered < RENUMBERINGS;
         run.renumbered += 1;
         match reason {
@@ -155,6 +171,7 @@
                 self.send_start(now, task, out);
             }
             StartRefusal::Room => self.end(now, task, TaskEnd::NotRun(Refusal::Room), out),
+            _ if doubtful => self.stop_doubtful(now, task, out),
             _ => self.end(now, task, TaskEnd::NotRun(Refusal::Target), out),
         }
     }
@@ -168,14 +185,26 @@
         }
     }
 
-    /// A start was not answered: it may run, or may be carried out later. A stop of the same run
-    /// is the proof that it does not.
+    /// A start was not answered: it may run, or may be carried out later. The same start again does
+    /// no harm, since the target takes each number once. Where that is not answered either, a stop
+    /// of the same run is the proof that it does not run.
     fn start_silent(&mut self, now: Time, task: &TaskId, stopping: bool, out: &mut Vec<Action>) {
         self.counters.silent_starts += 1;
         if stopping {
             return;
         }
         out.push(Action::News(News::StartSilent(task.clone())));
+        let Some(run) = self.runs.get_mut(task) else { return };
+        run.unanswered += 1;
+        if run.unanswered < UNANSWERED {
+            self.send_start(now, task, out);
+        } else {
+            self.stop_doubtful(now, task, out);
+        }
+    }
+
+    /// Stops a run of which nobody knows whether it ever ran.
+    fn stop_doubtful(&mut self, now: Time, task: &TaskId, out: &mut Vec<Action>) {
         let Some(run) = self.runs.get_mut(task) else { return };
         run.state = RunState::Stopping(Stopping::new(now, true));
         self.send_stop(task, out);
--- a/components/runner/src/run.rs
+++ b/components/runner/src/run.rs
@@ -58,6 +58,8 @@
     pub state: RunState,
     /// How often the target said that it had seen a run as high.
     pub renumbered: u32,
+    /// Starts of this number that were not answered: one of them may be carried out yet.
+    pub unanswered: u32,
     /// Holds that did not list it.
     pub unlisted: u32,
 }
--- a/components/runner/src/sessions.rs
+++ b/components/runner/src/sessions.rs
@@ -137,6 +137,7 @@
             since: now,
             state: RunState::Waiting,
             renumbered: 0,
+            unanswered: 0,
             unlisted: 0,
         };
         self.runs.insert(task, run);
