Connections to hosts that come back are tried again after 200 ms

Ruled out: a shorter limit of one attempt (where packets wait for half a second it would never connect). Change: further attempts begin every 200 ms beside those under way; the first that is answered counts. Test: a_host_that_answers_a_little_later_is_reached_before_the_kernel_asks_again (fails before).

--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -4,11 +4,13 @@
 //! gives it.
 
 mod client;
+mod connect;
 mod rpc;
 mod server;
 mod tasks;
 
 pub use client::{Client, ClientError, Reply};
-pub use rpc::{Frames, call_context, connect, frames, pause, tune};
+pub use connect::{connect, tune};
+pub use rpc::{Frames, call_context, frames, pause};
 pub use server::{Body, BodyError, HEADER_BYTES, Limits, serve};
 pub use tasks::{Tasks, block_on};
