Agents tell their load every 40 ms while room is plenty

Change: while more than 0.3 of the target's processor is free a changed load is told every 40 ms, else every 8 ms as before. Ends are told at once as before. Test: the_load_is_told_often_only_while_room_is_scarce.

--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -38,8 +38,12 @@
     pub start_age: Duration,
     /// A gap between two events after which the process is taken to have stood still.
     pub standstill: Duration,
-    /// From one report of the load to the next, at least.
+    /// From one report of the load to the next, at least, while room is scarce,
     pub load_gap: Duration,
+    /// and while there is plenty: every entry reads each report, and then it changes little.
+    pub load_gap_plenty: Duration,
+    /// The part of the target's processor that is plenty when it is free.
+    pub plenty: f64,
     /// From one report of the load to the next, at most.
     pub load_interval: Duration,
 }
@@ -58,6 +62,8 @@
             start_age: Duration::from_millis(400),
             standstill: Duration::from_millis(400),
             load_gap: Duration::from_millis(8),
+            load_gap_plenty: Duration::from_millis(40),
+            plenty: 0.3,
             load_interval: Duration::from_millis(100),
         }
     }
--- a/components/runner/src/sessions.rs
+++ b/components/runner/src/sessions.rs
@@ -197,15 +197,14 @@
     /// Tells each entry of ends at once, and of the load now and then.
     pub(crate) fn report_loads(&mut self, now: Time, out: &mut Vec<Action>) {
         let load = self.load(now);
+        let gap = self.load_gap(&load);
         for (id, session) in &mut self.sessions {
             let load = Load { seen: session.seen, ..load };
             let age = now.since(session.told);
             if !session.reports.is_empty() {
                 let reports = std::mem::take(&mut session.reports);
                 out.push(Action::Send(*id, ToEntry::Ended { reports, load }));
-            } else if age >= self.timing.load_interval
-                || (session.dirty && age >= self.timing.load_gap)
-            {
+            } else if age >= self.timing.load_interval || (session.dirty && age >= gap) {
                 out.push(Action::Send(*id, ToEntry::Load(load)));
             } else {
                 continue;
@@ -215,6 +214,16 @@
         }
     }
 
+    /// From one report of a load like this to the next, at least.
+    fn load_gap(&self, load: &Load) -> Duration {
+        let capacity = self.target.as_ref().map_or(0, |target| target.capacity().cpu_milli);
+        let plenty = (capacity as f64 * self.timing.plenty) as u64;
+        match load.open && !load.on_trial && load.free.cpu_milli > plenty {
+            true => self.timing.load_gap_plenty,
+            false => self.timing.load_gap,
+        }
+    }
+
     fn load(&self, now: Time) -> Load {
         let mut free = self.free();
         let waiting = self.runs.values().filter(|run| !run.takes_room());
--- a/components/runner/tests/runner.rs
+++ b/components/runner/tests/runner.rs
@@ -24,6 +24,8 @@
     reports: Vec<TaskReport>,
     closed: Vec<SessionId>,
     open: bool,
+    /// How often the load was told without an end.
+    loads: u32,
     sequence: u64,
 }
 
@@ -46,6 +48,7 @@
             reports: Vec::new(),
             closed: Vec::new(),
             open: false,
+            loads: 0,
             sequence: 0,
         };
         agent.handle(Event::Target(report(id, clock_ms)));
@@ -65,7 +68,10 @@
                     self.reports.extend(reports);
                     self.open = load.open;
                 }
-                Action::Send(_, ToEntry::Load(load)) => self.open = load.open,
+                Action::Send(_, ToEntry::Load(load)) => {
+                    self.open = load.open;
+                    self.loads += 1;
+                }
                 Action::Send(..) | Action::News(_) => {}
             }
         }
@@ -527,3 +533,23 @@
     agent.hold(&[], &[(1, &first[0].key, EndReason::Done)]);
     assert_eq!(agent.ends(), [TaskEnd::Lost], "the second run has not ended");
 }
+
+#[test]
+fn the_load_is_told_often_only_while_room_is_scarce() {
+    // The target has room for five such tasks.
+    let loads_while_starting = |first: u32| {
+        let mut agent = Agent::new();
+        agent.ask("first", first, 0);
+        agent.take_starts();
+        agent.run_for(200);
+        agent.loads = 0;
+        for number in 0..2 {
+            agent.ask(&format!("b{number}"), 1, 0);
+            agent.take_starts();
+            agent.run_for(10);
+        }
+        agent.loads
+    };
+    assert!(loads_while_starting(0) <= 1, "plenty of room");
+    assert_eq!(loads_while_starting(4), 2, "little room");
+}
