Waiting tasks that fit nowhere are passed over without a look at each agent

Change: a task larger than the most that any agent has free is passed over by its place in the queue alone.

--- a/components/dispatch/src/agents.rs
+++ b/components/dispatch/src/agents.rs
@@ -66,10 +66,14 @@
         }
     }
 
+    /// Whether it takes new work.
+    pub fn takes_work(&self, now: Time, silence: Duration) -> bool {
+        self.load.open && now.since(self.heard) < silence
+    }
+
     /// Whether it is of a service and takes new work.
     pub fn serves(&self, service: &str, now: Time, silence: Duration) -> bool {
-        self.load.open
-            && now.since(self.heard) < silence
+        self.takes_work(now, silence)
             && self.profile.as_ref().is_some_and(|profile| *profile.service == *service)
     }
 
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -90,6 +90,8 @@
     pub due: Time,
     pub job: JobId,
     pub index: u32,
+    /// What the task takes, in thousandths of a core.
+    pub cpu_milli: u64,
 }
 
 /// One life of an entry.
@@ -404,5 +406,6 @@
         due: job.submitted + job.request.objective,
         job: job.request.id.clone(),
         index,
+        cpu_milli: job.request.shape.resources.cpu_milli,
     }
 }
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -7,12 +7,14 @@
 use wire::{StartTask, ToAgent};
 
 use crate::agents::Agent;
-use crate::dispatcher::{Dispatcher, Place, place_of};
+use crate::dispatcher::{Dispatcher, Place, Timing, place_of};
 use crate::event::{Action, JobRequest, News, SessionId};
 use crate::job::{Job, Task, TaskState};
 
-/// Tasks at the head of the queue that are looked at though they do not fit.
+/// Tasks at the head of the queue for which every agent is looked at though none suits.
 const LOOK_AHEAD: usize = 16;
+/// Tasks at the head of the queue that are passed over because no agent has so much free.
+const PASS_OVER: usize = 512;
 /// What a target's slowdown beyond that of others takes from its score.
 const SLOWDOWN_PRICE: f64 = 0.35;
 /// What the label that a task had better have adds to a target's score.
@@ -28,11 +30,19 @@
         if self.queue.is_empty() {
             return;
         }
+        let mut largest = largest_free(&self.agents, now, &self.timing);
+        let too_large = |place: &Place| place.cpu_milli > largest;
+        if self.queue.iter().take(PASS_OVER).all(too_large) {
+            return;
+        }
         let usual = self.usual_slowdown();
         let mut misses = 0;
         let mut placed = Vec::new();
         let mut begun = Vec::new();
-        for place in &self.queue {
+        for place in self.queue.iter().take(PASS_OVER) {
+            if place.cpu_milli > largest {
+                continue;
+            }
             let Some(job) = self.jobs.get_mut(&place.job) else { continue };
             let chosen = choose(&self.agents, job, place.index, now, &self.timing, usual);
             let Some(id) = chosen else {
@@ -57,6 +67,9 @@
                     age_ms: now.since(agent.heard).as_millis() as u64,
                 }));
             }
+            if free.cpu_milli >= largest {
+                largest = largest_free(&self.agents, now, &self.timing);
+            }
             self.counters.starts += 1;
             self.outbox.entry((id, place.job.clone())).or_default().push(start);
             placed.push(place.clone());
@@ -110,13 +123,19 @@
     }
 }
 
+/// The most processor that any agent which takes work has free, in thousandths of a core.
+fn largest_free(agents: &BTreeMap<SessionId, Agent>, now: Time, timing: &Timing) -> u64 {
+    let takes_work = |agent: &&Agent| agent.takes_work(now, timing.agent_silence);
+    agents.values().filter(takes_work).map(|agent| agent.free().cpu_milli).max().unwrap_or(0)
+}
+
 /// The agent that is best for a task, if any has room.
 fn choose(
     agents: &BTreeMap<SessionId, Agent>,
     job: &Job,
     index: u32,
     now: Time,
-    timing: &crate::dispatcher::Timing,
+    timing: &Timing,
     usual: f64,
 ) -> Option<SessionId> {
     let request = &job.request;
@@ -172,7 +191,7 @@
     agent: &mut Agent,
     session: SessionId,
     now: Time,
-    timing: &crate::dispatcher::Timing,
+    timing: &Timing,
 ) -> StartTask {
     let sequence = agent.take(job.request.shape.resources);
     let task = &mut job.tasks[index as usize];
