An entry can be reached by agents at another address than it listens at

[entry] peer_address, with room: for entries behind an address translation or a proxy, such as that of the fault soak. The settings reference shows it.

--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -85,6 +85,8 @@
     pub ready_listen: Option<SocketAddr>,
     /// Where other entries, with room agents, reach it.
     pub peer_listen: SocketAddr,
+    /// With room: where agents are told to reach it, if not there.
+    pub peer_address: Option<SocketAddr>,
     /// How long it goes on taking requests after it said that it is not ready.
     pub drain_notice: Duration,
 }
@@ -224,6 +226,7 @@
         listen: address(sections, ENTRY, "listen")?,
         ready_listen: optional_address(sections, ENTRY, "ready_listen")?,
         peer_listen: address(sections, ENTRY, "peer_listen")?,
+        peer_address: optional_address(sections, ENTRY, "peer_address")?,
         drain_notice: Duration::from_millis(notice),
     })
 }
--- a/daemon/src/config/keys.rs
+++ b/daemon/src/config/keys.rs
@@ -94,6 +94,12 @@
         default: "",
         help: "Where other entries, with room agents, reach it. Has to be written.",
     },
+    Key {
+        name: "peer_address",
+        value_type: ValueType::Text,
+        default: "",
+        help: "With room: IP:PORT that agents are told to reach it at, where that is not peer_listen.",
+    },
     Key {
         name: "drain_notice_ms",
         value_type: ValueType::Integer { min: 0, max: 600_000, unit: "ms" },
--- a/daemon/src/room/entry.rs
+++ b/daemon/src/room/entry.rs
@@ -109,7 +109,8 @@
     }
     tasks.spawn(accept_agents(entry.clone(), agents, tasks.clone()));
     tasks.spawn(keep_time(entry.clone()));
-    entry.start_watch(&started, config.peer_listen, &tasks);
+    let peer_address = config.peer_address.unwrap_or(config.peer_listen);
+    entry.start_watch(&started, peer_address, &tasks);
     let (accepting, closed) = async_channel::bounded(1);
     *entry.accepting.borrow_mut() = Some(accepting);
     let (to_serve, serving) = (entry.clone(), tasks.clone());
