--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -62,7 +62,7 @@
             start_age: Duration::from_millis(400),
             standstill: Duration::from_millis(400),
             load_gap: Duration::from_millis(8),
-            load_gap_plenty: Duration::from_millis(40),
+            load_gap_plenty: Duration::from_millis(90),
             plenty: 0.3,
             load_interval: Duration::from_millis(100),
         }
