--- /dev/null
+++ b/components/runner/tests/support/mod.rs
@@ -0,0 +1,166 @@
+//! An agent whose target and entry say what a test tells them to.
+
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::{JobId, NodeName, Resources, TaskId, Time};
+use runner::{
+    Action, EndReason, Event, HoldOrder, HoldReply, RunKey, Runner, SessionId, StartOrder,
+    StartReply, StopOrder, TargetEnd, TargetId, TargetReport, TargetRun, Timing,
+};
+use wire::{StartTask, TaskEnd, TaskReport, ToAgent, ToEntry};
+
+pub const START: Time = Time::from_millis(1_000_000);
+pub const SESSION: SessionId = SessionId(1);
+
+/// An agent whose target and entry say what the test tells them to.
+pub struct Agent {
+    pub runner: Runner,
+    pub now: Time,
+    pub starts: Vec<StartOrder>,
+    pub stops: Vec<StopOrder>,
+    pub holds: Vec<HoldOrder>,
+    pub reports: Vec<TaskReport>,
+    pub closed: Vec<SessionId>,
+    pub open: bool,
+    /// How often the load was told without an end.
+    pub loads: u32,
+    pub sequence: u64,
+}
+
+impl Agent {
+    /// An agent that has just found its target and listed nothing there.
+    pub fn new() -> Self {
+        let mut agent = Self::at_target("t1", 5_000);
+        agent.hold(&[], &[]);
+        agent.handle(Event::SessionOpened(SESSION));
+        agent
+    }
+
+    pub fn at_target(id: &str, clock_ms: u64) -> Self {
+        let mut agent = Self {
+            runner: Runner::new(NodeName::new("a1"), Timing::default(), START),
+            now: START,
+            starts: Vec::new(),
+            stops: Vec::new(),
+            holds: Vec::new(),
+            reports: Vec::new(),
+            closed: Vec::new(),
+            open: false,
+            loads: 0,
+            sequence: 0,
+        };
+        agent.handle(Event::Target(report(id, clock_ms)));
+        agent
+    }
+
+    pub fn handle(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.runner.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Start(order) => self.starts.push(order),
+                Action::Stop(order) => self.stops.push(order),
+                Action::Hold(order) => self.holds.push(order),
+                Action::Close(id) => self.closed.push(id),
+                Action::Send(_, ToEntry::Ended { reports, load }) => {
+                    self.reports.extend(reports);
+                    self.open = load.open;
+                }
+                Action::Send(_, ToEntry::Load(load)) => {
+                    self.open = load.open;
+                    self.loads += 1;
+                }
+                Action::Send(..) | Action::News(_) => {}
+            }
+        }
+    }
+
+    /// Lets time pass; the entry shows that it lives.
+    pub fn run_for(&mut self, millis: u64) {
+        for _ in 0..millis / 10 {
+            self.now = self.now + Duration::from_millis(10);
+            self.beat();
+            self.handle(Event::Tick);
+        }
+    }
+
+    pub fn beat(&mut self) {
+        let heard = self.now;
+        self.handle(Event::FromEntry(SESSION, ToAgent::Beat { heard }));
+    }
+
+    pub fn ask(&mut self, job: &str, count: u32, priority: u8) {
+        let heard = self.now;
+        let tasks = (0..count).map(|index| self.task(index, priority)).collect();
+        let job = JobId::new(job);
+        let start = ToAgent::Start { heard, job, spec: Arc::from("spec"), tasks };
+        self.handle(Event::FromEntry(SESSION, start));
+    }
+
+    pub fn task(&mut self, index: u32, priority: u8) -> StartTask {
+        self.sequence += 1;
+        StartTask {
+            sequence: self.sequence,
+            index,
+            run: 1,
+            resources: Resources { cpu_milli: 1_600, memory_mb: 64, gpu: 0 },
+            estimated_ms: 100,
+            patience_ms: 30,
+            priority,
+        }
+    }
+
+    /// The target takes every start that was ordered.
+    pub fn take_starts(&mut self) -> Vec<StartOrder> {
+        let starts = std::mem::take(&mut self.starts);
+        for start in &starts {
+            self.handle(Event::Started(start.key.clone(), StartReply::Taken { clock_ms: 0 }));
+        }
+        starts
+    }
+
+    /// The target answers the hold that is under way.
+    pub fn hold(&mut self, running: &[&RunKey], ended: &[(u64, &RunKey, EndReason)]) {
+        let order = self.holds.pop().expect("a hold is under way");
+        let run = |key: &RunKey| TargetRun { task: key.task.clone(), run: key.run };
+        let reply = HoldReply::Lists {
+            clock_ms: 0,
+            running: running.iter().map(|key| run(key)).collect(),
+            ended: ended
+                .iter()
+                .map(|(number, key, reason)| TargetEnd {
+                    number: *number,
+                    run: Some(run(key)),
+                    reason: *reason,
+                })
+                .collect(),
+        };
+        self.handle(Event::Held(order.target, reply));
+    }
+
+    pub fn ends(&self) -> Vec<TaskEnd> {
+        self.reports.iter().map(|report| report.end).collect()
+    }
+}
+
+pub fn report(id: &str, clock_ms: u64) -> TargetReport {
+    TargetReport {
+        id: TargetId(Arc::from(id)),
+        service: Arc::from("work"),
+        hall: Arc::from("hall"),
+        labels: Vec::new(),
+        capacity: Resources { cpu_milli: 8_000, memory_mb: 32_768, gpu: 0 },
+        draining: false,
+        remaining: None,
+        clock_ms,
+    }
+}
+
+pub fn key(job: &str, run: u64) -> RunKey {
+    let task = TaskId { job: JobId::new(job), index: 0 };
+    RunKey { target: TargetId(Arc::from("t1")), task, run }
+}
