--- a/daemon/tests/room_faults.rs
+++ b/daemon/tests/room_faults.rs
@@ -4,7 +4,7 @@
 //! a proxy.
 //!
 //! `DOCKPASS_FAULT_SEEDS=FIRST..END` (signals alone) and `DOCKPASS_LINK_SEEDS=FIRST..END` (signals and
-//! links) run other seeds by hand.
+//! links) run other seeds by hand, `DOCKPASS_LINK_AGENTS=N` larger fleets with links.
 
 mod room_support;
 
@@ -20,6 +20,8 @@
 
 const COMPLETED: &str = "{\"state\":\"completed\"}";
 const AGENTS: usize = 3;
+/// Entries of a fleet with links.
+const ENTRIES: usize = 2;
 /// How long faults strike.
 const TROUBLED: Duration = Duration::from_secs(4);
 /// How long after a broken try a client sends again.
@@ -32,7 +34,7 @@
 
 /// A process that faults strike, or that is away for a moment.
 struct Struck {
-    name: &'static str,
+    name: String,
     process: Option<Process>,
     back_at: Option<Instant>,
     paused: bool,
@@ -65,21 +67,25 @@
 
 #[test]
 fn jobs_are_answered_truly_under_signals_and_bad_links() {
+    let agents = std::env::var("DOCKPASS_LINK_AGENTS").ok();
+    let agents = agents.map_or(AGENTS, |text| text.parse().expect("a number"));
     for seed in seeds("DOCKPASS_LINK_SEEDS", &LINK_REGRESSIONS) {
-        run(seed, &Fleet::with_links(AGENTS));
+        run(seed, &Fleet::with_links(ENTRIES, agents));
     }
 }
 
 fn run(seed: u64, fleet: &Fleet) {
-    let targets: Vec<StandInTarget> = (0..AGENTS)
+    let agents = fleet.names().iter().filter(|name| name.starts_with("agent")).count();
+    let targets: Vec<StandInTarget> = (0..agents)
         .map(|number| {
             StandInTarget::start(fleet.target(number), fleet.agent(number), &format!("i-{number}"))
         })
         .collect();
-    let mut struck: Vec<Struck> = ["entry", "agent0", "agent1", "agent2", "keeper"]
-        .into_iter()
-        .map(|name| Struck { name, process: Some(fleet.start(name)), back_at: None, paused: false })
-        .collect();
+    let begin = |name: String| {
+        let process = Some(fleet.start(&name));
+        Struck { name, process, back_at: None, paused: false }
+    };
+    let mut struck: Vec<Struck> = fleet.names().into_iter().map(begin).collect();
     fleet.configure(7);
     fleet.until_ready();
     let stop = AtomicBool::new(false);
@@ -125,7 +131,8 @@
         let id = (seed << 32) | (client << 16) | number;
         let (count, work_ms) = (rng.random_range(1..5), rng.random_range(20..300));
         for number in 0..TRIES {
-            let answer = fleet.job_within(id, count, work_ms, CLIENT_TIME);
+            let entry = (client as usize + number as usize) % fleet.entries();
+            let answer = fleet.job_within(entry, id, count, work_ms, CLIENT_TIME);
             match answer.map(|answer| (answer.status, answer.body)) {
                 Some((200, body)) => {
                     // The stand-ins fail nothing, so that nothing else is true.
@@ -241,6 +248,6 @@
                 return;
             }
         }
-        self.process = Some(fleet.start(self.name));
+        self.process = Some(fleet.start(&self.name));
     }
 }
--- a/daemon/tests/room_support/mod.rs
+++ b/daemon/tests/room_support/mod.rs
@@ -25,6 +25,16 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 const NODE_PORT: u16 = 7_101;
 
+/// The host of an entry; its proxies, if any, are the two after it.
+fn entry_host(number: usize) -> usize {
+    2 + 3 * number
+}
+
+/// The name of an entry's process.
+fn entry_name(number: usize) -> String {
+    if number == 0 { "entry".to_owned() } else { format!("entry{number}") }
+}
+
 /// Tells the fleets of one test run apart.
 static FLEETS: AtomicU32 = AtomicU32::new(0);
 
@@ -90,28 +100,29 @@
     folder: TempDir,
     network: String,
     agents: usize,
+    entries: usize,
     /// Links between clients, entry, agents and targets; none where they connect directly.
     links: Vec<Proxy>,
 }
 
 impl Fleet {
-    /// Writes the files of a fleet with so many agents.
+    /// Writes the files of a fleet with one entry and so many agents.
     pub fn new(agents: usize) -> Self {
-        Self::with(agents, false)
+        Self::with(1, agents, false)
     }
 
-    /// The same, with proxies between clients and entry, agents and entry, agents and targets.
-    pub fn with_links(agents: usize) -> Self {
-        Self::with(agents, true)
+    /// The same, with proxies between clients and entries, agents and entries, agents and targets.
+    pub fn with_links(entries: usize, agents: usize) -> Self {
+        Self::with(entries, agents, true)
     }
 
-    fn with(agents: usize, links: bool) -> Self {
+    fn with(entries: usize, agents: usize, links: bool) -> Self {
         let number = FLEETS.fetch_add(1, Ordering::Relaxed) + 1;
         let pid = std::process::id();
         // A network of its own: no port is shared with anything else on this host.
         let network = format!("127.{}.{}", 1 + pid % 250, 1 + (pid / 250 + number * 31) % 250);
         let folder = tempfile::tempdir().expect("a folder");
-        let mut fleet = Self { folder, network, agents, links: Vec::new() };
+        let mut fleet = Self { folder, network, agents, entries, links: Vec::new() };
         if links {
             fleet.start_links();
         }
@@ -120,9 +131,13 @@
     }
 
     fn start_links(&mut self) {
-        let to_entry = Proxy::start(self.address(3, 7_300), self.address(2, 7_300));
-        let sessions = Proxy::start(self.address(4, NODE_PORT), self.address(2, NODE_PORT));
-        self.links = vec![to_entry, sessions];
+        for number in 0..self.entries {
+            let host = entry_host(number);
+            let to_entry = Proxy::start(self.address(host + 1, 7_300), self.address(host, 7_300));
+            let sessions =
+                Proxy::start(self.address(host + 2, NODE_PORT), self.address(host, NODE_PORT));
+            self.links.extend([to_entry, sessions]);
+        }
         for number in 0..self.agents {
             let orders = Proxy::start(self.address(30 + number, 7_500), self.target(number));
             self.links.push(orders);
@@ -142,16 +157,33 @@
         self.address(1, 7_100)
     }
 
-    /// Where clients reach the entry.
+    /// The names of all its processes.
+    pub fn names(&self) -> Vec<String> {
+        let entries = (0..self.entries).map(entry_name);
+        let agents = (0..self.agents).map(|number| format!("agent{number}"));
+        entries.chain(agents).chain(["keeper".to_owned()]).collect()
+    }
+
+    /// How many entries it has.
+    pub fn entries(&self) -> usize {
+        self.entries
+    }
+
+    /// Where clients reach the first entry.
     pub fn entry(&self) -> SocketAddr {
-        let host = if self.links.is_empty() { 2 } else { 3 };
-        self.address(host, 7_300)
+        self.entry_number(0)
     }
 
-    /// Where agents reach the entry.
-    fn sessions(&self) -> SocketAddr {
-        let host = if self.links.is_empty() { 2 } else { 4 };
-        self.address(host, NODE_PORT)
+    /// Where clients reach an entry.
+    fn entry_number(&self, number: usize) -> SocketAddr {
+        let by_proxy = usize::from(!self.links.is_empty());
+        self.address(entry_host(number) + by_proxy, 7_300)
+    }
+
+    /// Where agents reach an entry.
+    fn sessions(&self, number: usize) -> SocketAddr {
+        let by_proxy = if self.links.is_empty() { 0 } else { 2 };
+        self.address(entry_host(number) + by_proxy, NODE_PORT)
     }
 
     /// Where an agent reaches its target.
@@ -160,8 +192,8 @@
         self.address(host + number, 7_500)
     }
 
-    pub fn ready(&self) -> SocketAddr {
-        self.address(2, 7_301)
+    fn ready(&self, number: usize) -> SocketAddr {
+        self.address(entry_host(number), 7_301)
     }
 
     pub fn target(&self, number: usize) -> SocketAddr {
@@ -190,18 +222,21 @@
             self.address(1, NODE_PORT),
             data.display()
         );
-        let entry = format!(
-            "{}metrics = {}\n[entry]\nlisten = {}\nready_listen = {}\npeer_listen = {}\n\
-             peer_address = {}\n",
-            common("e1", "entry"),
-            self.address(2, 7_900),
-            self.address(2, 7_300),
-            self.ready(),
-            self.address(2, NODE_PORT),
-            self.sessions()
-        );
+        for number in 0..self.entries {
+            let host = entry_host(number);
+            let entry = format!(
+                "{}metrics = {}\n[entry]\nlisten = {}\nready_listen = {}\npeer_listen = {}\n\
+                 peer_address = {}\n",
+                common(&format!("e{number}"), "entry"),
+                self.address(host, 7_900),
+                self.address(host, 7_300),
+                self.ready(number),
+                self.address(host, NODE_PORT),
+                self.sessions(number)
+            );
+            self.write(&entry_name(number), &entry);
+        }
         self.write("keeper", &keeper);
-        self.write("entry", &entry);
         for number in 0..self.agents {
             let agent = format!(
                 "{}[agent]\nlisten = {}\ntarget = {}\nservice = work\n",
@@ -254,25 +289,34 @@
         });
     }
 
-    /// Waits until the entry says that it is ready.
+    /// Waits until every entry says that it is ready.
     pub fn until_ready(&self) {
-        eventually("the entry is ready", || {
-            call(self.ready(), "GET", "/readiness", "", Duration::from_secs(1))
-                .is_some_and(|answer| answer.status == 200)
-        });
+        for number in 0..self.entries {
+            eventually("the entry is ready", || {
+                call(self.ready(number), "GET", "/readiness", "", Duration::from_secs(1))
+                    .is_some_and(|answer| answer.status == 200)
+            });
+        }
     }
 
     /// Hands in a job of equal tasks and waits for the answer.
     pub fn job(&self, id: u64, count: u32, work_ms: u64) -> Option<Answer> {
-        self.job_within(id, count, work_ms, PATIENCE)
+        self.job_within(0, id, count, work_ms, PATIENCE)
     }
 
-    /// Hands in a job of equal tasks and waits so long for the answer.
-    pub fn job_within(&self, id: u64, count: u32, work_ms: u64, time: Duration) -> Option<Answer> {
+    /// Hands in a job of equal tasks at an entry and waits so long for the answer.
+    pub fn job_within(
+        &self,
+        entry: usize,
+        id: u64,
+        count: u32,
+        work_ms: u64,
+        time: Duration,
+    ) -> Option<Answer> {
         let body = serde_json::json!({"spec": work_ms.to_string(), "best_effort": true,
             "steps": [{"count": count, "cpu": 1000, "mem_mb": 64, "estimated_ms": work_ms}]});
         let path = format!("/q/{id:016x}");
-        call(self.entry(), "POST", &path, &body.to_string(), time)
+        call(self.entry_number(entry), "POST", &path, &body.to_string(), time)
     }
 }
 
