That a target takes work again is told at once, also while room is plenty

Its logs: the agent is known at 98 ms with a target that it has not listed yet; the list comes 30 ms later, but the load that says so is told 90 ms after the one before, since the rarer loads of this sitting count from it; a job that came meanwhile is refused after 60 ms. Change: a load that opens the target is told as while room is scarce, 8 ms after the one before at the earliest. Test: a_target_that_takes_work_again_is_told_of_at_once (fails before).

--- a/components/runner/src/sessions.rs
+++ b/components/runner/src/sessions.rs
@@ -21,6 +21,8 @@
     /// The entry has not been told the last change of the load.
     dirty: bool,
     told: Time,
+    /// Whether it was told that the target takes work.
+    told_open: bool,
     /// Ends to be told.
     reports: Vec<TaskReport>,
 }
@@ -34,8 +36,14 @@
 
 impl Runner {
     pub(crate) fn open_session(&mut self, now: Time, id: SessionId, out: &mut Vec<Action>) {
-        let session =
-            Session { heard: now, seen: 0, dirty: true, told: Time::default(), reports: vec![] };
+        let session = Session {
+            heard: now,
+            seen: 0,
+            dirty: true,
+            told: Time::default(),
+            told_open: false,
+            reports: vec![],
+        };
         self.sessions.insert(id, session);
         out.push(Action::News(News::SessionOpened(id)));
         if self.target.is_some() {
@@ -201,6 +209,8 @@
         for (id, session) in &mut self.sessions {
             let load = Load { seen: session.seen, ..load };
             let age = now.since(session.told);
+            // That the target takes work again is never held back.
+            let gap = if session.told_open == load.open { gap } else { self.timing.load_gap };
             if !session.reports.is_empty() {
                 let reports = std::mem::take(&mut session.reports);
                 out.push(Action::Send(*id, ToEntry::Ended { reports, load }));
@@ -211,6 +221,7 @@
             }
             session.dirty = false;
             session.told = now;
+            session.told_open = load.open;
         }
     }
 
--- a/components/runner/tests/runner.rs
+++ b/components/runner/tests/runner.rs
@@ -216,3 +216,16 @@
     assert!(loads_while_starting(0) <= 1, "plenty of room");
     assert_eq!(loads_while_starting(4), 2, "little room");
 }
+
+#[test]
+fn a_target_that_takes_work_again_is_told_of_at_once() {
+    let mut agent = Agent::at_target("t1", 5_000);
+    agent.handle(Event::SessionOpened(SESSION));
+    agent.run_for(10);
+    assert!(!agent.open, "what runs there is not known yet");
+    agent.run_for(20);
+    agent.holds.truncate(1);
+    agent.hold(&[], &[]);
+    agent.run_for(10);
+    assert!(agent.open);
+}
