A stopping entry tells how far its connections are, and no process loses its last lines

Sight for requests that a planned stop leaves without an answer. The logs could not tell apart: connections that wait to be accepted when the listener closes, requests that are being read or answers that are being written when the process ends, kept connections that are closed as the next request is under way, and jobs that are still open at the longest time of a stop.

Now the steps draining, closing and drained carry the open connections by phase (fresh, idle, reading, handling, answering); each connection that the end cuts while a request is under way has a line; each job that comes while the entry stops has one (late-request); the metrics page has the connections by phase; the end waits for the log's writer. No decision changes.

--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -5,12 +5,15 @@
 
 mod client;
 mod connect;
+mod connections;
 mod rpc;
 mod server;
 mod tasks;
+mod tracked;
 
 pub use client::{Client, ClientError, Reply};
 pub use connect::{connect, tune};
+pub use connections::{ConnectionInfo, Connections, Phase};
 pub use rpc::{Frames, call_context, frames, pause};
-pub use server::{Body, BodyError, HEADER_BYTES, Limits, serve};
+pub use server::{Body, BodyError, HEADER_BYTES, Limits, serve, serve_listed};
 pub use tasks::{Tasks, block_on};
--- a/components/net/src/server.rs
+++ b/components/net/src/server.rs
@@ -16,7 +16,9 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use thiserror::Error;
 
-use crate::{Tasks, tune};
+use crate::connections::Tracker;
+use crate::tracked::Tracked;
+use crate::{Connections, Phase, Tasks, tune};
 
 /// Pause after an accept failed, so that a lack of file descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -64,41 +66,59 @@
     H: Fn(Request<Result<Bytes, BodyError>>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    let open = Rc::new(());
+    serve_listed(listener, tasks, Rc::default(), limits, handler).await;
+}
+
+/// The same, with a list of the open connections.
+pub async fn serve_listed<L, H, F>(
+    listener: Async<TcpListener>,
+    tasks: Tasks,
+    connections: Rc<Connections>,
+    limits: L,
+    handler: H,
+) where
+    L: Fn() -> Limits,
+    H: Fn(Request<Result<Bytes, BodyError>>) -> F + Clone + 'static,
+    F: Future<Output = Response<Body>> + 'static,
+{
     loop {
-        // Every connection has a clone of `open`; the count is the number of connections.
         let limits = limits();
-        if Rc::strong_count(&open) > limits.connections {
+        if connections.len() >= limits.connections {
             Timer::after(ACCEPT_PAUSE).await;
             continue;
         }
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, peer)) = listener.accept().await else {
             Timer::after(ACCEPT_PAUSE).await;
             continue;
         };
+        let listed = connections.open(Some(peer));
         let handler = handler.clone();
-        let open = open.clone();
-        let connection = async move {
-            serve_connection(stream, limits, handler).await;
-            drop(open);
-        };
-        tasks.spawn(connection);
+        tasks
+            .spawn(async move { serve_connection(stream, &listed.tracker, limits, handler).await });
     }
 }
 
-async fn serve_connection<H, F>(stream: Async<TcpStream>, limits: Limits, handler: H)
-where
+async fn serve_connection<H, F>(
+    stream: Async<TcpStream>,
+    tracker: &Rc<Tracker>,
+    limits: Limits,
+    handler: H,
+) where
     H: Fn(Request<Result<Bytes, BodyError>>) -> F + Clone,
     F: Future<Output = Response<Body>>,
 {
     tune(&stream);
+    let stream = Tracked::new(stream, tracker.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let handler = handler.clone();
+        let tracker = tracker.clone();
         async move {
             let (head, body) = request.into_parts();
             let body = read_body(body, limits).await;
+            tracker.enter(Phase::Handling);
             let broken = body.is_err();
             let mut response = handler(Request::from_parts(head, body)).await;
+            tracker.enter(Phase::Answering);
             if broken {
                 // The rest of the body is unread: the connection can't be used again.
                 let close = hyper::header::HeaderValue::from_static("close");
--- a/daemon/src/event_log.rs
+++ b/daemon/src/event_log.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 use std::io::{self, Write};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -21,6 +21,10 @@
 const GATHER: Duration = Duration::from_millis(40);
 /// The span that budgets hold for.
 const SPAN: Duration = Duration::from_secs(1);
+/// At its end a process waits at most so long for its last lines to be written: several times the
+/// gathering, and short beside the time that a planned stop has left. A reader that has stopped
+/// reading holds up the end no longer.
+const FLUSH_TIME: Duration = Duration::from_millis(250);
 
 /// How many lines of a kind are written a second.
 #[derive(Clone, Copy, Debug)]
@@ -55,6 +59,8 @@
     spent: HashMap<&'static str, Spent>,
     span_began: Instant,
     omitted: u64,
+    /// Closed once the writer has ended.
+    writer: mpsc::Receiver<()>,
 }
 
 /// Writes lines; clones write to the same ring.
@@ -65,7 +71,11 @@
     /// A log to standard output.
     pub fn to_stdout(node: &str, clock: Clock) -> io::Result<Self> {
         let (ring, lines) = async_channel::bounded(RING);
-        thread::Builder::new().name("log".to_owned()).spawn(move || write(&lines))?;
+        let (running, writer) = mpsc::channel();
+        thread::Builder::new().name("log".to_owned()).spawn(move || {
+            write(&lines);
+            drop(running);
+        })?;
         let inner = Inner {
             node: node.to_owned(),
             clock,
@@ -73,6 +83,7 @@
             spent: HashMap::new(),
             span_began: Instant::now(),
             omitted: 0,
+            writer,
         };
         Ok(Self(Arc::new(Mutex::new(inner))))
     }
@@ -102,15 +113,12 @@
         self.lock().omitted
     }
 
-    /// Waits a moment for what is written to leave the process.
+    /// Takes no more lines and waits until those before are written, but not for long.
     pub fn flush(&self) {
-        let ring = self.lock().ring.clone();
-        ring.close();
-        let began = Instant::now();
-        while !ring.is_empty() && began.elapsed() < SPAN / 4 {
-            thread::sleep(GATHER / 4);
-        }
-        thread::sleep(GATHER / 4);
+        let inner = self.lock();
+        inner.ring.close();
+        // Nothing is ever sent: it ends with the writer, or with the time.
+        let _ = inner.writer.recv_timeout(FLUSH_TIME);
     }
 }
 
@@ -156,7 +164,9 @@
     let mut out = String::new();
     while let Ok(line) = lines.recv_blocking() {
         out.push_str(&line);
-        thread::sleep(GATHER);
+        if !lines.is_closed() {
+            thread::sleep(GATHER);
+        }
         while let Ok(line) = lines.try_recv() {
             out.push_str(&line);
         }
--- a/daemon/src/room/entry.rs
+++ b/daemon/src/room/entry.rs
@@ -9,13 +9,14 @@
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use dispatch::{Action, Dispatcher, Event, Outcome, SessionId, Ticket, Timing};
-use net::Tasks;
+use net::{Phase, Tasks};
 use routing::RouteTable;
 use serde_json::json;
 use telemetry::Latency;
 use wire::{Document, NodeInfo, NodeRole, ToAgent};
 
 use super::entry_news;
+use super::entry_stop::Stop;
 use super::metrics::{self, Page};
 use super::session::{self, Outgoing};
 use super::watch::Watch;
@@ -24,14 +25,6 @@
 use crate::config::EntryConfig;
 use crate::event_log::{Budget, EventLog};
 
-/// How often the balancer is told that the entry is not ready before it sends nobody any more,
-const NOTICES: u32 = 2;
-/// and how long the entry waits for it to ask.
-const NOTICE: Duration = Duration::from_millis(2_400);
-/// The longest time of a planned stop.
-const STOP_TIME: Duration = Duration::from_millis(5_400);
-/// How often a stopping entry looks whether it is done.
-const STOP_POLL: Duration = Duration::from_millis(50);
 /// An entry that can't serve listens after so long all the same.
 const LISTEN_AFTER: Duration = Duration::from_secs(4);
 /// How often a starting entry looks whether it is ready.
@@ -59,14 +52,7 @@
     next: Cell<u64>,
     /// Callers find it.
     listening: Cell<bool>,
-    draining: Cell<bool>,
-    /// How often the balancer was told that a stopping entry is not ready.
-    notices: Cell<u32>,
-    /// Set at the end of a planned stop, when no new connections are taken any more: when the
-    /// process ends at the latest.
-    closing: Cell<Option<model::Time>>,
-    /// Dropped to take no new connections.
-    accepting: RefCell<Option<Sender<()>>>,
+    pub stop: Stop,
     watch: RefCell<Option<Rc<Watch>>>,
 }
 
@@ -91,10 +77,7 @@
         statuses: RefCell::default(),
         next: Cell::new(0),
         listening: Cell::new(false),
-        draining: Cell::new(false),
-        notices: Cell::new(0),
-        closing: Cell::new(None),
-        accepting: RefCell::default(),
+        stop: Stop::default(),
         watch: RefCell::default(),
     });
     let bind = |address: SocketAddr| {
@@ -114,7 +97,7 @@
     let peer_address = config.peer_address.unwrap_or(config.peer_listen);
     entry.start_watch(&started, peer_address, &tasks);
     let (accepting, closed) = async_channel::bounded(1);
-    *entry.accepting.borrow_mut() = Some(accepting);
+    *entry.stop.accepting.borrow_mut() = Some(accepting);
     let (to_serve, serving) = (entry.clone(), tasks.clone());
     tasks.spawn(async move {
         to_serve.until_ready().await;
@@ -291,25 +274,20 @@
 
     /// Whether it can serve requests that come now.
     pub fn is_ready(&self) -> bool {
-        self.listening.get() && !self.draining.get() && self.can_serve()
+        self.listening.get() && !self.is_draining() && self.can_serve()
     }
 
     pub fn is_draining(&self) -> bool {
-        self.draining.get()
+        self.stop.has_begun()
     }
 
-    /// At the end of a planned stop: how much time is left for what still comes over connections
-    /// that are open.
-    pub fn time_left(&self) -> Option<Duration> {
-        let until = self.closing.get()?;
-        Some(until.since(self.clock.now()))
+    /// Jobs whose client waits.
+    pub fn active(&self) -> usize {
+        self.dispatcher.borrow().active()
     }
 
-    /// The balancer was told whether the entry is ready.
-    pub fn told_balancer(&self) {
-        if self.draining.get() {
-            self.notices.set(self.notices.get() + 1);
-        }
+    pub fn now(&self) -> model::Time {
+        self.clock.now()
     }
 
     /// Takes note of an answer.
@@ -339,32 +317,6 @@
         self.dispatcher.borrow().waiting(queue)
     }
 
-    /// A planned stop: says that it is not ready and goes on until the balancer has noticed; then
-    /// takes no new connections, finishes what it has, ends. Each answer closes its connection, so
-    /// that requests dry up.
-    async fn drain(&self) {
-        self.draining.set(true);
-        let began = self.clock.now();
-        let active = self.dispatcher.borrow().active();
-        self.log.line("draining", Budget::Full, || json!({"jobs": active}));
-        loop {
-            Timer::after(STOP_POLL).await;
-            let now = self.clock.now();
-            let age = now.since(began);
-            let idle = self.dispatcher.borrow().active() == 0;
-            let closing = self.closing.get().is_some();
-            if age > STOP_TIME || (closing && idle) {
-                return;
-            }
-            if !closing && (age > NOTICE || self.notices.get() >= NOTICES) {
-                self.closing.set(Some(began + STOP_TIME));
-                self.accepting.borrow_mut().take();
-                let active = self.dispatcher.borrow().active();
-                self.log.line("closing", Budget::Full, || json!({"jobs": active}));
-            }
-        }
-    }
-
     fn fill(&self, page: &mut Page) {
         let dispatcher = self.dispatcher.borrow();
         let counters = dispatcher.counters();
@@ -389,6 +341,13 @@
         page.value("agents", "{state=\"open\"}", dispatcher.open_agents() as u64);
         page.value("jobs_active", "", dispatcher.active() as u64);
         page.value("tasks_queued", "", dispatcher.queued() as u64);
+        let callers = &self.stop.callers;
+        page.value("connections_accepted_total", "", callers.accepted());
+        for phase in [Phase::Fresh, Phase::Idle, Phase::Reading, Phase::Handling, Phase::Answering]
+        {
+            let label = format!("{{phase=\"{}\"}}", phase.as_str());
+            page.value("connections", &label, callers.count(phase) as u64);
+        }
         page.value("ready", "", u64::from(self.is_ready()));
         let version = self.table.borrow().as_ref().map_or(0, |table| table.version);
         page.value("configuration_version", "", version);
--- a/daemon/src/room/entry_http.rs
+++ b/daemon/src/room/entry_http.rs
@@ -39,6 +39,7 @@
     closed: Receiver<()>,
 ) {
     let limited = entry.clone();
+    let listed = entry.stop.callers.clone();
     let limits = move || {
         let limits = limited.table().map_or_else(TransferLimits::default, |table| table.limits);
         Limits {
@@ -54,7 +55,7 @@
         let entry = entry.clone();
         async move { answer(&entry, request).await }
     };
-    let serve = net::serve(listener, tasks.clone(), limits, handler);
+    let serve = net::serve_listed(listener, tasks.clone(), listed, limits, handler);
     let stop = async move {
         // Nothing is ever sent; it ends with an error.
         let _ = closed.recv().await;
@@ -66,7 +67,7 @@
 pub(super) fn serve_ready(listener: Async<TcpListener>, tasks: &Tasks, entry: Rc<Entry>) {
     let handler = move |_: Request<Result<Bytes, BodyError>>| {
         let status = if entry.is_ready() { 200 } else { 503 };
-        entry.told_balancer();
+        entry.stop.told_balancer();
         async move { plain(status, "") }
     };
     tasks.spawn(net::serve(listener, tasks.clone(), || READY_LIMITS, handler));
@@ -139,7 +140,9 @@
 }
 
 async fn submit(entry: &Rc<Entry>, job: dispatch::JobRequest) -> Response<Body> {
-    if entry.time_left().is_some_and(|left| !job.surely_ends_within(left)) {
+    note_late(entry, &job);
+    let left = entry.stop.time_left(entry.now());
+    if left.is_some_and(|left| !job.surely_ends_within(left)) {
         entry.log.line(
             "refused",
             Budget::Full,
@@ -155,6 +158,18 @@
     render(&platform::reply(outcome))
 }
 
+/// A job that comes while the entry stops is told apart in the log: a stop is to leave it no worse off.
+fn note_late(entry: &Entry, job: &dispatch::JobRequest) {
+    let Some(age) = entry.stop.age(entry.now()) else { return };
+    entry.log.line("late-request", Budget::Full, || {
+        let left = entry.stop.time_left(entry.now());
+        json!({"job": job.id.as_str(), "after_ms": age.as_millis() as u64,
+            "left_ms": left.map(|left| left.as_millis() as u64),
+            "objective_ms": job.objective.as_millis() as u64,
+            "deadline_ms": job.deadline.as_millis() as u64})
+    });
+}
+
 /// Every agent is told; what runs ends within moments.
 fn cancel(entry: &Entry, id: model::JobId) -> Response<Body> {
     let known = entry.has_job(&id);
