--- a/daemon/src/room/entry_http.rs
+++ b/daemon/src/room/entry_http.rs
@@ -158,13 +158,11 @@
     render(&platform::reply(outcome))
 }
 
-/// A job that comes while the entry stops is told apart in the log: a stop is to leave it no worse off.
+/// A job that comes after the balancer has noticed the stop is told apart in the log.
 fn note_late(entry: &Entry, job: &dispatch::JobRequest) {
-    let Some(age) = entry.stop.age(entry.now()) else { return };
+    let Some(left) = entry.stop.time_left(entry.now()) else { return };
     entry.log.line("late-request", Budget::Full, || {
-        let left = entry.stop.time_left(entry.now());
-        json!({"job": job.id.as_str(), "after_ms": age.as_millis() as u64,
-            "left_ms": left.map(|left| left.as_millis() as u64),
+        json!({"job": job.id.as_str(), "left_ms": left.as_millis() as u64,
             "objective_ms": job.objective.as_millis() as u64,
             "deadline_ms": job.deadline.as_millis() as u64})
     });
--- a/daemon/src/room/entry_stop.rs
+++ b/daemon/src/room/entry_stop.rs
@@ -57,11 +57,6 @@
         Some(until.since(now))
     }
 
-    /// How long ago it was told to stop.
-    pub fn age(&self, now: Time) -> Option<Duration> {
-        self.began.get().map(|began| now.since(began))
-    }
-
     fn connections(&self) -> Value {
         let count = |phase: Phase| self.callers.count(phase);
         json!({"fresh": count(Phase::Fresh), "idle": count(Phase::Idle),
--- /dev/null
+++ b/daemon/tests/room_support/kept.rs
@@ -0,0 +1,92 @@
+//! A client's connection that stays open between requests.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use super::Answer;
+
+/// Why a request has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoAnswer {
+    /// The connection ended before a byte of the answer.
+    Closed,
+    /// The connection ended within the answer.
+    Partial,
+    /// Nothing came in time.
+    Late,
+}
+
+/// An open connection.
+pub struct Kept {
+    stream: TcpStream,
+}
+
+impl Kept {
+    /// Connects; `None` where nobody listens.
+    pub fn open(to: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some(Self { stream })
+    }
+
+    /// Sends bytes; false where the connection is gone.
+    pub fn send(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).is_ok()
+    }
+
+    /// Sends a whole request and waits for its answer.
+    pub fn ask(&mut self, request: &str, time: Duration) -> Result<Answer, NoAnswer> {
+        if !self.send(request.as_bytes()) {
+            return Err(NoAnswer::Closed);
+        }
+        self.answer(time)
+    }
+
+    /// Reads one answer, which says how long its body is.
+    pub fn answer(&mut self, time: Duration) -> Result<Answer, NoAnswer> {
+        self.stream.set_read_timeout(Some(time)).expect("a time above 0");
+        let mut bytes = Vec::new();
+        loop {
+            if let Some(answer) = whole(&bytes) {
+                return Ok(answer);
+            }
+            let mut buffer = [0; 4_096];
+            match self.stream.read(&mut buffer) {
+                Ok(0) if bytes.is_empty() => return Err(NoAnswer::Closed),
+                Ok(0) => return Err(NoAnswer::Partial),
+                Ok(count) => bytes.extend_from_slice(&buffer[..count]),
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
+                    return Err(NoAnswer::Late);
+                }
+                Err(_) if bytes.is_empty() => return Err(NoAnswer::Closed),
+                Err(_) => return Err(NoAnswer::Partial),
+            }
+        }
+    }
+}
+
+/// A request for a job of equal tasks, over a connection that stays open, of a client that waits for
+/// long.
+pub fn job_request(id: u64, count: u32, work_ms: u64, estimated_ms: u64) -> String {
+    let body = serde_json::json!({"spec": work_ms.to_string(), "best_effort": true,
+        "steps": [{"count": count, "cpu": 1000, "mem_mb": 64, "estimated_ms": estimated_ms}]})
+    .to_string();
+    format!(
+        "POST /q/{id:016x} HTTP/1.1\r\nHost: queue.example\r\nContent-Type: application/json\r\n\
+         X-Dockpass-Deadline-Milliseconds: 30000\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// The answer, once it is whole.
+fn whole(bytes: &[u8]) -> Option<Answer> {
+    let text = std::str::from_utf8(bytes).ok()?;
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let head = head.to_lowercase();
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "))?;
+    let length: usize = length.trim().parse().ok()?;
+    let body = body.get(..length)?.to_owned();
+    let status = head.split_whitespace().nth(1)?.parse().ok()?;
+    Some(Answer { status, head, body })
+}
