The time that the platform grants a planned stop is a setting

[node] stop_grace_s, in seconds, default 6; the templates of the users' platform fill it. An agent's bound is now 1.2 s less than the setting, the same 4.8 s by default.

--- a/components/settings/src/schema.rs
+++ b/components/settings/src/schema.rs
@@ -1,6 +1,7 @@
 //! Typed keys: what a setting may hold, its unit, range and default.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// What a key's value may be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -14,6 +15,13 @@
         /// The unit, for people.
         unit: &'static str,
     },
+    /// A time in seconds, whole or with decimals, within a range.
+    Seconds {
+        /// The shortest time taken, in ms.
+        min_ms: u64,
+        /// The longest time taken, in ms.
+        max_ms: u64,
+    },
     /// `true` or `false`.
     Flag,
     /// One of a few words.
@@ -46,6 +54,8 @@
 pub enum Value {
     /// A whole number.
     Integer(u64),
+    /// A time.
+    Time(Duration),
     /// `true` or `false`.
     Flag(bool),
     /// A word or a text.
@@ -63,6 +73,7 @@
     pub fn read(&self, text: &str) -> Result<Value, String> {
         match self.value_type {
             ValueType::Integer { min, max, unit } => read_integer(text, min, max, unit),
+            ValueType::Seconds { min_ms, max_ms } => read_seconds(text, min_ms, max_ms),
             ValueType::Flag => read_flag(text),
             ValueType::Choice(words) => read_choice(text, words),
             ValueType::Text => read_text(text),
@@ -76,6 +87,9 @@
     pub fn describe_type(&self) -> String {
         match self.value_type {
             ValueType::Integer { min, max, unit } => format!("integer {min} to {max}, {unit}"),
+            ValueType::Seconds { min_ms, max_ms } => {
+                format!("decimal {} to {}, s", seconds(min_ms), seconds(max_ms))
+            }
             ValueType::Flag => "true or false".to_owned(),
             ValueType::Choice(words) => words.join(" or "),
             ValueType::Text => "text".to_owned(),
@@ -100,6 +114,14 @@
         }
     }
 
+    /// The time. Panics when the schema gave another type: a bug in the caller.
+    pub fn time(&self) -> Duration {
+        match self {
+            Self::Time(time) => *time,
+            other => panic!("not a key of a time: {other:?}"),
+        }
+    }
+
     /// The flag. Panics when the schema gave another type: a bug in the caller.
     pub fn flag(&self) -> bool {
         match self {
@@ -160,6 +182,19 @@
     Ok(Value::Integer(number))
 }
 
+fn seconds(millis: u64) -> f64 {
+    Duration::from_millis(millis).as_secs_f64()
+}
+
+fn read_seconds(text: &str, min_ms: u64, max_ms: u64) -> Result<Value, String> {
+    let number: f64 = text.parse().map_err(|_| format!("'{text}' is not a number (s)"))?;
+    let (min, max) = (seconds(min_ms), seconds(max_ms));
+    if !(min..=max).contains(&number) {
+        return Err(format!("{text} is out of range {min} to {max} (s)"));
+    }
+    Ok(Value::Time(Duration::from_secs_f64(number)))
+}
+
 fn read_flag(text: &str) -> Result<Value, String> {
     match text {
         "true" => Ok(Value::Flag(true)),
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -70,6 +70,8 @@
     pub node_port: u16,
     /// With room: where counters are served.
     pub metrics: Option<SocketAddr>,
+    /// With room: how long the platform waits from the request to stop until it ends the process.
+    pub stop_grace: Duration,
     /// Folder of the logs; standard error and no decision log where there is none.
     pub logs: Option<PathBuf>,
     /// How often the counters are logged.
@@ -205,6 +207,7 @@
         },
         node_port: u16::try_from(sections.value(NODE, "node_port")?.integer()).unwrap_or(0),
         metrics: optional_address(sections, NODE, "metrics")?,
+        stop_grace: sections.value(NODE, "stop_grace_s")?.time(),
         logs: (!logs.is_empty()).then(|| PathBuf::from(logs)),
         counters_every: millis("counters_every_ms")?,
     })
--- a/daemon/src/config/keys.rs
+++ b/daemon/src/config/keys.rs
@@ -62,6 +62,12 @@
         default: "",
         help: "With room: IP:PORT where counters and latencies are served as text at /metrics.",
     },
+    Key {
+        name: "stop_grace_s",
+        value_type: ValueType::Seconds { min_ms: 1_000, max_ms: 600_000 },
+        default: "6",
+        help: "With room: how long the platform waits from SIGTERM until it ends the process by force.",
+    },
     Key {
         name: "logs",
         value_type: ValueType::Text,
--- a/daemon/src/room/agent.rs
+++ b/daemon/src/room/agent.rs
@@ -30,8 +30,9 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 /// An entry that is no longer listed is still tried for so long.
 const ENTRY_KEPT: Duration = Duration::from_secs(30);
-/// The longest time of a planned stop.
-const STOP_TIME: Duration = Duration::from_millis(4_800);
+/// Left of the platform's time at the end of a planned stop: runs that go on beyond it lapse a second
+/// later, while a new process may already be there.
+const STOP_MARGIN: Duration = Duration::from_millis(1_200);
 /// How often a stopping agent looks whether it is done.
 const STOP_POLL: Duration = Duration::from_millis(20);
 /// How long what a stopping agent says last may take to leave.
@@ -50,6 +51,8 @@
     /// Entries that are connected to, and until when they are tried.
     entries: RefCell<BTreeMap<SocketAddr, Time>>,
     next: Cell<u64>,
+    /// How long the platform waits for the end of a planned stop.
+    stop_grace: Cell<Duration>,
 }
 
 /// Runs the agent until it is told to stop.
@@ -71,6 +74,7 @@
         sessions: RefCell::default(),
         entries: RefCell::default(),
         next: Cell::new(0),
+        stop_grace: Cell::new(node.stop_grace),
     });
     let listener =
         Async::<TcpListener>::bind(config.listen).map_err(io_error(config.listen.to_string()))?;
@@ -82,7 +86,11 @@
     }
     tasks.spawn(keep_time(agent.clone()));
     let watch = agent.start_watch(&started, config.listen);
-    until_stopped(&started, |config| watch.set_seeds(&config.node.keepers)).await;
+    until_stopped(&started, |config| {
+        agent.stop_grace.set(config.node.stop_grace);
+        watch.set_seeds(&config.node.keepers);
+    })
+    .await;
     agent.drain().await;
     Ok(())
 }
@@ -232,7 +240,8 @@
         let (waiting, running) = self.runner.borrow().sizes();
         self.log.line("draining", Budget::Full, || json!({"waiting": waiting, "running": running}));
         self.feed(Event::Drain);
-        while !self.runner.borrow().is_idle() && self.clock.now().since(began) < STOP_TIME {
+        let longest = self.stop_grace.get().saturating_sub(STOP_MARGIN);
+        while !self.runner.borrow().is_idle() && self.clock.now().since(began) < longest {
             Timer::after(STOP_POLL).await;
         }
         Timer::after(LAST_WORDS).await;
