A server closes without leaving a request that has reached it unanswered

Dropping the listener and ending the process were the only ways to close. Connections::close_idle lets each connection close after its answer and idle ones at once, after one more look for a request that is already there; Connections::close accepts what waits to be accepted, and no more.

--- a/components/net/src/connections.rs
+++ b/components/net/src/connections.rs
@@ -6,6 +6,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+
 /// How far a connection is with its present request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -22,6 +25,10 @@
 }
 
 impl Phase {
+    /// All of them, in the order in which a connection goes through them.
+    pub const ALL: [Self; 5] =
+        [Self::Fresh, Self::Idle, Self::Reading, Self::Handling, Self::Answering];
+
     /// The phase as a word, for logs.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -39,6 +46,9 @@
     }
 }
 
+/// How often a connection of a closing server is looked at for its first bytes.
+const FIRST_POLL: Duration = Duration::from_millis(10);
+
 /// One connection, shared by the parts that serve it.
 #[derive(Debug)]
 pub(crate) struct Tracker {
@@ -46,15 +56,18 @@
     phase: Cell<Phase>,
     since: Cell<Instant>,
     answered: Cell<u64>,
+    /// When anything came last at the server.
+    last_arrival: Rc<Cell<Instant>>,
 }
 
 impl Tracker {
-    fn new(peer: Option<SocketAddr>) -> Self {
+    fn new(peer: Option<SocketAddr>, last_arrival: Rc<Cell<Instant>>) -> Self {
         Self {
             peer,
             phase: Cell::new(Phase::Fresh),
             since: Cell::new(Instant::now()),
             answered: Cell::new(0),
+            last_arrival,
         }
     }
 
@@ -72,6 +85,14 @@
     pub fn bytes_came(&self) {
         if matches!(self.phase(), Phase::Fresh | Phase::Idle) {
             self.enter(Phase::Reading);
+            self.last_arrival.set(self.since.get());
+        }
+    }
+
+    /// Waits until the first bytes have come, but no longer than a client takes to send them.
+    pub async fn first_bytes(&self) {
+        while self.phase() == Phase::Fresh && self.since.get().elapsed() < FIRST_REQUEST {
+            Timer::after(FIRST_POLL).await;
         }
     }
 
@@ -97,11 +118,63 @@
     pub answered: u64,
 }
 
-/// The open connections of a server.
-#[derive(Debug, Default)]
+/// A client that has connected sends its first request within this time: far above a round trip
+/// within a region, and short beside a planned stop.
+const FIRST_REQUEST: Duration = Duration::from_millis(250);
+
+/// The open connections of a server, and the way to close it.
+#[derive(Debug)]
 pub struct Connections {
     next: Cell<u64>,
     open: RefCell<BTreeMap<u64, Rc<Tracker>>>,
+    /// When a connection or a request came last.
+    last_arrival: Rc<Cell<Instant>>,
+    /// Closed once connections close after their answer, and idle ones at once.
+    keeping: Gate,
+    /// Closed once no more connections are accepted.
+    accepting: Gate,
+}
+
+/// Something that is open until it is closed for good.
+#[derive(Debug)]
+struct Gate {
+    /// Dropped to close it.
+    open: RefCell<Option<Sender<()>>>,
+    closed: Receiver<()>,
+}
+
+impl Default for Gate {
+    fn default() -> Self {
+        let (open, closed) = async_channel::bounded(1);
+        Self { open: RefCell::new(Some(open)), closed }
+    }
+}
+
+impl Gate {
+    fn close(&self) {
+        self.open.borrow_mut().take();
+    }
+
+    fn is_closed(&self) -> bool {
+        self.closed.is_closed()
+    }
+
+    async fn closed(&self) {
+        // Nothing is ever sent; it ends with an error.
+        let _ = self.closed.recv().await;
+    }
+}
+
+impl Default for Connections {
+    fn default() -> Self {
+        Self {
+            next: Cell::default(),
+            open: RefCell::default(),
+            last_arrival: Rc::new(Cell::new(Instant::now())),
+            keeping: Gate::default(),
+            accepting: Gate::default(),
+        }
+    }
 }
 
 impl Connections {
@@ -136,11 +209,53 @@
         self.open.borrow().values().map(info).collect()
     }
 
+    /// How many carry a request, or have just been opened to carry their first.
+    pub fn busy(&self) -> usize {
+        let awaits = |tracker: &Tracker| {
+            tracker.phase() == Phase::Fresh && tracker.since.get().elapsed() < FIRST_REQUEST
+        };
+        let busy = |tracker: &&Rc<Tracker>| tracker.phase().is_busy() || awaits(tracker);
+        self.open.borrow().values().filter(busy).count()
+    }
+
+    /// Since a connection was accepted or a request began to come.
+    pub fn quiet(&self) -> Duration {
+        self.last_arrival.get().elapsed()
+    }
+
+    /// From now on each connection closes after its answer, and idle ones at once; a request of which
+    /// a part has come is answered. New connections are still accepted.
+    pub fn close_idle(&self) {
+        self.keeping.close();
+    }
+
+    /// Closes the server: what waits to be accepted is accepted, and no more; connections as above.
+    pub fn close(&self) {
+        self.keeping.close();
+        self.accepting.close();
+    }
+
+    /// Whether connections close after their answer.
+    pub(crate) fn keeps_none(&self) -> bool {
+        self.keeping.is_closed()
+    }
+
+    /// Waits until no connection is kept open.
+    pub(crate) async fn no_more_kept(&self) {
+        self.keeping.closed().await;
+    }
+
+    /// Waits until no more connections are accepted.
+    pub(crate) async fn no_more_accepted(&self) {
+        self.accepting.closed().await;
+    }
+
     /// Lists a connection for as long as the returned guard lives.
     pub(crate) fn open(self: &Rc<Self>, peer: Option<SocketAddr>) -> Listed {
         let number = self.next.get();
         self.next.set(number + 1);
-        let tracker = Rc::new(Tracker::new(peer));
+        self.last_arrival.set(Instant::now());
+        let tracker = Rc::new(Tracker::new(peer, self.last_arrival.clone()));
         self.open.borrow_mut().insert(number, tracker.clone());
         Listed { connections: self.clone(), number, tracker }
     }
--- a/components/net/src/server.rs
+++ b/components/net/src/server.rs
@@ -3,11 +3,12 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::{TcpListener, TcpStream};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_io::{Async, Timer};
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
@@ -69,7 +70,7 @@
     serve_listed(listener, tasks, Rc::default(), limits, handler).await;
 }
 
-/// The same, with a list of the open connections.
+/// The same, with a list of the open connections, until it is closed by them.
 pub async fn serve_listed<L, H, F>(
     listener: Async<TcpListener>,
     tasks: Tasks,
@@ -81,26 +82,33 @@
     H: Fn(Request<Result<Bytes, BodyError>>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    loop {
-        let limits = limits();
-        if connections.len() >= limits.connections {
-            Timer::after(ACCEPT_PAUSE).await;
-            continue;
+    let accept = async {
+        loop {
+            let limits = limits();
+            if connections.len() >= limits.connections {
+                Timer::after(ACCEPT_PAUSE).await;
+                continue;
+            }
+            let Ok((stream, peer)) = listener.accept().await else {
+                Timer::after(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let listed = connections.open(Some(peer));
+            let (connections, handler) = (connections.clone(), handler.clone());
+            tasks.spawn(async move {
+                serve_connection(stream, &listed.tracker, &connections, limits, handler).await;
+            });
         }
-        let Ok((stream, peer)) = listener.accept().await else {
-            Timer::after(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let listed = connections.open(Some(peer));
-        let handler = handler.clone();
-        tasks
-            .spawn(async move { serve_connection(stream, &listed.tracker, limits, handler).await });
-    }
+    };
+    // What waits to be accepted when the server closes is accepted first: `or` asks its first side
+    // first, which ends only when nothing waits.
+    accept.or(connections.no_more_accepted()).await;
 }
 
 async fn serve_connection<H, F>(
     stream: Async<TcpStream>,
     tracker: &Rc<Tracker>,
+    connections: &Rc<Connections>,
     limits: Limits,
     handler: H,
 ) where
@@ -119,8 +127,8 @@
             let broken = body.is_err();
             let mut response = handler(Request::from_parts(head, body)).await;
             tracker.enter(Phase::Answering);
-            if broken {
-                // The rest of the body is unread: the connection can't be used again.
+            // With the rest of a body unread the connection can't be used again.
+            if broken || connections.keeps_none() {
                 let close = hyper::header::HeaderValue::from_static("close");
                 response.headers_mut().insert(hyper::header::CONNECTION, close);
             }
@@ -132,8 +140,27 @@
         .timer(SmolTimer::new())
         .header_read_timeout(limits.read_time)
         .serve_connection(FuturesIo::new(stream), service);
-    // A client that goes away is no concern of the others.
-    let _ = connection.await;
+    let mut connection = pin!(connection);
+    let over = async {
+        // A client that goes away is no concern of the others.
+        let _ = connection.as_mut().await;
+        true
+    };
+    let closes = async {
+        connections.no_more_kept().await;
+        tracker.first_bytes().await;
+        false
+    };
+    if over.or(closes).await {
+        return;
+    }
+    // A request that has reached the host is read before an idle connection is closed: closing it
+    // with the request unread would leave the client without an answer.
+    if future::poll_once(connection.as_mut()).await.is_none() {
+        connection.as_mut().graceful_shutdown();
+        // As above.
+        let _ = connection.await;
+    }
 }
 
 async fn read_body(body: Incoming, limits: Limits) -> Result<Bytes, BodyError> {
