A planned stop of an entry answers everything it has taken and serves on while the balancer sends

Cause: the end of a stop answered nobody (whatever was open 5.4 s after the request to stop was cut), it looked at jobs only (a request that was being read or had reached the host was cut), and the listener closed as soon as the balancer had asked twice, though the balancer sends to entries that are not ready where all of them are. Ruled out by the connections' lines: answers lost while they are written (no connection was answering at any of 12 ends), and connections waiting to be accepted.

The steps of a stop are a decision of their own now (dispatch::PlannedStop): idle connections close once the balancer has noticed, the listener stays until nobody comes, open jobs get their final answer 0.6 s before the end of the platform's time, and the process ends when every connection has its answer. The two and a half objectives that a job may take remain for what comes late, or the client's own deadline where that is shorter. Found on the way: a job that came again to a stopping entry while it ran there was said not to have run; it joins its first try.

What is still cut are requests that cross the closing of their idle connection.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -116,6 +116,8 @@
     /// What is read before may have lain unread through a standstill.
     stale_until: Time,
     document: Option<Document>,
+    /// Set once the entry stops: what does not surely end by then is not taken.
+    stops_at: Option<Time>,
     pub(crate) counters: DispatcherCounters,
 }
 
@@ -126,6 +128,9 @@
 /// How often jobs are looked at for what has waited too long.
 const WAITS_EVERY: Duration = Duration::from_millis(5);
 const IDLE_TICK: Duration = Duration::from_millis(50);
+/// When to come back to another entry: at once would do, but where all of them stop, clients would send
+/// again and again. A second is the least that a client can be told besides.
+const ELSEWHERE_PAUSE: Duration = Duration::from_secs(1);
 
 impl Dispatcher {
     /// An entry that knows no agent yet.
@@ -142,6 +147,7 @@
             waits_ended: now,
             stale_until: now,
             document: None,
+            stops_at: None,
             counters: DispatcherCounters::default(),
         }
     }
@@ -166,6 +172,8 @@
             Event::Submit(ticket, request) => self.submit(now, ticket, request, out),
             Event::Abandon(ticket) => self.abandon(now, ticket, out),
             Event::Cancel(job) => self.cancel(now, &job, out),
+            Event::TakeOnlyWhatEndsBy(end) => self.stops_at = Some(end),
+            Event::AnswerAll => self.answer_all(now, out),
             Event::Tick => {}
         }
         self.watch_agents(now, out);
@@ -248,44 +256,58 @@
     /// elsewhere: nothing may go on.
     fn stood_still(&mut self, gap: Duration, out: &mut Vec<Action>) {
         out.push(Action::News(News::Standstill { gap_ms: gap.as_millis() as u64 }));
-        let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
-        for id in ids {
-            self.finish(self.last_event, &id, Outcome::MayHaveRun(Reason::Standstill), out);
-            let again = self.jobs.get_mut(&id).and_then(|job| job.again.take());
-            if let Some((ticket, request)) = again {
-                self.refuse(ticket, &request, Reason::Standstill, out);
-            }
-        }
+        self.end_all(Reason::Standstill, |_| Outcome::MayHaveRun(Reason::Standstill), out);
         self.stale_until = self.last_event + STALE;
         let agents: Vec<SessionId> = self.agents.keys().copied().collect();
         agents.into_iter().for_each(|id| self.lose_agent(id, "stood still", out));
     }
 
+    /// The process ends in a moment. A connection that ends without an answer tells a client
+    /// nothing; now it knows what has not run and may be sent again at once, and tasks of what may have
+    /// run are stopped before it is sent again.
+    fn answer_all(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.stops_at = Some(now);
+        let outcome = |job: &Job| match job.is_untouched() {
+            true => not_run(Reason::Draining, &job.request),
+            false => Outcome::MayHaveRun(Reason::Draining),
+        };
+        self.end_all(Reason::Draining, outcome, out);
+    }
+
+    /// Ends every job, and answers those that wait for the end of their first try.
+    fn end_all(
+        &mut self,
+        reason: Reason,
+        outcome: impl Fn(&Job) -> Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        let jobs = self.jobs.iter().map(|(id, job)| (id.clone(), outcome(job)));
+        let ends: Vec<(JobId, Outcome)> = jobs.collect();
+        for (id, outcome) in ends {
+            self.finish(self.last_event, &id, outcome, out);
+            let again = self.jobs.get_mut(&id).and_then(|job| job.again.take());
+            if let Some((ticket, _)) = again {
+                self.tickets.remove(&ticket);
+                // Its first try may have run.
+                out.push(Action::Answer(ticket, Outcome::MayHaveRun(reason)));
+            }
+        }
+    }
+
     fn submit(&mut self, now: Time, ticket: Ticket, request: JobRequest, out: &mut Vec<Action>) {
         self.counters.submitted += 1;
         if now < self.stale_until {
             // Its client may have sent it again elsewhere long ago.
             return self.refuse(ticket, &request, Reason::Standstill, out);
         }
-        let id = request.id.clone();
-        if let Some(job) = self.jobs.get_mut(&id) {
-            if job.outcome.is_none() {
-                // The client has lost the connection, and this entry does not know it yet.
-                job.tickets.push(ticket);
-                self.tickets.insert(ticket, id);
-            } else {
-                // Tasks of the first try are being stopped: the second begins after that.
-                let earlier = job.again.replace((ticket, request));
-                self.tickets.insert(ticket, id);
-                if let Some((earlier, _)) = earlier {
-                    // Its client has sent the job once more since.
-                    self.tickets.remove(&earlier);
-                    let outcome = Outcome::MayHaveRun(Reason::ClientGone);
-                    out.push(Action::Answer(earlier, outcome));
-                }
-            }
-            return;
+        if self.jobs.contains_key(&request.id) {
+            return self.submit_again(ticket, request, out);
         }
+        let ends_first = |end: Time| !request.surely_ends_within(end.since(now));
+        if self.stops_at.is_some_and(ends_first) {
+            return self.refuse(ticket, &request, Reason::Draining, out);
+        }
+        let id = request.id.clone();
         out.push(Action::News(News::Admitted {
             job: id.clone(),
             queue: request.queue.clone(),
@@ -301,6 +323,30 @@
         self.jobs.insert(id, job);
     }
 
+    /// A job comes of which this entry has an earlier try: its client has lost the connection.
+    fn submit_again(&mut self, ticket: Ticket, request: JobRequest, out: &mut Vec<Action>) {
+        let id = request.id.clone();
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.outcome.is_none() {
+            job.tickets.push(ticket);
+            self.tickets.insert(ticket, id);
+            return;
+        }
+        if self.stops_at.is_some() {
+            // The first try may have run, and the entry may end before its tasks are stopped.
+            out.push(Action::Answer(ticket, Outcome::MayHaveRun(Reason::Draining)));
+            return;
+        }
+        // Tasks of the first try are being stopped: the second begins after that.
+        let earlier = job.again.replace((ticket, request));
+        self.tickets.insert(ticket, id);
+        if let Some((earlier, _)) = earlier {
+            // Its client has sent the job once more since.
+            self.tickets.remove(&earlier);
+            out.push(Action::Answer(earlier, Outcome::MayHaveRun(Reason::ClientGone)));
+        }
+    }
+
     /// Answers a job that is not taken.
     fn refuse(
         &mut self,
@@ -442,7 +488,11 @@
 }
 
 fn not_run(reason: Reason, request: &JobRequest) -> Outcome {
-    Outcome::NotRun { reason, retry_after: request.objective }
+    let retry_after = match reason {
+        Reason::Draining => ELSEWHERE_PAUSE,
+        _ => request.objective,
+    };
+    Outcome::NotRun { reason, retry_after }
 }
 
 /// Where a task of a job stands in the queue.
--- a/components/dispatch/src/event.rs
+++ b/components/dispatch/src/event.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::{JobId, NodeName, Resources, TaskId};
+use model::{JobId, NodeName, Resources, TaskId, Time};
 use telemetry::Breach;
 use wire::{TaskEnd, ToAgent, ToEntry};
 
@@ -61,10 +61,10 @@
 const OBJECTIVES_TAKEN: f64 = 2.5;
 
 impl JobRequest {
-    /// Whether the job ends within a time even where its estimate is far too low, so that an entry
-    /// which is about to end may still take it.
+    /// Whether the job is surely over within a time, so that an entry which is about to end may still take
+    /// it: because its client waits no longer, or because it ends though its estimate is far too low.
     pub fn surely_ends_within(&self, left: Duration) -> bool {
-        self.objective.mul_f64(OBJECTIVES_TAKEN) <= left
+        self.deadline.min(self.objective.mul_f64(OBJECTIVES_TAKEN)) < left
     }
 }
 
@@ -155,6 +155,10 @@
     Abandon(Ticket),
     /// A client cancels a job, which may be another entry's.
     Cancel(JobId),
+    /// The entry stops: from now on it takes only jobs that surely end by then.
+    TakeOnlyWhatEndsBy(Time),
+    /// The entry ends in a moment: every open job gets its final answer, and no more are taken.
+    AnswerAll,
     /// Time has passed.
     Tick,
 }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -15,9 +15,11 @@
 mod place;
 mod policy;
 mod reports;
+mod stop;
 
 pub use dispatcher::{Dispatcher, DispatcherCounters, Timing};
 pub use event::{
     Action, Event, JobRequest, News, Outcome, Reason, SessionId, TargetsSeen, TaskShape, Ticket,
 };
 pub use policy::Policy;
+pub use stop::{PlannedStop, StopStep, StopTiming, StopView};
--- a/daemon/src/room/entry.rs
+++ b/daemon/src/room/entry.rs
@@ -77,7 +77,7 @@
         statuses: RefCell::default(),
         next: Cell::new(0),
         listening: Cell::new(false),
-        stop: Stop::default(),
+        stop: Stop::new(started.config.node.stop_grace),
         watch: RefCell::default(),
     });
     let bind = |address: SocketAddr| {
@@ -96,8 +96,6 @@
     tasks.spawn(keep_time(entry.clone()));
     let peer_address = config.peer_address.unwrap_or(config.peer_listen);
     entry.start_watch(&started, peer_address, &tasks);
-    let (accepting, closed) = async_channel::bounded(1);
-    *entry.stop.accepting.borrow_mut() = Some(accepting);
     let (to_serve, serving) = (entry.clone(), tasks.clone());
     tasks.spawn(async move {
         to_serve.until_ready().await;
@@ -113,9 +111,10 @@
             }
         };
         to_serve.listening.set(true);
-        entry_http::serve_callers(callers, &serving, to_serve, closed);
+        entry_http::serve_callers(callers, &serving, to_serve);
     });
     until_stopped(&started, |config| {
+        entry.stop.grace.set(config.node.stop_grace);
         if let Some(watch) = &*entry.watch.borrow() {
             watch.set_seeds(&config.node.keepers);
         }
@@ -343,8 +342,7 @@
         page.value("tasks_queued", "", dispatcher.queued() as u64);
         let callers = &self.stop.callers;
         page.value("connections_accepted_total", "", callers.accepted());
-        for phase in [Phase::Fresh, Phase::Idle, Phase::Reading, Phase::Handling, Phase::Answering]
-        {
+        for phase in Phase::ALL {
             let label = format!("{{phase=\"{}\"}}", phase.as_str());
             page.value("connections", &label, callers.count(phase) as u64);
         }
--- a/daemon/src/room/entry_http.rs
+++ b/daemon/src/room/entry_http.rs
@@ -4,10 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_channel::Receiver;
 use async_io::Async;
 use dispatch::Outcome;
-use futures_lite::future;
 use hyper::body::Bytes;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
@@ -31,13 +29,8 @@
 /// When to come back to an entry that has no configuration yet.
 const NO_TABLE_PAUSE: Duration = Duration::from_secs(1);
 
-/// Serves callers; no new connections are taken once the other side of `closed` is dropped.
-pub(super) fn serve_callers(
-    listener: Async<TcpListener>,
-    tasks: &Tasks,
-    entry: Rc<Entry>,
-    closed: Receiver<()>,
-) {
+/// Serves callers until the entry closes its intake.
+pub(super) fn serve_callers(listener: Async<TcpListener>, tasks: &Tasks, entry: Rc<Entry>) {
     let limited = entry.clone();
     let listed = entry.stop.callers.clone();
     let limits = move || {
@@ -55,12 +48,7 @@
         let entry = entry.clone();
         async move { answer(&entry, request).await }
     };
-    let serve = net::serve_listed(listener, tasks.clone(), listed, limits, handler);
-    let stop = async move {
-        // Nothing is ever sent; it ends with an error.
-        let _ = closed.recv().await;
-    };
-    tasks.spawn(future::or(serve, stop));
+    tasks.spawn(net::serve_listed(listener, tasks.clone(), listed, limits, handler));
 }
 
 /// Serves the balancer's question until the process ends.
@@ -141,16 +129,6 @@
 
 async fn submit(entry: &Rc<Entry>, job: dispatch::JobRequest) -> Response<Body> {
     note_late(entry, &job);
-    let left = entry.stop.time_left(entry.now());
-    if left.is_some_and(|left| !job.surely_ends_within(left)) {
-        entry.log.line(
-            "refused",
-            Budget::Full,
-            || json!({"job": job.id.as_str(), "reason": dispatch::Reason::Draining.as_str()}),
-        );
-        let reply = problem(503, "not run: stopping");
-        return render(&Reply { retry_after: Some(NO_TABLE_PAUSE), ..reply });
-    }
     let (answer, _guard) = entry.submit(job);
     // The channel is closed only with the entry.
     let outcome = answer.recv().await;
--- a/daemon/src/room/entry_stop.rs
+++ b/daemon/src/room/entry_stop.rs
@@ -1,11 +1,11 @@
-//! The planned stop of an entry.
+//! The planned stop of an entry: carries out its steps.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_channel::Sender;
 use async_io::Timer;
+use dispatch::{Event, PlannedStop, StopStep, StopTiming, StopView};
 use model::Time;
 use net::{ConnectionInfo, Connections, Phase};
 use serde_json::{Value, json};
@@ -13,34 +13,37 @@
 use super::entry::Entry;
 use crate::event_log::Budget;
 
-/// How often the balancer is told that the entry is not ready before it sends nobody any more,
-const NOTICES: u32 = 2;
-/// and how long the entry waits for it to ask.
-const NOTICE: Duration = Duration::from_millis(2_400);
-/// The longest time of a planned stop.
-const STOP_TIME: Duration = Duration::from_millis(5_400);
-/// How often a stopping entry looks whether it is done.
-const STOP_POLL: Duration = Duration::from_millis(50);
+/// How often a stopping entry looks at itself: a small part of what it waits for.
+const STOP_POLL: Duration = Duration::from_millis(20);
 
 /// How far an entry is with its planned stop.
-#[derive(Default)]
 pub(super) struct Stop {
-    /// When it was told to stop.
-    began: Cell<Option<Time>>,
-    /// How often the balancer was told since that it is not ready.
-    notices: Cell<u32>,
-    /// Set when no new connections are taken any more: when the process ends at the latest.
-    closing: Cell<Option<Time>>,
-    /// Dropped to take no new connections.
-    pub accepting: RefCell<Option<Sender<()>>>,
+    /// How long the platform waits for the end.
+    pub grace: Cell<Duration>,
     /// The connections of callers.
     pub callers: Rc<Connections>,
+    began: Cell<bool>,
+    /// How often the balancer was told since that the entry is not ready.
+    notices: Cell<u32>,
+    /// Once the balancer has noticed: when every job is answered.
+    answers_at: Cell<Option<Time>>,
 }
 
 impl Stop {
-    /// Whether it was told to stop.
+    /// A stop that has not begun.
+    pub fn new(grace: Duration) -> Self {
+        Self {
+            grace: Cell::new(grace),
+            callers: Rc::default(),
+            began: Cell::new(false),
+            notices: Cell::new(0),
+            answers_at: Cell::new(None),
+        }
+    }
+
+    /// Whether the entry was told to stop.
     pub fn has_begun(&self) -> bool {
-        self.began.get().is_some()
+        self.began.get()
     }
 
     /// The balancer was told whether the entry is ready.
@@ -50,45 +53,56 @@
         }
     }
 
-    /// At the end of a planned stop: how much time is left for what still comes over connections
-    /// that are open.
+    /// Once the balancer has noticed the stop: how much time is left for what still comes.
     pub fn time_left(&self, now: Time) -> Option<Duration> {
-        let until = self.closing.get()?;
-        Some(until.since(now))
+        self.answers_at.get().map(|at| at.since(now))
+    }
+
+    fn view(&self, jobs: usize) -> StopView {
+        StopView {
+            notices: self.notices.get(),
+            jobs,
+            busy: self.callers.busy(),
+            quiet: self.callers.quiet(),
+        }
     }
 
     fn connections(&self) -> Value {
-        let count = |phase: Phase| self.callers.count(phase);
-        json!({"fresh": count(Phase::Fresh), "idle": count(Phase::Idle),
-            "reading": count(Phase::Reading), "handling": count(Phase::Handling),
-            "answering": count(Phase::Answering)})
+        let count = |phase: Phase| (phase.as_str().to_owned(), self.callers.count(phase).into());
+        Value::Object(Phase::ALL.map(count).into_iter().collect())
     }
 }
 
 impl Entry {
-    /// A planned stop: says that it is not ready and goes on until the balancer has noticed; then
-    /// takes no new connections, finishes what it has, ends. Each answer closes its connection, so
-    /// that requests dry up.
+    /// A planned stop, until the process may end.
     pub(super) async fn drain(&self) {
-        let began = self.now();
-        self.stop.began.set(Some(began));
-        self.tell_stop("draining", began);
+        let timing = StopTiming::within(self.stop.grace.get());
+        let mut stop = PlannedStop::new(timing, self.now());
+        self.stop.began.set(true);
+        self.tell_stop("draining", stop.began());
         loop {
             Timer::after(STOP_POLL).await;
-            let now = self.now();
-            let age = now.since(began);
-            let idle = self.active() == 0;
-            let closing = self.stop.closing.get().is_some();
-            if age > STOP_TIME || (closing && idle) {
-                break;
-            }
-            if !closing && (age > NOTICE || self.stop.notices.get() >= NOTICES) {
-                self.stop.closing.set(Some(began + STOP_TIME));
-                self.stop.accepting.borrow_mut().take();
-                self.tell_stop("closing", began);
+            let view = self.stop.view(self.active());
+            match stop.next(self.now(), &view) {
+                Some(StopStep::TakeOnlyWhatEndsBy(end)) => {
+                    self.stop.answers_at.set(Some(end));
+                    self.feed(Event::TakeOnlyWhatEndsBy(end));
+                    self.stop.callers.close_idle();
+                    self.tell_stop("closing", stop.began());
+                }
+                Some(StopStep::CloseIntake) => {
+                    self.stop.callers.close();
+                    self.tell_stop("intake-closed", stop.began());
+                }
+                Some(StopStep::AnswerAll) => {
+                    self.tell_stop("answering-all", stop.began());
+                    self.feed(Event::AnswerAll);
+                }
+                Some(StopStep::End) => break,
+                None => {}
             }
         }
-        self.tell_stop("drained", began);
+        self.tell_stop("drained", stop.began());
         let cut = self.stop.callers.list().into_iter().filter(|info| info.phase.is_busy());
         cut.for_each(|info| self.tell_cut(info));
     }
