The order in which a closing connection is asked is what keeps unread requests

The explicit look before an idle connection is closed did nothing: the connection is asked first at each turn anyway, and the six tests pass without it. With the order reversed, a_request_that_is_unread_when_the_server_closes_is_answered fails; so the look goes and the order says why it is so.

--- a/components/net/src/server.rs
+++ b/components/net/src/server.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use async_io::{Async, Timer};
-use futures_lite::{FutureExt, future};
+use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
@@ -151,12 +151,9 @@
         tracker.first_bytes().await;
         false
     };
-    if over.or(closes).await {
-        return;
-    }
-    // A request that has reached the host is read before an idle connection is closed: closing it
-    // with the request unread would leave the client without an answer.
-    if future::poll_once(connection.as_mut()).await.is_none() {
+    // `or` asks the connection first: a request that has reached the host is read before an idle
+    // connection is closed, which would leave its client without an answer.
+    if !over.or(closes).await {
         connection.as_mut().graceful_shutdown();
         // As above.
         let _ = connection.await;
