What no target can ever run is rejected at once

A job whose tasks need a label that no target has, or more than the largest target of its service has, or whose service has no targets, waited like any other (8 to 20 of 100 of its objective, or all its slack where no room is known) though it was known from the start. Now it is answered at once, not run, with three seconds to come back, but only once no agent has come or gone for two seconds: right after a start and while agents restart, jobs wait as before. Test first: what_no_target_can_run_is_rejected_at_once failed before; a_job_waits_for_targets_that_were_there_a_moment_ago holds the other side.

--- a/components/dispatch/src/agents.rs
+++ b/components/dispatch/src/agents.rs
@@ -92,6 +92,7 @@
 
 impl Dispatcher {
     pub(crate) fn open_agent(&mut self, now: Time, id: SessionId) {
+        self.agents_changed = now;
         self.agents.insert(id, Agent::new(now));
     }
 
@@ -116,6 +117,7 @@
             capacity: profile.capacity,
         }));
         agent.profile = Some(profile);
+        self.agents_changed = self.now();
     }
 
     pub(crate) fn agent_load(
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -116,6 +116,8 @@
     /// What is read before may have lain unread through a standstill.
     stale_until: Time,
     document: Option<Document>,
+    /// When an agent came or went last.
+    pub(crate) agents_changed: Time,
     /// Set once the entry stops: what does not surely end by then is not taken.
     stops_at: Option<Time>,
     pub(crate) counters: DispatcherCounters,
@@ -131,6 +133,8 @@
 /// When to come back to another entry: at once would do, but where all of them stop, clients would send
 /// again and again. A second is the least that a client can be told besides.
 const ELSEWHERE_PAUSE: Duration = Duration::from_secs(1);
+/// When to come back where no target can run the job: one has to start first, which takes seconds.
+const NO_TARGET_PAUSE: Duration = Duration::from_secs(3);
 
 impl Dispatcher {
     /// An entry that knows no agent yet.
@@ -147,6 +151,7 @@
             waits_ended: now,
             stale_until: now,
             document: None,
+            agents_changed: now,
             stops_at: None,
             counters: DispatcherCounters::default(),
         }
@@ -307,6 +312,9 @@
         if self.stops_at.is_some_and(ends_first) {
             return self.refuse(ticket, &request, Reason::Draining, out);
         }
+        if self.is_unservable(now, &request) {
+            return self.refuse(ticket, &request, Reason::NoTarget, out);
+        }
         let id = request.id.clone();
         out.push(Action::News(News::Admitted {
             job: id.clone(),
@@ -490,6 +498,7 @@
 fn not_run(reason: Reason, request: &JobRequest) -> Outcome {
     let retry_after = match reason {
         Reason::Draining => ELSEWHERE_PAUSE,
+        Reason::NoTarget => NO_TARGET_PAUSE,
         _ => request.objective,
     };
     Outcome::NotRun { reason, retry_after }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 mod place;
 mod policy;
 mod reports;
+mod servable;
 mod stop;
 
 pub use dispatcher::{Dispatcher, DispatcherCounters, Timing};
--- a/components/dispatch/src/reports.rs
+++ b/components/dispatch/src/reports.rs
@@ -100,6 +100,7 @@
         let Some(agent) = self.agents.remove(&id) else { return };
         let now = self.now();
         self.counters.agents_lost += 1;
+        self.agents_changed = now;
         out.push(Action::News(News::AgentLost {
             agent: agent.name().cloned(),
             why,
