A stop ends once every connection has had its last look, whatever a request came as

Now the end waits until no connection is open but those whose client has sent nothing for 1.5 s within a request (408 where its head has come); 300 ms pass after the balancer has noticed; questions count 400 ms apart; only a second SIGINT ends at once; second tries that are not begun may have run. Three of the daemon's tests of the mend used connections that had been open and unused for less than 250 ms; those close with the idle ones now that the stop takes longer to notice, so they connect after it; what they assert is unchanged.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -305,13 +305,13 @@
 
     fn submit(&mut self, now: Time, ticket: Ticket, request: JobRequest, out: &mut Vec<Action>) {
         self.counters.submitted += 1;
+        if self.jobs.contains_key(&request.id) {
+            return self.submit_again(now, ticket, request, out);
+        }
         if now < self.stale_until {
             // Its client may have sent it again elsewhere long ago.
             return self.refuse(ticket, &request, Reason::Standstill, out);
         }
-        if self.jobs.contains_key(&request.id) {
-            return self.submit_again(ticket, request, out);
-        }
         let ends_first = |end: Time| !request.surely_ends_within(end.since(now));
         if self.stops_at.is_some_and(ends_first) {
             return self.refuse(ticket, &request, Reason::Draining, out);
@@ -336,17 +336,24 @@
     }
 
     /// A job comes of which this entry has an earlier try: its client has lost the connection.
-    fn submit_again(&mut self, ticket: Ticket, request: JobRequest, out: &mut Vec<Action>) {
+    fn submit_again(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        request: JobRequest,
+        out: &mut Vec<Action>,
+    ) {
         let id = request.id.clone();
+        let no_second_try = self.no_second_try(now);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if job.outcome.is_none() {
             job.tickets.push(ticket);
             self.tickets.insert(ticket, id);
             return;
         }
-        if self.stops_at.is_some() {
-            // The first try may have run, and the entry may end before its tasks are stopped.
-            out.push(Action::Answer(ticket, Outcome::MayHaveRun(Reason::Draining)));
+        if let Some(reason) = no_second_try {
+            // The first try may have run, so "not run" would not be true.
+            out.push(Action::Answer(ticket, Outcome::MayHaveRun(reason)));
             return;
         }
         // Tasks of the first try are being stopped: the second begins after that.
@@ -359,6 +366,15 @@
         }
     }
 
+    /// Why a job is not begun a second time, if so: the entry stops, or the client may have sent the job
+    /// elsewhere long ago.
+    fn no_second_try(&self, now: Time) -> Option<Reason> {
+        if self.stops_at.is_some() {
+            return Some(Reason::Draining);
+        }
+        (now < self.stale_until).then_some(Reason::Standstill)
+    }
+
     /// Answers a job that is not taken.
     fn refuse(
         &mut self,
@@ -439,8 +455,15 @@
             self.finish(now, &id, outcome, out);
         }
         for id in gone {
-            if let Some((ticket, request)) = self.jobs.remove(&id).and_then(|job| job.again) {
-                self.submit(now, ticket, request, out);
+            let Some((ticket, request)) = self.jobs.remove(&id).and_then(|job| job.again) else {
+                continue;
+            };
+            match self.no_second_try(now) {
+                Some(reason) => {
+                    self.tickets.remove(&ticket);
+                    out.push(Action::Answer(ticket, Outcome::MayHaveRun(reason)));
+                }
+                None => self.submit(now, ticket, request, out),
             }
         }
     }
--- a/components/dispatch/src/stop.rs
+++ b/components/dispatch/src/stop.rs
@@ -3,10 +3,10 @@
 //! The balancer is told that the entry is not ready, and the entry serves on until the balancer has
 //! noticed. Then it closes idle connections, so that their clients go to other entries, and takes only what
 //! surely ends in time. It goes on listening: where all entries are stopping, the balancer still sends to
-//! them, and in a day of overlapping stops of three entries a closed listener turned away 900 to 1,100
-//! of 4,900 requests at first and 3.5% for good; open, 0 to 20 and none. It ends once nothing is under way and no
-//! request has come for a moment. What is open near the end of the time that the platform grants gets its
-//! final answer then.
+//! them. In three plays each of a day of overlapping stops of all entries, a closed listener turned away 106 to
+//! 694 of some 5,000 requests at first (four entries) or 908 and 1,141 (three); an open one 0 to 73, and 0 and 20. The
+//! entry ends once nothing is under way and no request has come for a moment. What is open near the end of
+//! the time that the platform grants gets its final answer then.
 
 use std::time::Duration;
 
@@ -15,15 +15,15 @@
 /// The times of a planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopTiming {
-    /// How often the balancer is told that the entry is not ready before it sends nobody any more,
+    /// How often the balancer is told that the entry is not ready before it sends nobody any more.
     pub notices: u32,
-    /// and how long the entry waits for it to ask.
+    /// How long the entry waits for the balancer to ask so often.
     pub notice: Duration,
     /// No connection and no request has come for so long: the balancer sends nobody any more.
     pub quiet: Duration,
     /// When no more requests are taken at the latest.
     pub intake: Duration,
-    /// How long after that the entry ends at the earliest: what had reached the host is read by then.
+    /// How long after that the entry ends at the earliest.
     pub linger: Duration,
     /// When every job that is still open gets its final answer.
     pub answers: Duration,
@@ -35,31 +35,36 @@
 /// own; these are two answers, a second apart, and a little.
 const NOTICES: u32 = 2;
 const NOTICE: Duration = Duration::from_millis(2_400);
-/// A connection that the balancer handed out before it noticed arrives within a few milliseconds, and is
-/// accepted within the 50 ms or so that an entry on a tenth of a core may wait for its turn.
-const QUIET: Duration = Duration::from_millis(100);
-/// Left of the platform's time when no more requests are taken: what begins then could hardly end.
+/// Where the balancer still sends, some 20 requests a second come, so that a gap of this length comes once
+/// in hundreds of them; with 100 ms it comes once in ten.
+const QUIET: Duration = Duration::from_millis(300);
+/// Left of the platform's time when no more requests are taken: hardly any job that begins then ends.
 const INTAKE_MARGIN: Duration = Duration::from_millis(1_500);
-/// Two turns of the entry's look at itself: whatever was ready to be read has had its turn.
+/// Two turns of the entry's look at itself: what waited to be accepted is among the open connections.
 const LINGER: Duration = Duration::from_millis(40);
-/// Left when final answers are given: a process on a tenth of a core writes some hundred of them and
-/// its last log lines within a few hundred milliseconds.
+/// Left when final answers are given: they and the last log lines leave within some hundred milliseconds
+/// where a process has a tenth of a core.
 const ANSWER_MARGIN: Duration = Duration::from_millis(600);
-/// Left when the process ends at the latest.
+/// Left when the process ends at the latest, for its last log lines.
 const END_MARGIN: Duration = Duration::from_millis(250);
+/// Where the platform grants little time, each margin is at most this part of it, so that the steps keep
+/// their order.
+const INTAKE_PART: u32 = 4;
+const ANSWER_PART: u32 = 10;
+const END_PART: u32 = 24;
 
 impl StopTiming {
     /// The times where the platform grants so long from the request to stop to the end.
     pub fn within(grace: Duration) -> Self {
-        let before = |margin: Duration| grace.saturating_sub(margin);
+        let before = |margin: Duration, part: u32| grace - margin.min(grace / part);
         Self {
             notices: NOTICES,
             notice: NOTICE.min(grace / 2),
             quiet: QUIET,
-            intake: before(INTAKE_MARGIN),
+            intake: before(INTAKE_MARGIN, INTAKE_PART),
             linger: LINGER,
-            answers: before(ANSWER_MARGIN),
-            end: before(END_MARGIN),
+            answers: before(ANSWER_MARGIN, ANSWER_PART),
+            end: before(END_MARGIN, END_PART),
         }
     }
 }
@@ -71,8 +76,8 @@
     pub notices: u32,
     /// Jobs whose client waits.
     pub jobs: usize,
-    /// Connections that carry a request, or on which the first is about to come.
-    pub busy: usize,
+    /// Connections over which a request may still have to be answered.
+    pub open: usize,
     /// Since a connection or a request came last.
     pub quiet: Duration,
 }
@@ -125,7 +130,7 @@
         self.began
     }
 
-    /// The next step, if it is due; to be asked again until none is.
+    /// The next step, if one is due.
     pub fn next(&mut self, now: Time, view: &StopView) -> Option<StopStep> {
         let age = now.since(self.began);
         let (phase, step) = match self.phase {
@@ -133,16 +138,14 @@
                 let by = self.began + self.timing.answers;
                 (Phase::Taking, StopStep::TakeOnlyWhatEndsBy(by))
             }
-            Phase::Taking if self.is_quiet(view) || age >= self.timing.intake => {
+            Phase::Taking if self.is_quiet(now, view) || age >= self.timing.intake => {
                 (Phase::Finishing, StopStep::CloseIntake)
             }
             Phase::Finishing if self.is_done(now, view) => (Phase::Over, StopStep::End),
             Phase::Finishing if age >= self.timing.answers => {
                 (Phase::Answered, StopStep::AnswerAll)
             }
-            Phase::Answered if view.busy == 0 || age >= self.timing.end => {
-                (Phase::Over, StopStep::End)
-            }
+            Phase::Answered if self.has_answered(now, age, view) => (Phase::Over, StopStep::End),
             _ => return None,
         };
         self.phase = phase;
@@ -154,11 +157,19 @@
         view.notices >= self.timing.notices || age >= self.timing.notice
     }
 
+    /// A process that was held up until after its latest time still has a moment for its answers.
+    fn has_answered(&self, now: Time, age: Duration, view: &StopView) -> bool {
+        let lingered = now.since(self.since) >= self.timing.linger;
+        view.open == 0 || (age >= self.timing.end && lingered)
+    }
+
     fn is_done(&self, now: Time, view: &StopView) -> bool {
-        view.jobs == 0 && view.busy == 0 && now.since(self.since) >= self.timing.linger
+        view.jobs == 0 && view.open == 0 && now.since(self.since) >= self.timing.linger
     }
 
-    fn is_quiet(&self, view: &StopView) -> bool {
-        view.jobs == 0 && view.busy == 0 && view.quiet >= self.timing.quiet
+    /// What the balancer sent before it noticed may still be on its way, so the time since then counts too.
+    fn is_quiet(&self, now: Time, view: &StopView) -> bool {
+        let quiet = view.quiet.min(now.since(self.since));
+        view.jobs == 0 && view.open == 0 && quiet >= self.timing.quiet
     }
 }
--- a/components/dispatch/tests/planned_stop.rs
+++ b/components/dispatch/tests/planned_stop.rs
@@ -15,7 +15,7 @@
 const ELSEWHERE: Outcome =
     Outcome::NotRun { reason: Reason::Draining, retry_after: Duration::from_secs(1) };
 /// Nothing is under way, and nothing has come for long.
-const NOTHING: StopView = StopView { notices: 2, jobs: 0, busy: 0, quiet: Duration::from_secs(9) };
+const NOTHING: StopView = StopView { notices: 2, jobs: 0, open: 0, quiet: Duration::from_secs(9) };
 
 fn after(millis: u64) -> Time {
     START + Duration::from_millis(millis)
@@ -39,7 +39,7 @@
 fn an_entry_with_nothing_to_do_ends_once_the_balancer_has_noticed() {
     let told =
         |age| StopView { notices: u32::from(age >= 200) + u32::from(age >= 1_200), ..NOTHING };
-    let expected = [(1_200, TAKE), (1_200, StopStep::CloseIntake), (1_250, StopStep::End)];
+    let expected = [(1_200, TAKE), (1_500, StopStep::CloseIntake), (1_550, StopStep::End)];
     assert_eq!(steps(told), expected);
 }
 
@@ -54,18 +54,18 @@
     // The last request comes after 1.7 s.
     let quiet = |age: u64| Duration::from_millis(age.saturating_sub(1_700));
     let steps = steps(|age| StopView { quiet: quiet(age), ..NOTHING });
-    assert_eq!(steps[1], (1_800, StopStep::CloseIntake));
+    assert_eq!(steps[1], (2_000, StopStep::CloseIntake));
 }
 
 #[test]
 fn an_entry_does_not_end_while_a_request_is_under_way() {
-    let reading = |age| StopView { busy: usize::from(age < 4_000), ..NOTHING };
+    let reading = |age| StopView { open: usize::from(age < 4_000), ..NOTHING };
     assert_eq!(steps(reading).last(), Some(&(4_050, StopStep::End)));
 }
 
 #[test]
 fn what_is_open_near_the_end_is_answered_before_it() {
-    let open = |age| StopView { jobs: 3, busy: usize::from(age < 5_500), ..NOTHING };
+    let open = |age| StopView { jobs: 3, open: usize::from(age < 5_500), ..NOTHING };
     let expected = [
         (0, TAKE),
         (4_500, StopStep::CloseIntake),
@@ -77,7 +77,7 @@
 
 #[test]
 fn a_client_that_does_not_read_its_answer_holds_up_nothing() {
-    let stuck = |_| StopView { busy: 1, ..NOTHING };
+    let stuck = |_| StopView { open: 1, ..NOTHING };
     assert_eq!(steps(stuck).last(), Some(&(5_750, StopStep::End)));
 }
 
@@ -153,6 +153,60 @@
     assert!(entry.starts().is_empty());
 }
 
+/// "Not run" was said of a job that ran to its end: its client had left and sent it again, and the second try
+/// waited for the end of the first when the entry was told to stop.
+#[test]
+fn a_second_try_that_waited_for_the_end_of_the_first_may_have_run() {
+    let mut entry = Entry::new();
+    entry.agent(1, 16_000, &[]);
+    let first = entry.submit(job(1, 556));
+    let starts = entry.starts();
+    entry.handle(Event::Abandon(first));
+    let second = entry.submit(job(1, 556));
+    entry.handle(Event::TakeOnlyWhatEndsBy(entry.now + Duration::from_millis(500)));
+    entry.report(&starts[0], TaskEnd::Done);
+    entry.run_for(50, &[(1, 16_000)]);
+    assert_eq!(entry.answer(second), Some(Outcome::MayHaveRun(Reason::Draining)));
+}
+
+#[test]
+fn a_job_that_comes_again_right_after_a_pause_of_the_process_may_have_run() {
+    let mut entry = Entry::new();
+    entry.agent(1, 16_000, &[]);
+    let first = entry.submit(job(1, 2_000));
+    assert_eq!(entry.starts().len(), 1);
+    entry.now = entry.now + Duration::from_millis(500);
+    entry.handle(Event::Tick);
+    assert_eq!(entry.answer(first), Some(Outcome::MayHaveRun(Reason::Standstill)));
+    entry.now = entry.now + Duration::from_millis(5);
+    let second = entry.submit(job(1, 2_000));
+    assert_eq!(entry.answer(second), Some(Outcome::MayHaveRun(Reason::Standstill)));
+}
+
+#[test]
+fn final_answers_have_time_to_leave_though_the_entry_was_held_up() {
+    let mut stop = PlannedStop::new(StopTiming::within(GRACE), START);
+    let open = StopView { jobs: 3, open: 3, quiet: Duration::ZERO, ..NOTHING };
+    assert_eq!(stop.next(after(1_200), &open), Some(TAKE));
+    assert_eq!(stop.next(after(4_520), &open), Some(StopStep::CloseIntake));
+    // Held up from here on; the platform's time is not over.
+    assert_eq!(stop.next(after(5_780), &open), Some(StopStep::AnswerAll));
+    let unwritten = StopView { jobs: 0, ..open };
+    assert_eq!(stop.next(after(5_800), &unwritten), None);
+    assert_eq!(stop.next(after(5_820), &unwritten), Some(StopStep::End));
+}
+
+#[test]
+fn a_short_grace_leaves_jobs_most_of_it() {
+    for millis in [1_000, 2_000, 3_000, 6_000, 600_000] {
+        let timing = StopTiming::within(Duration::from_millis(millis));
+        let steps = [timing.notice, timing.intake, timing.answers, timing.end];
+        assert!(steps.is_sorted_by(|a, b| a < b), "{timing:?}");
+        assert!(timing.end < Duration::from_millis(millis));
+        assert!(timing.intake >= Duration::from_millis(millis) / 2, "{timing:?}");
+    }
+}
+
 proptest! {
     /// Whatever a stopping entry sees: it never ends while a request is under way, but at its latest
     /// time; it ends within what the platform grants; and no job is open at its end that was not
@@ -167,11 +221,11 @@
         let mut stop = PlannedStop::new(timing, START);
         let mut answered = false;
         let mut ended = None;
-        for (index, (notices, jobs, busy, quiet)) in views.iter().enumerate() {
+        for (index, (notices, jobs, open, quiet)) in views.iter().enumerate() {
             let age = grace.mul_f64(index as f64 / 120.0);
             let jobs = if answered { 0 } else { *jobs };
             let quiet = Duration::from_millis(*quiet);
-            let view = StopView { notices: *notices, jobs, busy: *busy, quiet };
+            let view = StopView { notices: *notices, jobs, open: *open, quiet };
             while let Some(step) = stop.next(START + age, &view) {
                 prop_assert!(ended.is_none(), "nothing after the end");
                 match step {
@@ -179,7 +233,7 @@
                     StopStep::End => {
                         ended = Some(age);
                         prop_assert!(jobs == 0 || answered);
-                        prop_assert!(*busy == 0 || age >= timing.end);
+                        prop_assert!(*open == 0 || age >= timing.end);
                     }
                     _ => {}
                 }
--- a/components/net/src/connections.rs
+++ b/components/net/src/connections.rs
@@ -46,8 +46,11 @@
     }
 }
 
-/// How often a connection of a closing server is looked at for its first bytes.
-const FIRST_POLL: Duration = Duration::from_millis(10);
+/// A client that sends nothing more of a request for so long has stopped: a lost packet is sent again after
+/// some hundred milliseconds, a second at most.
+const STALL: Duration = Duration::from_millis(1_500);
+/// How often a connection of a closing server is looked at for what comes.
+const LOOK: Duration = Duration::from_millis(10);
 
 /// One connection, shared by the parts that serve it.
 #[derive(Debug)]
@@ -56,6 +59,10 @@
     phase: Cell<Phase>,
     since: Cell<Instant>,
     answered: Cell<u64>,
+    /// When bytes came last on this connection.
+    last_bytes: Cell<Instant>,
+    /// Bytes of the next request have come while this one is worked on.
+    more_came: Cell<bool>,
     /// When anything came last at the server.
     last_arrival: Rc<Cell<Instant>>,
 }
@@ -67,6 +74,8 @@
             phase: Cell::new(Phase::Fresh),
             since: Cell::new(Instant::now()),
             answered: Cell::new(0),
+            last_bytes: Cell::new(Instant::now()),
+            more_came: Cell::new(false),
             last_arrival,
         }
     }
@@ -81,18 +90,17 @@
         }
     }
 
-    /// Bytes have come: of the next request, unless one is being worked on.
+    /// Bytes have come: of the next request, unless one is being read.
     pub fn bytes_came(&self) {
-        if matches!(self.phase(), Phase::Fresh | Phase::Idle) {
-            self.enter(Phase::Reading);
-            self.last_arrival.set(self.since.get());
-        }
-    }
-
-    /// Waits until the first bytes have come, but no longer than a client takes to send them.
-    pub async fn first_bytes(&self) {
-        while self.phase() == Phase::Fresh && self.since.get().elapsed() < FIRST_REQUEST {
-            Timer::after(FIRST_POLL).await;
+        let now = Instant::now();
+        self.last_bytes.set(now);
+        match self.phase() {
+            Phase::Fresh | Phase::Idle => {
+                self.enter(Phase::Reading);
+                self.last_arrival.set(now);
+            }
+            Phase::Reading => {}
+            Phase::Handling | Phase::Answering => self.more_came.set(true),
         }
     }
 
@@ -100,7 +108,32 @@
     pub fn flushed(&self) {
         if self.phase() == Phase::Answering {
             self.answered.set(self.answered.get() + 1);
-            self.enter(Phase::Idle);
+            let next = if self.more_came.take() { Phase::Reading } else { Phase::Idle };
+            self.enter(next);
+        }
+    }
+
+    /// Whether its first request is about to come.
+    fn awaits_first(&self) -> bool {
+        self.phase() == Phase::Fresh && self.since.get().elapsed() < FIRST_REQUEST
+    }
+
+    /// Whether a part of a request has come and nothing for long: its client does not go on.
+    fn is_stalled(&self) -> bool {
+        self.phase() == Phase::Reading && self.last_bytes.get().elapsed() >= STALL
+    }
+
+    /// Waits until no request is on its way to the server.
+    pub async fn nothing_comes(&self) {
+        while self.awaits_first() || (self.phase() == Phase::Reading && !self.is_stalled()) {
+            Timer::after(LOOK).await;
+        }
+    }
+
+    /// Waits until the client has stopped in the midst of a request.
+    pub async fn stalled(&self) {
+        while !self.is_stalled() {
+            Timer::after(LOOK).await;
         }
     }
 }
@@ -209,13 +242,10 @@
         self.open.borrow().values().map(info).collect()
     }
 
-    /// How many carry a request, or have just been opened to carry their first.
-    pub fn busy(&self) -> usize {
-        let awaits = |tracker: &Tracker| {
-            tracker.phase() == Phase::Fresh && tracker.since.get().elapsed() < FIRST_REQUEST
-        };
-        let busy = |tracker: &&Rc<Tracker>| tracker.phase().is_busy() || awaits(tracker);
-        self.open.borrow().values().filter(busy).count()
+    /// How many are open but those whose client has stopped in the midst of a request. Once no
+    /// connection is kept, each of these still carries a request or has not had its last look.
+    pub fn unfinished(&self) -> usize {
+        self.open.borrow().values().filter(|tracker| !tracker.is_stalled()).count()
     }
 
     /// Since a connection was accepted or a request began to come.
@@ -223,8 +253,8 @@
         self.last_arrival.get().elapsed()
     }
 
-    /// From now on each connection closes after its answer, and idle ones at once; a request of which
-    /// a part has come is answered. New connections are still accepted.
+    /// From now on each connection closes after its answer, and idle ones at once. A request of which
+    /// a part has come is answered, unless its client stops sending. New connections are still accepted.
     pub fn close_idle(&self) {
         self.keeping.close();
     }
--- a/components/net/src/server.rs
+++ b/components/net/src/server.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use async_io::{Async, Timer};
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
@@ -82,6 +82,13 @@
     H: Fn(Request<Result<Bytes, BodyError>>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
+    let take = |(stream, peer), limits| {
+        let listed = connections.open(Some(peer));
+        let (connections, handler) = (connections.clone(), handler.clone());
+        tasks.spawn(async move {
+            serve_connection(stream, &listed.tracker, &connections, limits, handler).await;
+        });
+    };
     let accept = async {
         loop {
             let limits = limits();
@@ -89,20 +96,20 @@
                 Timer::after(ACCEPT_PAUSE).await;
                 continue;
             }
-            let Ok((stream, peer)) = listener.accept().await else {
-                Timer::after(ACCEPT_PAUSE).await;
-                continue;
-            };
-            let listed = connections.open(Some(peer));
-            let (connections, handler) = (connections.clone(), handler.clone());
-            tasks.spawn(async move {
-                serve_connection(stream, &listed.tracker, &connections, limits, handler).await;
-            });
+            match listener.accept().await {
+                Ok(accepted) => take(accepted, limits),
+                Err(_) => {
+                    Timer::after(ACCEPT_PAUSE).await;
+                }
+            }
         }
     };
-    // What waits to be accepted when the server closes is accepted first: `or` asks its first side
-    // first, which ends only when nothing waits.
     accept.or(connections.no_more_accepted()).await;
+    // What waits to be accepted is reset when the listener closes, with a request in it perhaps. The queue
+    // is short, so the limit may be exceeded by it.
+    while let Some(Ok(accepted)) = future::poll_once(listener.accept()).await {
+        take(accepted, limits());
+    }
 }
 
 async fn serve_connection<H, F>(
@@ -122,7 +129,12 @@
         let tracker = tracker.clone();
         async move {
             let (head, body) = request.into_parts();
-            let body = read_body(body, limits).await;
+            let stopped = async {
+                connections.no_more_kept().await;
+                tracker.stalled().await;
+                Err(BodyError::TooSlow)
+            };
+            let body = read_body(body, limits).or(stopped).await;
             tracker.enter(Phase::Handling);
             let broken = body.is_err();
             let mut response = handler(Request::from_parts(head, body)).await;
@@ -148,7 +160,8 @@
     };
     let closes = async {
         connections.no_more_kept().await;
-        tracker.first_bytes().await;
+        // hyper takes a connection with a part of a head for an idle one.
+        tracker.nothing_comes().await;
         false
     };
     // `or` asks the connection first: a request that has reached the host is read before an idle
--- a/daemon/src/room/entry_http.rs
+++ b/daemon/src/room/entry_http.rs
@@ -55,7 +55,7 @@
 pub(super) fn serve_ready(listener: Async<TcpListener>, tasks: &Tasks, entry: Rc<Entry>) {
     let handler = move |_: Request<Result<Bytes, BodyError>>| {
         let status = if entry.is_ready() { 200 } else { 503 };
-        entry.stop.told_balancer();
+        entry.stop.told_balancer(entry.now());
         async move { plain(status, "") }
     };
     tasks.spawn(net::serve(listener, tasks.clone(), || READY_LIMITS, handler));
--- a/daemon/src/room/entry_stop.rs
+++ b/daemon/src/room/entry_stop.rs
@@ -16,6 +16,10 @@
 /// How often a stopping entry looks at itself: a small part of what it waits for.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
+/// Questions of the balancer that come closer together count once: it asks each second, and others may
+/// ask as well.
+const NOTICE_GAP: Duration = Duration::from_millis(400);
+
 /// How far an entry is with its planned stop.
 pub(super) struct Stop {
     /// How long the platform waits for the end.
@@ -25,6 +29,8 @@
     began: Cell<bool>,
     /// How often the balancer was told since that the entry is not ready.
     notices: Cell<u32>,
+    /// When that was counted last.
+    noticed: Cell<Option<Time>>,
     /// Once the balancer has noticed: when every job is answered.
     answers_at: Cell<Option<Time>>,
 }
@@ -37,6 +43,7 @@
             callers: Rc::default(),
             began: Cell::new(false),
             notices: Cell::new(0),
+            noticed: Cell::new(None),
             answers_at: Cell::new(None),
         }
     }
@@ -47,8 +54,10 @@
     }
 
     /// The balancer was told whether the entry is ready.
-    pub fn told_balancer(&self) {
-        if self.has_begun() {
+    pub fn told_balancer(&self, now: Time) {
+        let recent = self.noticed.get().is_some_and(|at| now.since(at) < NOTICE_GAP);
+        if self.has_begun() && !recent {
+            self.noticed.set(Some(now));
             self.notices.set(self.notices.get() + 1);
         }
     }
@@ -62,7 +71,7 @@
         StopView {
             notices: self.notices.get(),
             jobs,
-            busy: self.callers.busy(),
+            open: self.callers.unfinished(),
             quiet: self.callers.quiet(),
         }
     }
@@ -82,29 +91,37 @@
         self.tell_stop("draining", stop.began());
         loop {
             Timer::after(STOP_POLL).await;
-            let view = self.stop.view(self.active());
-            match stop.next(self.now(), &view) {
-                Some(StopStep::TakeOnlyWhatEndsBy(end)) => {
-                    self.stop.answers_at.set(Some(end));
-                    self.feed(Event::TakeOnlyWhatEndsBy(end));
-                    self.stop.callers.close_idle();
-                    self.tell_stop("closing", stop.began());
-                }
-                Some(StopStep::CloseIntake) => {
-                    self.stop.callers.close();
-                    self.tell_stop("intake-closed", stop.began());
-                }
-                Some(StopStep::AnswerAll) => {
-                    self.tell_stop("answering-all", stop.began());
-                    self.feed(Event::AnswerAll);
+            while let Some(step) = stop.next(self.now(), &self.stop.view(self.active())) {
+                self.take_step(step, stop.began());
+                if step == StopStep::End {
+                    return;
                 }
-                Some(StopStep::End) => break,
-                None => {}
             }
         }
-        self.tell_stop("drained", stop.began());
-        let cut = self.stop.callers.list().into_iter().filter(|info| info.phase.is_busy());
-        cut.for_each(|info| self.tell_cut(info));
+    }
+
+    fn take_step(&self, step: StopStep, began: Time) {
+        match step {
+            StopStep::TakeOnlyWhatEndsBy(end) => {
+                self.stop.answers_at.set(Some(end));
+                self.feed(Event::TakeOnlyWhatEndsBy(end));
+                self.stop.callers.close_idle();
+                self.tell_stop("closing", began);
+            }
+            StopStep::CloseIntake => {
+                self.stop.callers.close();
+                self.tell_stop("intake-closed", began);
+            }
+            StopStep::AnswerAll => {
+                self.tell_stop("answering-all", began);
+                self.feed(Event::AnswerAll);
+            }
+            StopStep::End => {
+                self.tell_stop("drained", began);
+                let open = self.stop.callers.list().into_iter();
+                open.filter(|info| info.phase.is_busy()).for_each(|info| self.tell_cut(info));
+            }
+        }
     }
 
     /// A step of the stop, with what is under way.
--- a/daemon/src/room/mod.rs
+++ b/daemon/src/room/mod.rs
@@ -110,19 +110,24 @@
     Incarnation((random >> 64) as u64 ^ random as u64)
 }
 
-/// Turns signals into orders: the first stop is planned, the second ends the process at once.
+/// Turns signals into orders: stops are planned; only a second SIGINT, from a terminal, ends the process at
+/// once. A restart and a removal of a host may both send SIGTERM, and the stop that goes on leaves nothing
+/// unanswered.
 fn listen_to_signals() -> io::Result<Receiver<Order>> {
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let (orders, received) = async_channel::bounded(16);
     std::thread::Builder::new().name("signals".to_owned()).spawn(move || {
         let mut stopping = false;
         for signal in signals.forever() {
-            let order = if signal == SIGHUP { Order::Reload } else { Order::Stop };
-            if matches!(order, Order::Stop) && std::mem::replace(&mut stopping, true) {
+            if signal == SIGHUP {
+                // A full ring has an order of the same kind in it already.
+                let _ = orders.try_send(Order::Reload);
+            } else if !std::mem::replace(&mut stopping, true) {
+                // Fails only where nobody waits for orders any more: the process ends.
+                let _ = orders.send_blocking(Order::Stop);
+            } else if signal == SIGINT {
                 std::process::exit(1);
             }
-            // A full ring has an order of the same kind in it already.
-            let _ = orders.try_send(order);
         }
     })?;
     Ok(received)
--- a/daemon/tests/planned_stop.rs
+++ b/daemon/tests/planned_stop.rs
@@ -18,7 +18,7 @@
     fleet: Fleet,
     target: StandInTarget,
     entry: Process,
-    _others: [Process; 2],
+    others: [Process; 2],
 }
 
 impl Served {
@@ -29,7 +29,7 @@
         let entry = fleet.start("entry");
         fleet.configure(7);
         fleet.until_ready();
-        Self { fleet, target, entry, _others: others }
+        Self { fleet, target, entry, others }
     }
 
     fn connect(&self) -> Kept {
@@ -39,14 +39,11 @@
     /// Tells the entry to stop, and has the balancer notice it.
     fn stop(&self) {
         self.entry.signal("TERM");
-        let told = || {
-            call(self.fleet.ready(0), "GET", "/readiness", "", Duration::from_secs(1))
-                .is_some_and(|answer| answer.status == 503)
-        };
-        eventually("it says that it is not ready", told);
-        assert!(told(), "twice");
-        let closes = || self.fleet.log("entry").contains("\"event\":\"closing\"");
-        eventually("it has taken note", closes);
+        eventually("it has taken note of the balancer", || {
+            // The answer is 503 once the signal has arrived.
+            let _ = call(self.fleet.ready(0), "GET", "/readiness", "", Duration::from_secs(1));
+            self.fleet.log("entry").contains("\"event\":\"closing\"")
+        });
     }
 
     /// Begins a job that keeps the entry for longer than its stop may take.
@@ -63,21 +60,20 @@
     }
 }
 
-/// Callers saw their connections end with no answer when an entry was stopped by plan: a request came
-/// over an open connection 4.2 s after the request to stop, its tasks took four times their estimate,
-/// and at 5.4 s the process ended with whatever was open.
+/// Callers saw their connections end with no answer when an entry was stopped by plan: requests came 4.4 and 4.6 s
+/// after the request to stop, were handed to targets, and both connections ended at 5.4 s, the longest time of a
+/// stop.
 ///
 /// Cause: the end of the stop answered nobody. Only a guess at how long a job takes, made when the
-/// request came, kept jobs from being open then. Evidence: the connection ended at just that moment in
-/// each reported case; with the bound moved, it ended at the moved bound.
+/// request came, kept jobs from being open then. Evidence: both connections ended at that age of their entry's
+/// stop; and a job that takes longer than the guess, as here, is cut at it on the code before the mend.
 #[test]
 fn a_job_that_is_open_at_the_end_of_a_planned_stop_gets_a_whole_answer() {
     let mut served = Served::start();
     let mut early = served.keep_busy();
-    let mut kept = served.connect();
     let stopped = Instant::now();
     served.stop();
-    let late = kept.ask(&job_request(2, 1, 20_000, 100), ANSWER_TIME);
+    let late = served.connect().ask(&job_request(2, 1, 20_000, 100), ANSWER_TIME);
     let late = late.expect("a request that was sent whole is answered whole");
     let early = early.answer(ANSWER_TIME).expect("a job that was begun before is answered whole");
     for answer in [&early, &late] {
@@ -93,18 +89,19 @@
 /// soon as it had no job, though a connection carried a part of a request.
 ///
 /// Cause: the end looked at jobs only, and a job exists from the moment when its request is read
-/// whole. Evidence: the connections that were idle at the end were those over which requests had come
-/// until then, 7 to 25 of them at each stop.
+/// whole. Evidence: each of 12 ends of one day came in the first moment without a job, with 7 to 36
+/// connections open over which requests had come until then; and a request of which half has come is
+/// cut on the code before the mend.
 #[test]
 fn a_request_that_is_being_read_is_answered_before_the_entry_ends() {
     let mut served = Served::start();
     let mut kept = served.connect();
     let request = job_request(1, 2, 50, 50);
     let (first, rest) = request.split_at(request.len() / 2);
-    served.stop();
     assert!(kept.send(first.as_bytes()));
-    // Far longer than an entry that has nothing to do takes to end.
-    std::thread::sleep(Duration::from_millis(1_000));
+    served.stop();
+    // Longer than an entry that has nothing to do takes to end.
+    std::thread::sleep(Duration::from_millis(600));
     assert!(served.entry.is_up(), "it waits for the rest");
     assert!(kept.send(rest.as_bytes()));
     let answer = kept.answer(ANSWER_TIME).expect("it is answered whole");
@@ -134,10 +131,12 @@
 fn what_does_not_end_before_the_entry_is_rejected_at_once() {
     let served = Served::start();
     let _busy = served.keep_busy();
-    let mut kept = served.connect();
     served.stop();
     let asked = Instant::now();
-    let answer = kept.ask(&job_request(2, 1, 4_000, 4_000), ANSWER_TIME).expect("it is answered");
+    let answer = served
+        .connect()
+        .ask(&job_request(2, 1, 4_000, 4_000), ANSWER_TIME)
+        .expect("it is answered");
     assert_eq!(answer.status, 503, "not run: {answer:?}");
     assert!(answer.head.contains("retry-after: 1"), "{answer:?}");
     assert!(asked.elapsed() < Duration::from_millis(500), "{:?}", asked.elapsed());
@@ -155,3 +154,187 @@
         assert!(log.contains(&format!("\"event\":\"{event}\"")), "{event}: {log}");
     }
 }
+
+/// SIGTERM comes twice, as when a rolling restart and the removal of the host overlap: the platform's
+/// time still runs, and a request that was read whole ends without an answer.
+#[test]
+fn a_second_request_to_stop_leaves_no_request_without_an_answer() {
+    let mut served = Served::start();
+    let mut early = served.connect();
+    assert!(early.send(job_request(1, 1, 20_000, 200).as_bytes()));
+    eventually("it runs", || served.target.starts_of("0000000000000001") == 1);
+    served.stop();
+    served.entry.signal("TERM");
+    let answer = early.answer(ANSWER_TIME);
+    let well = served.entry.wait();
+    let log = served.fleet.log("entry");
+    assert!(answer.is_ok(), "{answer:?}, ended well: {well}, last lines: {log}");
+}
+
+/// A part of the next head has come over a connection that was used before.
+#[test]
+fn a_head_that_came_in_part_over_a_used_connection_is_answered() {
+    let mut served = Served::start();
+    let mut kept = served.connect();
+    kept.ask(&job_request(1, 1, 20, 20), ANSWER_TIME).expect("it serves");
+    let request = job_request(2, 2, 50, 50);
+    let (first, rest) = request.split_at(30);
+    assert!(kept.send(first.as_bytes()));
+    std::thread::sleep(Duration::from_millis(50));
+    served.stop();
+    let _ = kept.send(rest.as_bytes());
+    let answer = kept.answer(ANSWER_TIME);
+    assert!(answer.is_ok(), "{answer:?}");
+    assert!(served.entry.wait());
+}
+
+/// A caller that sends a part of a request and no more: does it hold up the stop, and is it told
+/// anything?
+#[test]
+fn a_request_that_never_comes_whole_is_told_so_before_the_end() {
+    let mut served = Served::start();
+    let mut kept = served.connect();
+    let request = job_request(1, 1, 20, 20);
+    assert!(kept.send(&request.as_bytes()[..request.len() - 5]));
+    std::thread::sleep(Duration::from_millis(50));
+    let began = Instant::now();
+    served.stop();
+    let answer = kept.answer(ANSWER_TIME);
+    assert!(served.entry.wait());
+    println!("the stop took {:?}", began.elapsed());
+    assert!(answer.is_ok(), "{answer:?} after {:?}", began.elapsed());
+}
+
+/// The entry is held up in the midst of its stop, until just before the platform's time is over.
+#[test]
+fn a_standstill_within_a_stop_leaves_no_request_without_an_answer() {
+    let mut served = Served::start();
+    let mut early = served.connect();
+    assert!(early.send(job_request(1, 1, 20_000, 200).as_bytes()));
+    let mut others: Vec<Kept> = (0..100)
+        .map(|id| {
+            std::thread::sleep(Duration::from_millis(2));
+            let mut kept = served.connect();
+            assert!(kept.send(job_request(100 + id, 1, 20_000, 9_000).as_bytes()));
+            kept
+        })
+        .collect();
+    eventually("it runs", || served.target.starts_of("0000000000000001") == 1);
+    let began = Instant::now();
+    served.stop();
+    std::thread::sleep(Duration::from_millis(4_600).saturating_sub(began.elapsed()));
+    served.entry.signal("STOP");
+    std::thread::sleep(Duration::from_millis(1_100));
+    served.entry.signal("CONT");
+    let answer = early.answer(ANSWER_TIME);
+    let lost = others.iter_mut().filter_map(|kept| kept.answer(ANSWER_TIME).err()).count();
+    println!("ended well: {}, after {:?}", served.entry.wait(), began.elapsed());
+    assert!(answer.is_ok() && lost == 0, "{answer:?}, {lost} others lost");
+    eventually("nothing of them goes on", || served.runs_now() == 0);
+}
+
+/// SIGHUP while the entry stops.
+#[test]
+fn a_hang_up_within_a_stop_changes_nothing() {
+    let mut served = Served::start();
+    let mut early = served.connect();
+    assert!(early.send(job_request(1, 1, 1_500, 1_500).as_bytes()));
+    eventually("it runs", || served.target.starts_of("0000000000000001") == 1);
+    served.stop();
+    (0..20).for_each(|_| served.entry.signal("HUP"));
+    let answer = early.answer(ANSWER_TIME).expect("it is answered");
+    assert_eq!(answer.status, 200);
+    assert!(served.entry.wait());
+}
+
+/// SIGTERM before the entry has a configuration: it ends well and soon.
+#[test]
+fn an_entry_without_a_configuration_stops() {
+    let fleet = Fleet::new(1);
+    let mut entry = fleet.start("entry");
+    eventually("it runs", || fleet.log("entry").contains("\"event\":\"start\""));
+    let began = Instant::now();
+    entry.signal("TERM");
+    assert!(entry.wait());
+    assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
+}
+
+/// What runs when an answered job's entry ends is stopped well before the client sends it again.
+#[test]
+fn tasks_of_an_answered_job_end_before_it_is_sent_again() {
+    let mut served = Served::start();
+    let mut early = served.connect();
+    assert!(early.send(job_request(1, 4, 20_000, 200).as_bytes()));
+    eventually("it runs", || served.target.starts_of("0000000000000001") == 4);
+    served.stop();
+    let answer = early.answer(ANSWER_TIME).expect("it is answered");
+    let answered = Instant::now();
+    assert_eq!(answer.status, 504);
+    eventually("nothing of it goes on", || served.runs_now() == 0);
+    println!("over {:?} after the answer", answered.elapsed());
+    assert!(answered.elapsed() < Duration::from_millis(1_300));
+    assert!(served.entry.wait());
+}
+
+/// The agent and the entry stop at once: the job gets a whole answer.
+#[test]
+fn an_agent_that_stops_with_its_entry_leaves_no_request_without_an_answer() {
+    let mut served = Served::start();
+    let mut early = served.connect();
+    assert!(early.send(job_request(1, 2, 20_000, 200).as_bytes()));
+    eventually("it runs", || served.target.starts_of("0000000000000001") == 2);
+    served.others[1].signal("TERM");
+    served.stop();
+    let answer = early.answer(ANSWER_TIME);
+    assert!(answer.is_ok(), "{answer:?}");
+    assert!(served.entry.wait() && served.others[1].wait());
+    eventually("nothing of it goes on", || served.runs_now() == 0);
+}
+
+/// The balancer still sends where all entries of a data hall stop; an entry that has no long job ends a
+/// moment after the second notice, and the callers find nobody.
+#[test]
+fn a_caller_that_the_balancer_still_sends_is_served_though_the_entry_has_no_job() {
+    let served = Served::start();
+    served.stop();
+    std::thread::sleep(Duration::from_millis(250));
+    let new = Kept::open(served.fleet.entry());
+    let log = served.fleet.log("entry");
+    let last = log.lines().rev().take(4).collect::<Vec<_>>();
+    let answer = new.map(|mut new| new.ask(&job_request(2, 2, 50, 50), ANSWER_TIME));
+    assert!(matches!(answer, Some(Ok(_))), "{answer:?}, last lines: {last:#?}");
+}
+
+/// The same on a tenth of a core: the process runs 4 ms of every 40. The end goes by the account (none
+/// busy, 100 ms without an arrival, 40 ms of linger) and comes while open connections have not had the
+/// last look yet that `close_idle` promises.
+#[test]
+fn no_connection_is_left_unlooked_at_by_the_end_on_a_tenth_of_a_core() {
+    let mut served = Served::start();
+    let ask = "GET /q/00000000000000aa HTTP/1.1\r\nHost: queue.example\r\n\r\n";
+    let mut kept = Vec::new();
+    for number in 0..1_500 {
+        let mut one = served.connect();
+        assert_eq!(one.ask(ask, ANSWER_TIME).expect("it serves").status, 410, "{number}");
+        kept.push(one);
+    }
+    served.stop();
+    let began = Instant::now();
+    while served.entry.is_up() && began.elapsed() < Duration::from_secs(20) {
+        served.entry.signal("STOP");
+        std::thread::sleep(Duration::from_millis(36));
+        served.entry.signal("CONT");
+        std::thread::sleep(Duration::from_millis(4));
+    }
+    assert!(served.entry.wait(), "it ends well");
+    let log = served.fleet.log("entry");
+    let lines = log.lines().filter(|line| {
+        ["closing", "intake-closed", "drained", "standstill"]
+            .iter()
+            .any(|step| line.contains(&format!("\"event\":\"{step}\"")))
+    });
+    let lines: Vec<&str> = lines.collect();
+    println!("{lines:#?}");
+    let drained = lines.last().expect("it drained");
+    assert!(drained.contains("\"idle\":0"), "{drained}");
+}
