Reports of targets carry their sequence number

The platform numbers the reports of each life of a target, so that a late one can be known; the number was not read. Nothing uses it yet: no change of behaviour. The soak's stand-in for a target builds a report field by field and needs the number as well.

--- a/components/runner/src/event.rs
+++ b/components/runner/src/event.rs
@@ -40,6 +40,8 @@
     pub remaining: Option<Duration>,
     /// Its steady clock, in ms.
     pub clock_ms: u64,
+    /// Rises with each report of one life; that of another life says nothing of it.
+    pub sequence: u64,
 }
 
 /// One run of one task at one life of a target.
--- a/components/runner/tests/support/mod.rs
+++ b/components/runner/tests/support/mod.rs
@@ -157,6 +157,7 @@
         draining: false,
         remaining: None,
         clock_ms,
+        sequence: 0,
     }
 }
 
--- a/soak/src/room/target.rs
+++ b/soak/src/room/target.rs
@@ -101,6 +101,7 @@
             draining: self.draining,
             remaining: None,
             clock_ms: self.clock_ms(now),
+            sequence: self.clock_ms(now),
         }
     }
 
