--- a/components/runner/tests/support/mod.rs
+++ b/components/runner/tests/support/mod.rs
@@ -15,6 +15,8 @@
 
 pub const START: Time = Time::from_millis(1_000_000);
 pub const SESSION: SessionId = SessionId(1);
+/// The clock that lives tell in numbered reports, in ms.
+pub const CLOCK: u64 = 7_000;
 
 /// An agent whose target and entry say what the test tells them to.
 pub struct Agent {
@@ -165,3 +167,37 @@
     let task = TaskId { job: JobId::new(job), index: 0 };
     RunKey { target: TargetId(Arc::from("t1")), task, run }
 }
+
+/// A life of the target.
+pub fn target(id: &str) -> TargetId {
+    TargetId(Arc::from(id))
+}
+
+/// Its report of this number.
+pub fn numbered(id: &str, sequence: u64) -> TargetReport {
+    TargetReport { sequence, ..report(id, CLOCK) }
+}
+
+/// Its report of this number, by which it is about to leave.
+pub fn leaving(id: &str, sequence: u64) -> TargetReport {
+    TargetReport { draining: true, ..numbered(id, sequence) }
+}
+
+/// The answer of a life where nothing runs or has ended.
+pub fn empty() -> HoldReply {
+    HoldReply::Lists { clock_ms: CLOCK, running: Vec::new(), ended: Vec::new() }
+}
+
+/// Answers the hold that is under way at a life; whether there was one.
+pub fn answer(agent: &mut Agent, id: &str, reply: HoldReply) -> bool {
+    let Some(at) = agent.holds.iter().position(|hold| *hold.target.0 == *id) else { return false };
+    agent.holds.remove(at);
+    agent.handle(Event::Held(target(id), reply));
+    true
+}
+
+/// The lives that a new task is started at.
+pub fn started_at(agent: &mut Agent, job: &str) -> Vec<TargetId> {
+    agent.ask(job, 1, 0);
+    agent.take_starts().into_iter().map(|start| start.key.target).collect()
+}
