A life that reports while another is there is asked before anything is given up for it

Cause: a report of an id that an agent had no record of was taken for the target's next life. It may be a late one of a life before: the agent has restarted since, or nothing of that life had come through. What ran at the present life was then said to be lost (and ran again elsewhere until the lease ran out), the present life was remembered as over and got no work until it restarted. Within one life each report was taken for the newest: one that was overtaken opened a leaving target again. Change: - An unknown life is a newcomer while another is there. It gets a hold that renews nothing, under its own id: its answer makes it the target; a 421 shows that its report was late. It is asked again where there is no answer, and is taken on at once when an order for the present life gets a 421. An answer that may be older than the present life does not count, and it is asked anew. - Within a life the highest sequence number holds, and leaving is final: its 2xx has been taken for an acknowledgement, so that also an overtaken report counts in that. - A leave of a life that is not the target is remembered, so that reports of it which come after are late. - Late reports are counted (target_reports_late_total) and logged with both ids and numbers, 60 a second at most. They are answered 200 as before: a refusal would be a failed report to a life that is there. Ruled out: an order of lives by sequence numbers or clocks, which begin anew with each life; remembering lives that are over alone, since an agent that has restarted remembers none; a new life that is taken on only after a 421 for the one before, since without runs and with a lost hold that takes 170 ms. another_life_of_the_target_has_none_of_the_runs held that a report alone ends the life before, which was the fault: the new life answers an order there now, and before that nothing may be lost. The cost is one order on the target's own machine for each new life.

--- a/components/runner/src/event.rs
+++ b/components/runner/src/event.rs
@@ -262,6 +262,20 @@
         /// Runs that went with it.
         lost: usize,
     },
+    /// A life that nothing is known of reported while another is there: it is asked.
+    TargetAsked(TargetId),
+    /// A report was overtaken by newer ones of its life, or its life is over: nothing in it counts
+    /// but that the present life is about to leave.
+    TargetReportLate {
+        /// The life that it is of.
+        id: TargetId,
+        /// Its number within that life.
+        sequence: u64,
+        /// The life that is there now.
+        present: Option<TargetId>,
+        /// The highest number that was heard of that one; 0 for none.
+        present_sequence: u64,
+    },
     /// The target does not answer.
     TargetSilent(TargetId),
     /// The target answers again.
--- a/components/runner/src/hold.rs
+++ b/components/runner/src/hold.rs
@@ -20,7 +20,7 @@
 /// A stop that is not answered for so long may go unheeded.
 const STOP_ANSWER: Duration = Duration::from_millis(75);
 /// Pause before a hold that failed is tried again.
-const RETRY: Duration = Duration::from_millis(15);
+pub(crate) const RETRY: Duration = Duration::from_millis(15);
 /// A run that this many holds in a row did not list, nor its end, is gone.
 const UNLISTED: u32 = 3;
 /// A hold that was sent this soon after a start may not list its run yet.
@@ -99,6 +99,9 @@
         reply: HoldReply,
         out: &mut Vec<Action>,
     ) {
+        if self.newcomer_answered(now, id, &reply, out) {
+            return;
+        }
         let Some(target) = self.target.as_mut().filter(|target| target.id() == id) else { return };
         let sent = target.holding.take().unwrap_or(now);
         match reply {
--- a/components/runner/src/lib.rs
+++ b/components/runner/src/lib.rs
@@ -10,6 +10,7 @@
 mod event;
 mod health;
 mod hold;
+mod lives;
 mod orders;
 mod rate;
 mod run;
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -7,7 +7,7 @@
 use model::{JobId, NodeName, Resources, TaskId, Time};
 use wire::{Document, Refusal, TaskEnd, TaskReport};
 
-use crate::event::{Action, Event, News, SessionId, TargetId, TargetReport};
+use crate::event::{Action, Event, News, SessionId, TargetId};
 use crate::health::Change;
 use crate::run::{Run, RunState, Stopping};
 use crate::sessions::Session;
@@ -94,6 +94,8 @@
     pub silent_starts: u64,
     /// Sessions that died.
     pub sessions_lost: u64,
+    /// Reports that came late: after newer ones of the same life, or after that life was over.
+    pub late_reports: u64,
 }
 
 /// One life of an agent.
@@ -104,6 +106,9 @@
     pub(crate) target: Option<Target>,
     /// Lives of the target that are over.
     pub(crate) gone: Vec<TargetId>,
+    /// Lives that reported while another was there, in the order in which they were heard of: the
+    /// next ones, or late reports of earlier ones.
+    pub(crate) newcomers: Vec<Target>,
     pub(crate) sessions: BTreeMap<SessionId, Session>,
     pub(crate) runs: BTreeMap<TaskId, Run>,
     pub(crate) document: Option<Document>,
@@ -117,8 +122,6 @@
     pub(crate) counters: RunnerCounters,
 }
 
-/// Lives of the target that are remembered as over.
-const GONE_KEPT: usize = 16;
 /// How long lost runs are remembered: longer than a target holds back ends.
 const LOST_KEPT: Duration = Duration::from_secs(20);
 /// From one tick to the next, at most.
@@ -133,6 +136,7 @@
             timing,
             target: None,
             gone: Vec::new(),
+            newcomers: Vec::new(),
             sessions: BTreeMap::new(),
             runs: BTreeMap::new(),
             document: None,
@@ -156,11 +160,7 @@
             Event::SessionClosed(session) => self.lose_session(session, "closed", out),
             Event::FromEntry(session, message) => self.hear_entry(now, session, message, out),
             Event::Target(report) => self.target_reports(now, report, out),
-            Event::TargetLeft(id) => {
-                if self.target.as_ref().is_some_and(|target| *target.id() == id) {
-                    self.target_gone(now, out);
-                }
-            }
+            Event::TargetLeft(id) => self.target_left(now, &id, out),
             Event::Started(key, reply) => self.started(now, &key, reply, out),
             Event::Stopped(key, reply) => self.stop_answered(now, &key, reply, out),
             Event::Held(id, reply) => self.held(now, &id, reply, out),
@@ -179,7 +179,9 @@
     /// When the next tick is due.
     pub fn next_timer(&self, now: Time) -> Time {
         let waits = |run: &Run| run.state != RunState::Running;
-        let busy = self.runs.values().any(waits) || self.sessions.values().any(Session::is_dirty);
+        let busy = self.runs.values().any(waits)
+            || self.sessions.values().any(Session::is_dirty)
+            || !self.newcomers.is_empty();
         now + if busy { TICK } else { IDLE_TICK }
     }
 
@@ -229,6 +231,7 @@
             target.forget(now);
         }
         self.watch_target(now, out);
+        self.ask_newcomers(now, out);
         self.stop_stuck(now, out);
         self.expire_waiting(now, out);
         self.repeat_stops(now, out);
@@ -248,47 +251,10 @@
         }
     }
 
-    fn target_reports(&mut self, now: Time, report: TargetReport, out: &mut Vec<Action>) {
-        if self.gone.contains(&report.id) {
-            return;
-        }
-        let known = self.target.as_ref().map(|target| target.id().clone());
-        if known.as_ref() != Some(&report.id) {
-            if known.is_some() {
-                self.target_gone(now, out);
-            }
-            let target = Target::new(report, now);
-            out.push(Action::News(News::TargetFound {
-                id: target.id().clone(),
-                fencing_token: target.fencing_token,
-            }));
-            self.target = Some(target);
-            self.say_hello(out);
-        } else if let Some(target) = &mut self.target {
-            let drains = report.draining && !target.report.draining;
-            let moved =
-                target.report.capacity != report.capacity || target.report.labels != report.labels;
-            target.report = report;
-            if drains {
-                out.push(Action::News(News::TargetDrains(target.id().clone())));
-            }
-            if moved {
-                self.say_hello(out);
-            }
-            if drains {
-                self.refuse_waiting(now, Refusal::Closed, out);
-            }
-        }
-        self.mark_dirty();
-    }
-
     /// A life of the target is over, and all that ran there with it.
-    pub(crate) fn target_gone(&mut self, now: Time, out: &mut Vec<Action>) {
+    pub(crate) fn end_life(&mut self, now: Time, out: &mut Vec<Action>) {
         let Some(target) = self.target.take() else { return };
-        self.gone.push(target.id().clone());
-        if self.gone.len() > GONE_KEPT {
-            self.gone.remove(0);
-        }
+        self.remember_gone(target.id().clone());
         let tasks: Vec<TaskId> = self.runs.keys().cloned().collect();
         out.push(Action::News(News::TargetGone { id: target.id().clone(), lost: tasks.len() }));
         for task in tasks {
--- a/components/runner/src/target.rs
+++ b/components/runner/src/target.rs
@@ -4,8 +4,9 @@
 
 use model::{Resources, Time};
 
-use crate::event::{TargetId, TargetReport};
+use crate::event::{HoldOrder, TargetId, TargetReport};
 use crate::health::Health;
+use crate::hold::RETRY;
 
 /// One life of the target.
 #[derive(Debug)]
@@ -35,12 +36,27 @@
     judged: Time,
     /// When a run ended there last.
     pub ended: Time,
+    /// While it is a newcomer: another life was taken on since the hold that is under way was sent.
+    pub is_overtaken: bool,
+}
+
+/// What a report changes in what was known of its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Heard {
+    /// A newer one was there before.
+    pub late: bool,
+    /// It says for the first time that the target is about to leave.
+    pub drains: bool,
+    /// Room or labels are others.
+    pub moved: bool,
 }
 
 /// How much longer a span may take on the target's clock.
 const SLOWEST_CLOCK: f64 = 1.02;
 /// How long an order that is answered may be on its way, and lists of what ended.
 const ORDER_SLACK: Duration = Duration::from_millis(40);
+/// How long a hold that only asks for a sign of life waits: the least that an order can name.
+const SIGN_WAIT: Duration = Duration::from_millis(1);
 /// Weight of one task in the smoothed slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.15;
 /// Without an end for so long, what was learned wears off by a part,
@@ -69,6 +85,7 @@
             slowdown_percent: NO_SLOWDOWN,
             judged: now,
             ended: now,
+            is_overtaken: false,
         }
     }
 
@@ -76,6 +93,50 @@
         &self.report.id
     }
 
+    /// Takes a report of this life. Of one that newer ones have overtaken nothing counts but that
+    /// the target is about to leave: it was told that this is known, so it may end soon after, and
+    /// no life takes it back.
+    pub fn hear(&mut self, report: TargetReport) -> Heard {
+        let late = report.sequence < self.report.sequence;
+        let drains = report.draining && !self.report.draining;
+        let draining = report.draining || self.report.draining;
+        let moved = !late
+            && (report.capacity != self.report.capacity || report.labels != self.report.labels);
+        if !late {
+            self.report = report;
+        }
+        self.report.draining = draining;
+        Heard { late, drains, moved }
+    }
+
+    /// While it is a newcomer: an order that nobody but this life carries out, and that changes
+    /// nothing there, unless one is under way or a pause has to pass.
+    pub fn ask(&mut self, now: Time) -> Option<HoldOrder> {
+        if self.holding.is_some() || now < self.hold_from {
+            return None;
+        }
+        self.holding = Some(now);
+        Some(HoldOrder {
+            target: self.id().clone(),
+            deadline_ms: None,
+            fencing_token: self.fencing_token,
+            last_seen: self.last_seen,
+            wait: SIGN_WAIT,
+        })
+    }
+
+    /// While it is a newcomer: the hold that was under way has shown nothing.
+    pub fn unanswered(&mut self, now: Time) {
+        self.holding = None;
+        self.is_overtaken = false;
+        self.hold_from = now + RETRY;
+    }
+
+    /// While it is a newcomer: another life is taken on.
+    pub fn overtake(&mut self) {
+        self.is_overtaken = self.holding.is_some();
+    }
+
     /// Takes its clock from an answer.
     pub fn clock_is(&mut self, now: Time, clock_ms: u64) {
         if clock_ms > 0 {
--- a/components/runner/tests/lives.rs
+++ b/components/runner/tests/lives.rs
@@ -42,6 +42,7 @@
         assert_eq!(started_at(&mut agent, &format!("b{sequence}")), [target("t1")]);
     }
     assert!(agent.reports.is_empty());
+    assert_eq!(agent.runner.counters().late_reports, 5, "all are counted");
 }
 
 #[test]
--- a/components/runner/tests/overtaken.rs
+++ b/components/runner/tests/overtaken.rs
@@ -20,6 +20,7 @@
     agent.run_for(10);
     assert!(!agent.open);
     assert!(started_at(&mut agent, "a").is_empty());
+    assert_eq!(agent.runner.counters().late_reports, 1);
 }
 
 #[test]
--- a/components/runner/tests/runner.rs
+++ b/components/runner/tests/runner.rs
@@ -8,7 +8,7 @@
 use runner::{Action, EndReason, Event, HoldReply, SessionId, StopReply, TargetReport};
 use wire::{Refusal, TaskEnd, ToAgent, ToEntry};
 
-use support::{Agent, SESSION, key, report};
+use support::{Agent, SESSION, answer, empty, key, report};
 
 #[test]
 fn tasks_start_as_room_allows_the_urgent_first_and_ends_are_told() {
@@ -113,6 +113,9 @@
     agent.take_starts();
     agent.handle(Event::Target(report("t2", 40)));
     agent.run_for(20);
+    assert!(agent.reports.is_empty(), "it may be a late report of an earlier life");
+    assert!(answer(&mut agent, "t2", empty()), "it is asked, and is there");
+    agent.run_for(20);
     assert_eq!(agent.ends(), [TaskEnd::Lost, TaskEnd::Lost]);
     // A report of the first life that was held up changes nothing.
     agent.holds.remove(0);
--- a/daemon/src/room/agent.rs
+++ b/daemon/src/room/agent.rs
@@ -265,6 +265,7 @@
         page.value("starts_without_room_total", "", counters.no_room);
         page.value("starts_unanswered_total", "", counters.silent_starts);
         page.value("sessions_lost_total", "", counters.sessions_lost);
+        page.value("target_reports_late_total", "", counters.late_reports);
         page.value("sessions", "", self.sessions.borrow().len() as u64);
         let (waiting, running) = runner.sizes();
         page.value("tasks", "{state=\"waiting\"}", waiting as u64);
--- a/daemon/src/room/agent_news.rs
+++ b/daemon/src/room/agent_news.rs
@@ -17,6 +17,16 @@
         News::TargetGone { id, lost } => {
             log.line("target-gone", Budget::Full, || json!({"target": &*id.0, "lost": lost}))
         }
+        News::TargetAsked(id) => {
+            log.line("target-asked", Budget::Full, || json!({"target": &*id.0}));
+        }
+        News::TargetReportLate { id, sequence, present, present_sequence } => {
+            let present = present.as_ref().map(|id| &*id.0);
+            log.line("target-report-late", Budget::Sampled, || {
+                json!({"target": &*id.0, "sequence": sequence, "present": present,
+                    "present_sequence": present_sequence})
+            });
+        }
         News::TargetSilent(id) => {
             log.line("target-silent", Budget::Full, || json!({"target": &*id.0}));
         }
--- a/daemon/src/room/target_http.rs
+++ b/daemon/src/room/target_http.rs
@@ -38,6 +38,9 @@
     match (TargetCall::read(&head.method, head.uri.path()), body) {
         (Some(TargetCall::Beat(id)), Ok(body)) => match platform::read_beat(&id, &body) {
             Ok(report) => {
+                // A late one is answered as well: a life that is over hears nothing, and one that
+                // is there would take a refusal for a failed report and for want of an
+                // acknowledgement that it is leaving. What is acknowledged has been taken in.
                 agent.feed(Event::Target(report));
                 reply(200, "{}".to_owned())
             }
