An agent that begins with a report from before its start waits for a newer one

Change: a target whose newest report is from more than 500 ms before the agent began, by the target's own clock, gets no work until it reports again. After that every leave has been acknowledged by this life. Ruled out: a disk for acknowledgements (agents have none); a limit on the age of reports at any time, which would close sound targets whose reports are cut off.

--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -118,6 +118,8 @@
     /// Jobs that were cancelled, and when that is forgotten.
     pub(crate) cancelled: BTreeMap<JobId, Time>,
     pub(crate) draining: bool,
+    /// When this life of the agent began.
+    pub(crate) began: Time,
     pub(crate) last_event: Time,
     pub(crate) counters: RunnerCounters,
 }
@@ -143,6 +145,7 @@
             lost: BTreeMap::new(),
             cancelled: BTreeMap::new(),
             draining: false,
+            began: now,
             last_event: now,
             counters: RunnerCounters::default(),
         }
@@ -218,7 +221,11 @@
     pub(crate) fn is_open(&self, now: Time) -> bool {
         let closed = |target: &Target| {
             let orphans_only = target.has_orphans && self.runs.is_empty();
-            target.report.draining || target.silent || target.health.is_out(now) || orphans_only
+            target.report.draining
+                || target.silent
+                || target.health.is_out(now)
+                || orphans_only
+                || target.is_report_dated(self.began)
         };
         !self.draining && self.target.as_ref().is_some_and(|target| !closed(target))
     }
--- a/components/runner/src/target.rs
+++ b/components/runner/src/target.rs
@@ -57,6 +57,9 @@
 const ORDER_SLACK: Duration = Duration::from_millis(40);
 /// How long a hold that only asks for a sign of life waits: the least that an order can name.
 const SIGN_WAIT: Duration = Duration::from_millis(1);
+/// A report may have been sent so long before the agent began. A leave that an earlier life of the
+/// agent acknowledged since is then told again well before work has to stop, 2 s after it.
+const REPORT_SLACK: Duration = Duration::from_millis(500);
 /// Weight of one task in the smoothed slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.15;
 /// Without an end for so long, what was learned wears off by a part,
@@ -144,6 +147,14 @@
         }
     }
 
+    /// Whether the newest report is from before the agent began, by the target's own clock. An
+    /// earlier life of the agent may then have acknowledged that the target is about to leave.
+    pub fn is_report_dated(&self, began: Time) -> bool {
+        let (clock, at) = self.clock;
+        let age = Duration::from_millis(clock.saturating_sub(self.report.clock_ms));
+        age > at.since(began) + REPORT_SLACK
+    }
+
     /// A moment on its clock, from now on.
     pub fn deadline_ms(&self, now: Time, span: Duration) -> u64 {
         let (clock, at) = self.clock;
