Test: how long a late call of a node's earlier life hides the present one at a keeper

Lives of nodes have no order (their incarnations are random), so that a keeper which bars the life it heard of before could bar the one that is there.

--- a/components/keeper/tests/document.rs
+++ b/components/keeper/tests/document.rs
@@ -221,3 +221,27 @@
     let unsure = again.handle(Event::Fetch(ticket));
     assert_eq!(unsure, [(ticket, Reply::Unsure(None))], "operators are not told before it leads");
 }
+
+/// Agents would not connect to an entry that has moved. The entry's earlier life asks for news, its
+/// call is held up, it crashes, its next life registers under the same name at another address, and
+/// then the call arrives. Lives of a node have no order, so the keeper can't tell; what it lists is
+/// soft state. This holds how long that lasts: until the life that is there asks again, which it does
+/// within the time that a keeper lets it wait.
+#[test]
+fn a_late_call_of_an_earlier_life_hides_the_present_one_only_until_it_asks_again() {
+    let mut one = One::new();
+    let present = NodeInfo { incarnation: Incarnation(2), ..node(2) };
+    let earlier = NodeInfo { name: present.name.clone(), ..node(3) };
+    one.watch(present.clone(), 0, 0);
+    one.run_for(Duration::from_millis(100));
+    one.watch(earlier.clone(), 0, 0);
+    let lists = |one: &mut One| {
+        let ticket = one.watch(node(1), 0, 0);
+        let reply = watch_reply(one.run_for(Duration::from_millis(100)), ticket);
+        reply.and_then(|reply| reply.nodes).expect("a list").nodes
+    };
+    assert_eq!(lists(&mut one), [node(1), earlier]);
+    let asks = one.watch(present.clone(), 0, 0);
+    let told = watch_reply(one.run_for(Duration::from_millis(100)), asks).expect("an answer");
+    assert_eq!(told.nodes.expect("a list").nodes, [node(1), present]);
+}
