--- a/components/dispatch/tests/dispatcher.rs
+++ b/components/dispatch/tests/dispatcher.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use dispatch::{Event, Outcome, Reason, SessionId};
-use model::JobId;
-use wire::{Load, Refusal, TaskEnd, ToAgent, ToEntry};
+use model::{JobId, NodeName, Resources};
+use wire::{AgentProfile, Load, Refusal, TaskEnd, ToAgent, ToEntry};
 
 use support::{Entry, job};
 
@@ -300,3 +300,29 @@
     entry.report(&starts[0], TaskEnd::Done);
     assert_eq!(entry.answer(third), Some(Outcome::Completed));
 }
+
+/// Callers would see tasks not run, or run again. An agent's greeting is held up by a cut; the agent is
+/// killed; its next life connects and greets; then the first greeting arrives, on the connection that
+/// nobody has closed yet. The entry gave up the session of the life that is there.
+#[test]
+fn a_greeting_that_was_held_up_does_not_end_the_session_of_the_next_life() {
+    let mut entry = Entry::new();
+    entry.handle(Event::AgentOpened(SessionId(1)));
+    entry.agent(2, 16_000, &[]);
+    entry.submit(job(1, 100));
+    let starts = entry.starts();
+    assert_eq!(starts[0].0, 2);
+    let profile = AgentProfile {
+        node: NodeName::new("a2"),
+        service: Arc::from("work"),
+        hall: Arc::from("hall"),
+        labels: Vec::new(),
+        capacity: Resources { cpu_milli: 16_000, memory_mb: 32_768, gpu: 0 },
+    };
+    let hello = ToEntry::Hello { profile, document: None };
+    entry.handle(Event::FromAgent(SessionId(1), hello));
+    assert_eq!(entry.closed, [SessionId(1)], "the older session");
+    assert!(entry.stops().is_empty());
+    entry.report(&starts[0], TaskEnd::Done);
+    assert!(entry.answers.iter().any(|(_, outcome)| *outcome == Outcome::Completed));
+}
