A greeting on an older session than the agent's present one closes the older session

Cause: whichever greeting came last won, though one on an older connection was held up by a cut and is of an earlier life. Sessions are numbered as they are accepted, and an agent connects again only after it has given up the connection before.

--- a/components/dispatch/src/agents.rs
+++ b/components/dispatch/src/agents.rs
@@ -107,6 +107,11 @@
             (*other != id && agent.name() == Some(&profile.node)).then_some(*other)
         };
         let doubles: Vec<SessionId> = self.agents.iter().filter_map(double).collect();
+        if doubles.iter().any(|other| *other > id) {
+            // An agent connects again only after it has given up the connection before, so that a
+            // greeting on the older one was held up.
+            return self.lose_agent(id, "connected again", out);
+        }
         for double in doubles {
             self.lose_agent(double, "connected again", out);
         }
