--- a/soak/src/room/orders.rs
+++ b/soak/src/room/orders.rs
@@ -3,10 +3,16 @@
 use std::time::Duration;
 
 use model::{Resources, TaskId};
-use runner::{HoldOrder, StartOrder, StartReply, StopOrder};
+use rand::Rng;
+use runner::{HoldOrder, StartOrder, StartReply, StopOrder, TargetReport};
 
 use super::world::{BEAT, Call, Happening, TARGET_TICK, World};
 
+/// Part of the reports that are held up on their way.
+const HELD_UP: f64 = 0.1;
+/// Longer than any target or agent is away after a crash.
+const LONGEST_HELD_UP_MS: u64 = 4_000;
+
 impl World {
     pub(super) fn target_start(&mut self, call: Call, order: StartOrder, late: bool) {
         let agent = call.agent;
@@ -102,15 +108,29 @@
 
     pub(super) fn beat(&mut self, agent: usize) {
         let now = self.now;
-        let process = &mut self.agents[agent];
-        let report = process.target.as_ref().map(|target| target.report(now));
-        let awake = process.runner.is_some() && process.frozen <= now;
-        if let Some(report) = report.filter(|_| awake) {
-            if report.draining {
-                process.drains.get_or_insert(now);
+        let report = self.agents[agent].target.as_ref().map(|target| target.report(now));
+        if let Some(report) = report {
+            if self.rng.random_bool(HELD_UP) {
+                let span = Duration::from_millis(self.rng.random_range(1..LONGEST_HELD_UP_MS));
+                self.at(span, Happening::LateReport(agent, report));
+            } else {
+                self.report(agent, report);
             }
-            self.feed_agent(agent, runner::Event::Target(report));
         }
         self.at(BEAT, Happening::Beat(agent));
     }
+
+    /// An agent takes a report, of whichever life of its target; a leave is acknowledged by that.
+    pub(super) fn report(&mut self, agent: usize, report: TargetReport) {
+        let now = self.now;
+        let process = &mut self.agents[agent];
+        if process.runner.is_none() || process.frozen > now {
+            return;
+        }
+        let is_there = process.target.as_ref().is_some_and(|target| target.id == report.id);
+        if is_there && report.draining {
+            process.drains.get_or_insert(now);
+        }
+        self.feed_agent(agent, runner::Event::Target(report));
+    }
 }
--- a/soak/src/room/world.rs
+++ b/soak/src/room/world.rs
@@ -7,7 +7,10 @@
 use model::{JobId, NodeName, Resources, Time};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use runner::{HoldOrder, HoldReply, RunKey, Runner, StartOrder, StartReply, StopOrder, StopReply};
+use runner::{
+    HoldOrder, HoldReply, RunKey, Runner, StartOrder, StartReply, StopOrder, StopReply,
+    TargetReport,
+};
 
 use super::RoomTimes;
 use super::checks::{Checks, RoomSummary};
@@ -45,6 +48,8 @@
     Held(Call, HoldOrder, HoldReply),
     Targets,
     Beat(usize),
+    /// A report of a target that was held up on its way.
+    LateReport(usize, TargetReport),
     Dial(usize, usize),
     Submit(JobId),
     Unread(usize, u64, Ticket, JobRequest),
@@ -303,6 +308,7 @@
             }
             Happening::Targets => self.pass_targets(),
             Happening::Beat(agent) => self.beat(agent),
+            Happening::LateReport(agent, report) => self.report(agent, report),
             Happening::Dial(agent, entry) => self.dial(agent, entry),
             Happening::Submit(id) => self.submit(&id),
             Happening::Unread(entry, life, ticket, request) => {
