--- a/daemon/src/entry_role/listen.rs
+++ b/daemon/src/entry_role/listen.rs
@@ -1,27 +1,28 @@
 //! The entry's listening thread: HTTP from callers, tarpc from other entries.
 
 use std::net::TcpListener;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use api::{Answer, BODY_BYTES_MAX, Route, VERDICT_HEADER, Work};
 use async_channel::{Receiver, Sender};
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures::StreamExt;
 use futures::channel::oneshot;
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future};
 use hyper::body::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use model::{Code, Failure, SubmissionId, Verdict};
-use net::{Body, BodyError, Limits, Tasks};
+use net::{Body, BodyError, Connections, Limits, Tasks};
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use wire::{EntryService, RelayReply, RelayRequest};
 
-use super::Shared;
 use super::decide::{Ask, Input};
+use super::{DRAIN_LOOK, Shared};
 
 /// Limits of callers' connections.
 const LIMITS: Limits = Limits {
@@ -40,20 +41,30 @@
     shared: Arc<Shared>,
     stopped: Receiver<()>,
 ) {
-    let server = Server { ring: ring.clone(), shared };
+    let server = Server { ring: ring.clone(), shared: shared.clone() };
     let handler = move |request| {
         let server = server.clone();
         async move { server.answer(request).await }
     };
-    let serve = net::serve(listener, tasks.clone(), || LIMITS, handler);
-    let stop = async {
+    let callers = Rc::new(Connections::default());
+    let serve = net::serve_listed(listener, tasks.clone(), callers.clone(), || LIMITS, handler);
+    let close = async {
         // Ends when the handle is dropped.
         let _ = stopped.recv().await;
+        callers.close();
+        future::pending().await
     };
     let peers = serve_peers(peer_listener, tasks.clone(), ring.clone());
-    serve.or(stop).or(peers).await;
-    // Open connections are served until the deciding thread ends.
-    ring.closed().await;
+    serve.or(close).or(peers).await;
+    // Requests that have come are answered until the deciding thread ends.
+    let count = async {
+        loop {
+            shared.unfinished.store(callers.unfinished() as u64, Ordering::Release);
+            shared.closed.store(true, Ordering::Release);
+            Timer::after(DRAIN_LOOK).await;
+        }
+    };
+    count.or(ring.closed()).await;
 }
 
 async fn serve_peers(listener: Async<TcpListener>, tasks: Tasks, ring: Sender<Input>) {
@@ -106,25 +117,8 @@
     shared: Arc<Shared>,
 }
 
-/// Counts a caller while it waits.
-struct Waiting(Arc<Shared>);
-
-impl Waiting {
-    fn new(shared: &Arc<Shared>) -> Self {
-        shared.callers.fetch_add(1, Ordering::AcqRel);
-        Self(shared.clone())
-    }
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        self.0.callers.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 impl Server {
     async fn answer(&self, request: Request<Result<Bytes, BodyError>>) -> Response<Body> {
-        let _waiting = Waiting::new(&self.shared);
         let (head, body) = request.into_parts();
         let route = api::read_route(head.method.as_str(), head.uri.path());
         match route {
--- a/daemon/src/entry_role/mod.rs
+++ b/daemon/src/entry_role/mod.rs
@@ -53,8 +53,18 @@
     ready: AtomicBool,
     /// Whether it is leaving.
     draining: AtomicBool,
-    /// Callers that wait for an answer.
-    callers: AtomicU64,
+    /// Set once no more connections of callers are accepted.
+    closed: AtomicBool,
+    /// From then on: connections over which a request may still have to be answered.
+    unfinished: AtomicU64,
+}
+
+impl Shared {
+    /// Whether it has closed and every request that had come is answered. A job exists only from the
+    /// moment when its request is read whole, so that to look at jobs would not do.
+    fn has_answered(&self) -> bool {
+        self.closed.load(Ordering::Acquire) && self.unfinished.load(Ordering::Acquire) == 0
+    }
 }
 
 /// A running entry.
@@ -166,7 +176,7 @@
         self.shared.ready.store(false, Ordering::Release);
         std::thread::sleep(self.drain_notice);
         self.stop_listening.take();
-        while self.shared.callers.load(Ordering::Acquire) > 0 || !self.is_idle() {
+        while !self.shared.has_answered() || !self.is_idle() {
             std::thread::sleep(DRAIN_LOOK);
         }
         self.stop();
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -2,6 +2,10 @@
 
 mod support;
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
 use client::{Outcome, new_submission};
 use fakes::ServiceTime;
 use model::Verdict;
@@ -111,3 +115,33 @@
     });
     finish(cluster);
 }
+
+/// A caller saw its connection end within its request: a drained entry counted callers only from the moment
+/// when their requests were read whole.
+#[test]
+fn a_request_that_is_being_read_when_an_entry_is_drained_is_answered() {
+    let mut cluster = start(options());
+    let mut stream = TcpStream::connect(cluster.entry_address(0)).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let body = r#"{"service":"booking","kind":"holds","tasks":["a","b"],"deadline_ms":10000}"#;
+    let head = format!(
+        "PUT /v1/jobs/0123456789abcdef0123456789abcdef HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(&body.as_bytes()[..20]).unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    let mut rest = stream.try_clone().unwrap();
+    let late = body.as_bytes()[20..].to_vec();
+    let sender = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(1_500));
+        // Fails where the connection is gone, which the read shows.
+        let _ = rest.write_all(&late);
+    });
+    cluster.drain_entry(0);
+    let mut bytes = [0; 4_096];
+    let read = stream.read(&mut bytes);
+    sender.join().unwrap();
+    assert!(matches!(read, Ok(count) if count > 0), "{read:?}");
+    finish(cluster);
+}
