--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -1,9 +1,9 @@
 //! An HTTP/1.1 client for one address, with connections kept open between requests.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -61,11 +61,22 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// A connection that waits for the next request.
+struct Kept {
+    sender: Sender,
+    /// When the last answer came over it: it was well then.
+    answered: Instant,
+}
+
 /// A client of one address. It has as many connections as requests at once.
+///
+/// Open connections may go silent for good while new ones work. So a request without an answer in
+/// time takes down, besides its own connection, those that have not answered since it was sent; the
+/// next request opens a new one. Which requests are sent again is up to the caller.
 pub struct Client {
     address: SocketAddr,
     tasks: Tasks,
-    idle: RefCell<Vec<Sender>>,
+    idle: RefCell<Vec<Kept>>,
 }
 
 impl Client {
@@ -87,11 +98,16 @@
         time: Duration,
     ) -> Result<Reply, ClientError> {
         let request = self.request(method, path, headers, body)?;
+        let given_to_kept = Cell::new(None);
         let late = async {
             Timer::after(time).await;
             Err(ClientError::TooLate)
         };
-        self.exchange(request).or(late).await
+        let answer = self.exchange(request, &given_to_kept).or(late).await;
+        if let (Err(ClientError::TooLate), Some(sent)) = (&answer, given_to_kept.get()) {
+            self.idle.borrow_mut().retain(|kept| kept.answered >= sent);
+        }
+        answer
     }
 
     fn request(
@@ -113,12 +129,19 @@
         Ok(request)
     }
 
-    async fn exchange(&self, mut request: Request<Full<Bytes>>) -> Result<Reply, ClientError> {
+    /// Sends a request and reads its answer. When it went to a kept connection is noted: one without
+    /// an answer on a new connection tells nothing of the others.
+    async fn exchange(
+        &self,
+        mut request: Request<Full<Bytes>>,
+        given_to_kept: &Cell<Option<Instant>>,
+    ) -> Result<Reply, ClientError> {
         loop {
             let kept = self.idle.borrow_mut().pop();
             let was_kept = kept.is_some();
+            given_to_kept.set(was_kept.then(Instant::now));
             let mut sender = match kept {
-                Some(sender) => sender,
+                Some(kept) => kept.sender,
                 None => self.open().await?,
             };
             match sender.try_send_request(request).await {
@@ -155,7 +178,7 @@
             .await
             .map_err(|error| ClientError::Broken(error.to_string()))?;
         if sender.is_ready() || !sender.is_closed() {
-            self.idle.borrow_mut().push(sender);
+            self.idle.borrow_mut().push(Kept { sender, answered: Instant::now() });
         }
         Ok(Reply { status: head.status.as_u16(), headers: head.headers, body: whole.to_bytes() })
     }
