A session that is closed ends at once, also while it takes no bytes

Cause: closing a session ended the task that sends only where it waited for the next message. Where it was writing to a connection that takes no more bytes, the task and the connection stayed until the kernel gave them up (1.5 s after the first byte that is not acknowledged, or never), and an agent does not connect to that entry again before. A large configuration in an agent's first message, or a full ring, is enough.

The session now waits for its closing beside sending and receiving. What waited to be sent is dropped: either the other side is silent, or it stops what runs for this one once it sees the end.

--- a/daemon/src/room/session.rs
+++ b/daemon/src/room/session.rs
@@ -12,16 +12,25 @@
 /// Most messages in one frame.
 const BATCH: usize = 256;
 
-/// The sending side of a session. Dropping it closes the connection.
+/// The sending side of a session. Dropping it closes the connection, also while it takes no bytes.
 pub(crate) struct Outgoing<M> {
     ring: Sender<M>,
+    /// Dropped with this.
+    _open: Sender<()>,
+}
+
+/// What waits to be sent in a session, and whether it is closed.
+pub(crate) struct Waiting<M> {
+    ring: Receiver<M>,
+    open: Receiver<()>,
 }
 
 impl<M> Outgoing<M> {
     /// A ring for a session that is about to run.
-    pub fn new() -> (Self, Receiver<M>) {
+    pub fn new() -> (Self, Waiting<M>) {
         let (ring, waiting) = async_channel::bounded(RING);
-        (Self { ring }, waiting)
+        let (open, closed) = async_channel::bounded(1);
+        (Self { ring, _open: open }, Waiting { ring: waiting, open: closed })
     }
 
     /// Sends a message; false where the ring is full or the session over.
@@ -30,10 +39,11 @@
     }
 }
 
-/// Runs a session until either side ends it: sends what waits, hands on what comes.
+/// Runs a session until either side ends it: sends what waits, hands on what comes. Once it is closed
+/// here nothing more is sent: the other side may have stopped reading for good.
 pub(crate) async fn run<Out, In>(
     stream: Async<TcpStream>,
-    waiting: Receiver<Out>,
+    waiting: Waiting<Out>,
     mut take: impl FnMut(In),
 ) where
     Out: Serialize,
@@ -42,11 +52,12 @@
     net::tune(&stream);
     let frames = net::frames::<Vec<In>, Vec<Out>>(stream);
     let (mut sink, mut source) = frames.split();
+    let Waiting { ring, open } = waiting;
     let send = async move {
-        while let Ok(first) = waiting.recv().await {
+        while let Ok(first) = ring.recv().await {
             let mut batch = vec![first];
             while batch.len() < BATCH
-                && let Ok(next) = waiting.try_recv()
+                && let Ok(next) = ring.try_recv()
             {
                 batch.push(next);
             }
@@ -60,5 +71,9 @@
             batch.into_iter().for_each(&mut take);
         }
     };
-    future::or(send, receive).await;
+    let closed = async move {
+        // Nothing is ever sent; it fails once the other half is dropped.
+        let _ = open.recv().await;
+    };
+    future::or(closed, future::or(send, receive)).await;
 }
