--- a/daemon/src/keeper_role/mod.rs
+++ b/daemon/src/keeper_role/mod.rs
@@ -131,6 +131,7 @@
         keeper.set_contacts(contacts);
         let (ring, inputs) = async_channel::bounded(RING);
         let (peers, to_peers) = async_channel::bounded(RING);
+        let notice = news_lines::of_peers(node.name.clone(), log.clone());
         let decider = KeeperDecider::new(node.name.clone(), keeper, journal, peers.clone(), log);
         let decide = spawn("keeper-decide", move |_| crate::driver::drive(decider, inputs, clock))?;
         let calls = ring.clone();
@@ -142,7 +143,8 @@
         let others: HashMap<NodeName, SocketAddr> =
             config.peers.iter().filter(|(name, _)| *name != node.name).cloned().collect();
         let name = node.name;
-        let talk = spawn("keeper-peers", move |tasks| peers::run(name, tasks, others, to_peers))?;
+        let talk =
+            spawn("keeper-peers", move |tasks| peers::run(name, tasks, others, to_peers, notice))?;
         let duties = vec![decide, listen, talk];
         Ok(Self { address, node_address, ring, peers, duties })
     }
--- a/daemon/src/keeper_role/news_lines.rs
+++ b/daemon/src/keeper_role/news_lines.rs
@@ -3,9 +3,25 @@
 use keeper::News;
 use model::NodeName;
 use serde_json::json;
+use spdlog::{info, warn};
 
+use super::peers::{Answers, Notice};
 use crate::event_log::{Budget, EventLog};
 
+/// Writes which other keepers leave messages unanswered: to the log of lines where there is one.
+pub(super) fn of_peers(own: NodeName, log: Option<EventLog>) -> impl Notice + Send {
+    move |keeper: &NodeName, answers: Answers| match (&log, answers) {
+        (Some(log), Answers::No) => peer_line(log, "keeper-silent", keeper),
+        (Some(log), Answers::Again) => peer_line(log, "keeper-answers", keeper),
+        (None, Answers::No) => warn!("keeper {}: {} does not answer", own, keeper),
+        (None, Answers::Again) => info!("keeper {}: {} answers again", own, keeper),
+    }
+}
+
+fn peer_line(log: &EventLog, what: &'static str, keeper: &NodeName) {
+    log.line(what, Budget::Full, || json!({"keeper": keeper.as_str()}));
+}
+
 /// Writes a change of state.
 pub(super) fn write(log: &EventLog, news: &News) {
     use consensus::News as Log;
--- a/daemon/tests/silent_connections.rs
+++ b/daemon/tests/silent_connections.rs
@@ -82,7 +82,7 @@
     thread::spawn(move || {
         net::block_on(|tasks| async move {
             let own = NodeName::new("own");
-            peers::run(own, tasks.clone(), Default::default(), taken).await;
+            peers::run(own, tasks.clone(), Default::default(), taken, |_, _| {}).await;
         });
     });
     inputs
