A keeper closes connections of nodes over which nothing is asked

Cause: a node that connects anew can't end a connection that is silent, and the keeper, which writes nothing to it, never learns. Each such connection held a descriptor and a task for the rest of the keeper's life.

A connection over which nothing came for 5 s is closed. Nodes ask again after 1 s (a watch) or 2 s (a pull) at most; a keeper that has nothing to say for longer connects when it has.

--- a/daemon/src/keeper_role/listen.rs
+++ b/daemon/src/keeper_role/listen.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_channel::Sender;
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures::StreamExt;
 use futures_lite::future;
 use hyper::body::Bytes;
@@ -32,6 +32,11 @@
     connections: 1_000,
 };
 
+/// A connection of a node or another keeper over which nothing was asked for so long is closed: it may
+/// have gone silent for good, and its other side have connected anew. Who waits for news asks again
+/// after 2 s at most, and whoever has nothing to say for longer connects when there is something.
+const ASKS_WITHIN: Duration = Duration::from_secs(5);
+
 /// A problem told to an operator.
 #[derive(Serialize)]
 struct Problem<'a> {
@@ -77,7 +82,11 @@
         let runner = tasks.clone();
         tasks.spawn_rpc(async move {
             let mut calls = std::pin::pin!(channel.execute(node.serve()));
-            while let Some(call) = calls.next().await {
+            let silent = async || {
+                Timer::after(ASKS_WITHIN).await;
+                None
+            };
+            while let Some(call) = future::or(calls.next(), silent()).await {
                 runner.spawn_rpc(call);
             }
         });
