The test of a killed agent kills one that runs tasks

What it asserts is unchanged. A comment in the steps of a stop has the figures of the code that stays.

--- a/components/dispatch/src/stop.rs
+++ b/components/dispatch/src/stop.rs
@@ -37,7 +37,7 @@
 const NOTICE: Duration = Duration::from_millis(2_400);
 /// A connection that the balancer handed out before it noticed arrives within a few milliseconds, and is
 /// accepted within the 50 ms or so that an entry on a tenth of a core may wait for its turn. Longer stops overlap more:
-/// with 300 ms two days of overlapping stops of three entries turned away 35 and 236 tries, with 100 ms 0 and 20.
+/// with 300 ms two days of overlapping stops of three entries turned away 35 and 236 tries, with 100 ms 35 and 67.
 const QUIET: Duration = Duration::from_millis(100);
 /// Left of the platform's time when no more requests are taken: hardly any job that begins then ends.
 const INTAKE_MARGIN: Duration = Duration::from_millis(1_500);
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -81,7 +81,12 @@
 fn a_killed_agent_gives_a_failed_job_that_may_have_run() {
     let mut cluster = start(ClusterOptions { time: SLOW, ..options() });
     let submitted = submit_and_wait(&cluster);
-    cluster.kill_agent(0);
+    // Two agents have room for all tasks of the job, so that the first may have none.
+    let running: Vec<u64> =
+        cluster.agent_counters().iter().map(|counters| counters.running).collect();
+    let busiest = (0..running.len()).max_by_key(|number| running[*number]).unwrap();
+    assert!(running[busiest] > 0);
+    cluster.kill_agent(busiest);
     match submitted.join().unwrap() {
         Outcome::Failed { code, verdict, .. } => {
             assert_eq!((code.as_str(), verdict), ("target-lost", Verdict::MayHaveRun));
