--- a/daemon/src/keeper_role/listen.rs
+++ b/daemon/src/keeper_role/listen.rs
@@ -1,6 +1,8 @@
 //! The keeper's listening thread: HTTP from operators, tarpc from nodes.
 
 use std::net::{SocketAddr, TcpListener};
+use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use async_channel::Sender;
@@ -12,7 +14,7 @@
 use hyper::{Request, Response, StatusCode};
 use keeper::Reply;
 use model::NodeName;
-use net::{Body, BodyError, Limits, Tasks};
+use net::{Body, BodyError, Connections, Limits, Tasks};
 use platform::OperatorCall;
 use serde::Serialize;
 use tarpc::context::Context;
@@ -37,6 +39,11 @@
 /// after 2 s at most, and whoever has nothing to say for longer connects when there is something.
 const ASKS_WITHIN: Duration = Duration::from_secs(5);
 
+/// How long the last answers to operators may take: a thread that has just ended leaves little to do.
+const LAST_ANSWERS: Duration = Duration::from_millis(400);
+/// How often it is looked whether they have left.
+const LOOK: Duration = Duration::from_millis(10);
+
 /// A problem told to an operator.
 #[derive(Serialize)]
 struct Problem<'a> {
@@ -67,10 +74,29 @@
         let operators = operators.clone();
         async move { answer(&operators, request).await }
     };
-    let operators = net::serve(listener, tasks.clone(), || LIMITS, handler);
+    let calls = Rc::new(Connections::default());
+    let serve = net::serve_listed(listener, tasks.clone(), calls.clone(), || LIMITS, handler);
+    let mut serve = pin!(serve);
     let nodes = serve_nodes(node_listener, tasks.clone(), ring.clone());
-    let stop = ring.closed();
-    future::or(future::or(operators, nodes), stop).await;
+    future::or(future::or(serve.as_mut(), nodes), ring.closed()).await;
+    calls.close();
+    // What waits to be accepted is accepted.
+    serve.await;
+    until_answered(&calls).await;
+}
+
+/// Waits until operators' calls are answered, for a while. Once the deciding thread has ended, what it has
+/// not answered is told to go to another keeper; a connection that ends instead tells an operator nothing.
+async fn until_answered(calls: &Connections) {
+    let answered = async {
+        while calls.unfinished() > 0 {
+            Timer::after(LOOK).await;
+        }
+    };
+    let late = async {
+        Timer::after(LAST_ANSWERS).await;
+    };
+    future::or(answered, late).await;
 }
 
 async fn serve_nodes(listener: Async<TcpListener>, tasks: Tasks, ring: Sender<Input>) {
--- /dev/null
+++ b/daemon/tests/keeper_stops.rs
@@ -0,0 +1,139 @@
+//! A planned stop of a keeper while an operator's call is under way.
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+struct Keeper {
+    child: Child,
+    address: String,
+}
+
+impl Keeper {
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap().success());
+    }
+
+    fn send(&self, version: u64) -> std::io::Result<TcpStream> {
+        let mut stream = TcpStream::connect(&self.address)?;
+        stream.set_read_timeout(Some(Duration::from_secs(3)))?;
+        let body = serde_json::json!({"version": version, "routes": [],
+            "services": [{"name": "work", "rejects_overload": true}],
+            "limits": {"max_body_bytes": 10_000}})
+        .to_string();
+        let head = format!(
+            "POST /configuration/replace HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        stream.write_all(format!("{head}{body}").as_bytes())?;
+        Ok(stream)
+    }
+
+    fn status(&self, version: u64) -> Option<u16> {
+        read(self.send(version).ok()?)
+    }
+}
+
+fn read(mut stream: TcpStream) -> Option<u16> {
+    let mut bytes = [0; 2_048];
+    let count = stream.read(&mut bytes).ok()?;
+    let text = String::from_utf8_lossy(&bytes[..count]).into_owned();
+    text.split_whitespace().nth(1)?.parse().ok()
+}
+
+impl Drop for Keeper {
+    fn drop(&mut self) {
+        // One that has ended takes no signal; one that is held up ends by the kill.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn start(folder: &std::path::Path, net: u32) -> Vec<Keeper> {
+    let net = format!("127.{}.{net}", 1 + std::process::id() % 250);
+    let seeds: Vec<String> = (1..=3).map(|host| format!("{net}.{host}:7100")).collect();
+    (1..=3)
+        .map(|host| {
+            let data = folder.join(format!("data{host}"));
+            fs::create_dir_all(&data).unwrap();
+            let text = format!(
+                "[node]\nname = k{host}\nroles = keeper\nscheduling = room\nnode_port = 7101\n\
+                 keepers = {}\n[keeper]\nlisten = {net}.{host}:7100\nnode_listen = {net}.{host}:7101\n\
+                 data = {}\nfound = true\ntolerated_losses = 1\n",
+                seeds.join(" "),
+                data.display()
+            );
+            let file = folder.join(format!("k{host}.ini"));
+            fs::write(&file, text).unwrap();
+            let log = fs::File::create(folder.join(format!("k{host}.log"))).unwrap();
+            let child = Command::new(env!("CARGO_BIN_EXE_dockpassd"))
+                .arg("--config")
+                .arg(&file)
+                .stdout(Stdio::from(log))
+                .spawn()
+                .unwrap();
+            Keeper { child, address: seeds[host - 1].clone() }
+        })
+        .collect()
+}
+
+/// An operator's connection ended with no answer: a keeper that stopped dropped the calls under way before
+/// they were told that it had ended. Here the leader can't reach a majority as it stops.
+#[test]
+fn a_change_under_way_when_the_leader_stops_is_answered() {
+    let folder = tempfile::tempdir().unwrap();
+    let keepers = start(folder.path(), 251);
+    let began = Instant::now();
+    let leader = loop {
+        assert!(began.elapsed() < Duration::from_secs(15), "no leader");
+        let leads = |keeper: &Keeper| keeper.status(1) == Some(200);
+        if let Some(number) = keepers.iter().position(leads) {
+            break number;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    };
+    keepers.iter().enumerate().filter(|(number, _)| *number != leader).for_each(|(_, keeper)| {
+        keeper.signal("STOP");
+    });
+    let waits = keepers[leader].send(2).unwrap();
+    std::thread::sleep(Duration::from_millis(20));
+    let stopped = Instant::now();
+    keepers[leader].signal("TERM");
+    let status = read(waits);
+    println!("{status:?} after {:?}", stopped.elapsed());
+    assert!(status.is_some(), "the connection ended with no answer, {:?}", stopped.elapsed());
+}
+
+/// The same where nothing is wrong with the cluster: changes are sent one after the other while the leader
+/// stops. The very last may cross the closing of the listener, when the kernel has opened its connection
+/// and the keeper has not accepted it.
+#[test]
+fn changes_that_are_sent_while_the_leader_stops_are_answered() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut keepers = start(folder.path(), 252);
+    let began = Instant::now();
+    let leader = loop {
+        assert!(began.elapsed() < Duration::from_secs(15), "no leader");
+        let leads = |keeper: &Keeper| keeper.status(1) == Some(200);
+        if let Some(number) = keepers.iter().position(leads) {
+            break number;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    };
+    keepers[leader].signal("TERM");
+    let mut seen = Vec::new();
+    let stopped = Instant::now();
+    for version in 2.. {
+        let Ok(stream) = keepers[leader].send(version) else { break };
+        seen.push((stopped.elapsed().as_millis(), read(stream)));
+    }
+    let _ = keepers[leader].child.wait();
+    let unanswered = |(_, status): &(u128, Option<u16>)| status.is_none();
+    let last_crossed = seen.last().is_some_and(unanswered);
+    println!("{} sent, last {:?}", seen.len(), seen.last());
+    seen.truncate(seen.len() - usize::from(last_crossed));
+    assert!(seen.len() > 10 && !seen.iter().any(unanswered), "{seen:?}");
+}
