A new leader tells empty disks that they have caught up only once it knows what is committed

Cause: a leader said that it was sure as soon as a quorum had acknowledged anything, also an append that did not fit. Until an entry of its own term commits, its commit index may be behind what earlier leaders had committed, so that a replica on an empty disk was told that it had caught up while it lacked committed entries; with it, one that lacked them too could win an election. It needs a disk lost, a third replica more than a message behind, and a second loss of power within a few milliseconds.

--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -158,8 +158,7 @@
     /// replica has caught up. Only after an entry of its own term has committed, and one change at
     /// a time.
     fn adjust_members(&mut self, now: Time, out: &mut Vec<Action>) {
-        let settled =
-            self.log.term(self.commit) == Some(self.term) && self.log.last_change() <= self.commit;
+        let settled = self.knows_all_committed() && self.log.last_change() <= self.commit;
         if !settled || !self.is_sure(now) {
             return;
         }
@@ -220,7 +219,8 @@
     fn send_append(&mut self, now: Time, to: &NodeName, out: &mut Vec<Action>) {
         let Role::Leader(leading) = &self.role else { return };
         let Some(progress) = leading.followers.get(to).copied() else { return };
-        let sure = leading.lease_until(self, now, Some(to)).is_some_and(|until| now < until);
+        let sure = self.knows_all_committed()
+            && leading.lease_until(self, now, Some(to)).is_some_and(|until| now < until);
         let prev_index = progress.next - 1;
         let Some(prev_term) = self.log.term(prev_index) else {
             return self.send_snapshot(now, to, out);
@@ -241,6 +241,12 @@
         self.set_next(to, progress.next + sent);
     }
 
+    /// Whether an entry of its own term is committed; before that, entries of earlier leaders may be
+    /// committed that it does not know to be.
+    pub(crate) fn knows_all_committed(&self) -> bool {
+        self.log.term(self.commit) == Some(self.term)
+    }
+
     fn send_snapshot(&mut self, now: Time, to: &NodeName, out: &mut Vec<Action>) {
         let snapshot = self.log.snapshot.clone();
         let next = snapshot.index + 1;
--- a/components/consensus/src/message.rs
+++ b/components/consensus/src/message.rs
@@ -63,7 +63,8 @@
         commit: Index,
         /// When it was sent, by the leader's clock; comes back in the reply.
         sent: Time,
-        /// Whether the leader's lease was valid then, without counting the receiver.
+        /// Whether the leader's lease was valid then, without counting the receiver, and an entry
+        /// of its own term was committed: nothing after `commit` had been committed before.
         sure: bool,
     },
     /// Whether entries fitted.
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -154,7 +154,7 @@
         match &self.role {
             Role::Leader(leading) => {
                 leading.lease_until(self, now, None).is_some_and(|until| now < until)
-                    && self.log.term(self.commit) == Some(self.term)
+                    && self.knows_all_committed()
             }
             _ => false,
         }
