A replica that joins is told who leads

Cause: only the leader acted on the question of a replica that is no member, and one on an empty disk asks the seeds of its settings alone. Where none of them led, a new host of the core never voted, so that the one it replaced counted as lost for good, and the next lost disk could be one too many for the quorum.

Followers answer such a question with whom they take for the leader; one such referral is followed each time it asks, since two that take each other for the leader would send it to and fro. Asking every member in place of the seeds was not possible: it knows none.

--- a/components/consensus/src/election.rs
+++ b/components/consensus/src/election.rs
@@ -50,7 +50,7 @@
     ) {
         // One that was replaced while it was away does not know it yet.
         if !self.members().contains(from) {
-            self.join(now, from);
+            self.join(now, from, out);
         }
         let granted = term > self.term && self.would_vote(now, last);
         let term = if granted { term } else { self.term };
@@ -108,13 +108,24 @@
         }
     }
 
-    fn ask_to_join(&self, out: &mut Vec<Action>) {
+    fn ask_to_join(&mut self, out: &mut Vec<Action>) {
+        self.asks_leader = true;
         let mut asked: BTreeSet<&NodeName> = self.contacts.iter().collect();
         asked.extend(self.members());
         asked.remove(&self.name);
         out.extend(asked.into_iter().map(|to| Action::Send(to.clone(), Message::Join)));
     }
 
+    /// Another tells whom it takes for the leader. One is asked each time: two that take each other
+    /// for the leader would send it to and fro.
+    pub(crate) fn referred(&mut self, leader: NodeName, out: &mut Vec<Action>) {
+        let asks = self.asks_leader && leader != self.name && !self.members().contains(&self.name);
+        if asks {
+            self.asks_leader = false;
+            out.push(Action::Send(leader, Message::Join));
+        }
+    }
+
     fn ask_for_votes(&mut self, now: Time, transfer: bool, out: &mut Vec<Action>) {
         self.term += 1;
         self.voted_for = Some(self.name.clone());
--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -131,11 +131,14 @@
         self.commit_quorum(out);
     }
 
-    /// A replica that is no member asks to be brought up to date.
-    pub(crate) fn join(&mut self, now: Time, from: &NodeName) {
+    /// A replica that is no member asks to be brought up to date. It may know none that leads, so it
+    /// is told.
+    pub(crate) fn join(&mut self, now: Time, from: &NodeName, out: &mut Vec<Action>) {
         let next = self.log.last_index() + 1;
         if let Role::Leader(leading) = &mut self.role {
             leading.followers.entry(from.clone()).or_insert(Progress::new(next, now));
+        } else if let Some(leader) = self.leader.clone().filter(|leader| leader != from) {
+            out.push(Action::Send(from.clone(), Message::Refer { leader }));
         }
     }
 
--- a/components/consensus/src/message.rs
+++ b/components/consensus/src/message.rs
@@ -1,6 +1,6 @@
 //! What replicas say to each other.
 
-use model::Time;
+use model::{NodeName, Time};
 use serde::{Deserialize, Serialize};
 
 use crate::{Entry, Index, Snapshot, Term};
@@ -42,7 +42,8 @@
         /// Whether it is.
         granted: bool,
     },
-    /// A replica that is no member asks the leader to bring it up to date.
+    /// A replica that is no member asks to be brought up to date: the leader does so, and any other
+    /// tells it who leads.
     Join,
     /// The leader resigns, and asks the receiver to stand at once.
     TakeOver {
@@ -90,13 +91,18 @@
         /// When it was sent, by the leader's clock.
         sent: Time,
     },
+    /// Tells a replica that is no member whom the sender takes for the leader.
+    Refer {
+        /// The leader.
+        leader: NodeName,
+    },
 }
 
 impl Message {
     /// The term that it carries.
     pub fn term(&self) -> Term {
         match self {
-            Self::Join => 0,
+            Self::Join | Self::Refer { .. } => 0,
             Self::PreVote { term, .. }
             | Self::TakeOver { term }
             | Self::PreVoteReply { term, .. }
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -69,6 +69,8 @@
     pub(crate) election_at: Time,
     /// Replicas that may know the leader, for one that is no member.
     pub(crate) contacts: Vec<NodeName>,
+    /// It has asked to join, and asks whom it is told to lead.
+    pub(crate) asks_leader: bool,
 }
 
 impl Replica {
@@ -97,6 +99,7 @@
             votes_from: now + timing.election,
             election_at: now,
             contacts: Vec::new(),
+            asks_leader: false,
         };
         // A single replica waits for nobody.
         if replica.members().len() > 1 {
@@ -230,7 +233,8 @@
             Message::PreVoteReply { term, granted } => {
                 self.pre_vote_reply(now, from, term, granted, out);
             }
-            Message::Join => self.join(now, from),
+            Message::Join => self.join(now, from, out),
+            Message::Refer { leader } => self.referred(leader, out),
             Message::TakeOver { term } => self.take_over(now, term, out),
             Message::Vote { term, last_index, last_term, transfer } => {
                 self.vote(now, from, (term, transfer), (last_term, last_index), out);
