--- a/components/journal/tests/power_loss.rs
+++ b/components/journal/tests/power_loss.rs
@@ -1,6 +1,7 @@
 //! Journals after a loss of power: every unsynced write there, missing or torn.
 
 use std::fs;
+use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 
 use journal::{Journal, JournalError};
@@ -149,21 +150,34 @@
 /// loss of power later. Order of events: a keeper is killed after it wrote a batch and before it
 /// synced it; it comes back, finds the batch in the file, and counts it as its own; power fails
 /// before its next sync. Cause: what a file holds when it is opened was taken for synced. Evidence, for
-/// want of a disk that forgets: what is taken for synced is named so, and damage there is refused.
+/// want of a disk that forgets: the file stays the one whose last records were never synced.
 #[test]
-fn what_is_found_at_the_opening_is_synced_and_named_so() {
+fn records_that_were_perhaps_never_synced_are_written_anew_before_they_count() {
     let struck = Struck::new();
     let bytes = [struck.synced.as_slice(), &struck.mark, &struck.batch].concat();
     fs::write(&struck.path, &bytes).unwrap();
+    let before = fs::metadata(&struck.path).unwrap().ino();
     assert_eq!(Journal::open(&struck.path).unwrap().records.len(), 4);
+    assert_ne!(fs::metadata(&struck.path).unwrap().ino(), before, "it is the same file");
+    // They are synced from then on, so that damage of any of them is refused.
     let opened = fs::read(&struck.path).unwrap();
-    for byte in bytes.len() - struck.batch.len()..bytes.len() {
+    for byte in 0..opened.len() {
         let mut flipped = opened.clone();
         flipped[byte] ^= 0x10;
         is_refused(&struck.path, &flipped, byte);
     }
 }
 
+#[test]
+fn a_file_of_which_all_was_synced_is_left_as_it_is() {
+    let struck = Struck::new();
+    let before = fs::metadata(&struck.path).unwrap().ino();
+    let bytes = fs::read(&struck.path).unwrap();
+    assert_eq!(Journal::open(&struck.path).unwrap().records.len(), 4);
+    assert_eq!(fs::metadata(&struck.path).unwrap().ino(), before);
+    assert_eq!(fs::read(&struck.path).unwrap(), bytes);
+}
+
 /// A record's bytes, as they are in every format.
 fn record(payload: &[u8]) -> Vec<u8> {
     let mut bytes = (payload.len() as u32).to_le_bytes().to_vec();
