--- a/components/journal/src/file.rs
+++ b/components/journal/src/file.rs
@@ -36,10 +36,7 @@
     pub fn open(path: &Path) -> Result<Opened, JournalError> {
         let io = |source| JournalError::Io { path: path.to_owned(), source };
         remove_if_there(&aside(path)).map_err(io)?;
-        if !path.exists() {
-            write_aside(path, &[]).map_err(io)?;
-        }
-        let bytes = fs::read(path).map_err(io)?;
+        let bytes = read_or_make(path).map_err(io)?;
         let (records, end) = read_records(path, &bytes)?;
         let mut file = OpenOptions::new().read(true).write(true).open(path).map_err(io)?;
         let cut = (bytes.len() - end) as u64;
@@ -143,6 +140,17 @@
     }
 }
 
+/// The file's bytes. Only where there is certainly no file a new one is made.
+fn read_or_make(path: &Path) -> io::Result<Vec<u8>> {
+    match fs::read(path) {
+        Err(error) if error.kind() == io::ErrorKind::NotFound => {
+            write_aside(path, &[])?;
+            fs::read(path)
+        }
+        read => read,
+    }
+}
+
 fn aside(path: &Path) -> PathBuf {
     path.with_extension(ASIDE)
 }
