--- a/components/journal/src/file.rs
+++ b/components/journal/src/file.rs
@@ -33,26 +33,42 @@
 
 impl Journal {
     /// Opens a journal, or makes an empty one, synced with its folder.
+    ///
+    /// Records that no mark names as synced are written anew before they count: a process that was
+    /// killed, or whose sync failed, may have left them in the page cache alone.
     pub fn open(path: &Path) -> Result<Opened, JournalError> {
         let io = |source| JournalError::Io { path: path.to_owned(), source };
         remove_if_there(&aside(path)).map_err(io)?;
         let bytes = read_or_make(path).map_err(io)?;
-        let (records, end) = read_records(path, &bytes)?;
-        let mut file = OpenOptions::new().read(true).write(true).open(path).map_err(io)?;
-        let cut = (bytes.len() - end) as u64;
-        if cut > 0 {
-            file.set_len(end as u64).map_err(io)?;
-            file.sync_all().map_err(io)?;
+        let found = read_records(path, &bytes)?;
+        let cut = (bytes.len() - found.end) as u64;
+        if !found.marked {
+            write_aside(path, &records_bytes(&found.records)).map_err(io)?;
         }
-        file.seek(SeekFrom::Start(end as u64)).map_err(io)?;
-        let journal = Self {
-            path: path.to_owned(),
-            file,
-            pending: Vec::new(),
-            bytes: end as u64,
-            given_up: false,
-        };
-        Ok(Opened { journal, records, cut })
+        let file = OpenOptions::new().read(true).write(true).open(path).map_err(io)?;
+        if found.marked && cut > 0 {
+            file.set_len(found.end as u64).and_then(|()| file.sync_all()).map_err(io)?;
+        }
+        let path = path.to_owned();
+        let mut journal = Self { path, file, pending: Vec::new(), bytes: 0, given_up: false };
+        journal.go_to_end()?;
+        Ok(Opened { journal, records: found.records, cut })
+    }
+
+    fn go_to_end(&mut self) -> Result<(), JournalError> {
+        let end = self.file.seek(SeekFrom::End(0));
+        self.bytes = self.settle(end)?;
+        Ok(())
+    }
+
+    /// Names everything before as synced. The mark itself is not: where it is lost, what was written
+    /// after it is taken for torn, which is right as long as that is not synced.
+    fn mark(&mut self) -> Result<(), JournalError> {
+        let mark = format::mark(self.bytes);
+        let written = self.file.write_all(&mark);
+        self.settle(written)?;
+        self.bytes += mark.len() as u64;
+        Ok(())
     }
 
     /// Adds a record. It lasts only after the next [`Journal::sync`].
@@ -71,28 +87,20 @@
         self.settle(written)?;
         self.bytes += self.pending.len() as u64;
         self.pending.clear();
-        Ok(())
+        self.mark()
     }
 
     /// Replaces the whole file by these records: written aside, synced, renamed, folder synced.
     pub fn rewrite(&mut self, records: &[Vec<u8>]) -> Result<(), JournalError> {
         self.check()?;
-        let mut bytes = Vec::new();
-        for record in records {
-            format::write(record, &mut bytes);
-        }
-        let opened = write_aside(&self.path, &bytes).and_then(|()| {
-            let mut file = OpenOptions::new().read(true).write(true).open(&self.path)?;
-            file.seek(SeekFrom::End(0))?;
-            Ok(file)
-        });
+        let opened = write_aside(&self.path, &records_bytes(records))
+            .and_then(|()| OpenOptions::new().read(true).write(true).open(&self.path));
         self.file = self.settle(opened)?;
         self.pending.clear();
-        self.bytes = (MAGIC.len() + bytes.len()) as u64;
-        Ok(())
+        self.go_to_end()
     }
 
-    /// Bytes of synced records.
+    /// Bytes of the file up to what was synced last, and its mark.
     pub fn bytes(&self) -> u64 {
         self.bytes
     }
@@ -118,23 +126,35 @@
     }
 }
 
-/// Reads all records; returns them with the offset behind the last whole one.
-fn read_records(path: &Path, bytes: &[u8]) -> Result<(Vec<Vec<u8>>, usize), JournalError> {
-    if !bytes.starts_with(MAGIC) {
+/// What a file holds.
+struct Found {
+    records: Vec<Vec<u8>>,
+    /// The offset behind the last whole record or mark.
+    end: usize,
+    /// Whether a mark stands right before `end`.
+    marked: bool,
+}
+
+fn read_records(path: &Path, bytes: &[u8]) -> Result<Found, JournalError> {
+    let Some(format) = format::format(bytes) else {
         return Err(JournalError::NotAJournal { path: path.to_owned() });
-    }
-    let mut records = Vec::new();
-    let mut offset = MAGIC.len();
+    };
+    let mut found = Found { records: Vec::new(), end: MAGIC.len(), marked: false };
     loop {
-        match format::parse(bytes, offset) {
-            Parsed::End | Parsed::Torn => return Ok((records, offset)),
+        match format::parse(bytes, found.end, format) {
+            Parsed::End | Parsed::Torn => return Ok(found),
             Parsed::Record(payload, behind) => {
-                records.push(payload.to_vec());
-                offset = behind;
+                found.records.push(payload.to_vec());
+                found.end = behind;
+                found.marked = false;
+            }
+            Parsed::Mark(behind) => {
+                found.end = behind;
+                found.marked = true;
             }
             Parsed::Damaged(reason) => {
-                let path = path.to_owned();
-                return Err(JournalError::Damaged { path, offset: offset as u64, reason });
+                let (path, offset) = (path.to_owned(), found.end as u64);
+                return Err(JournalError::Damaged { path, offset, reason });
             }
         }
     }
@@ -151,6 +171,12 @@
     }
 }
 
+fn records_bytes(records: &[Vec<u8>]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    records.iter().for_each(|record| format::write(record, &mut bytes));
+    bytes
+}
+
 fn aside(path: &Path) -> PathBuf {
     path.with_extension(ASIDE)
 }
@@ -163,11 +189,13 @@
 }
 
 /// Writes a whole file in the place of another, or in none's, so that a crash leaves one of them.
+/// It may end in a mark: it comes in its place only after it was synced.
 fn write_aside(path: &Path, records: &[u8]) -> io::Result<()> {
     let aside = aside(path);
     let mut file = File::create(&aside)?;
     file.write_all(MAGIC)?;
     file.write_all(records)?;
+    file.write_all(&format::mark((MAGIC.len() + records.len()) as u64))?;
     file.sync_all()?;
     fs::rename(&aside, path)?;
     let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty());
--- a/components/journal/tests/journal.rs
+++ b/components/journal/tests/journal.rs
@@ -30,6 +30,9 @@
     assert_eq!(Journal::open(&path).unwrap().records.len(), 4);
 }
 
+/// Bytes of the mark that a file ends in.
+const MARK: usize = 16;
+
 #[test]
 fn a_file_cut_anywhere_keeps_its_whole_records() {
     let (_folder, path) = write(&RECORDS);
@@ -44,13 +47,14 @@
             let count = opened.records.len();
             assert_eq!(opened.records, RECORDS.map(<[u8]>::to_vec)[..count], "cut at {length}");
             assert!(count >= seen, "records lost at {length}");
+            assert_eq!(count == RECORDS.len(), length + MARK >= whole.len(), "cut at {length}");
             seen = count;
             opened.journal.append(b"after");
             opened.journal.sync().unwrap();
             assert_eq!(Journal::open(&path).unwrap().records.len(), count + 1);
         }
     }
-    assert_eq!(seen, 2);
+    assert_eq!(seen, RECORDS.len());
 }
 
 #[test]
