The soak of keepers loses all power right after acknowledgements, with as many disks as it bears

Users may lose as many disks as they tolerate while all other machines lose power in the same moment. Four of a hundred acknowledgements are followed by that within 3 ms: disks by lot, those with the newest entry, or the leader's first; each keeper dies while it stores the next message to it, of which some records last; all come back in any order within 1.5 s, and one has to lead within 10 s. Half of the runs have members that change, on empty disks that don't know them, some with six keepers that three founded.

--- a/soak/src/keepers/checks.rs
+++ b/soak/src/keepers/checks.rs
@@ -24,6 +24,8 @@
     pub elections: u64,
     /// Disks lost.
     pub disks_lost: u64,
+    /// Losses of all power, each right after an acknowledgement.
+    pub power_losses: u64,
     /// Faults that happened.
     pub faults: u64,
 }
@@ -38,6 +40,7 @@
         self.spread += other.spread;
         self.elections += other.elections;
         self.disks_lost += other.disks_lost;
+        self.power_losses += other.power_losses;
         self.faults += other.faults;
     }
 }
--- a/soak/src/keepers/mod.rs
+++ b/soak/src/keepers/mod.rs
@@ -1,8 +1,11 @@
 //! Randomised runs of keepers, operators and nodes.
 //!
-//! Keepers have disks that keep what was synced, and may lose them, one at a time. Operators race,
-//! resend and read. Nodes pull settings and come and go. Frames are lost, delayed, doubled and
-//! overtake each other; keepers die, stall and are cut off.
+//! Keepers have disks that keep what was synced, and may lose them, no more before their repair than the
+//! cluster bears. Operators race, resend and read. Nodes pull settings and come and go. Frames are
+//! lost, delayed, doubled and overtake each other; keepers die, stall and are cut off. Right after
+//! some acknowledgements all lose power, with what they had not synced, and as many as the cluster
+//! bears their disks. In half of the runs members change, and in some of these only a part of the
+//! keepers begin the cluster.
 
 mod checks;
 mod faults;
--- a/soak/src/keepers/world.rs
+++ b/soak/src/keepers/world.rs
@@ -23,6 +23,9 @@
 /// Longest time between two ticks of a keeper.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Most records of a batch that a loss of power leaves.
+const MOST_TORN: usize = 3;
+
 /// Something that happens at a moment.
 #[derive(Debug)]
 pub(crate) enum Happening {
@@ -48,8 +51,34 @@
     KeeperStarts(usize),
     /// A keeper that was cut off is reached again.
     Healed(usize),
+    /// All keepers lose power, some of them their disks.
+    PowerLoss,
+    /// All are back after a loss of power; one has to lead by then.
+    LeaderDue(Time),
+}
+
+/// Which keepers there are.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Arrangement {
+    /// Keepers that begin the cluster.
+    founders: usize,
+    /// All keepers; those that did not begin it join.
+    count: usize,
+    /// How many vote.
+    pub voters: usize,
+    /// Whether one that is silent for long is replaced. A lost disk then holds not even the names of the
+    /// others; those that began the cluster are known from the settings.
+    pub members_change: bool,
 }
 
+/// The arrangements that runs are drawn from.
+const ARRANGEMENTS: [Arrangement; 4] = [
+    Arrangement { founders: 3, count: 3, voters: 3, members_change: false },
+    Arrangement { founders: 5, count: 5, voters: 5, members_change: false },
+    Arrangement { founders: 3, count: 3, voters: 3, members_change: true },
+    Arrangement { founders: 3, count: 6, voters: 5, members_change: true },
+];
+
 /// One keeper with its disk.
 pub(crate) struct Disked {
     pub name: NodeName,
@@ -71,6 +100,9 @@
     pub checks: KeeperChecks,
     pub waiting: HashMap<Ticket, Asker>,
     pub changes: u64,
+    pub arrangement: Arrangement,
+    /// No fault begins before: one has to lead first after a loss of power.
+    pub faults_from: Time,
     loss: f64,
     delay: Duration,
     next_ticket: u64,
@@ -92,18 +124,50 @@
     }
 }
 
+impl Arrangement {
+    fn names(&self) -> Vec<NodeName> {
+        (0..self.count).map(|number| NodeName::new(&format!("k{number}"))).collect()
+    }
+
+    fn empty_disk(&self) -> Vec<Record> {
+        let members = if self.members_change { Vec::new() } else { self.names() };
+        Replica::blank_records(members)
+    }
+
+    fn timing(&self) -> Timing {
+        let voters = self.members_change.then_some(self.voters);
+        Timing { voters, ..Timing::default() }
+    }
+
+    /// Whom a keeper that is no member asks.
+    fn contacts(&self) -> Vec<NodeName> {
+        let mut names = self.names();
+        names.truncate(self.founders);
+        names
+    }
+
+    /// Disks that may be lost at once.
+    pub fn losses(&self) -> usize {
+        self.voters / 2
+    }
+}
+
 impl KeeperWorld {
     fn new(options: &Options) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
-        let count = if rng.random_bool(0.7) { 3 } else { 5 };
-        let names: Vec<NodeName> =
-            (0..count).map(|number| NodeName::new(&format!("k{number}"))).collect();
+        let arrangement = ARRANGEMENTS[rng.random_range(0..ARRANGEMENTS.len())];
+        let names = arrangement.names();
         let tree = Tree::from_ini(TREE).expect("the run's tree is valid");
-        let records = initial_records(names.clone(), tree);
+        let founders = names[..arrangement.founders].to_vec();
+        let records = initial_records(founders.clone(), tree);
+        let disk = |name: &NodeName| match founders.contains(name) {
+            true => records.clone(),
+            false => arrangement.empty_disk(),
+        };
         let keeper = |name: &NodeName| Disked {
             name: name.clone(),
             keeper: None,
-            disk: records.clone(),
+            disk: disk(name),
             stalled_until: START,
             cut_off: false,
             tick_at: None,
@@ -118,6 +182,8 @@
             checks: KeeperChecks::default(),
             waiting: HashMap::new(),
             changes: 0,
+            arrangement,
+            faults_from: START,
             loss,
             delay: Duration::from_micros(delay),
             next_ticket: 0,
@@ -195,6 +261,8 @@
             Happening::Fault => self.fault(),
             Happening::KeeperStarts(keeper) => self.start_keeper(keeper),
             Happening::Healed(keeper) => self.keepers[keeper].cut_off = false,
+            Happening::PowerLoss => self.lose_power(),
+            Happening::LeaderDue(due) => self.leader_due(due),
         }
     }
 
@@ -202,14 +270,17 @@
     pub fn start_keeper(&mut self, number: usize) {
         self.lives += 1;
         let (seed, now) = (self.lives, self.now);
+        let (timing, contacts) = (self.arrangement.timing(), self.arrangement.contacts());
         let keeper = &mut self.keepers[number];
         if keeper.keeper.is_some() {
             return;
         }
         let disk = keeper.disk.clone();
-        let recovered = Keeper::recover(keeper.name.clone(), disk, Timing::default(), seed, now);
-        match recovered {
-            Ok(recovered) => keeper.keeper = Some(recovered),
+        match Keeper::recover(keeper.name.clone(), disk, timing, seed, now) {
+            Ok(mut recovered) => {
+                recovered.set_contacts(contacts);
+                keeper.keeper = Some(recovered);
+            }
             Err(error) => self.checks.violation(now, format!("a disk can't be read: {error}")),
         }
         self.plan_tick(number);
@@ -217,11 +288,48 @@
 
     /// Empties a dead keeper's disk.
     pub fn lose_disk(&mut self, number: usize) {
-        let members = self.keepers.iter().map(|keeper| keeper.name.clone()).collect();
-        self.keepers[number].disk = Replica::blank_records(members);
+        self.keepers[number].disk = self.arrangement.empty_disk();
         self.checks.summary.disks_lost += 1;
     }
 
+    /// Ends a keeper while it stores what the next message to it leads to: of that, some of the first
+    /// records are on its disk, and nothing that was to follow is done.
+    pub fn die_while_storing(&mut self, number: usize) {
+        let now = self.now;
+        let message = self.next_message(number);
+        let kept = self.rng.random_range(0..=MOST_TORN);
+        let keeper = &mut self.keepers[number];
+        let Some(mut machine) = keeper.keeper.take() else { return };
+        let Some(event) = message else { return };
+        let mut actions = Vec::new();
+        machine.handle(now, event, &mut actions);
+        let stores = actions.into_iter().map_while(|action| match action {
+            Action::Rewrite(_) => None,
+            Action::Store(records) => Some(records),
+            _ => Some(Vec::new()),
+        });
+        keeper.disk.extend(stores.flatten().take(kept));
+    }
+
+    /// The message that is to reach a keeper first.
+    fn next_message(&self, number: usize) -> Option<Event> {
+        let planned = self.happenings.iter().map(|Reverse(planned)| *planned);
+        let messages = planned.filter_map(|planned| match self.contents.get(&planned.1) {
+            Some(Happening::Message { to, from, message }) if *to == number => {
+                let from = self.keepers[*from].name.clone();
+                Some((planned, Event::Peer(from, message.clone())))
+            }
+            _ => None,
+        });
+        messages.min_by_key(|(planned, _)| *planned).map(|(_, event)| event)
+    }
+
+    /// Whether a keeper is sure to lead.
+    pub fn someone_leads(&self) -> bool {
+        let keepers = self.keepers.iter().filter_map(|keeper| keeper.keeper.as_ref());
+        keepers.into_iter().any(|keeper| keeper.replica().is_sure(self.now))
+    }
+
     fn deliver(&mut self, number: usize, event: Event) {
         let now = self.now;
         let keeper = &mut self.keepers[number];
@@ -263,6 +371,7 @@
             Action::Store(_) | Action::Rewrite(_) => {}
             Action::Send(to, message) => self.send(number, &to, message),
             Action::Respond(ticket, reply) => {
+                self.perhaps_lose_power(&reply);
                 let way = self.way();
                 if self.loses() {
                     return self.after(way, Happening::Lost { ticket });
