--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -67,6 +67,14 @@
     assert_eq!(run(Options::new(7)), run(Options::new(7)));
 }
 
+#[test]
+fn a_seed_of_keepers_makes_the_same_run_again() {
+    for seed in 0..8 {
+        let summary = run_keepers(&Options::new(seed));
+        assert_eq!(summary, run_keepers(&Options::new(seed)));
+    }
+}
+
 #[test]
 fn three_hundred_seeds_of_room_hold() {
     let total = run_all(ROOM_SEEDS, |options| run_room(&options), RoomSummary::add);
