What follows from an event at a keeper no longer depends on the order of a hash map

Cause: a leader that stepped down answered the operators that waited in the order of a hash map, which differs from run to run, and the soak's network drew other numbers from then on.

--- a/components/keeper/src/keeper.rs
+++ b/components/keeper/src/keeper.rs
@@ -1,6 +1,6 @@
 //! The keeper's state machine: the replicated log with the settings tree on it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use consensus::{
@@ -54,8 +54,9 @@
 pub struct Keeper {
     replica: Replica,
     state: State,
-    /// Operators by the entry that holds their change.
-    waiters: HashMap<Index, Waiter>,
+    /// Operators by the entry that holds their change, in its order: what follows from an event is the
+    /// same in each run.
+    waiters: BTreeMap<Index, Waiter>,
     pullers: Vec<Puller>,
     proposals: HashMap<ProposalId, Waiter>,
     next_proposal: u64,
@@ -92,7 +93,7 @@
         let mut keeper = Self {
             replica,
             state,
-            waiters: HashMap::new(),
+            waiters: BTreeMap::new(),
             pullers: Vec::new(),
             proposals: HashMap::new(),
             next_proposal: 0,
@@ -346,8 +347,7 @@
 
     /// No longer the leader: what becomes of the changes in hand is for the next one to say.
     fn give_up_waiters(&mut self, out: &mut Vec<Action>) {
-        let waiters: Vec<Waiter> = self.waiters.drain().map(|(_, waiter)| waiter).collect();
-        for waiter in waiters {
+        for waiter in std::mem::take(&mut self.waiters).into_values() {
             self.unsure(waiter.ticket, out);
         }
     }
