The fault soak silences connections, and its targets can have several lives

The soak's proxies struck whole links only, for a while, and its stand-in for a target had one life and took orders for any id, so that neither connections that go silent for good nor late heartbeats could be tried.

- Proxies silence one open connection or all, for good, while new ones work: bytes are taken and dropped, or no longer taken; neither side hears of the other's end.
- The stand-in answers 421 to orders for another life and notes them, notes how each run ended, can crash and live on at its address under a new id, and can send a heartbeat of an earlier life.
- room_faults has a third run, with signals and silent connections, and a further check of all runs: a job that was completed had every task done when the answer came.
- Processes, what targets saw, and seeds stand in modules of their own; DOCKPASS_SOAK_LOGS keeps the logs of runs that pass, too.

No check is weaker: "not run" is still held against all starts, runs of a task at once are looked for as before, and the draws of the two earlier runs come in the same order.

--- a/daemon/tests/planned_stop.rs
+++ b/daemon/tests/planned_stop.rs
@@ -54,13 +54,19 @@
     fn keep_busy(&self) -> Kept {
         let mut connection = self.connect();
         assert!(connection.send(job_request(1, 1, 20_000, 200).as_bytes()));
-        eventually("it runs", || self.target.starts_of("0000000000000001") == 1);
+        eventually("it runs", || self.starts_of("0000000000000001") == 1);
         connection
     }
 
     fn runs_now(&self) -> usize {
         let seen = self.target.seen.lock().expect("nobody panicked with it");
-        seen.spans.iter().filter(|(_, _, end)| end.is_none()).count()
+        seen.spans.iter().filter(|run| run.ended.is_none()).count()
+    }
+
+    /// How many tasks of a job have begun.
+    fn starts_of(&self, job: &str) -> usize {
+        let seen = self.target.seen.lock().expect("nobody panicked with it");
+        seen.spans.iter().filter(|run| run.task.split('.').next() == Some(job)).count()
     }
 }
 
@@ -144,7 +150,7 @@
     assert_eq!(answer.status, 503, "not run: {answer:?}");
     assert!(answer.head.contains("retry-after: 1"), "{answer:?}");
     assert!(asked.elapsed() < Duration::from_millis(500), "{:?}", asked.elapsed());
-    assert_eq!(served.target.starts_of("0000000000000002"), 0);
+    assert_eq!(served.starts_of("0000000000000002"), 0);
 }
 
 /// The last lines of a process are those that explain its end.
@@ -166,7 +172,7 @@
     let mut served = Served::start();
     let mut early = served.connect();
     assert!(early.send(job_request(1, 1, 20_000, 200).as_bytes()));
-    eventually("it runs", || served.target.starts_of("0000000000000001") == 1);
+    eventually("it runs", || served.starts_of("0000000000000001") == 1);
     served.stop();
     served.entry.signal("TERM");
     let answer = early.answer(ANSWER_TIME);
@@ -223,7 +229,7 @@
             kept
         })
         .collect();
-    eventually("it runs", || served.target.starts_of("0000000000000001") == 1);
+    eventually("it runs", || served.starts_of("0000000000000001") == 1);
     let began = Instant::now();
     served.stop();
     thread::sleep(Duration::from_millis(4_600).saturating_sub(began.elapsed()));
@@ -243,7 +249,7 @@
     let mut served = Served::start();
     let mut early = served.connect();
     assert!(early.send(job_request(1, 1, 1_500, 1_500).as_bytes()));
-    eventually("it runs", || served.target.starts_of("0000000000000001") == 1);
+    eventually("it runs", || served.starts_of("0000000000000001") == 1);
     served.stop();
     (0..20).for_each(|_| served.entry.signal("HUP"));
     let answer = early.answer(ANSWER_TIME).expect("it is answered");
@@ -269,7 +275,7 @@
     let mut served = Served::start();
     let mut early = served.connect();
     assert!(early.send(job_request(1, 4, 20_000, 200).as_bytes()));
-    eventually("it runs", || served.target.starts_of("0000000000000001") == 4);
+    eventually("it runs", || served.starts_of("0000000000000001") == 4);
     served.stop();
     let answer = early.answer(ANSWER_TIME).expect("it is answered");
     let answered = Instant::now();
@@ -286,7 +292,7 @@
     let mut served = Served::start();
     let mut early = served.connect();
     assert!(early.send(job_request(1, 2, 20_000, 200).as_bytes()));
-    eventually("it runs", || served.target.starts_of("0000000000000001") == 2);
+    eventually("it runs", || served.starts_of("0000000000000001") == 2);
     served.others[1].signal("TERM");
     served.stop();
     let answer = early.answer(ANSWER_TIME);
--- a/daemon/tests/room_faults.rs
+++ b/daemon/tests/room_faults.rs
@@ -1,22 +1,26 @@
 //! Short seeded runs of real processes under faults from outside, in series that overlap, while
 //! clients hand in jobs and send again what broke. Processes are killed, stopped by plan, paused and
 //! started again by signals; links between them are delayed, held back one way or both, and reset by
-//! a proxy.
+//! a proxy, or single connections between agents and entries, agents and targets go silent for good.
 //!
-//! `DOCKPASS_FAULT_SEEDS=FIRST..END` (signals alone) and `DOCKPASS_LINK_SEEDS=FIRST..END` (signals and
-//! links) run other seeds by hand, `DOCKPASS_LINK_AGENTS=N` larger fleets with links.
+//! `DOCKPASS_FAULT_SEEDS=FIRST..END` (signals alone), `DOCKPASS_LINK_SEEDS=FIRST..END` (signals and
+//! links) and `DOCKPASS_SILENT_SEEDS=FIRST..END` (signals and silent connections) run other seeds by
+//! hand; `DOCKPASS_LINK_ENTRIES`, `DOCKPASS_LINK_AGENTS` and `DOCKPASS_LINK_CLIENTS` larger fleets
+//! with links.
 
 mod room_support;
 
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use room_support::proxy::{Direction, Fault, Proxy};
-use room_support::{Fleet, Process, StandInTarget, eventually};
+use room_support::checks::{self, Evidence};
+use room_support::process::Struck;
+use room_support::proxy::{Direction, Fault, Proxy, Silence};
+use room_support::{Fleet, StandInTarget, eventually, number, seeds, unix_seconds};
 
 const COMPLETED: &str = "{\"state\":\"completed\"}";
 const AGENTS: usize = 3;
@@ -32,70 +36,69 @@
 /// Most tries of a client.
 const TRIES: u32 = 3;
 
-/// A process that faults strike, or that is away for a moment.
-struct Struck {
-    name: String,
-    process: Option<Process>,
-    back_at: Option<Instant>,
-    paused: bool,
-}
-
 /// Seeds that failed once, all three for one cause in the stand-in: it let a lease run out only when
 /// it was asked, so that what had lapsed while its agent was away seemed to run on.
 const REGRESSIONS: [u64; 3] = [128, 137, 149];
 /// Seeds that failed once with links.
 const LINK_REGRESSIONS: [u64; 0] = [];
-/// The seed of every run of the tests besides.
-const SEED: u64 = 1;
-
-/// The seeds that a variable names, or the usual one with those that failed once.
-fn seeds(variable: &str, regressions: &[u64]) -> Vec<u64> {
-    let Ok(text) = std::env::var(variable) else {
-        return [SEED].into_iter().chain(regressions.iter().copied()).collect();
-    };
-    let (first, end) = text.split_once("..").expect("FIRST..END");
-    let first: u64 = first.parse().expect("a number");
-    (first..end.parse().expect("a number")).collect()
+/// Seeds that failed once with silent connections.
+const SILENT_REGRESSIONS: [u64; 0] = [];
+
+/// What happens to the links of a fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Links {
+    Sound,
+    Bad,
+    /// Connections go silent for good.
+    Silent,
 }
-
 #[test]
 fn jobs_are_answered_truly_under_signals() {
     for seed in seeds("DOCKPASS_FAULT_SEEDS", &REGRESSIONS) {
-        run(seed, &Fleet::new(AGENTS));
+        run(seed, &Fleet::new(AGENTS), Links::Sound, CLIENTS);
     }
 }
 
 #[test]
 fn jobs_are_answered_truly_under_signals_and_bad_links() {
-    let agents = std::env::var("DOCKPASS_LINK_AGENTS").ok();
-    let agents = agents.map_or(AGENTS, |text| text.parse().expect("a number"));
     for seed in seeds("DOCKPASS_LINK_SEEDS", &LINK_REGRESSIONS) {
-        run(seed, &Fleet::with_links(ENTRIES, agents));
+        run_with_links(seed, Links::Bad);
     }
 }
 
-fn run(seed: u64, fleet: &Fleet) {
+#[test]
+fn jobs_are_answered_truly_under_signals_and_silent_connections() {
+    for seed in seeds("DOCKPASS_SILENT_SEEDS", &SILENT_REGRESSIONS) {
+        run_with_links(seed, Links::Silent);
+    }
+}
+
+fn run_with_links(seed: u64, links: Links) {
+    let entries = number("DOCKPASS_LINK_ENTRIES", ENTRIES);
+    let agents = number("DOCKPASS_LINK_AGENTS", AGENTS);
+    let clients = number("DOCKPASS_LINK_CLIENTS", CLIENTS as usize);
+    run(seed, &Fleet::with_links(entries, agents), links, clients as u64);
+}
+
+fn run(seed: u64, fleet: &Fleet, links: Links, clients: u64) {
     let agents = fleet.names().iter().filter(|name| name.starts_with("agent")).count();
     let targets: Vec<StandInTarget> = (0..agents)
         .map(|number| {
             StandInTarget::start(fleet.target(number), fleet.agent(number), &format!("i-{number}"))
         })
         .collect();
-    let begin = |name: String| {
-        let process = Some(fleet.start(&name));
-        Struck { name, process, back_at: None, paused: false }
-    };
+    let begin = |name| Struck::start(fleet, name);
     let mut struck: Vec<Struck> = fleet.names().into_iter().map(begin).collect();
     fleet.configure(7);
     fleet.until_ready();
     let stop = AtomicBool::new(false);
     let tally = Tally::default();
     thread::scope(|scope| {
-        for client in 0..CLIENTS {
+        for client in 0..clients {
             let (stop, tally) = (&stop, &tally);
             scope.spawn(move || hand_in(fleet, seed, client, stop, tally));
         }
-        strike(fleet, &mut struck, seed);
+        strike(fleet, &mut struck, seed, links);
         stop.store(true, Ordering::Relaxed);
     });
     bring_back(fleet, &mut struck);
@@ -105,19 +108,26 @@
         id += 1;
         fleet.job(id, 3, 50).is_some_and(|answer| answer.body == COMPLETED)
     });
-    assert!(tally.completed.load(Ordering::Relaxed) > 0, "seed {seed}: nothing was served");
+    let evidence = Evidence::of(&targets);
+    let completed = tally.completed.into_inner().expect("no client panicked");
+    assert!(!completed.is_empty(), "seed {seed}: nothing was served");
+    for (id, count, at) in completed {
+        let done = evidence.done_by(&id, at);
+        assert!(done >= count, "seed {seed}: job {id} was completed with {done} of {count} done");
+    }
     for id in tally.not_run.lock().expect("no client panicked").iter() {
-        let began = targets.iter().map(|target| target.starts_of(id)).sum::<u32>();
+        let began = evidence.starts_of(id);
         assert_eq!(began, 0, "seed {seed}: job {id} was said not to have run");
     }
-    let twice = StandInTarget::ran_twice_at_once(&targets);
+    let twice = checks::ran_twice_at_once(&targets);
     assert!(twice.is_empty(), "seed {seed}: run twice at once: {twice:?}");
 }
 
 /// What clients were answered.
 #[derive(Default)]
 struct Tally {
-    completed: AtomicU64,
+    /// Jobs that were completed, their tasks, and when the answer came.
+    completed: Mutex<Vec<(String, usize, Instant)>>,
     /// Jobs that every try was told of that they did not run.
     not_run: Mutex<Vec<String>>,
 }
@@ -137,7 +147,8 @@
                 Some((200, body)) => {
                     // The stand-ins fail nothing, so that nothing else is true.
                     assert_eq!(body, COMPLETED, "seed {seed}, job {id:016x}");
-                    tally.completed.fetch_add(1, Ordering::Relaxed);
+                    let mut completed = tally.completed.lock().expect("no client panicked");
+                    completed.push((format!("{id:016x}"), count as usize, Instant::now()));
                     break;
                 }
                 Some((503, _)) => {
@@ -155,7 +166,7 @@
 }
 
 /// Strikes one process after the other, without waiting for the last to be back.
-fn strike(fleet: &Fleet, struck: &mut [Struck], seed: u64) {
+fn strike(fleet: &Fleet, struck: &mut [Struck], seed: u64, links: Links) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let began = Instant::now();
     while began.elapsed() < TROUBLED {
@@ -164,8 +175,11 @@
             one.come_back(fleet, Instant::now());
         }
         let away = Duration::from_millis(rng.random_range(100..1_200));
-        if !fleet.links().is_empty() && rng.random_bool(LINKS_STRUCK) {
-            strike_link(fleet, &mut rng, Instant::now() + away);
+        if links != Links::Sound && rng.random_bool(LINKS_STRUCK) {
+            match links {
+                Links::Silent => silence(fleet, &mut rng),
+                _ => strike_link(fleet, &mut rng, Instant::now() + away),
+            }
             continue;
         }
         let one = &mut struck[rng.random_range(0..struck.len())];
@@ -193,10 +207,24 @@
     link.strike(fault, direction, until);
 }
 
-/// The time as the logs of the processes show it.
-fn unix_seconds() -> f64 {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    since.map_or(0.0, |time| time.as_secs_f64())
+/// Silences one connection or all between agents and an entry, or between an agent and its target.
+fn silence(fleet: &Fleet, rng: &mut ChaCha8Rng) {
+    let of_sessions = rng.random_bool(0.5);
+    let links: Vec<&Proxy> = match of_sessions {
+        true => fleet.session_links().collect(),
+        false => fleet.order_links().collect(),
+    };
+    let number = rng.random_range(0..links.len());
+    let silence = if rng.random_bool(0.5) { Silence::Dropped } else { Silence::NotTaken };
+    let all = rng.random_bool(0.5);
+    let kind = if of_sessions { "sessions" } else { "orders" };
+    println!("{:.3}: {kind} {number}: {silence:?}, all: {all}", unix_seconds());
+    match all {
+        true => {
+            links[number].silence_all(silence);
+        }
+        false => links[number].silence_one(silence, |open| rng.random_range(0..open)),
+    }
 }
 
 fn bring_back(fleet: &Fleet, struck: &mut [Struck]) {
@@ -207,47 +235,3 @@
         one.come_back(fleet, later);
     }
 }
-
-impl Struck {
-    fn strike(&mut self, how: u32, back_at: Instant) {
-        if self.back_at.is_some() {
-            return;
-        }
-        self.back_at = Some(back_at);
-        println!("{:.3}: {} struck: {how}", unix_seconds(), self.name);
-        match (how, &self.process) {
-            (0, _) => self.process = None,
-            (1, Some(process)) => process.signal("TERM"),
-            (_, Some(process)) => {
-                process.signal("STOP");
-                self.paused = true;
-            }
-            (_, None) => {}
-        }
-    }
-
-    fn come_back(&mut self, fleet: &Fleet, now: Instant) {
-        if self.back_at.is_none_or(|at| at > now) {
-            return;
-        }
-        self.back_at = None;
-        if std::mem::take(&mut self.paused) {
-            if let Some(process) = &self.process {
-                process.signal("CONT");
-            }
-            return;
-        }
-        if let Some(mut process) = self.process.take()
-            && process.is_up()
-        {
-            // It was told to stop, or never struck: it ends in its own time.
-            if process.was_told_to_stop() {
-                process.wait();
-            } else {
-                self.process = Some(process);
-                return;
-            }
-        }
-        self.process = Some(fleet.start(&self.name));
-    }
-}
--- a/daemon/tests/room_support/mod.rs
+++ b/daemon/tests/room_support/mod.rs
@@ -4,27 +4,36 @@
 // Each test file uses a part of it.
 #![allow(dead_code)]
 
+pub mod checks;
 pub mod kept;
+pub mod process;
 pub mod proxy;
 mod target;
 
-use std::cell::Cell;
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use tempfile::TempDir;
 
+pub use process::Process;
 use proxy::Proxy;
 pub use target::StandInTarget;
 
 /// Longest wait for anything to come about.
 const PATIENCE: Duration = Duration::from_secs(20);
 const NODE_PORT: u16 = 7_101;
+/// A host without any process.
+const ABSENT_KEEPER: usize = 250;
+/// The host of the first agent and its target; more follow it.
+const TARGET_HOST: usize = 10;
+/// Where the first agent finds its target by way of a proxy; up to 100 agents fit below it.
+const ORDERS_HOST: usize = 110;
+/// Names a folder that keeps the logs of all processes, also those of runs that pass.
+const LOGS_VARIABLE: &str = "DOCKPASS_SOAK_LOGS";
 
 /// The host of an entry; its proxies, if any, are the two after it.
 fn entry_host(number: usize) -> usize {
@@ -47,55 +56,6 @@
     pub body: String,
 }
 
-/// One process; killed when dropped.
-pub struct Process {
-    child: Child,
-    told_to_stop: Cell<bool>,
-}
-
-impl Process {
-    fn start(config: &PathBuf, log: Stdio) -> Self {
-        let child = Command::new(env!("CARGO_BIN_EXE_dockpassd"))
-            .arg("--config")
-            .arg(config)
-            .stdout(log)
-            .spawn()
-            .expect("the daemon starts");
-        Self { child, told_to_stop: Cell::new(false) }
-    }
-
-    /// Sends a signal by name.
-    pub fn signal(&self, name: &str) {
-        self.told_to_stop.set(self.told_to_stop.get() || name == "TERM");
-        let pid = self.child.id().to_string();
-        let sent = Command::new("kill").args([&format!("-{name}"), &pid]).status();
-        assert!(sent.is_ok_and(|status| status.success()));
-    }
-
-    /// Whether it has not ended.
-    pub fn is_up(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
-
-    /// Whether it was told to stop by plan.
-    pub fn was_told_to_stop(&self) -> bool {
-        self.told_to_stop.get()
-    }
-
-    /// Waits for its end; returns whether it ended well.
-    pub fn wait(&mut self) -> bool {
-        self.child.wait().expect("it ends").success()
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // It may have ended.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// A keeper, an entry, agents and their targets.
 pub struct Fleet {
     folder: TempDir,
@@ -104,12 +64,19 @@
     entries: usize,
     /// Links between clients, entry, agents and targets; none where they connect directly.
     links: Vec<Proxy>,
+    /// Where logs stay, also those of a run that passed.
+    logs: Option<PathBuf>,
 }
 
 impl Fleet {
     /// Writes the files of a fleet with one entry and so many agents.
     pub fn new(agents: usize) -> Self {
-        Self::with(1, agents, false)
+        Self::of(1, agents)
+    }
+
+    /// Writes the files of a fleet without proxies.
+    pub fn of(entries: usize, agents: usize) -> Self {
+        Self::with(entries, agents, false)
     }
 
     /// The same, with proxies between clients and entries, agents and entries, agents and targets.
@@ -123,7 +90,8 @@
         // A network of its own: no port is shared with anything else on this host.
         let network = format!("127.{}.{}", 1 + pid % 250, 1 + (pid / 250 + number * 31) % 250);
         let folder = tempfile::tempdir().expect("a folder");
-        let mut fleet = Self { folder, network, agents, entries, links: Vec::new() };
+        let logs = std::env::var_os(LOGS_VARIABLE).map(PathBuf::from);
+        let mut fleet = Self { folder, network, agents, entries, links: Vec::new(), logs };
         if links {
             fleet.start_links();
         }
@@ -131,6 +99,8 @@
         fleet
     }
 
+    /// Starts two proxies for each entry (clients, sessions of agents), then one for each agent's
+    /// orders.
     fn start_links(&mut self) {
         for number in 0..self.entries {
             let host = entry_host(number);
@@ -140,7 +110,8 @@
             self.links.extend([to_entry, sessions]);
         }
         for number in 0..self.agents {
-            let orders = Proxy::start(self.address(30 + number, 7_500), self.target(number));
+            let listen = self.address(ORDERS_HOST + number, 7_500);
+            let orders = Proxy::start(listen, self.target(number));
             self.links.push(orders);
         }
     }
@@ -150,6 +121,16 @@
         &self.links
     }
 
+    /// The links between agents and each entry.
+    pub fn session_links(&self) -> impl Iterator<Item = &Proxy> {
+        self.links.iter().take(2 * self.entries).skip(1).step_by(2)
+    }
+
+    /// The links between each agent and its target.
+    pub fn order_links(&self) -> impl Iterator<Item = &Proxy> {
+        self.links.iter().skip(2 * self.entries)
+    }
+
     fn address(&self, host: usize, port: u16) -> SocketAddr {
         format!("{}.{host}:{port}", self.network).parse().expect("an address")
     }
@@ -165,6 +146,11 @@
         entries.chain(agents).chain(["keeper".to_owned()]).collect()
     }
 
+    /// Which entry has a process's name, if one has.
+    pub fn entry_named(&self, name: &str) -> Option<usize> {
+        (0..self.entries).find(|number| entry_name(*number) == name)
+    }
+
     /// How many entries it has.
     pub fn entries(&self) -> usize {
         self.entries
@@ -176,7 +162,7 @@
     }
 
     /// Where clients reach an entry.
-    fn entry_number(&self, number: usize) -> SocketAddr {
+    pub fn entry_number(&self, number: usize) -> SocketAddr {
         let by_proxy = usize::from(!self.links.is_empty());
         self.address(entry_host(number) + by_proxy, 7_300)
     }
@@ -189,7 +175,7 @@
 
     /// Where an agent reaches its target.
     fn orders(&self, number: usize) -> SocketAddr {
-        let host = if self.links.is_empty() { 10 } else { 30 };
+        let host = if self.links.is_empty() { TARGET_HOST } else { ORDERS_HOST };
         self.address(host + number, 7_500)
     }
 
@@ -199,11 +185,11 @@
     }
 
     pub fn target(&self, number: usize) -> SocketAddr {
-        self.address(10 + number, 7_500)
+        self.address(TARGET_HOST + number, 7_500)
     }
 
     pub fn agent(&self, number: usize) -> SocketAddr {
-        self.address(10 + number, 7_400)
+        self.address(TARGET_HOST + number, 7_400)
     }
 
     fn write_files(&self) {
@@ -261,9 +247,31 @@
     /// Starts the process of a name: `keeper`, `entry`, `agent0` and so on. Its log is kept where the
     /// test fails.
     pub fn start(&self, name: &str) -> Process {
-        let path = self.folder.path().join(format!("{name}.log"));
-        let log = fs::OpenOptions::new().create(true).append(true).open(path);
-        Process::start(&self.file(name), log.expect("a file for the log").into())
+        Process::start(&self.file(name), &self.logs().join(format!("{name}.log")))
+    }
+
+    /// Where the logs of its processes are.
+    fn logs(&self) -> PathBuf {
+        let Some(kept) = &self.logs else { return self.folder.path().to_owned() };
+        let folder = kept.join(&self.network);
+        fs::create_dir_all(&folder).expect("a folder for logs");
+        folder
+    }
+
+    /// Changes the file of a process so that it names a further keeper, at which nobody listens, or
+    /// no longer names it; the process is not told.
+    pub fn change_file(&self, name: &str) {
+        let one = format!("keepers = {}\n", self.keeper());
+        let two = format!("keepers = {} {}\n", self.keeper(), self.address(ABSENT_KEEPER, 7_100));
+        let text = fs::read_to_string(self.file(name)).expect("the file is there");
+        let changed = match text.contains(&two) {
+            true => text.replace(&two, &one),
+            false => text.replace(&one, &two),
+        };
+        // In one move: the process also looks without a signal, and would find half a file.
+        let beside = self.file(&format!("{name}.new"));
+        fs::write(&beside, changed).expect("the file is written");
+        fs::rename(beside, self.file(name)).expect("the file is moved");
     }
 
     /// What the processes of a name have logged so far.
@@ -273,7 +281,7 @@
 
     /// Starts a process whose log goes into a pipe that nobody reads.
     pub fn start_unread(&self, name: &str) -> Process {
-        Process::start(&self.file(name), Stdio::piped())
+        Process::start_unread(&self.file(name))
     }
 
     /// Where the entry tells its figures.
@@ -331,11 +339,35 @@
     fn drop(&mut self) {
         if std::thread::panicking() {
             self.folder.disable_cleanup(true);
-            println!("the logs of the fleet are in {}", self.folder.path().display());
+            println!("the logs of the fleet are in {}", self.logs().display());
         }
     }
 }
 
+/// The time as the logs of the processes show it.
+pub fn unix_seconds() -> f64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0.0, |time| time.as_secs_f64())
+}
+
+/// The seed of every run of the tests besides those that failed once.
+const SEED: u64 = 1;
+
+/// The seeds that a variable names as `FIRST..END`, or the usual one with those that failed once.
+pub fn seeds(variable: &str, regressions: &[u64]) -> Vec<u64> {
+    let Ok(text) = std::env::var(variable) else {
+        return [SEED].into_iter().chain(regressions.iter().copied()).collect();
+    };
+    let (first, end) = text.split_once("..").expect("FIRST..END");
+    let first: u64 = first.parse().expect("a number");
+    (first..end.parse().expect("a number")).collect()
+}
+
+/// A number that a variable names, or the usual one.
+pub fn number(variable: &str, usual: usize) -> usize {
+    std::env::var(variable).map_or(usual, |text| text.parse().expect("a number"))
+}
+
 /// Waits until something is so.
 pub fn eventually(what: &str, mut is_so: impl FnMut() -> bool) {
     let began = Instant::now();
--- a/daemon/tests/room_support/proxy.rs
+++ b/daemon/tests/room_support/proxy.rs
@@ -1,7 +1,9 @@
-//! A proxy on loopback that stands for a link: it delays, holds back, or resets what goes over it.
+//! A proxy on loopback that stands for a link: it delays, holds back, or resets what goes over it, or
+//! silences single connections for good while new ones work.
 
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -35,6 +37,16 @@
     Reset,
 }
 
+/// What becomes of the bytes of a connection that is silent for good. Neither side hears anything of
+/// the other any more, not even its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Silence {
+    /// They are taken and dropped: who sends sees no difference.
+    Dropped,
+    /// They are not even taken: who sends much is held up.
+    NotTaken,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Struck {
     fault: Fault,
@@ -46,6 +58,10 @@
 struct State {
     struck: Option<Struck>,
     resets: u64,
+    /// Connections so far.
+    taken: u64,
+    /// The connections that are open, by their number.
+    open: BTreeMap<u64, Option<Silence>>,
 }
 
 /// A link; it ends when dropped.
@@ -81,7 +97,31 @@
         }
     }
 
-    /// Ends all faults.
+    /// Silences one open connection for good, the one that `choose` takes of so many.
+    pub fn silence_one(&self, silence: Silence, choose: impl FnOnce(usize) -> usize) {
+        let mut state = self.state.lock().expect("nobody panicked with it");
+        let sound: Vec<&mut Option<Silence>> =
+            state.open.values_mut().filter(|silent| silent.is_none()).collect();
+        if sound.is_empty() {
+            return;
+        }
+        let chosen = choose(sound.len());
+        *sound.into_iter().nth(chosen).expect("one of them") = Some(silence);
+    }
+
+    /// Silences all open connections for good; returns how many.
+    pub fn silence_all(&self, silence: Silence) -> u64 {
+        let mut state = self.state.lock().expect("nobody panicked with it");
+        let sound = state.open.values_mut().filter(|silent| silent.is_none());
+        sound.map(|silent| *silent = Some(silence)).count() as u64
+    }
+
+    /// How many connections it has taken.
+    pub fn taken(&self) -> u64 {
+        self.state.lock().expect("nobody panicked with it").taken
+    }
+
+    /// Ends all faults that have an end.
     pub fn heal(&self) {
         self.state.lock().expect("nobody panicked with it").struck = None;
     }
@@ -120,13 +160,14 @@
     // Without the options the link is slower, or a reset is an end: faults all the same.
     let _ = near.get_ref().set_nodelay(true);
     let _ = far.get_ref().set_nodelay(true);
-    let there = copy(&near, &far, Direction::There, &state);
-    let back = copy(&far, &near, Direction::Back, &state);
+    let link = Link::open(state);
+    let there = copy(&near, &far, Direction::There, &link);
+    let back = copy(&far, &near, Direction::Back, &link);
     let ended = async {
         future::zip(there, back).await;
     };
     let reset = async {
-        while state.lock().expect("nobody panicked with it").resets == resets {
+        while link.lock().resets == resets {
             Timer::after(POLL).await;
         }
         for side in [&near, &far] {
@@ -136,17 +177,50 @@
     future::or(ended, reset).await;
 }
 
-async fn copy(
-    from: &Async<TcpStream>,
-    to: &Async<TcpStream>,
-    direction: Direction,
-    state: &Arc<Mutex<State>>,
-) {
+/// One connection's share of the state; it is no longer open when dropped.
+struct Link {
+    state: Arc<Mutex<State>>,
+    number: u64,
+}
+
+impl Link {
+    fn open(state: Arc<Mutex<State>>) -> Self {
+        let mut locked = state.lock().expect("nobody panicked with it");
+        locked.taken += 1;
+        let number = locked.taken;
+        locked.open.insert(number, None);
+        drop(locked);
+        Self { state, number }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("nobody panicked with it")
+    }
+
+    fn silence(&self) -> Option<Silence> {
+        self.lock().open.get(&self.number).copied().flatten()
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.lock().open.remove(&self.number);
+    }
+}
+
+async fn copy(from: &Async<TcpStream>, to: &Async<TcpStream>, direction: Direction, link: &Link) {
     let (mut from, mut to) = (from, to);
     let mut chunk = vec![0; CHUNK];
     loop {
         let read = from.read(&mut chunk).await.unwrap_or(0);
-        wait(direction, state).await;
+        wait(direction, link).await;
+        match link.silence() {
+            // The other side keeps its end of the connection until it closes it on its own.
+            Some(Silence::Dropped) if read == 0 => return,
+            Some(Silence::Dropped) => continue,
+            Some(Silence::NotTaken) => future::pending().await,
+            None => {}
+        }
         if read == 0 {
             // The other side reads to its end.
             let _ = to.get_ref().shutdown(std::net::Shutdown::Write);
@@ -159,11 +233,11 @@
 }
 
 /// Waits as long as the link holds bytes of a direction back.
-async fn wait(direction: Direction, state: &Arc<Mutex<State>>) {
+async fn wait(direction: Direction, link: &Link) {
     let mut waited = Duration::ZERO;
     let began = Instant::now();
     loop {
-        let struck = state.lock().expect("nobody panicked with it").struck;
+        let struck = link.lock().struck;
         let concerned = |struck: &Struck| {
             struck.until > Instant::now()
                 && (struck.direction == direction || struck.direction == Direction::Both)
--- a/daemon/tests/room_support/target.rs
+++ b/daemon/tests/room_support/target.rs
@@ -1,11 +1,14 @@
 //! A stand-in for a target: it takes orders over HTTP, runs tasks for as long as their spec says,
-//! and reports of itself to its agent.
+//! and reports of itself to its agent. It can crash and begin a new life at the same address, and a
+//! heartbeat of an earlier life can arrive late.
+//!
+//! A spec is the time that a task takes in milliseconds; with `FAILS` before it, the task fails then.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -22,21 +25,45 @@
 /// How often a hold that waits looks for an end.
 const POLL: Duration = Duration::from_millis(5);
 const CPU_MILLI: u64 = 8_000;
+/// Comes before the time of a task that fails.
+pub const FAILS: &str = "fails ";
+/// Names the life that an order is for.
+const EXPECTED_INSTANCE: &str = "x-dockpass-expected-instance";
+/// The answer to an order for another life.
+const OTHER_LIFE: u16 = 421;
+/// How long a report may take.
+const BEAT_TIME: Duration = Duration::from_secs(1);
 
-/// What a stand-in saw.
+/// One run of a task.
+#[derive(Clone, Debug)]
+pub struct Span {
+    pub task: String,
+    pub began: Instant,
+    /// When it ended, and how.
+    pub ended: Option<(Instant, &'static str)>,
+}
+
+/// What a stand-in saw, over all its lives.
 #[derive(Debug, Default)]
 pub struct Seen {
     /// Starts by task.
     pub starts: BTreeMap<String, u32>,
     /// Most tasks at once.
     pub most: usize,
-    /// When each run began and ended.
-    pub spans: Vec<(String, Instant, Option<Instant>)>,
+    /// The runs, in the order of their starts.
+    pub spans: Vec<Span>,
+    /// When orders came for a life that is over, and for which.
+    pub misdirected: Vec<(Instant, String)>,
+    /// When its present life was first acknowledged by its agent.
+    pub acknowledged: Option<Instant>,
 }
 
 /// A running stand-in; it ends when dropped.
 pub struct StandInTarget {
     pub seen: Arc<Mutex<Seen>>,
+    address: SocketAddr,
+    agent: SocketAddr,
+    began: Instant,
     stop: Option<async_channel::Sender<()>>,
     threads: Vec<JoinHandle<()>>,
 }
@@ -44,78 +71,69 @@
 struct Run {
     number: u64,
     ends: Instant,
+    /// How it ends, unless something else ends it before.
+    how: &'static str,
     lease: Instant,
 }
 
 struct State {
-    began: Instant,
+    life: Life,
     fence: u64,
     runs: BTreeMap<String, Run>,
     barred: BTreeMap<String, u64>,
     ended: Vec<(u64, String, u64, &'static str)>,
     next: u64,
-    seen: Arc<Mutex<Seen>>,
 }
 
 impl StandInTarget {
     /// Starts a target that reports to its agent.
     pub fn start(address: SocketAddr, agent: SocketAddr, id: &str) -> Self {
         let seen = Arc::new(Mutex::new(Seen::default()));
+        let mut target =
+            Self { seen, address, agent, began: Instant::now(), stop: None, threads: Vec::new() };
+        target.live(id);
+        target
+    }
+
+    /// Begins a life.
+    fn live(&mut self, id: &str) {
         let (stop, stopped) = async_channel::bounded::<()>(1);
-        let began = Instant::now();
-        let state_seen = seen.clone();
+        self.began = Instant::now();
+        self.seen.lock().expect("nobody panicked with it").acknowledged = None;
+        let (address, began) = (self.address, self.began);
+        let life = Life { id: id.to_owned(), began, seen: self.seen.clone() };
         let serving = stopped.clone();
-        let serve = std::thread::spawn(move || serve(address, began, state_seen, serving));
-        let path = format!("/instances/{id}/heartbeat");
+        let serve = std::thread::spawn(move || serve(address, life, serving));
+        let (agent, seen, id) = (self.agent, self.seen.clone(), id.to_owned());
         let beats = std::thread::spawn(move || {
             while !stopped.is_closed() {
-                let clock_ms = 1_000 + began.elapsed().as_millis() as u64;
-                let body = json!({"service": "work", "zone": "hall", "state": "ready",
-                    "capacity": {"cpu": CPU_MILLI, "mem_mb": 32_768, "gpu": 0},
-                    "clock_ms": clock_ms, "sequence": clock_ms});
                 // An agent that is down hears of it later.
-                let _ = call(agent, "POST", &path, &body.to_string(), Duration::from_secs(1));
+                if beat(agent, &id, clock_ms(began)) {
+                    let mut seen = seen.lock().expect("nobody panicked with it");
+                    seen.acknowledged.get_or_insert_with(Instant::now);
+                }
                 std::thread::sleep(BEAT);
             }
         });
-        Self { seen, stop: Some(stop), threads: vec![serve, beats] }
+        self.stop = Some(stop);
+        self.threads = vec![serve, beats];
     }
-}
 
-impl StandInTarget {
-    /// How many tasks of a job began here.
-    pub fn starts_of(&self, job: &str) -> u32 {
-        let seen = self.seen.lock().expect("nobody panicked with it");
-        let of_job = |(task, _): &(&String, &u32)| task.split('.').next() == Some(job);
-        seen.starts.iter().filter(of_job).map(|(_, starts)| starts).sum()
+    /// Crashes, and begins a new life at the same address; nothing of the old one runs on. Returns
+    /// the clock of the life that is over.
+    pub fn begin_new_life(&mut self, id: &str) -> u64 {
+        let clock_ms = clock_ms(self.began);
+        self.end();
+        self.live(id);
+        clock_ms
     }
 
-    /// Tasks of which two runs went on at once, at any targets.
-    pub fn ran_twice_at_once(targets: &[Self]) -> Vec<String> {
-        let mut spans: BTreeMap<String, Vec<(Instant, Instant)>> = BTreeMap::new();
-        let now = Instant::now();
-        for target in targets {
-            let seen = target.seen.lock().expect("nobody panicked with it");
-            for (task, began, ended) in &seen.spans {
-                spans.entry(task.clone()).or_default().push((*began, ended.unwrap_or(now)));
-            }
-        }
-        spans.retain(|_, runs| {
-            runs.sort();
-            runs.windows(2).any(|pair| pair[0].1 > pair[1].0)
-        });
-        for (task, runs) in &spans {
-            for (began, ended) in runs {
-                let ago = |at: &Instant| now.duration_since(*at).as_secs_f64();
-                println!("{task}: from {:.3} to {:.3} s ago", ago(began), ago(ended));
-            }
-        }
-        spans.into_keys().collect()
+    /// A heartbeat of an earlier life arrives now; returns whether it was acknowledged.
+    pub fn late_beat(&self, id: &str, clock_ms: u64) -> bool {
+        beat(self.agent, id, clock_ms)
     }
-}
 
-impl Drop for StandInTarget {
-    fn drop(&mut self) {
+    fn end(&mut self) {
         self.stop.take();
         for thread in self.threads.drain(..) {
             // One that panicked has failed its test already.
@@ -124,12 +142,35 @@
     }
 }
 
-fn serve(
-    address: SocketAddr,
+impl Drop for StandInTarget {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+/// One life of a target.
+struct Life {
+    id: String,
     began: Instant,
     seen: Arc<Mutex<Seen>>,
-    stopped: async_channel::Receiver<()>,
-) {
+}
+
+/// The clock of a life that began then.
+fn clock_ms(began: Instant) -> u64 {
+    1_000 + began.elapsed().as_millis() as u64
+}
+
+/// Reports of a life to an agent; returns whether it was acknowledged.
+fn beat(agent: SocketAddr, id: &str, clock_ms: u64) -> bool {
+    let body = json!({"service": "work", "zone": "hall", "state": "ready",
+        "capacity": {"cpu": CPU_MILLI, "mem_mb": 32_768, "gpu": 0},
+        "clock_ms": clock_ms, "sequence": clock_ms});
+    let path = format!("/instances/{id}/heartbeat");
+    call(agent, "POST", &path, &body.to_string(), BEAT_TIME)
+        .is_some_and(|answer| answer.status == 200)
+}
+
+fn serve(address: SocketAddr, life: Life, stopped: async_channel::Receiver<()>) {
     let limits = Limits {
         header_bytes: net::HEADER_BYTES,
         body_bytes: 1 << 20,
@@ -137,14 +178,14 @@
         connections: 100,
     };
     let state = Rc::new(RefCell::new(State {
-        began,
+        life,
         fence: 0,
         runs: BTreeMap::new(),
         barred: BTreeMap::new(),
         ended: Vec::new(),
         next: 1,
-        seen,
     }));
+    let crashing = state.clone();
     let passing = state.clone();
     net::block_on(|tasks| async move {
         let listener = Async::<TcpListener>::bind(address).expect("the address is free");
@@ -162,6 +203,7 @@
         });
         // Ends when the handle is dropped.
         let _ = stopped.recv().await;
+        crashing.borrow_mut().crash();
     });
 }
 
@@ -173,6 +215,10 @@
     let order: Value =
         body.ok().and_then(|body| serde_json::from_slice(&body).ok()).unwrap_or_default();
     let number = |name: &str| order[name].as_u64().unwrap_or_default();
+    let expected = head.headers.get(EXPECTED_INSTANCE).and_then(|id| id.to_str().ok());
+    if let Some(other) = expected.filter(|id| *id != state.borrow().life.id) {
+        return state.borrow().other_life(other);
+    }
     if number("fencing_token") < state.borrow().fence {
         let clock_ms = state.borrow().clock_ms();
         return respond(409, &json!({"clock_ms": clock_ms, "reason": "fence"}));
@@ -205,7 +251,24 @@
 
 impl State {
     fn clock_ms(&self) -> u64 {
-        1_000 + self.began.elapsed().as_millis() as u64
+        clock_ms(self.life.began)
+    }
+
+    fn seen(&self) -> MutexGuard<'_, Seen> {
+        self.life.seen.lock().expect("nobody panicked with it")
+    }
+
+    /// An order for another life changes nothing.
+    fn other_life(&self, id: &str) -> Response<Body> {
+        self.seen().misdirected.push((Instant::now(), id.to_owned()));
+        respond(OTHER_LIFE, &json!({"clock_ms": self.clock_ms()}))
+    }
+
+    /// All that runs ends with its life.
+    fn crash(&mut self) {
+        self.pass();
+        let tasks: Vec<String> = self.runs.keys().cloned().collect();
+        tasks.iter().for_each(|task| self.end(task, "crashed"));
     }
 
     fn renew(&mut self, deadline_ms: u64) {
@@ -220,7 +283,8 @@
         let tasks: Vec<String> =
             self.runs.iter().filter(|(_, run)| over(run)).map(|(task, _)| task.clone()).collect();
         for task in tasks {
-            let how = if self.runs[&task].ends <= now { "done" } else { "lapsed" };
+            let run = &self.runs[&task];
+            let how = if run.ends <= now { run.how } else { "lapsed" };
             self.end(&task, how);
         }
     }
@@ -228,10 +292,10 @@
     fn end(&mut self, task: &str, how: &'static str) {
         let Some(run) = self.runs.remove(task) else { return };
         let over = Instant::now().min(run.ends).min(run.lease);
-        let mut seen = self.seen.lock().expect("nobody panicked with it");
-        let span = seen.spans.iter_mut().rev().find(|(name, _, end)| name == task && end.is_none());
-        if let Some((_, _, end)) = span {
-            *end = Some(over);
+        let mut seen = self.seen();
+        let mut spans = seen.spans.iter_mut().rev();
+        if let Some(span) = spans.find(|span| span.task == task && span.ended.is_none()) {
+            span.ended = Some((over, how));
         }
         drop(seen);
         self.barred.insert(task.to_owned(), run.number);
@@ -259,15 +323,19 @@
         if (self.runs.len() as u64 + 1) * 1_000 > CPU_MILLI {
             return refuse("room");
         }
-        let work: u64 = order["spec"].as_str().and_then(|spec| spec.parse().ok()).unwrap_or(1);
+        let spec = order["spec"].as_str().unwrap_or_default();
+        let how = if spec.starts_with(FAILS) { "failed" } else { "done" };
+        let work: u64 = spec.trim_start_matches(FAILS).parse().unwrap_or(1);
         let now = Instant::now();
         let lease = now + Duration::from_millis(deadline_ms - clock_ms);
-        self.runs
-            .insert(task.clone(), Run { number, ends: now + Duration::from_millis(work), lease });
-        let mut seen = self.seen.lock().expect("nobody panicked with it");
-        seen.spans.push((task.clone(), now, None));
+        let ends = now + Duration::from_millis(work);
+        self.runs.insert(task.clone(), Run { number, ends, how, lease });
+        let running = self.runs.len();
+        let mut seen = self.seen();
+        seen.spans.push(Span { task: task.clone(), began: now, ended: None });
         *seen.starts.entry(task).or_default() += 1;
-        seen.most = seen.most.max(self.runs.len());
+        seen.most = seen.most.max(running);
+        drop(seen);
         respond(200, &json!({"clock_ms": clock_ms}))
     }
 
