--- a/daemon/tests/room_support/mod.rs
+++ b/daemon/tests/room_support/mod.rs
@@ -4,6 +4,8 @@
 // Each test file uses a part of it.
 #![allow(dead_code)]
 
+pub mod balancer;
+pub mod callers;
 pub mod checks;
 pub mod kept;
 pub mod process;
@@ -32,6 +34,10 @@
 const TARGET_HOST: usize = 10;
 /// Where the first agent finds its target by way of a proxy; up to 100 agents fit below it.
 const ORDERS_HOST: usize = 110;
+/// Names a folder for what a keeper keeps.
+const KEEPER_FOLDER_VARIABLE: &str = "DOCKPASS_KEEPER_FOLDER";
+/// A folder in memory.
+const MEMORY_FOLDER: &str = "/dev/shm";
 /// Names a folder that keeps the logs of all processes, also those of runs that pass.
 const LOGS_VARIABLE: &str = "DOCKPASS_SOAK_LOGS";
 
@@ -59,6 +65,8 @@
 /// A keeper, an entry, agents and their targets.
 pub struct Fleet {
     folder: TempDir,
+    /// Where the keeper keeps what lasts.
+    data: TempDir,
     network: String,
     agents: usize,
     entries: usize,
@@ -76,22 +84,31 @@
 
     /// Writes the files of a fleet without proxies.
     pub fn of(entries: usize, agents: usize) -> Self {
-        Self::with(entries, agents, false)
+        Self::with(entries, agents, false, temporary_folder())
+    }
+
+    /// The same, with a keeper whose folder is in memory where the host has such, unless a variable
+    /// names another: a host's disk may stand still for longer than a process has for its end.
+    pub fn without_disk(entries: usize, agents: usize) -> Self {
+        let named = std::env::var_os(KEEPER_FOLDER_VARIABLE);
+        let folder = named.map_or_else(|| MEMORY_FOLDER.into(), PathBuf::from);
+        let data = tempfile::tempdir_in(folder).unwrap_or_else(|_| temporary_folder());
+        Self::with(entries, agents, false, data)
     }
 
     /// The same, with proxies between clients and entries, agents and entries, agents and targets.
     pub fn with_links(entries: usize, agents: usize) -> Self {
-        Self::with(entries, agents, true)
+        Self::with(entries, agents, true, temporary_folder())
     }
 
-    fn with(entries: usize, agents: usize, links: bool) -> Self {
+    fn with(entries: usize, agents: usize, links: bool, data: TempDir) -> Self {
         let number = FLEETS.fetch_add(1, Ordering::Relaxed) + 1;
         let pid = std::process::id();
         // A network of its own: no port is shared with anything else on this host.
         let network = format!("127.{}.{}", 1 + pid % 250, 1 + (pid / 250 + number * 31) % 250);
-        let folder = tempfile::tempdir().expect("a folder");
+        let folder = temporary_folder();
         let logs = std::env::var_os(LOGS_VARIABLE).map(PathBuf::from);
-        let mut fleet = Self { folder, network, agents, entries, links: Vec::new(), logs };
+        let mut fleet = Self { folder, data, network, agents, entries, links: Vec::new(), logs };
         if links {
             fleet.start_links();
         }
@@ -200,15 +217,13 @@
                 self.keeper()
             )
         };
-        let data = self.folder.path().join("data");
-        fs::create_dir_all(&data).expect("a folder");
         let keeper = format!(
             "{}[keeper]\nlisten = {}\nnode_listen = {}\ndata = {}\nfound = true\n\
              tolerated_losses = 0\n",
             common("k1", "keeper"),
             self.keeper(),
             self.address(1, NODE_PORT),
-            data.display()
+            self.data.path().display()
         );
         for number in 0..self.entries {
             let host = entry_host(number);
@@ -291,13 +306,7 @@
 
     /// Sends a configuration until it is acknowledged.
     pub fn configure(&self, version: u64) {
-        let body = serde_json::json!({"version": version,
-            "routes": [{"name": "q", "host": "queue.example", "path_prefix": "/q/",
-                "timeout_ms": 1500, "target_latency_ms": 60, "priority": 0, "service": "work",
-                "max_attempts": 2, "stretch": 1.6}],
-            "services": [{"name": "work", "rejects_overload": true}],
-            "limits": {"max_body_bytes": 10_000}})
-        .to_string();
+        let body = document(version);
         eventually("the configuration is acknowledged", || {
             call(self.keeper(), "POST", "/configuration/replace", &body, Duration::from_secs(5))
                 .is_some_and(|answer| answer.status == 200)
@@ -344,6 +353,21 @@
     }
 }
 
+fn temporary_folder() -> TempDir {
+    tempfile::tempdir().expect("a folder")
+}
+
+/// A configuration with one queue; versions differ in their number alone.
+pub fn document(version: u64) -> String {
+    serde_json::json!({"version": version,
+        "routes": [{"name": "q", "host": "queue.example", "path_prefix": "/q/",
+            "timeout_ms": 1500, "target_latency_ms": 60, "priority": 0, "service": "work",
+            "max_attempts": 2, "stretch": 1.6}],
+        "services": [{"name": "work", "rejects_overload": true}],
+        "limits": {"max_body_bytes": 10_000}})
+    .to_string()
+}
+
 /// The time as the logs of the processes show it.
 pub fn unix_seconds() -> f64 {
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
