--- a/components/net/tests/closing_forms.rs
+++ b/components/net/tests/closing_forms.rs
@@ -1,88 +1,16 @@
 //! A server that closes, and requests of every form: in parts, one behind the other, at the limit of
 //! connections, on a slow host.
 
-use std::cell::Cell;
+mod support;
+
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::rc::Rc;
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
-use async_io::{Async, Timer};
-use futures_lite::future;
-use hyper::body::Bytes;
-use hyper::{Request, Response};
-use net::{Body, BodyError, Connections, Limits, Phase, Tasks};
-
-const LIMITS: Limits = Limits {
-    header_bytes: net::HEADER_BYTES,
-    body_bytes: 1_000,
-    read_time: Duration::from_secs(5),
-    connections: 100,
-};
-const REQUEST: &[u8] = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab";
-const LONG: Duration = Duration::from_secs(5);
-
-struct Server {
-    address: SocketAddr,
-    connections: Rc<Connections>,
-    handled: Rc<Cell<usize>>,
-}
-
-fn start(tasks: &Tasks, work: Duration, limits: Limits) -> Server {
-    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
-    let address = listener.get_ref().local_addr().unwrap();
-    let connections = Rc::new(Connections::default());
-    let handled = Rc::new(Cell::new(0));
-    let counted = handled.clone();
-    let handler = move |_: Request<Result<Bytes, BodyError>>| {
-        counted.set(counted.get() + 1);
-        async move {
-            Timer::after(work).await;
-            Response::new(Body::from("done"))
-        }
-    };
-    let (listed, accepting) = (connections.clone(), tasks.clone());
-    tasks.spawn(async move {
-        net::serve_listed(listener, accepting, listed, move || limits, handler).await;
-    });
-    Server { address, connections, handled }
-}
-
-async fn until(what: &str, is_so: impl Fn() -> bool) {
-    let wait = async {
-        while !is_so() {
-            Timer::after(Duration::from_millis(1)).await;
-        }
-        true
-    };
-    let late = async {
-        Timer::after(LONG).await;
-        false
-    };
-    assert!(future::or(wait, late).await, "not so in time: {what}");
-}
-
-fn client(server: &Server) -> TcpStream {
-    let stream = TcpStream::connect(server.address).unwrap();
-    stream.set_read_timeout(Some(LONG)).unwrap();
-    stream.set_nodelay(true).unwrap();
-    stream
-}
+use async_io::Timer;
+use net::{Limits, Phase};
 
-/// Reads until the connection ends, beside the server; whether it ended well, and what came.
-async fn read_to_end(mut stream: TcpStream) -> (bool, String) {
-    let read = std::thread::spawn(move || {
-        let mut text = String::new();
-        let ended = stream.read_to_string(&mut text);
-        (ended.is_ok(), text)
-    });
-    until("the client has read all", || read.is_finished()).await;
-    read.join().unwrap()
-}
-
-fn answers(text: &str) -> usize {
-    text.matches("HTTP/1.1 200").count()
-}
+use support::{LIMITS, LONG, REQUEST, answers, client, read_to_end, start, until};
 
 /// hyper takes a connection that has carried a request for idle while a part of the next head has come,
 /// and closes it when it is told to.
--- a/daemon/tests/keeper_stops.rs
+++ b/daemon/tests/keeper_stops.rs
@@ -80,21 +80,26 @@
         .collect()
 }
 
-/// An operator's connection ended with no answer: a keeper that stopped dropped the calls under way before
-/// they were told that it had ended. Here the leader can't reach a majority as it stops.
-#[test]
-fn a_change_under_way_when_the_leader_stops_is_answered() {
-    let folder = tempfile::tempdir().unwrap();
-    let keepers = start(folder.path(), 251);
+/// Which keeper leads, once one does.
+fn leader_of(keepers: &[Keeper]) -> usize {
     let began = Instant::now();
-    let leader = loop {
+    loop {
         assert!(began.elapsed() < Duration::from_secs(15), "no leader");
         let leads = |keeper: &Keeper| keeper.status(1) == Some(200);
         if let Some(number) = keepers.iter().position(leads) {
-            break number;
+            return number;
         }
         std::thread::sleep(Duration::from_millis(50));
-    };
+    }
+}
+
+/// An operator's connection ended with no answer: a keeper that stopped dropped the calls under way before
+/// they were told that it had ended. Here the leader can't reach a majority as it stops.
+#[test]
+fn a_change_under_way_when_the_leader_stops_is_answered() {
+    let folder = tempfile::tempdir().unwrap();
+    let keepers = start(folder.path(), 251);
+    let leader = leader_of(&keepers);
     keepers.iter().enumerate().filter(|(number, _)| *number != leader).for_each(|(_, keeper)| {
         keeper.signal("STOP");
     });
@@ -114,15 +119,7 @@
 fn changes_that_are_sent_while_the_leader_stops_are_answered() {
     let folder = tempfile::tempdir().unwrap();
     let mut keepers = start(folder.path(), 252);
-    let began = Instant::now();
-    let leader = loop {
-        assert!(began.elapsed() < Duration::from_secs(15), "no leader");
-        let leads = |keeper: &Keeper| keeper.status(1) == Some(200);
-        if let Some(number) = keepers.iter().position(leads) {
-            break number;
-        }
-        std::thread::sleep(Duration::from_millis(50));
-    };
+    let leader = leader_of(&keepers);
     keepers[leader].signal("TERM");
     let mut seen = Vec::new();
     let stopped = Instant::now();
