Standard names: pauses of the process, heartbeats, longest waits

standstill -> pause of the process (log line and reason 'paused'), beat -> heartbeat, patience -> longest wait, surely_ends_within -> is_over_within (it is an estimate's bound, not a certainty), serve_listed -> serve_until_closed, Stop -> StopProgress, LAST_WORDS -> LAST_REPORTS.

--- a/components/dispatch/src/agents.rs
+++ b/components/dispatch/src/agents.rs
@@ -17,7 +17,7 @@
     pub profile: Option<AgentProfile>,
     pub load: Load,
     pub heard: Time,
-    beat: Time,
+    heartbeat: Time,
     next_sequence: u64,
     /// Starts that its last load does not count in.
     unseen: VecDeque<(u64, Resources)>,
@@ -31,7 +31,7 @@
             profile: None,
             load: Load::default(),
             heard: now,
-            beat: Time::default(),
+            heartbeat: Time::default(),
             next_sequence: 1,
             unseen: VecDeque::new(),
             tasks: 0,
@@ -148,18 +148,18 @@
         for (id, agent) in &mut self.agents {
             if now.since(agent.heard) > self.timing.session_silence {
                 silent.push(*id);
-            } else if now.since(agent.beat) >= self.timing.beat {
-                agent.beat = now;
-                out.push(Action::Send(*id, ToAgent::Beat { heard: agent.load.at }));
+            } else if now.since(agent.heartbeat) >= self.timing.heartbeat {
+                agent.heartbeat = now;
+                out.push(Action::Send(*id, ToAgent::Heartbeat { heard: agent.load.at }));
             }
         }
         silent.into_iter().for_each(|id| self.lose_agent(id, "silent", out));
     }
 
     /// Takes note that the agent was just shown that this entry lives.
-    pub(crate) fn beaten(&mut self, now: Time, id: SessionId) {
+    pub(crate) fn heartbeat_sent(&mut self, now: Time, id: SessionId) {
         if let Some(agent) = self.agents.get_mut(&id) {
-            agent.beat = now;
+            agent.heartbeat = now;
         }
     }
 }
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -17,18 +17,18 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
     /// From one sign of life to the next.
-    pub beat: Duration,
+    pub heartbeat: Duration,
     /// Silence of an agent after which it is given no new work.
     pub agent_silence: Duration,
     /// Silence of an agent after which its session is dead.
     pub session_silence: Duration,
     /// A gap between two events after which the process is taken to have stood still: agents have
     /// given up on it.
-    pub standstill: Duration,
+    pub longest_pause: Duration,
     /// After the loss of an agent, nothing of what it ran runs any more.
     pub lost_lease: Duration,
     /// How long a task waits at an agent for room.
-    pub patience: Duration,
+    pub longest_wait: Duration,
     /// What part of its objective a job waits at least for its first room before it is refused.
     pub refuse_part: f64,
     /// What part of its objective it waits at most, where it can still end in time. Far from all of
@@ -44,12 +44,12 @@
 impl Default for Timing {
     fn default() -> Self {
         Self {
-            beat: Duration::from_millis(100),
+            heartbeat: Duration::from_millis(100),
             agent_silence: Duration::from_millis(350),
             session_silence: Duration::from_millis(700),
-            standstill: Duration::from_millis(450),
+            longest_pause: Duration::from_millis(450),
             lost_lease: Duration::from_millis(1_250),
-            patience: Duration::from_millis(30),
+            longest_wait: Duration::from_millis(30),
             refuse_part: 0.08,
             refuse_part_most: 0.20,
             overhead: Duration::from_millis(15),
@@ -114,7 +114,7 @@
     pub(crate) outbox: BTreeMap<(SessionId, JobId), Vec<wire::StartTask>>,
     pub(crate) last_event: Time,
     waits_ended: Time,
-    /// What is read before may have lain unread through a standstill.
+    /// What is read before may have lain unread through a pause of the process.
     stale_until: Time,
     document: Option<Document>,
     /// When an agent came or went last.
@@ -128,7 +128,7 @@
 
 /// From one tick to the next.
 const TICK: Duration = Duration::from_millis(10);
-/// What is read so soon after a standstill may be old.
+/// What is read so soon after a pause of the process may be old.
 const STALE: Duration = Duration::from_millis(100);
 /// How often jobs are looked at for what has waited too long.
 const WAITS_EVERY: Duration = Duration::from_millis(5);
@@ -170,8 +170,8 @@
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         let gap = now.since(self.last_event);
         self.last_event = now;
-        if gap > self.timing.standstill {
-            self.stood_still(gap, out);
+        if gap > self.timing.longest_pause {
+            self.has_paused(gap, out);
         }
         let changed = changed_room(&event);
         match event {
@@ -263,9 +263,9 @@
 
     /// Agents have stopped what they ran for this entry, and clients have sent their jobs again
     /// elsewhere: nothing may go on.
-    fn stood_still(&mut self, gap: Duration, out: &mut Vec<Action>) {
-        out.push(Action::News(News::Standstill { gap_ms: gap.as_millis() as u64 }));
-        self.end_all(Reason::Standstill, |_| Outcome::MayHaveRun(Reason::Standstill), out);
+    fn has_paused(&mut self, gap: Duration, out: &mut Vec<Action>) {
+        out.push(Action::News(News::Paused { gap_ms: gap.as_millis() as u64 }));
+        self.end_all(Reason::Paused, |_| Outcome::MayHaveRun(Reason::Paused), out);
         self.stale_until = self.last_event + STALE;
         let agents: Vec<SessionId> = self.agents.keys().copied().collect();
         agents.into_iter().for_each(|id| self.lose_agent(id, "stood still", out));
@@ -310,9 +310,9 @@
         }
         if now < self.stale_until {
             // Its client may have sent it again elsewhere long ago.
-            return self.refuse(ticket, &request, Reason::Standstill, out);
+            return self.refuse(ticket, &request, Reason::Paused, out);
         }
-        let ends_first = |end: Time| !request.surely_ends_within(end.since(now));
+        let ends_first = |end: Time| !request.is_over_within(end.since(now));
         if self.stops_at.is_some_and(ends_first) {
             return self.refuse(ticket, &request, Reason::Draining, out);
         }
@@ -372,7 +372,7 @@
         if self.stops_at.is_some() {
             return Some(Reason::Draining);
         }
-        (now < self.stale_until).then_some(Reason::Standstill)
+        (now < self.stale_until).then_some(Reason::Paused)
     }
 
     /// Answers a job that is not taken.
--- a/components/dispatch/src/event.rs
+++ b/components/dispatch/src/event.rs
@@ -70,7 +70,7 @@
 
     /// Whether the job is surely over within a time, so that an entry which is about to end may still take
     /// it: because its client waits no longer, or because it ends though its estimate is far too low.
-    pub fn surely_ends_within(&self, left: Duration) -> bool {
+    pub fn is_over_within(&self, left: Duration) -> bool {
         self.deadline.min(self.objective.mul_f64(OBJECTIVES_TAKEN)) < left
     }
 }
@@ -95,7 +95,7 @@
     /// This entry has lost track of its tasks: a bug.
     Breach,
     /// The entry stood still for too long.
-    Standstill,
+    Paused,
     /// The client went away.
     ClientGone,
     /// It was cancelled.
@@ -114,7 +114,7 @@
             Self::Deadline => "deadline",
             Self::AgentLost => "agent-lost",
             Self::Breach => "breach",
-            Self::Standstill => "standstill",
+            Self::Paused => "paused",
             Self::ClientGone => "client-gone",
             Self::Cancelled => "cancelled",
         }
@@ -227,7 +227,7 @@
         open: bool,
     },
     /// The process stood still.
-    Standstill {
+    Paused {
         /// How long, in ms.
         gap_ms: u64,
     },
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -123,7 +123,7 @@
             let heard = agent.load.at;
             let spec = known.request.spec.clone();
             out.push(Action::Send(id, ToAgent::Start { heard, job, spec, tasks }));
-            self.beaten(now, id);
+            self.heartbeat_sent(now, id);
         }
     }
 
@@ -238,7 +238,7 @@
         run: task.run,
         resources: job.request.shape.resources,
         estimated_ms: job.request.shape.estimated_ms,
-        patience_ms: timing.patience.as_millis() as u32,
+        longest_wait_ms: timing.longest_wait.as_millis() as u32,
         priority: job.request.priority,
     }
 }
--- a/components/dispatch/tests/dispatcher.rs
+++ b/components/dispatch/tests/dispatcher.rs
@@ -201,22 +201,19 @@
 }
 
 #[test]
-fn a_standstill_ends_everything_and_what_lay_unread_is_refused() {
+fn a_pause_ends_everything_and_what_lay_unread_is_refused() {
     let mut entry = Entry::new();
     entry.agent(1, 16_000, &[]);
     let ticket = entry.submit(job(1, 200));
     entry.now = entry.now + Duration::from_secs(2);
     entry.handle(Event::Tick);
-    assert_eq!(entry.answer(ticket), Some(Outcome::MayHaveRun(Reason::Standstill)));
+    assert_eq!(entry.answer(ticket), Some(Outcome::MayHaveRun(Reason::Paused)));
     assert_eq!(entry.closed, [SessionId(1)]);
     let mut unread = job(1, 200);
     unread.id = JobId::new("00000000000000b1");
     let ticket = entry.submit(unread);
     let refused = entry.answer(ticket);
-    assert!(
-        matches!(refused, Some(Outcome::NotRun { reason: Reason::Standstill, .. })),
-        "{refused:?}"
-    );
+    assert!(matches!(refused, Some(Outcome::NotRun { reason: Reason::Paused, .. })), "{refused:?}");
 }
 
 #[test]
--- a/components/dispatch/tests/planned_stop.rs
+++ b/components/dispatch/tests/planned_stop.rs
@@ -177,10 +177,10 @@
     assert_eq!(entry.starts().len(), 1);
     entry.now = entry.now + Duration::from_millis(500);
     entry.handle(Event::Tick);
-    assert_eq!(entry.answer(first), Some(Outcome::MayHaveRun(Reason::Standstill)));
+    assert_eq!(entry.answer(first), Some(Outcome::MayHaveRun(Reason::Paused)));
     entry.now = entry.now + Duration::from_millis(5);
     let second = entry.submit(job(1, 2_000));
-    assert_eq!(entry.answer(second), Some(Outcome::MayHaveRun(Reason::Standstill)));
+    assert_eq!(entry.answer(second), Some(Outcome::MayHaveRun(Reason::Paused)));
 }
 
 #[test]
--- a/components/dispatch/tests/waits.rs
+++ b/components/dispatch/tests/waits.rs
@@ -53,8 +53,8 @@
 #[test]
 fn a_stopping_entry_takes_only_what_ends_though_its_estimate_is_far_too_low() {
     // It was thought to take 556 ms and took longer than the 950 ms that were left.
-    assert!(!job(4, 556).surely_ends_within(Duration::from_millis(950)));
-    assert!(job(4, 180).surely_ends_within(Duration::from_millis(950)));
+    assert!(!job(4, 556).is_over_within(Duration::from_millis(950)));
+    assert!(job(4, 180).is_over_within(Duration::from_millis(950)));
 }
 
 #[test]
--- a/components/explain/src/history.rs
+++ b/components/explain/src/history.rs
@@ -10,7 +10,7 @@
     "stop",
     "draining",
     "closing",
-    "standstill",
+    "paused",
     "agent-lost",
     "agent-open",
     "session-lost",
@@ -127,7 +127,7 @@
                     None => "the session with an agent died".to_owned(),
                 }
             }
-            "standstill" => "the entry stood still: see its line 'standstill'".to_owned(),
+            "paused" => "the entry stood still: see its line 'paused'".to_owned(),
             "deadline" => "the client's time was over".to_owned(),
             "client-gone" => "the client went away".to_owned(),
             "draining" => "the entry was stopping".to_owned(),
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -15,5 +15,5 @@
 pub use connect::{connect, tune};
 pub use connections::{ConnectionInfo, Connections, Phase};
 pub use rpc::{Frames, call_context, frames, pause};
-pub use server::{Body, BodyError, HEADER_BYTES, Limits, serve, serve_listed};
+pub use server::{Body, BodyError, HEADER_BYTES, Limits, serve, serve_until_closed};
 pub use tasks::{Tasks, block_on};
--- a/components/net/src/server.rs
+++ b/components/net/src/server.rs
@@ -67,11 +67,11 @@
     H: Fn(Request<Result<Bytes, BodyError>>) -> F + Clone + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    serve_listed(listener, tasks, Rc::default(), limits, handler).await;
+    serve_until_closed(listener, tasks, Rc::default(), limits, handler).await;
 }
 
 /// The same, with a list of the open connections, until it is closed by them.
-pub async fn serve_listed<L, H, F>(
+pub async fn serve_until_closed<L, H, F>(
     listener: Async<TcpListener>,
     tasks: Tasks,
     connections: Rc<Connections>,
--- a/components/net/tests/support/mod.rs
+++ b/components/net/tests/support/mod.rs
@@ -53,7 +53,7 @@
     };
     let (listed, accepting, ended) = (connections.clone(), tasks.clone(), serving.clone());
     tasks.spawn(async move {
-        net::serve_listed(listener, accepting, listed, move || limits, handler).await;
+        net::serve_until_closed(listener, accepting, listed, move || limits, handler).await;
         ended.set(false);
     });
     Server { address, connections, handled, serving }
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -37,7 +37,7 @@
     /// Age of what an entry heard after which its starts are refused.
     pub start_age: Duration,
     /// A gap between two events after which the process is taken to have stood still.
-    pub standstill: Duration,
+    pub longest_pause: Duration,
     /// From one report of the load to the next, at least: every entry reads each report,
     pub load_gap: Duration,
     /// and at most by how fast room is taken.
@@ -62,7 +62,7 @@
             stop_time: Duration::from_millis(50),
             session_silence: Duration::from_millis(450),
             start_age: Duration::from_millis(400),
-            standstill: Duration::from_millis(400),
+            longest_pause: Duration::from_millis(400),
             load_gap: Duration::from_millis(8),
             load_gap_plenty: Duration::from_millis(90),
             load_change: 0.5,
@@ -153,7 +153,7 @@
 
     /// Takes an event and adds the actions that follow.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
-        if now.since(self.last_event) > self.timing.standstill {
+        if now.since(self.last_event) > self.timing.longest_pause {
             // What waited meanwhile may be far too old: entries have given up on this agent.
             self.lose_all_sessions("stood still", out);
         }
--- a/components/runner/src/sessions.rs
+++ b/components/runner/src/sessions.rs
@@ -84,7 +84,7 @@
         let Some(session) = self.sessions.get_mut(&id) else { return };
         session.heard = now;
         match message {
-            ToAgent::Beat { .. } => {}
+            ToAgent::Heartbeat { .. } => {}
             ToAgent::Start { heard, job, spec, tasks } => {
                 let late = now.since(heard) > self.timing.start_age;
                 for task in tasks {
@@ -148,7 +148,7 @@
             estimated_ms: start.estimated_ms,
             priority: start.priority,
             asked: now,
-            expires: now + Duration::from_millis(u64::from(start.patience_ms)),
+            expires: now + Duration::from_millis(u64::from(start.longest_wait_ms)),
             since: now,
             state: RunState::Waiting,
             renumbered: 0,
--- a/components/runner/tests/runner.rs
+++ b/components/runner/tests/runner.rs
@@ -145,7 +145,7 @@
 }
 
 #[test]
-fn an_agent_that_stood_still_gives_up_its_sessions() {
+fn an_agent_that_has_paused_gives_up_its_sessions() {
     let mut agent = Agent::new();
     agent.ask("a", 1, 0);
     agent.take_starts();
--- a/components/runner/tests/support/mod.rs
+++ b/components/runner/tests/support/mod.rs
@@ -92,7 +92,7 @@
 
     pub fn beat(&mut self) {
         let heard = self.now;
-        self.handle(Event::FromEntry(SESSION, ToAgent::Beat { heard }));
+        self.handle(Event::FromEntry(SESSION, ToAgent::Heartbeat { heard }));
     }
 
     pub fn ask(&mut self, job: &str, count: u32, priority: u8) {
@@ -111,7 +111,7 @@
             run: 1,
             resources: Resources { cpu_milli: 1_600, memory_mb: 64, gpu: 0 },
             estimated_ms: 100,
-            patience_ms: 30,
+            longest_wait_ms: 30,
             priority,
         }
     }
--- a/components/wire/src/session.rs
+++ b/components/wire/src/session.rs
@@ -60,7 +60,7 @@
     /// How long it is thought to take, in ms.
     pub estimated_ms: u32,
     /// How long it may wait at the agent for room, in ms.
-    pub patience_ms: u32,
+    pub longest_wait_ms: u32,
     /// 0 goes first.
     pub priority: u8,
 }
@@ -69,7 +69,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ToAgent {
     /// A sign of life.
-    Beat {
+    Heartbeat {
         /// The agent's clock as the entry heard it last.
         heard: Time,
     },
--- a/daemon/src/entry_role/listen.rs
+++ b/daemon/src/entry_role/listen.rs
@@ -47,7 +47,8 @@
         async move { server.answer(request).await }
     };
     let callers = Rc::new(Connections::default());
-    let serve = net::serve_listed(listener, tasks.clone(), callers.clone(), || LIMITS, handler);
+    let serve =
+        net::serve_until_closed(listener, tasks.clone(), callers.clone(), || LIMITS, handler);
     let close = async {
         // Ends when the handle is dropped.
         let _ = stopped.recv().await;
--- a/daemon/src/keeper_role/listen.rs
+++ b/daemon/src/keeper_role/listen.rs
@@ -78,7 +78,7 @@
         async move { answer(&operators, request).await }
     };
     let calls = Rc::new(Connections::default());
-    let serve = net::serve_listed(listener, tasks.clone(), calls.clone(), || LIMITS, handler);
+    let serve = net::serve_until_closed(listener, tasks.clone(), calls.clone(), || LIMITS, handler);
     let mut serve = pin!(serve);
     let nodes = serve_nodes(node_listener, tasks.clone(), ring.clone());
     future::or(future::or(serve.as_mut(), nodes), ring.closed()).await;
--- a/daemon/src/room/agent.rs
+++ b/daemon/src/room/agent.rs
@@ -35,8 +35,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(1_200);
 /// How often a stopping agent looks whether it is done.
 const STOP_POLL: Duration = Duration::from_millis(20);
-/// How long what a stopping agent says last may take to leave.
-const LAST_WORDS: Duration = Duration::from_millis(60);
+/// How long the last reports of a stopping agent may take to leave.
+const LAST_REPORTS: Duration = Duration::from_millis(60);
 
 /// An agent's state, shared by the tasks of its thread.
 pub(super) struct Agent {
@@ -244,7 +244,7 @@
         while !self.runner.borrow().is_idle() && self.clock.now().since(began) < longest {
             Timer::after(STOP_POLL).await;
         }
-        Timer::after(LAST_WORDS).await;
+        Timer::after(LAST_REPORTS).await;
     }
 
     fn fill(&self, page: &mut Page) {
--- a/daemon/src/room/entry.rs
+++ b/daemon/src/room/entry.rs
@@ -16,7 +16,7 @@
 use wire::{Document, NodeInfo, NodeRole, ToAgent};
 
 use super::entry_news;
-use super::entry_stop::Stop;
+use super::entry_stop::StopProgress;
 use super::metrics::{self, Page};
 use super::session::{self, Outgoing};
 use super::watch::Watch;
@@ -52,7 +52,7 @@
     next: Cell<u64>,
     /// Callers find it.
     listening: Cell<bool>,
-    pub stop: Stop,
+    pub stop: StopProgress,
     watch: RefCell<Option<Rc<Watch>>>,
 }
 
@@ -77,7 +77,7 @@
         statuses: RefCell::default(),
         next: Cell::new(0),
         listening: Cell::new(false),
-        stop: Stop::new(started.config.node.stop_grace),
+        stop: StopProgress::new(started.config.node.stop_grace),
         watch: RefCell::default(),
     });
     let bind = |address: SocketAddr| {
--- a/daemon/src/room/entry_http.rs
+++ b/daemon/src/room/entry_http.rs
@@ -48,7 +48,7 @@
         let entry = entry.clone();
         async move { answer(&entry, request).await }
     };
-    tasks.spawn(net::serve_listed(listener, tasks.clone(), listed, limits, handler));
+    tasks.spawn(net::serve_until_closed(listener, tasks.clone(), listed, limits, handler));
 }
 
 /// Serves the balancer's question until the process ends.
--- a/daemon/src/room/entry_news.rs
+++ b/daemon/src/room/entry_news.rs
@@ -50,8 +50,8 @@
         News::AgentOpen { agent, open } => {
             log.line("agent-open", Budget::Full, || json!({"agent": agent.as_str(), "open": open}))
         }
-        News::Standstill { gap_ms } => {
-            log.line("standstill", Budget::Full, || json!({"gap_ms": gap_ms}));
+        News::Paused { gap_ms } => {
+            log.line("paused", Budget::Full, || json!({"gap_ms": gap_ms}));
         }
         News::Admitted { job, queue, tasks, objective_ms, waiting } => {
             log.line("admitted", Budget::Sampled, || {
--- a/daemon/src/room/entry_stop.rs
+++ b/daemon/src/room/entry_stop.rs
@@ -21,7 +21,7 @@
 const NOTICE_GAP: Duration = Duration::from_millis(400);
 
 /// How far an entry is with its planned stop.
-pub(super) struct Stop {
+pub(super) struct StopProgress {
     /// How long the platform waits for the end.
     pub grace: Cell<Duration>,
     /// The connections of callers.
@@ -35,7 +35,7 @@
     answers_at: Cell<Option<Time>>,
 }
 
-impl Stop {
+impl StopProgress {
     /// A stop that has not begun.
     pub fn new(grace: Duration) -> Self {
         Self {
--- a/daemon/tests/planned_stop.rs
+++ b/daemon/tests/planned_stop.rs
@@ -217,7 +217,7 @@
 
 /// The entry is held up in the midst of its stop, until just before the platform's time is over.
 #[test]
-fn a_standstill_within_a_stop_leaves_no_request_without_an_answer() {
+fn a_pause_within_a_stop_leaves_no_request_without_an_answer() {
     let mut served = Served::start();
     let mut early = served.connect();
     assert!(early.send(job_request(1, 1, 20_000, 200).as_bytes()));
@@ -350,7 +350,7 @@
     assert!(served.entry.wait(), "it ends well");
     let log = served.fleet.log("entry");
     let lines = log.lines().filter(|line| {
-        ["closing", "intake-closed", "drained", "standstill"]
+        ["closing", "intake-closed", "drained", "paused"]
             .iter()
             .any(|step| line.contains(&format!("\"event\":\"{step}\"")))
     });
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -134,9 +134,9 @@
 }
 
 #[test]
-fn an_entry_that_goes_on_after_a_standstill_is_found() {
+fn an_entry_that_goes_on_after_a_pause_is_found() {
     let mut times = RoomTimes::default();
-    times.entry.standstill = Duration::from_secs(60);
+    times.entry.longest_pause = Duration::from_secs(60);
     times.entry.session_silence = Duration::from_secs(60);
     times.entry.agent_silence = Duration::from_secs(60);
     times.agent.start_age = Duration::from_secs(60);
