The dispatcher's intake, waits and ends of all jobs in files of their own; the schema's tests in a test file

Functions are moved, not changed; the settings' test of integers keeps its assertions, one of seconds joins it.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use model::{JobId, Time};
-use wire::{Document, TaskEnd, ToAgent, ToEntry};
+use wire::{Document, TaskEnd, ToEntry};
 
 use crate::agents::Agent;
-use crate::event::{Action, Event, JobRequest, News, Outcome, Reason, SessionId, Ticket};
-use crate::job::{Job, TaskState};
+use crate::event::{Action, Event, SessionId, Ticket};
+use crate::job::Job;
 use crate::place::ChangedRoom;
 use crate::policy::Policy;
 use crate::returns::Returns;
@@ -113,31 +113,22 @@
     /// Starts that go out at the end of the event, by agent and job.
     pub(crate) outbox: BTreeMap<(SessionId, JobId), Vec<wire::StartTask>>,
     pub(crate) last_event: Time,
-    waits_ended: Time,
+    pub(crate) waits_ended: Time,
     /// What is read before may have lain unread through a pause of the process.
-    stale_until: Time,
+    pub(crate) stale_until: Time,
     document: Option<Document>,
     /// When an agent came or went last.
     pub(crate) agents_changed: Time,
     /// When rejected clients come back.
     pub(crate) returns: Returns,
     /// Set once the entry stops: what does not surely end by then is not taken.
-    stops_at: Option<Time>,
+    pub(crate) stops_at: Option<Time>,
     pub(crate) counters: DispatcherCounters,
 }
 
 /// From one tick to the next.
 const TICK: Duration = Duration::from_millis(10);
-/// What is read so soon after a pause of the process may be old.
-const STALE: Duration = Duration::from_millis(100);
-/// How often jobs are looked at for what has waited too long.
-const WAITS_EVERY: Duration = Duration::from_millis(5);
 const IDLE_TICK: Duration = Duration::from_millis(50);
-/// When to come back to another entry: at once would do, but where all of them stop, clients would send
-/// again and again. A second is the least that a client can be told besides.
-const ELSEWHERE_PAUSE: Duration = Duration::from_secs(1);
-/// When to come back where no target can run the job: one has to start first, which takes seconds.
-const NO_TARGET_PAUSE: Duration = Duration::from_secs(3);
 
 impl Dispatcher {
     /// An entry that knows no agent yet.
@@ -260,213 +251,6 @@
             ToEntry::Cancelled(job) => self.cancel_own(now, &job, out),
         }
     }
-
-    /// Agents have stopped what they ran for this entry, and clients have sent their jobs again
-    /// elsewhere: nothing may go on.
-    fn has_paused(&mut self, gap: Duration, out: &mut Vec<Action>) {
-        out.push(Action::News(News::Paused { gap_ms: gap.as_millis() as u64 }));
-        self.end_all(Reason::Paused, |_| Outcome::MayHaveRun(Reason::Paused), out);
-        self.stale_until = self.last_event + STALE;
-        let agents: Vec<SessionId> = self.agents.keys().copied().collect();
-        agents.into_iter().for_each(|id| self.lose_agent(id, "stood still", out));
-    }
-
-    /// The process ends in a moment. A connection that ends without an answer tells a client
-    /// nothing; now it knows what has not run and may be sent again at once, and tasks of what may have
-    /// run are stopped before it is sent again.
-    fn answer_all(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.stops_at = Some(now);
-        let outcome = |job: &Job| match job.is_untouched() {
-            true => not_run(Reason::Draining, &job.request),
-            false => Outcome::MayHaveRun(Reason::Draining),
-        };
-        self.end_all(Reason::Draining, outcome, out);
-    }
-
-    /// Ends every job, and answers those that wait for the end of their first try.
-    fn end_all(
-        &mut self,
-        reason: Reason,
-        outcome: impl Fn(&Job) -> Outcome,
-        out: &mut Vec<Action>,
-    ) {
-        let jobs = self.jobs.iter().map(|(id, job)| (id.clone(), outcome(job)));
-        let ends: Vec<(JobId, Outcome)> = jobs.collect();
-        for (id, outcome) in ends {
-            self.finish(self.last_event, &id, outcome, out);
-            let again = self.jobs.get_mut(&id).and_then(|job| job.again.take());
-            if let Some((ticket, _)) = again {
-                self.tickets.remove(&ticket);
-                // Its first try may have run.
-                out.push(Action::Answer(ticket, Outcome::MayHaveRun(reason)));
-            }
-        }
-    }
-
-    fn submit(&mut self, now: Time, ticket: Ticket, request: JobRequest, out: &mut Vec<Action>) {
-        self.counters.submitted += 1;
-        if self.jobs.contains_key(&request.id) {
-            return self.submit_again(now, ticket, request, out);
-        }
-        if now < self.stale_until {
-            // Its client may have sent it again elsewhere long ago.
-            return self.refuse(ticket, &request, Reason::Paused, out);
-        }
-        let ends_first = |end: Time| !request.is_over_within(end.since(now));
-        if self.stops_at.is_some_and(ends_first) {
-            return self.refuse(ticket, &request, Reason::Draining, out);
-        }
-        if self.is_unservable(now, &request) {
-            return self.refuse(ticket, &request, Reason::NoTarget, out);
-        }
-        let id = request.id.clone();
-        out.push(Action::News(News::Admitted {
-            job: id.clone(),
-            queue: request.queue.clone(),
-            tasks: request.shape.count,
-            objective_ms: request.objective.as_millis() as u64,
-            waiting: self.queue.len(),
-        }));
-        let job = Job::new(now, ticket, request);
-        for index in 0..job.request.shape.count {
-            self.queue.insert(queue_entry(&job, index, self.policy));
-        }
-        self.tickets.insert(ticket, id.clone());
-        self.jobs.insert(id, job);
-    }
-
-    /// A job comes of which this entry has an earlier try: its client has lost the connection.
-    fn submit_again(
-        &mut self,
-        now: Time,
-        ticket: Ticket,
-        request: JobRequest,
-        out: &mut Vec<Action>,
-    ) {
-        let id = request.id.clone();
-        let no_second_try = self.no_second_try(now);
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        if job.outcome.is_none() {
-            job.tickets.push(ticket);
-            self.tickets.insert(ticket, id);
-            return;
-        }
-        if let Some(reason) = no_second_try {
-            // The first try may have run, so "not run" would not be true.
-            out.push(Action::Answer(ticket, Outcome::MayHaveRun(reason)));
-            return;
-        }
-        // Tasks of the first try are being stopped: the second begins after that.
-        let earlier = job.again.replace((ticket, request));
-        self.tickets.insert(ticket, id);
-        if let Some((earlier, _)) = earlier {
-            // Its client has sent the job once more since.
-            self.tickets.remove(&earlier);
-            out.push(Action::Answer(earlier, Outcome::MayHaveRun(Reason::ClientGone)));
-        }
-    }
-
-    /// Why a job is not begun a second time, if so: the entry stops, or the client may have sent the job
-    /// elsewhere long ago.
-    fn no_second_try(&self, now: Time) -> Option<Reason> {
-        if self.stops_at.is_some() {
-            return Some(Reason::Draining);
-        }
-        (now < self.stale_until).then_some(Reason::Paused)
-    }
-
-    /// Answers a job that is not taken.
-    fn refuse(
-        &mut self,
-        ticket: Ticket,
-        request: &JobRequest,
-        reason: Reason,
-        out: &mut Vec<Action>,
-    ) {
-        let outcome = not_run(reason, request);
-        self.counters.not_run += 1;
-        out.push(Action::News(News::Refused { job: request.id.clone(), reason }));
-        out.push(Action::Answer(ticket, outcome));
-    }
-
-    fn abandon(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Action>) {
-        let Some(id) = self.tickets.remove(&ticket) else { return };
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.tickets.retain(|other| *other != ticket);
-        if job.again.as_ref().is_some_and(|(again, _)| *again == ticket) {
-            job.again = None;
-        }
-        if job.tickets.is_empty() && job.outcome.is_none() {
-            self.finish(now, &id, Outcome::Failed(Reason::ClientGone), out);
-        }
-    }
-
-    /// A client cancels a job: every agent is told, and tells the entry that has it.
-    fn cancel(&mut self, now: Time, id: &JobId, out: &mut Vec<Action>) {
-        for agent in self.agents.keys() {
-            out.push(Action::Send(*agent, ToAgent::Cancel(id.clone())));
-        }
-        self.cancel_own(now, id, out);
-    }
-
-    fn cancel_own(&mut self, now: Time, id: &JobId, out: &mut Vec<Action>) {
-        if self.has_job(id) {
-            self.finish(now, id, Outcome::Cancelled, out);
-        }
-    }
-
-    /// Ends what has waited for too long.
-    fn end_waits(&mut self, now: Time, out: &mut Vec<Action>) {
-        if now.since(self.waits_ended) < WAITS_EVERY {
-            return;
-        }
-        self.waits_ended = now;
-        let mut over = Vec::new();
-        let mut gone = Vec::new();
-        let mut returned = Vec::new();
-        for (id, job) in &mut self.jobs {
-            if job.outcome.is_some() {
-                if job.is_gone(now) {
-                    gone.push(id.clone());
-                }
-                continue;
-            }
-            for (index, task) in job.tasks.iter_mut().enumerate() {
-                if matches!(task.state, TaskState::Lost { until } if until <= now) {
-                    task.state = TaskState::Waiting;
-                    task.waits_since = now;
-                    returned.push(index as u32);
-                }
-            }
-            for index in returned.drain(..) {
-                self.queue.insert(queue_entry(job, index, self.policy));
-            }
-            let service = &job.request.service;
-            let silence = self.timing.agent_silence;
-            let room_is_known = || {
-                self.policy.early_refusal
-                    && self.agents.values().any(|agent| agent.serves(service, now, silence))
-            };
-            if let Some(outcome) = overdue(job, now, &self.timing, room_is_known) {
-                over.push((id.clone(), outcome));
-            }
-        }
-        for (id, outcome) in over {
-            self.finish(now, &id, outcome, out);
-        }
-        for id in gone {
-            let Some((ticket, request)) = self.jobs.remove(&id).and_then(|job| job.again) else {
-                continue;
-            };
-            match self.no_second_try(now) {
-                Some(reason) => {
-                    self.tickets.remove(&ticket);
-                    out.push(Action::Answer(ticket, Outcome::MayHaveRun(reason)));
-                }
-                None => self.submit(now, ticket, request, out),
-            }
-        }
-    }
 }
 
 /// Where waiting tasks may find room that they did not find before an event. A load changes what one
@@ -483,54 +267,6 @@
     }
 }
 
-/// How a job ends that has waited for too long, if it has. While nobody knows of room, as after a
-/// start, room is not known to be short either: a job waits for as long as it can be in time.
-fn overdue(
-    job: &Job,
-    now: Time,
-    timing: &Timing,
-    room_is_known: impl FnOnce() -> bool,
-) -> Option<Outcome> {
-    let age = now.since(job.submitted);
-    let untouched = job.is_untouched();
-    if untouched
-        && age >= refuse_after(&job.request, timing)
-        && (age >= slack_of(&job.request, timing) || room_is_known())
-    {
-        return Some(not_run(Reason::NoRoom, &job.request));
-    }
-    if age + timing.answer_margin >= job.request.deadline {
-        return Some(match untouched {
-            true => not_run(Reason::Deadline, &job.request),
-            false => Outcome::MayHaveRun(Reason::Deadline),
-        });
-    }
-    None
-}
-
-/// How long a job waits for its first room while targets take work: as long as it can still end in
-/// time, within bounds.
-fn refuse_after(request: &JobRequest, timing: &Timing) -> Duration {
-    let most = request.objective.mul_f64(timing.refuse_part_most);
-    slack_of(request, timing).min(most)
-}
-
-/// How long a job may wait and still end in time, at least a part of its objective.
-fn slack_of(request: &JobRequest, timing: &Timing) -> Duration {
-    let work = Duration::from_millis(u64::from(request.shape.estimated_ms));
-    let slack = request.objective.saturating_sub(work + timing.overhead);
-    slack.max(request.objective.mul_f64(timing.refuse_part))
-}
-
-fn not_run(reason: Reason, request: &JobRequest) -> Outcome {
-    let retry_after = match reason {
-        Reason::Draining => ELSEWHERE_PAUSE,
-        Reason::NoTarget => NO_TARGET_PAUSE,
-        _ => request.objective,
-    };
-    Outcome::NotRun { reason, retry_after }
-}
-
 /// Where a task of a job stands in the queue.
 pub(crate) fn queue_entry(job: &Job, index: u32, policy: Policy) -> QueueEntry {
     QueueEntry {
--- /dev/null
+++ b/components/dispatch/src/ends.rs
@@ -0,0 +1,57 @@
+//! Moments at which every job ends at once.
+
+use std::time::Duration;
+
+use model::{JobId, Time};
+
+use crate::dispatcher::Dispatcher;
+use crate::event::{Action, News, Outcome, Reason, SessionId};
+use crate::intake::not_run;
+use crate::job::Job;
+
+/// What is read so soon after a pause of the process may be old.
+const STALE: Duration = Duration::from_millis(100);
+
+impl Dispatcher {
+    /// Agents have stopped what they ran for this entry, and clients have sent their jobs again
+    /// elsewhere: nothing may go on.
+    pub(crate) fn has_paused(&mut self, gap: Duration, out: &mut Vec<Action>) {
+        out.push(Action::News(News::Paused { gap_ms: gap.as_millis() as u64 }));
+        self.end_all(Reason::Paused, |_| Outcome::MayHaveRun(Reason::Paused), out);
+        self.stale_until = self.last_event + STALE;
+        let agents: Vec<SessionId> = self.agents.keys().copied().collect();
+        agents.into_iter().for_each(|id| self.lose_agent(id, "stood still", out));
+    }
+
+    /// The process ends in a moment. A connection that ends without an answer tells a client
+    /// nothing; now it knows what has not run and may be sent again at once, and tasks of what may have
+    /// run are stopped before it is sent again.
+    pub(crate) fn answer_all(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.stops_at = Some(now);
+        let outcome = |job: &Job| match job.is_untouched() {
+            true => not_run(Reason::Draining, &job.request),
+            false => Outcome::MayHaveRun(Reason::Draining),
+        };
+        self.end_all(Reason::Draining, outcome, out);
+    }
+
+    /// Ends every job, and answers those that wait for the end of their first try.
+    pub(crate) fn end_all(
+        &mut self,
+        reason: Reason,
+        outcome: impl Fn(&Job) -> Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        let jobs = self.jobs.iter().map(|(id, job)| (id.clone(), outcome(job)));
+        let ends: Vec<(JobId, Outcome)> = jobs.collect();
+        for (id, outcome) in ends {
+            self.finish(self.last_event, &id, outcome, out);
+            let again = self.jobs.get_mut(&id).and_then(|job| job.again.take());
+            if let Some((ticket, _)) = again {
+                self.tickets.remove(&ticket);
+                // Its first try may have run.
+                out.push(Action::Answer(ticket, Outcome::MayHaveRun(reason)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/intake.rs
@@ -0,0 +1,145 @@
+//! Jobs as they come: taken, joined to their first try, or refused; and clients that leave or cancel.
+
+use std::time::Duration;
+
+use model::{JobId, Time};
+use wire::ToAgent;
+
+use crate::dispatcher::{Dispatcher, queue_entry};
+use crate::event::{Action, JobRequest, News, Outcome, Reason, Ticket};
+use crate::job::Job;
+
+/// When to come back to another entry: at once would do, but where all of them stop, clients would send
+/// again and again. A second is the least that a client can be told besides.
+const ELSEWHERE_PAUSE: Duration = Duration::from_secs(1);
+/// When to come back where no target can run the job: one has to start first, which takes seconds.
+const NO_TARGET_PAUSE: Duration = Duration::from_secs(3);
+
+impl Dispatcher {
+    pub(crate) fn submit(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        request: JobRequest,
+        out: &mut Vec<Action>,
+    ) {
+        self.counters.submitted += 1;
+        if self.jobs.contains_key(&request.id) {
+            return self.submit_again(now, ticket, request, out);
+        }
+        if now < self.stale_until {
+            // Its client may have sent it again elsewhere long ago.
+            return self.refuse(ticket, &request, Reason::Paused, out);
+        }
+        let ends_first = |end: Time| !request.is_over_within(end.since(now));
+        if self.stops_at.is_some_and(ends_first) {
+            return self.refuse(ticket, &request, Reason::Draining, out);
+        }
+        if self.is_unservable(now, &request) {
+            return self.refuse(ticket, &request, Reason::NoTarget, out);
+        }
+        let id = request.id.clone();
+        out.push(Action::News(News::Admitted {
+            job: id.clone(),
+            queue: request.queue.clone(),
+            tasks: request.shape.count,
+            objective_ms: request.objective.as_millis() as u64,
+            waiting: self.queue.len(),
+        }));
+        let job = Job::new(now, ticket, request);
+        for index in 0..job.request.shape.count {
+            self.queue.insert(queue_entry(&job, index, self.policy));
+        }
+        self.tickets.insert(ticket, id.clone());
+        self.jobs.insert(id, job);
+    }
+
+    /// A job comes of which this entry has an earlier try: its client has lost the connection.
+    pub(crate) fn submit_again(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        request: JobRequest,
+        out: &mut Vec<Action>,
+    ) {
+        let id = request.id.clone();
+        let no_second_try = self.no_second_try(now);
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.outcome.is_none() {
+            job.tickets.push(ticket);
+            self.tickets.insert(ticket, id);
+            return;
+        }
+        if let Some(reason) = no_second_try {
+            // The first try may have run, so "not run" would not be true.
+            out.push(Action::Answer(ticket, Outcome::MayHaveRun(reason)));
+            return;
+        }
+        // Tasks of the first try are being stopped: the second begins after that.
+        let earlier = job.again.replace((ticket, request));
+        self.tickets.insert(ticket, id);
+        if let Some((earlier, _)) = earlier {
+            // Its client has sent the job once more since.
+            self.tickets.remove(&earlier);
+            out.push(Action::Answer(earlier, Outcome::MayHaveRun(Reason::ClientGone)));
+        }
+    }
+
+    /// Why a job is not begun a second time, if so: the entry stops, or the client may have sent the job
+    /// elsewhere long ago.
+    pub(crate) fn no_second_try(&self, now: Time) -> Option<Reason> {
+        if self.stops_at.is_some() {
+            return Some(Reason::Draining);
+        }
+        (now < self.stale_until).then_some(Reason::Paused)
+    }
+
+    /// Answers a job that is not taken.
+    pub(crate) fn refuse(
+        &mut self,
+        ticket: Ticket,
+        request: &JobRequest,
+        reason: Reason,
+        out: &mut Vec<Action>,
+    ) {
+        let outcome = not_run(reason, request);
+        self.counters.not_run += 1;
+        out.push(Action::News(News::Refused { job: request.id.clone(), reason }));
+        out.push(Action::Answer(ticket, outcome));
+    }
+
+    pub(crate) fn abandon(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Action>) {
+        let Some(id) = self.tickets.remove(&ticket) else { return };
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.tickets.retain(|other| *other != ticket);
+        if job.again.as_ref().is_some_and(|(again, _)| *again == ticket) {
+            job.again = None;
+        }
+        if job.tickets.is_empty() && job.outcome.is_none() {
+            self.finish(now, &id, Outcome::Failed(Reason::ClientGone), out);
+        }
+    }
+
+    /// A client cancels a job: every agent is told, and tells the entry that has it.
+    pub(crate) fn cancel(&mut self, now: Time, id: &JobId, out: &mut Vec<Action>) {
+        for agent in self.agents.keys() {
+            out.push(Action::Send(*agent, ToAgent::Cancel(id.clone())));
+        }
+        self.cancel_own(now, id, out);
+    }
+
+    pub(crate) fn cancel_own(&mut self, now: Time, id: &JobId, out: &mut Vec<Action>) {
+        if self.has_job(id) {
+            self.finish(now, id, Outcome::Cancelled, out);
+        }
+    }
+}
+
+pub(crate) fn not_run(reason: Reason, request: &JobRequest) -> Outcome {
+    let retry_after = match reason {
+        Reason::Draining => ELSEWHERE_PAUSE,
+        Reason::NoTarget => NO_TARGET_PAUSE,
+        _ => request.objective,
+    };
+    Outcome::NotRun { reason, retry_after }
+}
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -10,7 +10,9 @@
 mod agents;
 mod answers;
 mod dispatcher;
+mod ends;
 mod event;
+mod intake;
 mod job;
 mod place;
 mod policy;
@@ -18,6 +20,7 @@
 mod returns;
 mod servable;
 mod stop;
+mod waits;
 
 pub use dispatcher::{Dispatcher, DispatcherCounters, Timing};
 pub use event::{
--- /dev/null
+++ b/components/dispatch/src/waits.rs
@@ -0,0 +1,107 @@
+//! What has waited for too long.
+
+use std::time::Duration;
+
+use model::Time;
+
+use crate::dispatcher::{Dispatcher, Timing, queue_entry};
+use crate::event::{Action, JobRequest, Outcome, Reason};
+use crate::intake::not_run;
+use crate::job::{Job, TaskState};
+
+/// How often jobs are looked at for what has waited too long.
+const WAITS_EVERY: Duration = Duration::from_millis(5);
+
+impl Dispatcher {
+    /// Ends what has waited for too long.
+    pub(crate) fn end_waits(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now.since(self.waits_ended) < WAITS_EVERY {
+            return;
+        }
+        self.waits_ended = now;
+        let mut over = Vec::new();
+        let mut gone = Vec::new();
+        let mut returned = Vec::new();
+        for (id, job) in &mut self.jobs {
+            if job.outcome.is_some() {
+                if job.is_gone(now) {
+                    gone.push(id.clone());
+                }
+                continue;
+            }
+            for (index, task) in job.tasks.iter_mut().enumerate() {
+                if matches!(task.state, TaskState::Lost { until } if until <= now) {
+                    task.state = TaskState::Waiting;
+                    task.waits_since = now;
+                    returned.push(index as u32);
+                }
+            }
+            for index in returned.drain(..) {
+                self.queue.insert(queue_entry(job, index, self.policy));
+            }
+            let service = &job.request.service;
+            let silence = self.timing.agent_silence;
+            let room_is_known = || {
+                self.policy.early_refusal
+                    && self.agents.values().any(|agent| agent.serves(service, now, silence))
+            };
+            if let Some(outcome) = overdue(job, now, &self.timing, room_is_known) {
+                over.push((id.clone(), outcome));
+            }
+        }
+        for (id, outcome) in over {
+            self.finish(now, &id, outcome, out);
+        }
+        for id in gone {
+            let Some((ticket, request)) = self.jobs.remove(&id).and_then(|job| job.again) else {
+                continue;
+            };
+            match self.no_second_try(now) {
+                Some(reason) => {
+                    self.tickets.remove(&ticket);
+                    out.push(Action::Answer(ticket, Outcome::MayHaveRun(reason)));
+                }
+                None => self.submit(now, ticket, request, out),
+            }
+        }
+    }
+}
+
+/// How a job ends that has waited for too long, if it has. While nobody knows of room, as after a
+/// start, room is not known to be short either: a job waits for as long as it can be in time.
+fn overdue(
+    job: &Job,
+    now: Time,
+    timing: &Timing,
+    room_is_known: impl FnOnce() -> bool,
+) -> Option<Outcome> {
+    let age = now.since(job.submitted);
+    let untouched = job.is_untouched();
+    if untouched
+        && age >= refuse_after(&job.request, timing)
+        && (age >= slack_of(&job.request, timing) || room_is_known())
+    {
+        return Some(not_run(Reason::NoRoom, &job.request));
+    }
+    if age + timing.answer_margin >= job.request.deadline {
+        return Some(match untouched {
+            true => not_run(Reason::Deadline, &job.request),
+            false => Outcome::MayHaveRun(Reason::Deadline),
+        });
+    }
+    None
+}
+
+/// How long a job waits for its first room while targets take work: as long as it can still end in
+/// time, within bounds.
+fn refuse_after(request: &JobRequest, timing: &Timing) -> Duration {
+    let most = request.objective.mul_f64(timing.refuse_part_most);
+    slack_of(request, timing).min(most)
+}
+
+/// How long a job may wait and still end in time, at least a part of its objective.
+fn slack_of(request: &JobRequest, timing: &Timing) -> Duration {
+    let work = Duration::from_millis(u64::from(request.shape.estimated_ms));
+    let slack = request.objective.saturating_sub(work + timing.overhead);
+    slack.max(request.objective.mul_f64(timing.refuse_part))
+}
--- a/components/settings/src/schema.rs
+++ b/components/settings/src/schema.rs
@@ -232,23 +232,3 @@
     }
     Ok(Value::List(words))
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    const LIMIT: Key = Key {
-        name: "limit",
-        value_type: ValueType::Integer { min: 1, max: 690, unit: "tasks" },
-        default: "690",
-        help: "",
-    };
-
-    #[test]
-    fn integers_keep_to_their_range() {
-        assert_eq!(LIMIT.read("690"), Ok(Value::Integer(690)));
-        assert!(LIMIT.read("0").unwrap_err().contains("out of range"));
-        assert!(LIMIT.read("691").unwrap_err().contains("out of range"));
-        assert!(LIMIT.read("5s").unwrap_err().contains("not a whole number"));
-    }
-}
--- /dev/null
+++ b/components/settings/tests/schema.rs
@@ -0,0 +1,37 @@
+//! What a key's value may be.
+
+use std::time::Duration;
+
+use settings::{Key, Value, ValueType};
+
+const LIMIT: Key = Key {
+    name: "limit",
+    value_type: ValueType::Integer { min: 1, max: 690, unit: "tasks" },
+    default: "690",
+    help: "",
+};
+const GRACE: Key = Key {
+    name: "grace_s",
+    value_type: ValueType::Seconds { min_ms: 1_000, max_ms: 600_000 },
+    default: "6",
+    help: "",
+};
+
+#[test]
+fn integers_keep_to_their_range() {
+    assert_eq!(LIMIT.read("690"), Ok(Value::Integer(690)));
+    assert!(LIMIT.read("0").unwrap_err().contains("out of range"));
+    assert!(LIMIT.read("691").unwrap_err().contains("out of range"));
+    assert!(LIMIT.read("5s").unwrap_err().contains("not a whole number"));
+}
+
+#[test]
+fn seconds_may_have_decimals_and_keep_to_their_range() {
+    assert_eq!(GRACE.read("6"), Ok(Value::Time(Duration::from_secs(6))));
+    assert_eq!(GRACE.read("6.5"), Ok(Value::Time(Duration::from_millis(6_500))));
+    assert!(GRACE.read("0.9").unwrap_err().contains("out of range"));
+    assert!(GRACE.read("601").unwrap_err().contains("out of range"));
+    assert!(GRACE.read("nan").unwrap_err().contains("out of range"));
+    assert!(GRACE.read("").unwrap_err().contains("not a number"));
+    assert_eq!(GRACE.describe_type(), "decimal 1 to 600, s");
+}
