A slow request is waited for while a closing server accepts connections

Giving such requests up is for the end alone. The new test fails on the code before (its connection is closed within the request); the handler of the tests' server tells bodies that did not come by their status now.

--- a/components/net/src/connections.rs
+++ b/components/net/src/connections.rs
@@ -123,9 +123,11 @@
         self.phase() == Phase::Reading && self.last_bytes.get().elapsed() >= STALL
     }
 
-    /// Waits until no request is on its way to the server.
-    pub async fn nothing_comes(&self) {
-        while self.awaits_first() || (self.phase() == Phase::Reading && !self.is_stalled()) {
+    /// Waits until no request is on its way to the server. One whose client has stopped sending is
+    /// waited for as long as the server accepts connections: it costs nothing.
+    pub async fn nothing_comes(&self, connections: &Connections) {
+        let is_given_up = || connections.accepting.is_closed() && self.is_stalled();
+        while self.awaits_first() || (self.phase() == Phase::Reading && !is_given_up()) {
             Timer::after(LOOK).await;
         }
     }
--- a/components/net/src/server.rs
+++ b/components/net/src/server.rs
@@ -130,7 +130,7 @@
         async move {
             let (head, body) = request.into_parts();
             let stopped = async {
-                connections.no_more_kept().await;
+                connections.no_more_accepted().await;
                 tracker.stalled().await;
                 Err(BodyError::TooSlow)
             };
@@ -161,7 +161,7 @@
     let closes = async {
         connections.no_more_kept().await;
         // hyper takes a connection with a part of a head for an idle one.
-        tracker.nothing_comes().await;
+        tracker.nothing_comes(connections).await;
         false
     };
     // `or` asks the connection first: a request that has reached the host is read before an idle
--- a/components/net/tests/closing_forms.rs
+++ b/components/net/tests/closing_forms.rs
@@ -222,3 +222,28 @@
     let ended = kept.read_to_string(&mut text);
     assert_eq!(answers(&text), 1, "{ended:?} {text:?}");
 }
+
+/// A client that was held up in the midst of a request was told that its body had not come in time, while the
+/// server still accepted connections and had the time to wait.
+#[test]
+fn a_slow_request_is_waited_for_while_the_server_accepts_connections() {
+    net::block_on(|tasks| async move {
+        let server = start(&tasks, Duration::ZERO, LIMITS);
+        let mut body = client(&server);
+        body.write_all(&REQUEST[..REQUEST.len() - 1]).unwrap();
+        let mut head = client(&server);
+        head.write_all(REQUEST).unwrap();
+        until("it is idle", || server.connections.count(Phase::Idle) == 1).await;
+        head.write_all(&REQUEST[..20]).unwrap();
+        until("both are read", || server.connections.count(Phase::Reading) == 2).await;
+        server.connections.close_idle();
+        until("both have stopped", || server.connections.unfinished() == 0).await;
+        Timer::after(Duration::from_millis(50)).await;
+        body.write_all(&REQUEST[REQUEST.len() - 1..]).unwrap();
+        head.write_all(&REQUEST[20..]).unwrap();
+        for (stream, expected) in [(body, 1), (head, 2)] {
+            let (ended, text) = read_to_end(stream).await;
+            assert!(ended && answers(&text) == expected, "{text}");
+        }
+    });
+}
--- a/components/net/tests/support/mod.rs
+++ b/components/net/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 use hyper::body::Bytes;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use net::{Body, BodyError, Connections, Limits, Tasks};
 
 /// Limits that no test comes near.
@@ -44,11 +44,15 @@
     let connections = Rc::new(Connections::default());
     let (handled, serving) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(true)));
     let counted = handled.clone();
-    let handler = move |_: Request<Result<Bytes, BodyError>>| {
+    let handler = move |request: Request<Result<Bytes, BodyError>>| {
         counted.set(counted.get() + 1);
         async move {
             Timer::after(work).await;
-            Response::new(Body::from("done"))
+            let mut response = Response::new(Body::from("done"));
+            if request.body().is_err() {
+                *response.status_mut() = StatusCode::REQUEST_TIMEOUT;
+            }
+            response
         }
     };
     let (listed, accepting, ended) = (connections.clone(), tasks.clone(), serving.clone());
