--- a/daemon/tests/room_support/target.rs
+++ b/daemon/tests/room_support/target.rs
@@ -27,6 +27,8 @@
 const CPU_MILLI: u64 = 8_000;
 /// Comes before the time of a task that fails.
 pub const FAILS: &str = "fails ";
+/// A target that got no processor for so long may have left an order unanswered: an agent waits 40 ms.
+const HELD_UP: Duration = Duration::from_millis(25);
 /// Names the life that an order is for.
 const EXPECTED_INSTANCE: &str = "x-dockpass-expected-instance";
 /// The answer to an order for another life.
@@ -56,6 +58,8 @@
     pub misdirected: Vec<(Instant, String)>,
     /// When its present life was first acknowledged by its agent.
     pub acknowledged: Option<Instant>,
+    /// When the host last held it up for so long that agents take its orders for unanswered.
+    pub held_up: Option<Instant>,
 }
 
 /// A running stand-in; it ends when dropped.
@@ -197,8 +201,10 @@
         tasks.spawn(async move {
             // Runs end and leases run out whether or not anyone asks.
             loop {
+                let looked = Instant::now();
                 passing.borrow_mut().pass();
                 Timer::after(POLL).await;
+                passing.borrow().note_pause(looked);
             }
         });
         // Ends when the handle is dropped.
@@ -250,6 +256,14 @@
 }
 
 impl State {
+    /// Takes note of a long time between two looks.
+    fn note_pause(&self, looked: Instant) {
+        if looked.elapsed() > POLL + HELD_UP {
+            let mut seen = self.life.seen.lock().expect("nobody panicked with it");
+            seen.held_up = Some(Instant::now());
+        }
+    }
+
     fn clock_ms(&self) -> u64 {
         clock_ms(self.life.began)
     }
