--- a/daemon/tests/room_support/mod.rs
+++ b/daemon/tests/room_support/mod.rs
@@ -294,6 +294,15 @@
         fs::read_to_string(self.folder.path().join(format!("{name}.log"))).unwrap_or_default()
     }
 
+    /// How often its processes have noticed so far that they got no processor for long: the host held
+    /// them up.
+    pub fn pauses(&self) -> usize {
+        let told = ["\"event\":\"paused\"", "\"why\":\"stood still\""];
+        let names = self.names();
+        let logs = names.iter().map(|name| self.log(name));
+        logs.map(|log| told.iter().map(|line| log.matches(line).count()).sum::<usize>()).sum()
+    }
+
     /// Starts a process whose log goes into a pipe that nobody reads.
     pub fn start_unread(&self, name: &str) -> Process {
         Process::start_unread(&self.file(name))
