Rings of sessions are not allocated ahead

Cause: each session of an entry or agent made a bounded channel of 4,096 messages, and the library allocates all its slots at once: 340 KB a session by reading, whatever is sent.

Change: an unbounded channel, and the bound asked at each send. The bound is the same.

--- a/daemon/src/room/session.rs
+++ b/daemon/src/room/session.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 use std::net::TcpStream;
 
-/// Messages that wait to be sent; a session whose other side does not read is closed.
+/// Messages that wait to be sent; a session whose other side does not read is closed. Slots are not
+/// allocated ahead: 4,096 of them take 340 KB, for each session, whatever is sent.
 const RING: usize = 4_096;
 /// Most messages in one frame.
 const BATCH: usize = 256;
@@ -28,14 +29,14 @@
 impl<M> Outgoing<M> {
     /// A ring for a session that is about to run.
     pub fn new() -> (Self, Waiting<M>) {
-        let (ring, waiting) = async_channel::bounded(RING);
+        let (ring, waiting) = async_channel::unbounded();
         let (open, closed) = async_channel::bounded(1);
         (Self { ring, _open: open }, Waiting { ring: waiting, open: closed })
     }
 
     /// Sends a message; false where the ring is full or the session over.
     pub fn send(&self, message: M) -> bool {
-        self.ring.try_send(message).is_ok()
+        self.ring.len() < RING && self.ring.try_send(message).is_ok()
     }
 }
 
