--- a/components/dispatch/src/agents.rs
+++ b/components/dispatch/src/agents.rs
@@ -7,9 +7,13 @@
 use model::{NodeName, Resources, Time};
 use wire::{AgentProfile, Load, ToAgent};
 
-use crate::dispatcher::Dispatcher;
+use crate::dispatcher::{Dispatcher, Timing};
 use crate::event::{Action, News, SessionId};
 
+/// How often agents are looked at for silence and heartbeats that are due. At each event instead, an
+/// entry's time would grow with the square of its agents: each of them brings ten loads a second.
+const WATCH_EVERY: Duration = Duration::from_millis(5);
+
 /// One agent.
 #[derive(Debug)]
 pub(crate) struct Agent {
@@ -70,6 +74,11 @@
         }
     }
 
+    /// From one sign of life that it is shown to the next.
+    fn heartbeat_time(&self, timing: &Timing) -> Duration {
+        if self.tasks > 0 { timing.heartbeat } else { timing.quiet_heartbeat }
+    }
+
     /// Whether it takes new work.
     pub fn takes_work(&self, now: Time, silence: Duration) -> bool {
         self.load.open && now.since(self.heard) < silence
@@ -92,7 +101,6 @@
 
 impl Dispatcher {
     pub(crate) fn open_agent(&mut self, now: Time, id: SessionId) {
-        self.agents_changed = now;
         self.agents.insert(id, Agent::new(now));
     }
 
@@ -144,11 +152,15 @@
 
     /// Shows each agent that this entry lives, and gives up those that are silent.
     pub(crate) fn watch_agents(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now.since(self.agents_watched) < WATCH_EVERY {
+            return;
+        }
+        self.agents_watched = now;
         let mut silent = Vec::new();
         for (id, agent) in &mut self.agents {
             if now.since(agent.heard) > self.timing.session_silence {
                 silent.push(*id);
-            } else if now.since(agent.heartbeat) >= self.timing.heartbeat {
+            } else if now.since(agent.heartbeat) >= agent.heartbeat_time(&self.timing) {
                 agent.heartbeat = now;
                 out.push(Action::Send(*id, ToAgent::Heartbeat { heard: agent.load.at }));
             }
--- /dev/null
+++ b/components/dispatch/src/cancels.rs
@@ -0,0 +1,62 @@
+//! Cancels, of jobs that are here and of jobs that another entry has.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use model::{JobId, Time};
+use wire::ToAgent;
+
+use crate::dispatcher::Dispatcher;
+use crate::event::{Action, Outcome};
+
+/// How long a cancelled job is remembered: its client may have sent it just before, on a connection that
+/// is slower. Many times as long as any client waits for a job.
+const CANCELLED_KEPT: Duration = Duration::from_secs(20);
+
+/// Jobs that were cancelled lately.
+#[derive(Debug, Default)]
+pub(crate) struct Cancelled(BTreeMap<JobId, Time>);
+
+impl Cancelled {
+    fn add(&mut self, now: Time, id: &JobId) {
+        self.0.insert(id.clone(), now + CANCELLED_KEPT);
+    }
+
+    pub fn contains(&self, id: &JobId) -> bool {
+        self.0.contains_key(id)
+    }
+
+    /// Forgets what was cancelled long ago.
+    pub fn forget(&mut self, now: Time) {
+        self.0.retain(|_, until| *until > now);
+    }
+}
+
+impl Dispatcher {
+    /// A client cancels a job. One that is here ends here: by the time that its client may send it to a
+    /// second entry, nothing of the first try runs any more, so that nobody else has to be told. One that
+    /// is not here may be any other entry's, and all of them are told. Agents are told as well: they may
+    /// be reached where its entry is not, and tell the entries that they serve. Told to everyone for each
+    /// job, cancels grow with entries times agents: 12,240 messages each for 51 entries and 240 agents.
+    pub(crate) fn cancel(&mut self, now: Time, id: &JobId, out: &mut Vec<Action>) {
+        if !self.jobs.contains_key(id) {
+            out.push(Action::TellEntries(id.clone()));
+            let cancel = |agent| Action::Send(agent, ToAgent::Cancel(id.clone()));
+            out.extend(self.agents.keys().copied().map(cancel));
+        }
+        self.cancel_own(now, id, out);
+    }
+
+    /// Cancels a job as far as it is here, and whatever comes of it later.
+    pub(crate) fn cancel_own(&mut self, now: Time, id: &JobId, out: &mut Vec<Action>) {
+        self.cancelled.add(now, id);
+        let again = self.jobs.get_mut(id).and_then(|job| job.again.take());
+        if let Some((ticket, _)) = again {
+            self.tickets.remove(&ticket);
+            out.push(Action::Answer(ticket, Outcome::Cancelled));
+        }
+        if self.has_job(id) {
+            self.finish(now, id, Outcome::Cancelled, out);
+        }
+    }
+}
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -7,6 +7,7 @@
 use wire::{Document, TaskEnd, ToEntry};
 
 use crate::agents::Agent;
+use crate::cancels::Cancelled;
 use crate::event::{Action, Event, SessionId, Ticket};
 use crate::job::Job;
 use crate::place::ChangedRoom;
@@ -16,8 +17,11 @@
 /// The times of an entry.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
-    /// From one sign of life to the next.
+    /// From one sign of life to the next, for an agent that has tasks of this entry.
     pub heartbeat: Duration,
+    /// From one sign of life to the next, for an agent that has none: it has nothing to stop once this
+    /// entry is gone. Three of them fit into the silence after which it ends the session.
+    pub quiet_heartbeat: Duration,
     /// Silence of an agent after which it is given no new work.
     pub agent_silence: Duration,
     /// Silence of an agent after which its session is dead.
@@ -45,6 +49,7 @@
     fn default() -> Self {
         Self {
             heartbeat: Duration::from_millis(100),
+            quiet_heartbeat: Duration::from_millis(280),
             agent_silence: Duration::from_millis(350),
             session_silence: Duration::from_millis(700),
             longest_pause: Duration::from_millis(450),
@@ -114,11 +119,13 @@
     pub(crate) outbox: BTreeMap<(SessionId, JobId), Vec<wire::StartTask>>,
     pub(crate) last_event: Time,
     pub(crate) waits_ended: Time,
+    pub(crate) agents_watched: Time,
     /// What is read before may have lain unread through a pause of the process.
     pub(crate) stale_until: Time,
     document: Option<Document>,
     /// When an agent came or went last.
     pub(crate) agents_changed: Time,
+    pub(crate) cancelled: Cancelled,
     /// When rejected clients come back.
     pub(crate) returns: Returns,
     /// Set once the entry stops: what does not surely end by then is not taken.
@@ -143,9 +150,11 @@
             outbox: BTreeMap::new(),
             last_event: now,
             waits_ended: now,
+            agents_watched: now,
             stale_until: now,
             document: None,
             agents_changed: now,
+            cancelled: Cancelled::default(),
             returns: Returns::default(),
             stops_at: None,
             counters: DispatcherCounters::default(),
@@ -172,6 +181,7 @@
             Event::Submit(ticket, request) => self.submit(now, ticket, request, out),
             Event::Abandon(ticket) => self.abandon(now, ticket, out),
             Event::Cancel(job) => self.cancel(now, &job, out),
+            Event::CancelledElsewhere(job) => self.cancel_own(now, &job, out),
             Event::TakeOnlyWhatEndsBy(end) => self.stops_at = Some(end),
             Event::AnswerAll => self.answer_all(now, out),
             Event::Tick => {}
--- a/components/dispatch/src/event.rs
+++ b/components/dispatch/src/event.rs
@@ -162,6 +162,8 @@
     Abandon(Ticket),
     /// A client cancels a job, which may be another entry's.
     Cancel(JobId),
+    /// Another entry tells that a client has cancelled a job there.
+    CancelledElsewhere(JobId),
     /// The entry stops: from now on it takes only jobs that surely end by then.
     TakeOnlyWhatEndsBy(Time),
     /// The entry ends in a moment: every open job gets its final answer, and no more are taken.
@@ -177,6 +179,8 @@
     Send(SessionId, ToAgent),
     /// Closes the connection of an agent.
     Close(SessionId),
+    /// Tells every other entry that a job is cancelled.
+    TellEntries(JobId),
     /// Answers a client.
     Answer(Ticket, Outcome),
     /// Reports a decision or a change of state.
--- a/components/dispatch/src/intake.rs
+++ b/components/dispatch/src/intake.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use model::{JobId, Time};
-use wire::ToAgent;
+use model::Time;
 
 use crate::dispatcher::{Dispatcher, queue_entry};
 use crate::event::{Action, JobRequest, News, Outcome, Reason, Ticket};
@@ -31,6 +30,11 @@
             // Its client may have sent it again elsewhere long ago.
             return self.refuse(ticket, &request, Reason::Paused, out);
         }
+        if self.cancelled.contains(&request.id) {
+            out.push(Action::Answer(ticket, Outcome::Cancelled));
+            self.counters.cancelled += 1;
+            return;
+        }
         let ends_first = |end: Time| !request.is_over_within(end.since(now));
         if self.stops_at.is_some_and(ends_first) {
             return self.refuse(ticket, &request, Reason::Draining, out);
@@ -119,20 +123,6 @@
             self.finish(now, &id, Outcome::Failed(Reason::ClientGone), out);
         }
     }
-
-    /// A client cancels a job: every agent is told, and tells the entry that has it.
-    pub(crate) fn cancel(&mut self, now: Time, id: &JobId, out: &mut Vec<Action>) {
-        for agent in self.agents.keys() {
-            out.push(Action::Send(*agent, ToAgent::Cancel(id.clone())));
-        }
-        self.cancel_own(now, id, out);
-    }
-
-    pub(crate) fn cancel_own(&mut self, now: Time, id: &JobId, out: &mut Vec<Action>) {
-        if self.has_job(id) {
-            self.finish(now, id, Outcome::Cancelled, out);
-        }
-    }
 }
 
 pub(crate) fn not_run(reason: Reason, request: &JobRequest) -> Outcome {
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod agents;
 mod answers;
+mod cancels;
 mod dispatcher;
 mod ends;
 mod event;
--- a/components/dispatch/src/reports.rs
+++ b/components/dispatch/src/reports.rs
@@ -57,6 +57,11 @@
         }
         let entry = queue_entry(job, key.index, self.policy);
         let (open, answered) = (job.open, job.outcome.is_some());
+        if end == TaskEnd::NotRun(wire::Refusal::Cancelled) && !answered {
+            // A cancel that this entry was not told of, as it was down: each start would be refused anew.
+            self.note_end(id, &key, end, failures, out);
+            return self.cancel_own(now, &key.job, out);
+        }
         let attempts = job.request.max_attempts;
         self.note_end(id, &key, end, failures, out);
         if answered {
@@ -99,8 +104,10 @@
     pub(crate) fn lose_agent(&mut self, id: SessionId, why: &'static str, out: &mut Vec<Action>) {
         let Some(agent) = self.agents.remove(&id) else { return };
         let now = self.now();
-        self.counters.agents_lost += 1;
-        self.agents_changed = now;
+        if agent.profile.is_some() {
+            self.counters.agents_lost += 1;
+            self.agents_changed = now;
+        }
         out.push(Action::News(News::AgentLost {
             agent: agent.name().cloned(),
             why,
--- a/components/dispatch/src/waits.rs
+++ b/components/dispatch/src/waits.rs
@@ -19,6 +19,7 @@
             return;
         }
         self.waits_ended = now;
+        self.cancelled.forget(now);
         let mut over = Vec::new();
         let mut gone = Vec::new();
         let mut returned = Vec::new();
--- a/components/dispatch/tests/dispatcher.rs
+++ b/components/dispatch/tests/dispatcher.rs
@@ -139,15 +139,97 @@
 }
 
 #[test]
-fn a_cancel_tells_every_agent_and_answers_the_one_who_waits() {
+fn a_cancel_stops_what_runs_and_answers_the_one_who_waits() {
     let mut entry = Entry::new();
     entry.agent(1, 16_000, &[]);
     entry.agent(2, 8_000, &[]);
-    let ticket = entry.submit(job(1, 200));
+    let ticket = entry.submit(job(6, 200));
+    let starts = entry.starts().len();
+    assert_eq!(starts, 6);
     entry.handle(Event::Cancel(JobId::new("5c0e7a21d94b36f8")));
+    assert!(entry.told.is_empty(), "nobody else has it");
+    assert_eq!(entry.stops().len(), starts);
+    assert_eq!(entry.answer(ticket), Some(Outcome::Cancelled));
+}
+
+/// The client's connection to the entry that has the job is gone, and its cancel reaches another one. No
+/// agent need have sessions with both.
+#[test]
+fn a_cancel_of_another_entrys_job_tells_every_agent_and_every_entry() {
+    let mut entry = Entry::new();
+    entry.agent(1, 16_000, &[]);
+    entry.agent(2, 8_000, &[]);
+    let id = JobId::new("5c0e7a21d94b36f8");
+    entry.handle(Event::Cancel(id.clone()));
     let told = entry.sent.iter().filter(|(_, message)| matches!(message, ToAgent::Cancel(_)));
     assert_eq!(told.count(), 2);
+    assert_eq!(entry.told, [id]);
+}
+
+/// The job may be slower on its way than its cancel.
+#[test]
+fn a_job_that_comes_after_its_cancel_is_cancelled_and_starts_nothing() {
+    let id = || JobId::new("5c0e7a21d94b36f8");
+    for cancel in [Event::Cancel(id()), Event::CancelledElsewhere(id())] {
+        let mut entry = Entry::new();
+        entry.agent(1, 16_000, &[]);
+        entry.handle(cancel);
+        let ticket = entry.submit(job(1, 200));
+        assert_eq!(entry.answer(ticket), Some(Outcome::Cancelled));
+        assert!(entry.starts().is_empty());
+    }
+}
+
+/// The entry was down while the others were told. An agent that was told refuses each start; without this
+/// end the entry sent starts on and on, one each 2 ms for as long as the client waits.
+#[test]
+fn a_start_that_is_refused_as_cancelled_ends_its_job() {
+    let mut entry = Entry::new();
+    entry.agent(1, 16_000, &[]);
+    entry.agent(2, 8_000, &[]);
+    let ticket = entry.submit(job(4, 200));
+    let starts = entry.starts();
+    entry.report(&starts[0], TaskEnd::NotRun(Refusal::Cancelled));
     assert_eq!(entry.answer(ticket), Some(Outcome::Cancelled));
+    let stops = entry.stops().len();
+    assert_eq!(stops, 3, "those that may run");
+    entry.run_for(50, &[(1, 16_000), (2, 8_000)]);
+    assert!(entry.starts().is_empty());
+}
+
+/// The second try waits for the end of the first; it must not begin after the job was cancelled.
+#[test]
+fn a_cancel_ends_a_second_try_that_waits_for_the_first() {
+    let mut entry = Entry::new();
+    entry.agent(1, 16_000, &[]);
+    let first = entry.submit(job(1, 200));
+    let starts = entry.starts();
+    entry.handle(Event::Abandon(first));
+    let second = entry.submit(job(1, 200));
+    entry.handle(Event::Cancel(JobId::new("5c0e7a21d94b36f8")));
+    assert_eq!(entry.answer(second), Some(Outcome::Cancelled));
+    entry.report(&starts[0], TaskEnd::Stopped);
+    entry.run_for(50, &[(1, 16_000)]);
+    assert!(entry.starts().is_empty());
+}
+
+/// An entry has only some of the agents. With those that have work it keeps three heartbeats within the
+/// 450 ms after which they would stop it; of the others it says little.
+#[test]
+fn an_agent_with_nothing_to_do_is_shown_seldom_that_the_entry_lives() {
+    let mut entry = Entry::new();
+    entry.agent(1, 16_000, &[]);
+    entry.agent(2, 8_000, &[]);
+    entry.submit(job(1, 2_000));
+    entry.sent.clear();
+    entry.run_for(1_050, &[(1, 16_000), (2, 8_000)]);
+    let heartbeats = |agent: u64| {
+        let to_agent = |(id, message): &&(SessionId, ToAgent)| {
+            id.0 == agent && matches!(message, ToAgent::Heartbeat { .. })
+        };
+        entry.sent.iter().filter(to_agent).count()
+    };
+    assert_eq!((heartbeats(1), heartbeats(2)), (10, 4));
 }
 
 #[test]
--- a/components/dispatch/tests/support/mod.rs
+++ b/components/dispatch/tests/support/mod.rs
@@ -21,6 +21,8 @@
     pub answers: Vec<(Ticket, Outcome)>,
     pub sent: Vec<(SessionId, ToAgent)>,
     pub closed: Vec<SessionId>,
+    /// Jobs that other entries were told are cancelled.
+    pub told: Vec<JobId>,
     pub tickets: u64,
 }
 
@@ -32,6 +34,7 @@
             answers: Vec::new(),
             sent: Vec::new(),
             closed: Vec::new(),
+            told: Vec::new(),
             tickets: 0,
         }
     }
@@ -43,6 +46,7 @@
             match action {
                 Action::Send(id, message) => self.sent.push((id, message)),
                 Action::Close(id) => self.closed.push(id),
+                Action::TellEntries(job) => self.told.push(job),
                 Action::Answer(ticket, outcome) => self.answers.push((ticket, outcome)),
                 Action::News(News::Breach(breach)) => panic!("{breach}"),
                 Action::News(_) => {}
--- a/components/keeper/src/keeper.rs
+++ b/components/keeper/src/keeper.rs
@@ -317,6 +317,7 @@
             let reply = WatchReply {
                 document: self.state.document().filter(|_| newer).cloned(),
                 nodes: self.registry.list_unless(watcher.revision),
+                peers: self.registry.peers(&watcher),
                 keepers: self.replica.voters().to_vec(),
             };
             out.push(Action::Respond(watcher.ticket, Reply::Watch(reply)));
--- a/components/keeper/src/registry.rs
+++ b/components/keeper/src/registry.rs
@@ -2,12 +2,17 @@
 //!
 //! The list is soft state: every node registers at every keeper it knows, again and again, so that
 //! a keeper which has just started has the whole list within a second.
+//!
+//! Only entries are told of, and only when they change: with 240 agents, 51 entries and 5 keepers that
+//! start together, lists of all nodes are 291 rows for 291 nodes at each change, and most changes are of
+//! agents, which nobody looks for.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use model::{NodeName, Time};
-use wire::{NodeInfo, NodeList, WatchRequest};
+use wire::{NodeInfo, NodeList, NodeRole, WatchRequest};
 
 use crate::Ticket;
 
@@ -21,10 +26,15 @@
 /// Bits of a revision that count up; the others tell the keeper's lives apart.
 const REVISION_BITS: u32 = 24;
 
+/// Nodes that do the same.
+type Group = (NodeRole, Arc<str>);
+
 /// A node that waits.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Watcher {
     pub ticket: Ticket,
+    /// The nodes that it is one of.
+    pub group: Group,
     /// The document that it has.
     pub document: u64,
     /// The list that it has.
@@ -36,6 +46,8 @@
 #[derive(Debug)]
 pub(crate) struct Registry {
     nodes: BTreeMap<NodeName, (NodeInfo, Time)>,
+    /// How many nodes each group has.
+    sizes: BTreeMap<Group, u32>,
     revision: u64,
     /// The document in force.
     document: u64,
@@ -47,7 +59,14 @@
 impl Registry {
     pub fn new(seed: u64) -> Self {
         let revision = (seed << REVISION_BITS) | 1;
-        Self { nodes: BTreeMap::new(), revision, document: 0, watchers: Vec::new(), tell_at: None }
+        Self {
+            nodes: BTreeMap::new(),
+            sizes: BTreeMap::new(),
+            revision,
+            document: 0,
+            watchers: Vec::new(),
+            tell_at: None,
+        }
     }
 
     pub fn len(&self) -> usize {
@@ -57,11 +76,16 @@
     /// Registers a node; returns it as one to answer where there is news already.
     pub fn watch(&mut self, now: Time, ticket: Ticket, request: WatchRequest) -> Vec<Watcher> {
         let WatchRequest { node, document, revision } = request;
-        let known = self.nodes.insert(node.name.clone(), (node.clone(), now));
-        if known.is_none_or(|(before, _)| before != node) {
-            self.changed(now);
+        let group = group_of(&node);
+        let known = self.nodes.insert(node.name.clone(), (node.clone(), now)).map(|(node, _)| node);
+        if known.as_ref() != Some(&node) {
+            *self.sizes.entry(group.clone()).or_default() += 1;
+            let was_entry = known.is_some_and(|before| self.leave_group(&before));
+            if was_entry || node.role == NodeRole::Entry {
+                self.changed(now);
+            }
         }
-        let watcher = Watcher { ticket, document, revision, until: now + WATCH_TIME };
+        let watcher = Watcher { ticket, group, document, revision, until: now + WATCH_TIME };
         let settled = self.tell_at.is_none() && revision != self.revision;
         if document < self.document || settled {
             return vec![watcher];
@@ -78,10 +102,17 @@
 
     /// Lets time pass; returns who has to be answered.
     pub fn tick(&mut self, now: Time) -> Vec<Watcher> {
-        let before = self.nodes.len();
-        self.nodes.retain(|_, (_, heard)| now.since(*heard) < EXPIRY);
-        if self.nodes.len() < before {
-            self.changed(now);
+        let over: Vec<NodeInfo> = self
+            .nodes
+            .values()
+            .filter(|(_, heard)| now.since(*heard) >= EXPIRY)
+            .map(|(node, _)| node.clone())
+            .collect();
+        for node in over {
+            self.nodes.remove(&node.name);
+            if self.leave_group(&node) {
+                self.changed(now);
+            }
         }
         if self.tell_at.is_some_and(|at| at <= now) {
             self.tell_at = None;
@@ -101,8 +132,22 @@
         if revision == self.revision {
             return None;
         }
-        let nodes = self.nodes.values().map(|(node, _)| node.clone()).collect();
-        Some(NodeList { revision: self.revision, nodes })
+        let nodes = self.nodes.values().map(|(node, _)| node);
+        let entries = nodes.filter(|node| node.role == NodeRole::Entry).cloned().collect();
+        Some(NodeList { revision: self.revision, nodes: entries })
+    }
+
+    /// How many nodes do the same as one that waits.
+    pub fn peers(&self, watcher: &Watcher) -> u32 {
+        self.sizes.get(&watcher.group).copied().unwrap_or(0)
+    }
+
+    /// A node is no longer what it was; returns whether it was an entry.
+    fn leave_group(&mut self, node: &NodeInfo) -> bool {
+        if let Some(size) = self.sizes.get_mut(&group_of(node)) {
+            *size = size.saturating_sub(1);
+        }
+        node.role == NodeRole::Entry
     }
 
     fn changed(&mut self, now: Time) {
@@ -116,3 +161,7 @@
         ended
     }
 }
+
+fn group_of(node: &NodeInfo) -> Group {
+    (node.role, node.service.clone())
+}
--- a/components/keeper/tests/document.rs
+++ b/components/keeper/tests/document.rs
@@ -86,6 +86,24 @@
         assert!(replies.is_empty(), "{replies:?}");
         ticket
     }
+
+    /// A node asks, and is answered at once or within a time.
+    fn ask(&mut self, node: NodeInfo, revision: u64, within: Duration) -> Option<WatchReply> {
+        let ticket = self.ticket();
+        let request = WatchRequest { node, document: 0, revision };
+        let mut replies = self.handle(Event::Watch(ticket, request));
+        if replies.is_empty() {
+            replies = self.run_for(within);
+        }
+        watch_reply(replies, ticket)
+    }
+
+    /// A node registers; whatever it is told.
+    fn register(&mut self, node: NodeInfo, revision: u64) {
+        let ticket = self.ticket();
+        let request = WatchRequest { node, document: 0, revision };
+        self.handle(Event::Watch(ticket, request));
+    }
 }
 
 fn node(number: u16) -> NodeInfo {
@@ -94,9 +112,14 @@
         role: NodeRole::Entry,
         address: ([127, 0, 0, 1], number).into(),
         incarnation: Incarnation(1),
+        service: "".into(),
     }
 }
 
+fn agent(number: u16, service: &str) -> NodeInfo {
+    NodeInfo { role: NodeRole::Agent, service: service.into(), ..node(number) }
+}
+
 fn watch_reply(replies: Vec<(Ticket, Reply)>, ticket: Ticket) -> Option<WatchReply> {
     replies.into_iter().find_map(|(to, reply)| match reply {
         Reply::Watch(reply) if to == ticket => Some(reply),
@@ -245,3 +268,51 @@
     let told = watch_reply(one.run_for(Duration::from_millis(100)), asks).expect("an answer");
     assert_eq!(told.nodes.expect("a list").nodes, [node(1), present]);
 }
+
+/// With 240 agents beside 51 entries, lists of all nodes are most of what keepers send while nodes start.
+/// Entries alone are listed, agents that come and go wake nobody, and each node learns how many do the
+/// same as it does.
+#[test]
+fn agents_are_counted_by_service_and_not_listed() {
+    let mut one = One::new();
+    one.register(node(1), 0);
+    for number in 2..5 {
+        one.register(agent(number, "booking"), 0);
+    }
+    one.register(agent(5, "another"), 0);
+    one.run_for(Duration::from_millis(100));
+    let told = one.ask(agent(2, "booking"), 0, Duration::ZERO).expect("a list");
+    assert_eq!(told.peers, 3);
+    let list = told.nodes.expect("a list");
+    assert_eq!(list.nodes, [node(1)]);
+
+    let asks = one.watch(agent(3, "booking"), 0, list.revision);
+    one.watch(agent(6, "booking"), 0, list.revision);
+    let early = one.run_for(Duration::from_millis(500));
+    assert_eq!(watch_reply(early, asks), None, "another agent wakes nobody");
+    let told = watch_reply(one.run_for(Duration::from_millis(600)), asks).expect("in a second");
+    assert_eq!((told.nodes, told.peers), (None, 4));
+
+    // All but the entry and one agent are silent for longer than a node is listed.
+    for _ in 0..5 {
+        one.watch(node(1), 0, list.revision);
+        one.watch(agent(3, "booking"), 0, list.revision);
+        one.run_for(Duration::from_millis(1_000));
+    }
+    let told = one.ask(agent(3, "booking"), list.revision, Duration::from_millis(1_100));
+    let told = told.expect("in a second");
+    assert_eq!((told.nodes, told.peers), (None, 1), "the list of entries is the same");
+}
+
+/// A node that restarts as something else is counted as what it is.
+#[test]
+fn a_node_counts_once() {
+    let mut one = One::new();
+    one.register(agent(2, "booking"), 0);
+    one.register(NodeInfo { incarnation: Incarnation(2), ..agent(2, "booking") }, 0);
+    one.register(agent(3, "booking"), 0);
+    one.register(agent(3, "another"), 0);
+    one.run_for(Duration::from_millis(100));
+    let told = one.ask(agent(2, "booking"), 0, Duration::ZERO).expect("a list");
+    assert_eq!(told.peers, 1);
+}
--- a/components/runner/src/event.rs
+++ b/components/runner/src/event.rs
@@ -208,6 +208,8 @@
     SessionOpened(SessionId),
     /// The connection is gone.
     SessionClosed(SessionId),
+    /// The entry is to be served by other agents: the session ends once nothing runs for it.
+    SessionRetired(SessionId),
     /// An entry's message.
     FromEntry(SessionId, ToAgent),
     /// The target reports of itself.
@@ -302,6 +304,8 @@
         /// Runs that are stopped.
         runs: usize,
     },
+    /// A session ended that this agent had retired; nothing ran for it any more.
+    SessionRetired(SessionId),
     /// A run was started, refused or ended.
     Run {
         /// The task.
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -32,8 +32,15 @@
     pub start_life: Duration,
     /// How long the target takes to stop a run.
     pub stop_time: Duration,
-    /// Silence of an entry after which its session is dead.
+    /// Silence of an entry for which something runs here after which its session is dead.
     pub session_silence: Duration,
+    /// Silence of an entry for which nothing runs here after which its session is dead: nothing has to
+    /// be stopped then, so that its heartbeats may be rare. A connection that has gone silent for good is
+    /// still replaced within 1.3 s, as soaks of real processes hold.
+    pub quiet_silence: Duration,
+    /// How long an entry is told that a session takes no more work before the session ends, at least:
+    /// starts that cross the word on their way are still carried out.
+    pub retire_notice: Duration,
     /// Age of what an entry heard after which its starts are refused.
     pub start_age: Duration,
     /// A gap between two events after which the process is taken to have stood still.
@@ -61,6 +68,8 @@
             start_life: Duration::from_millis(300),
             stop_time: Duration::from_millis(50),
             session_silence: Duration::from_millis(450),
+            quiet_silence: Duration::from_millis(900),
+            retire_notice: Duration::from_millis(500),
             start_age: Duration::from_millis(400),
             longest_pause: Duration::from_millis(400),
             load_gap: Duration::from_millis(8),
@@ -161,6 +170,7 @@
         match event {
             Event::SessionOpened(session) => self.open_session(now, session, out),
             Event::SessionClosed(session) => self.lose_session(session, "closed", out),
+            Event::SessionRetired(session) => self.retire_session(now, session),
             Event::FromEntry(session, message) => self.hear_entry(now, session, message, out),
             Event::Target(report) => self.target_reports(now, report, out),
             Event::TargetLeft(id) => self.target_left(now, &id, out),
@@ -232,6 +242,7 @@
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         self.end_silent_sessions(now, out);
+        self.end_retired_sessions(now, out);
         self.cancelled.retain(|_, until| *until > now);
         self.lost.retain(|_, (_, until)| *until > now);
         if let Some(target) = &mut self.target {
--- a/components/runner/src/sessions.rs
+++ b/components/runner/src/sessions.rs
@@ -28,6 +28,8 @@
     reports: Vec<TaskReport>,
     /// How fast the entry takes room.
     rate: StartRate,
+    /// Since when the entry is told that it gets no more work done here.
+    retired: Option<Time>,
 }
 
 impl Session {
@@ -47,6 +49,7 @@
             told_open: false,
             reports: vec![],
             rate: StartRate::default(),
+            retired: None,
         };
         self.sessions.insert(id, session);
         out.push(Action::News(News::SessionOpened(id)));
@@ -193,12 +196,47 @@
     }
 
     pub(crate) fn end_silent_sessions(&mut self, now: Time, out: &mut Vec<Action>) {
-        let silence = self.timing.session_silence;
-        let silent = |(_, session): &(&SessionId, &Session)| now.since(session.heard) > silence;
+        let silence = |id: &SessionId| match self.has_runs(*id) {
+            true => self.timing.session_silence,
+            false => self.timing.quiet_silence,
+        };
+        let silent = |(id, session): &(&SessionId, &Session)| {
+            now.since(session.heard) > self.timing.session_silence
+                && now.since(session.heard) > silence(id)
+        };
         let ids: Vec<SessionId> = self.sessions.iter().filter(silent).map(|(id, _)| *id).collect();
         ids.into_iter().for_each(|id| self.lose_session(id, "silent", out));
     }
 
+    /// Whether anything runs or waits here for the entry of a session.
+    fn has_runs(&self, id: SessionId) -> bool {
+        self.runs.values().any(|run| run.session == Some(id))
+    }
+
+    /// The entry of a session is to be served by other agents.
+    pub(crate) fn retire_session(&mut self, now: Time, id: SessionId) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.retired.get_or_insert(now);
+            session.dirty = true;
+        }
+    }
+
+    /// Ends sessions that were retired, once nothing runs for them.
+    pub(crate) fn end_retired_sessions(&mut self, now: Time, out: &mut Vec<Action>) {
+        let notice = self.timing.retire_notice;
+        let is_over = |(id, session): &(&SessionId, &Session)| {
+            session.retired.is_some_and(|since| now.since(since) >= notice)
+                && session.reports.is_empty()
+                && !self.has_runs(**id)
+        };
+        let ids: Vec<SessionId> = self.sessions.iter().filter(is_over).map(|(id, _)| *id).collect();
+        for id in ids {
+            self.sessions.remove(&id);
+            out.push(Action::News(News::SessionRetired(id)));
+            out.push(Action::Close(id));
+        }
+    }
+
     pub(crate) fn report_end(&mut self, id: SessionId, report: TaskReport) {
         if let Some(session) = self.sessions.get_mut(&id) {
             session.reports.push(report);
@@ -225,7 +263,8 @@
                 continue;
             }
             let taken_per_ms = (per_ms - session.rate.per_ms(now)).max(0.0) as u32;
-            let load = Load { seen: session.seen, taken_per_ms, ..load };
+            let open = load.open && session.retired.is_none();
+            let load = Load { seen: session.seen, taken_per_ms, open, ..load };
             let age = now.since(session.told);
             // That the target takes work again is never held back.
             let gap = if session.told_open == load.open { gap } else { self.timing.load_gap };
--- a/components/runner/tests/runner.rs
+++ b/components/runner/tests/runner.rs
@@ -253,3 +253,55 @@
     agent.run_for(10);
     assert!(agent.open);
 }
+
+/// An entry for which nothing runs here has nothing that must be stopped once it is gone, and shows
+/// seldom that it lives; one for which something runs is taken for dead after 450 ms, as the time after
+/// which clients send again needs it.
+#[test]
+fn only_an_entry_for_which_something_runs_has_to_show_often_that_it_lives() {
+    let silent_for = |millis: u64, busy: bool| {
+        let mut agent = Agent::new();
+        if busy {
+            agent.ask("a", 1, 0);
+            agent.take_starts();
+        }
+        for _ in 0..millis / 10 {
+            agent.now = agent.now + Duration::from_millis(10);
+            agent.handle(Event::Tick);
+        }
+        agent
+    };
+    assert!(silent_for(450, true).closed.is_empty());
+    let busy = silent_for(470, true);
+    assert_eq!(busy.closed, [SESSION]);
+    assert_eq!(busy.stops.len(), 1);
+    assert!(silent_for(900, false).closed.is_empty());
+    assert_eq!(silent_for(920, false).closed, [SESSION]);
+}
+
+/// An entry that others serve from now on: what runs for it ends in its own time, starts that cross the
+/// word on their way are carried out, and only then does the session end.
+#[test]
+fn a_retired_session_takes_no_more_work_and_ends_once_nothing_runs() {
+    let mut agent = Agent::new();
+    agent.ask("a", 1, 0);
+    let first = agent.take_starts();
+    agent.run_for(20);
+    assert!(agent.open);
+    agent.handle(Event::SessionRetired(SESSION));
+    agent.run_for(20);
+    assert!(!agent.open, "the entry is told to send no more");
+    agent.ask("b", 1, 0);
+    let second = agent.take_starts();
+    assert_eq!(second.len(), 1, "a start that was under way");
+    agent.run_for(100);
+    let (one, two) = (&first[0].key, &second[0].key);
+    agent.hold(&[two], &[(1, one, EndReason::Done)]);
+    agent.run_for(100);
+    agent.hold(&[], &[(2, two, EndReason::Done)]);
+    assert_eq!(agent.ends(), [TaskEnd::Done, TaskEnd::Done]);
+    assert!(agent.closed.is_empty(), "it has not been told for long enough");
+    agent.run_for(400);
+    assert_eq!(agent.closed, [SESSION]);
+    assert_eq!(agent.runner.counters().sessions_lost, 0);
+}
--- a/components/wire/src/registry.rs
+++ b/components/wire/src/registry.rs
@@ -36,6 +36,8 @@
     pub address: SocketAddr,
     /// Which of its lives.
     pub incarnation: Incarnation,
+    /// The service that an agent's target takes work of; empty for an entry.
+    pub service: Arc<str>,
 }
 
 /// Asks a keeper for news, and registers the node there for a few seconds.
@@ -49,12 +51,13 @@
     pub revision: u64,
 }
 
-/// The nodes that are registered at one keeper.
+/// The entries that are registered at one keeper. Agents are not listed: whoever looks for a node
+/// looks for an entry, and agents are by far the most.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeList {
     /// Told apart at this keeper only.
     pub revision: u64,
-    /// The nodes.
+    /// The entries.
     pub nodes: Vec<NodeInfo>,
 }
 
@@ -63,8 +66,10 @@
 pub struct WatchReply {
     /// The document, where it is newer than the node's. It is committed.
     pub document: Option<Document>,
-    /// The nodes, where the list is another than the node's.
+    /// The entries, where the list is another than the node's.
     pub nodes: Option<NodeList>,
+    /// Nodes of the same role and service as the node that asks, itself included.
+    pub peers: u32,
     /// The keepers that vote, by the addresses that they are named by.
     pub keepers: Vec<NodeName>,
 }
--- a/daemon/src/keeper_role/listen.rs
+++ b/daemon/src/keeper_role/listen.rs
@@ -146,7 +146,7 @@
         match ask(&self.ring, Ask::Watch(request)).await {
             Some(Reply::Watch(reply)) => reply,
             // The keeper is ending; the connection ends with it.
-            _ => WatchReply { document: None, nodes: None, keepers: Vec::new() },
+            _ => WatchReply { document: None, nodes: None, peers: 0, keepers: Vec::new() },
         }
     }
 }
--- a/daemon/src/room/agent.rs
+++ b/daemon/src/room/agent.rs
@@ -2,8 +2,9 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::{Async, Timer};
@@ -16,6 +17,7 @@
     StopReply, Timing,
 };
 use serde_json::json;
+use subset::{Sizes, Subset};
 use wire::{NodeInfo, NodeRole, ToEntry};
 
 use super::metrics::{self, Page};
@@ -30,6 +32,9 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 /// An entry that is no longer listed is still tried for so long.
 const ENTRY_KEPT: Duration = Duration::from_secs(30);
+/// How often the choice of entries is looked at when keepers tell nothing new: it waits some seconds for
+/// entries that are missing from a list, and for numbers to hold.
+const CHOICE_POLL: Duration = Duration::from_millis(500);
 /// Left of the platform's time at the end of a planned stop: runs that go on beyond it lapse a second
 /// later, while a new process may already be there.
 const STOP_MARGIN: Duration = Duration::from_millis(1_200);
@@ -48,13 +53,24 @@
     holds: Client,
     runner: RefCell<Runner>,
     sessions: RefCell<HashMap<SessionId, Outgoing<ToEntry>>>,
-    /// Entries that are connected to, and until when they are tried.
-    entries: RefCell<BTreeMap<SocketAddr, Time>>,
+    subset: RefCell<Subset>,
+    /// Entries that are connected to, or tried.
+    entries: RefCell<BTreeMap<SocketAddr, Contact>>,
     next: Cell<u64>,
     /// How long the platform waits for the end of a planned stop.
     stop_grace: Cell<Duration>,
 }
 
+/// An entry that the agent has a session with, or tries to have one with.
+#[derive(Clone, Copy, Debug, Default)]
+struct Contact {
+    /// Whether the agent is to serve it.
+    chosen: bool,
+    /// One that is not listed any more is tried until then.
+    until: Time,
+    session: Option<SessionId>,
+}
+
 /// Runs the agent until it is told to stop.
 pub(super) fn run(started: Started) -> Result<(), RoomError> {
     let Some(config) = started.config.agent.clone() else { return Ok(()) };
@@ -72,6 +88,7 @@
         holds: Client::new(config.target, tasks.clone()),
         runner: RefCell::new(Runner::new(node.name.clone(), Timing::default(), clock.now())),
         sessions: RefCell::default(),
+        subset: RefCell::new(Subset::new(node.name.clone(), Sizes::default())),
         entries: RefCell::default(),
         next: Cell::new(0),
         stop_grace: Cell::new(node.stop_grace),
@@ -85,7 +102,8 @@
             .map_err(io_error(address.to_string()))?;
     }
     tasks.spawn(keep_time(agent.clone()));
-    let watch = agent.start_watch(&started, config.listen);
+    tasks.spawn(keep_choice(agent.clone()));
+    let watch = agent.start_watch(&started, &config);
     until_stopped(&started, |config| {
         agent.stop_grace.set(config.node.stop_grace);
         watch.set_seeds(&config.node.keepers);
@@ -104,14 +122,22 @@
     }
 }
 
+async fn keep_choice(agent: Rc<Agent>) {
+    loop {
+        Timer::after(CHOICE_POLL).await;
+        agent.choose_entries();
+    }
+}
+
 impl Agent {
-    fn start_watch(self: &Rc<Self>, started: &Started, address: SocketAddr) -> Rc<Watch> {
+    fn start_watch(self: &Rc<Self>, started: &Started, config: &AgentConfig) -> Rc<Watch> {
         let node = &started.config.node;
         let own = NodeInfo {
             name: node.name.clone(),
             role: NodeRole::Agent,
-            address,
+            address: config.listen,
             incarnation: started.life,
+            service: Arc::from(config.service.as_str()),
         };
         let (for_documents, for_nodes) = (self.clone(), self.clone());
         Watch::start(
@@ -121,55 +147,112 @@
             node.node_port,
             &node.keepers,
             Box::new(move |document| for_documents.feed(Event::Document(document))),
-            Box::new(move |nodes| for_nodes.nodes_are(nodes)),
+            Box::new(move |entries, agents| for_nodes.entries_are(entries, agents)),
         )
     }
 
-    /// Connects to entries that are new in the list.
-    fn nodes_are(self: &Rc<Self>, nodes: &[NodeInfo]) {
-        let until = self.clock.now() + ENTRY_KEPT;
-        for node in nodes.iter().filter(|node| node.role == NodeRole::Entry) {
-            let known = self.entries.borrow_mut().insert(node.address, until).is_some();
-            if !known {
-                let (agent, address) = (self.clone(), node.address);
-                self.tasks.spawn(async move { agent.stay_connected(address).await });
-            }
+    /// Keepers list these entries, and so many agents of the service.
+    fn entries_are(self: &Rc<Self>, entries: &[NodeInfo], agents: usize) {
+        let listed = entries.iter().filter(|node| node.role == NodeRole::Entry);
+        let listed = listed.map(|node| (&node.name, node.address));
+        self.subset.borrow_mut().listed(self.clock.now(), listed, agents);
+        self.choose_entries();
+    }
+
+    /// Connects to entries that are chosen now, and retires the sessions with listed ones that are not.
+    fn choose_entries(self: &Rc<Self>) {
+        let now = self.clock.now();
+        let chosen = self.subset.borrow_mut().chosen(now);
+        for address in &chosen {
+            self.serve_entry(now, *address);
+        }
+        let retired: Vec<SessionId> = self.retire_others(&chosen);
+        retired.into_iter().for_each(|id| self.feed(Event::SessionRetired(id)));
+    }
+
+    fn serve_entry(self: &Rc<Self>, now: Time, address: SocketAddr) {
+        let mut entries = self.entries.borrow_mut();
+        let is_new = !entries.contains_key(&address);
+        let contact = entries.entry(address).or_default();
+        contact.chosen = true;
+        contact.until = now + ENTRY_KEPT;
+        if is_new {
+            let agent = self.clone();
+            self.tasks.spawn(async move { agent.stay_connected(address).await });
         }
     }
 
-    /// Keeps a session with an entry for as long as the entry is listed, and a while longer: an
-    /// entry that has restarted while no keeper can be reached is found again so.
+    /// Marks the contacts that are listed and not chosen; returns their sessions. An entry that is not
+    /// listed keeps its session: it may live on where no keeper can be reached.
+    fn retire_others(&self, chosen: &[SocketAddr]) -> Vec<SessionId> {
+        let subset = self.subset.borrow();
+        let mut entries = self.entries.borrow_mut();
+        let others = entries.iter_mut().filter(|(address, contact)| {
+            contact.chosen && !chosen.contains(address) && subset.knows(**address)
+        });
+        let retire = |(_, contact): (&SocketAddr, &mut Contact)| {
+            contact.chosen = false;
+            contact.until = Time::default();
+            contact.session
+        };
+        others.filter_map(retire).collect()
+    }
+
+    /// Keeps a session with an entry for as long as it is chosen, and with one that is no longer listed
+    /// a while longer: an entry that has restarted while no keeper can be reached is found again so.
     async fn stay_connected(self: Rc<Self>, address: SocketAddr) {
         loop {
             if let Ok(stream) = net::connect(address).await {
-                self.next.set(self.next.get() + 1);
-                let id = SessionId(self.next.get());
-                let (outgoing, waiting) = Outgoing::new();
-                self.sessions.borrow_mut().insert(id, outgoing);
-                self.log.line(
-                    "entry-heard",
-                    Budget::Full,
-                    || json!({"entry": address.to_string(), "session": id.0}),
-                );
-                self.feed(Event::SessionOpened(id));
-                let taker = self.clone();
-                let take = move |message| taker.feed(Event::FromEntry(id, message));
-                session::run(stream, waiting, take).await;
-                self.sessions.borrow_mut().remove(&id);
-                self.feed(Event::SessionClosed(id));
-                // While it answers, it is listed or was so a moment ago.
-                let until = self.clock.now() + ENTRY_KEPT;
-                self.entries.borrow_mut().insert(address, until);
+                self.run_session(address, stream).await;
             }
             Timer::after(RETRY_PAUSE).await;
             let now = self.clock.now();
-            if self.entries.borrow().get(&address).is_none_or(|until| *until < now) {
-                self.entries.borrow_mut().remove(&address);
+            let mut entries = self.entries.borrow_mut();
+            if entries.get(&address).is_none_or(|contact| contact.until < now) {
+                entries.remove(&address);
                 return;
             }
         }
     }
 
+    async fn run_session(self: &Rc<Self>, address: SocketAddr, stream: Async<TcpStream>) {
+        self.next.set(self.next.get() + 1);
+        let id = SessionId(self.next.get());
+        let (outgoing, waiting) = Outgoing::new();
+        self.sessions.borrow_mut().insert(id, outgoing);
+        self.log.line(
+            "entry-heard",
+            Budget::Full,
+            || json!({"entry": address.to_string(), "session": id.0}),
+        );
+        self.feed(Event::SessionOpened(id));
+        self.note_session(address, Some(id));
+        let taker = self.clone();
+        let take = move |message| taker.feed(Event::FromEntry(id, message));
+        session::run(stream, waiting, take).await;
+        self.sessions.borrow_mut().remove(&id);
+        self.feed(Event::SessionClosed(id));
+        self.note_session(address, None);
+    }
+
+    /// Takes note of the session with an entry. A chosen one that answers is listed, or was so a moment
+    /// ago.
+    fn note_session(self: &Rc<Self>, address: SocketAddr, session: Option<SessionId>) {
+        let until = self.clock.now() + ENTRY_KEPT;
+        let chosen = {
+            let mut entries = self.entries.borrow_mut();
+            let Some(contact) = entries.get_mut(&address) else { return };
+            contact.session = session;
+            if contact.chosen {
+                contact.until = until;
+            }
+            contact.chosen
+        };
+        if let Some(id) = session.filter(|_| !chosen) {
+            self.feed(Event::SessionRetired(id));
+        }
+    }
+
     /// Hands an event to the runner and does what follows.
     pub fn feed(self: &Rc<Self>, event: Event) {
         let mut actions = Vec::new();
--- a/daemon/src/room/agent_news.rs
+++ b/daemon/src/room/agent_news.rs
@@ -52,6 +52,9 @@
             Budget::Full,
             || json!({"session": session.0, "why": why, "runs": runs}),
         ),
+        News::SessionRetired(session) => {
+            log.line("session-retired", Budget::Full, || json!({"session": session.0}));
+        }
         News::Run { task, run, end, waited_ms, ran_ms, free } => {
             let (kind, budget) = match end {
                 TaskEnd::Done => ("done", Budget::Sampled),
--- a/daemon/src/room/entry.rs
+++ b/daemon/src/room/entry.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Sender;
@@ -13,9 +14,10 @@
 use routing::RouteTable;
 use serde_json::json;
 use telemetry::Latency;
-use wire::{Document, NodeInfo, NodeRole, ToAgent};
+use wire::{Document, NodeInfo, NodeRole, ToAgent, ToEntry};
 
 use super::entry_news;
+use super::entry_peers::EntryPeers;
 use super::entry_stop::StopProgress;
 use super::metrics::{self, Page};
 use super::session::{self, Outgoing};
@@ -53,6 +55,7 @@
     /// Callers find it.
     listening: Cell<bool>,
     pub stop: StopProgress,
+    peers: Rc<EntryPeers>,
     watch: RefCell<Option<Rc<Watch>>>,
 }
 
@@ -64,6 +67,7 @@
 
 async fn serve(started: Started, config: EntryConfig, tasks: Tasks) -> Result<(), RoomError> {
     let clock = started.clock;
+    let peer_address = config.peer_address.unwrap_or(config.peer_listen);
     let entry = Rc::new(Entry {
         log: started.log.clone(),
         clock,
@@ -78,6 +82,7 @@
         next: Cell::new(0),
         listening: Cell::new(false),
         stop: StopProgress::new(started.config.node.stop_grace),
+        peers: EntryPeers::new(peer_address, tasks.clone(), started.log.clone()),
         watch: RefCell::default(),
     });
     let bind = |address: SocketAddr| {
@@ -94,7 +99,6 @@
     }
     tasks.spawn(accept_agents(entry.clone(), agents, tasks.clone()));
     tasks.spawn(keep_time(entry.clone()));
-    let peer_address = config.peer_address.unwrap_or(config.peer_listen);
     entry.start_watch(&started, peer_address, &tasks);
     let (to_serve, serving) = (entry.clone(), tasks.clone());
     tasks.spawn(async move {
@@ -137,7 +141,11 @@
         let entry = entry.clone();
         tasks.spawn(async move {
             let taker = entry.clone();
-            let take = move |message| taker.feed(Event::FromAgent(id, message));
+            let take = move |message| match message {
+                // Agents tell this, and other entries.
+                ToEntry::Cancelled(job) => taker.feed(Event::CancelledElsewhere(job)),
+                message => taker.feed(Event::FromAgent(id, message)),
+            };
             session::run(stream, waiting, take).await;
             entry.agents.borrow_mut().remove(&id);
             entry.feed(Event::AgentClosed(id));
@@ -176,9 +184,11 @@
             role: NodeRole::Entry,
             address,
             incarnation: started.life,
+            service: Arc::from(""),
         };
         let entry = self.clone();
         let take = Box::new(move |document: Document| entry.take_document(&document, "keeper"));
+        let peers = self.peers.clone();
         let watch = Watch::start(
             own,
             tasks.clone(),
@@ -186,7 +196,7 @@
             node.node_port,
             &node.keepers,
             take,
-            Box::new(|_| {}),
+            Box::new(move |entries, _| peers.listed(entries)),
         );
         *self.watch.borrow_mut() = Some(watch);
     }
@@ -220,6 +230,7 @@
             Action::Close(id) => {
                 self.agents.borrow_mut().remove(&id);
             }
+            Action::TellEntries(job) => self.peers.cancel(&job),
             Action::Answer(ticket, outcome) => {
                 if let Some(waiting) = self.waiting.borrow_mut().remove(&ticket) {
                     // The client may be gone.
--- a/daemon/src/room/mod.rs
+++ b/daemon/src/room/mod.rs
@@ -9,6 +9,7 @@
 mod entry;
 mod entry_http;
 mod entry_news;
+mod entry_peers;
 mod entry_stop;
 mod keeper;
 mod metrics;
--- a/daemon/src/room/watch.rs
+++ b/daemon/src/room/watch.rs
@@ -25,8 +25,8 @@
 
 /// Takes a newer document.
 type TakeDocument = Box<dyn Fn(Document)>;
-/// Takes a changed list of nodes.
-type TakeNodes = Box<dyn Fn(&[NodeInfo])>;
+/// Takes the entries that are listed, and how many nodes do the same as this one.
+type TakeNodes = Box<dyn Fn(&[NodeInfo], usize)>;
 
 /// The watch, shared by its tasks.
 pub(crate) struct Watch {
@@ -43,7 +43,14 @@
     /// Keepers that other keepers name.
     named: RefCell<BTreeMap<SocketAddr, Vec<SocketAddr>>>,
     watched: RefCell<BTreeSet<SocketAddr>>,
-    lists: RefCell<BTreeMap<SocketAddr, NodeList>>,
+    lists: RefCell<BTreeMap<SocketAddr, Listing>>,
+}
+
+/// What one keeper has told of other nodes.
+struct Listing {
+    list: NodeList,
+    /// Nodes that do the same as this one.
+    peers: usize,
 }
 
 impl Watch {
@@ -173,18 +180,31 @@
             reply.keepers.iter().filter_map(|name| name.as_str().parse().ok()).collect();
         self.named.borrow_mut().insert(keeper, named.clone());
         named.into_iter().for_each(|keeper| self.add(keeper));
-        if let Some(nodes) = reply.nodes {
-            self.lists.borrow_mut().insert(keeper, nodes);
+        if self.note_list(keeper, reply.nodes, reply.peers as usize) {
             self.tell_nodes();
         }
     }
 
-    /// All nodes that some keeper lists.
+    /// Takes note of what a keeper tells of other nodes; returns whether that is new.
+    fn note_list(&self, keeper: SocketAddr, list: Option<NodeList>, peers: usize) -> bool {
+        let mut lists = self.lists.borrow_mut();
+        if let Some(list) = list {
+            lists.insert(keeper, Listing { list, peers });
+            return true;
+        }
+        let Some(listing) = lists.get_mut(&keeper) else { return false };
+        std::mem::replace(&mut listing.peers, peers) != peers
+    }
+
+    /// All entries that some keeper lists. Of the numbers of peers the highest counts: keepers that have
+    /// just started have not heard of all yet.
     fn tell_nodes(&self) {
         let lists = self.lists.borrow();
         let nodes: BTreeSet<NodeInfo> =
-            lists.values().flat_map(|list| list.nodes.iter().cloned()).collect();
+            lists.values().flat_map(|listing| listing.list.nodes.iter().cloned()).collect();
         let nodes: Vec<NodeInfo> = nodes.into_iter().collect();
-        (self.take_nodes)(&nodes);
+        let peers = lists.values().map(|listing| listing.peers).max().unwrap_or(0);
+        drop(lists);
+        (self.take_nodes)(&nodes, peers);
     }
 }
--- a/daemon/tests/silent_connections.rs
+++ b/daemon/tests/silent_connections.rs
@@ -121,7 +121,7 @@
     }
 
     async fn watch(self, _: Context, _: WatchRequest) -> WatchReply {
-        WatchReply { document: None, nodes: None, keepers: Vec::new() }
+        WatchReply { document: None, nodes: None, peers: 0, keepers: Vec::new() }
     }
 }
 
@@ -290,6 +290,7 @@
         role: NodeRole::Entry,
         address: entry,
         incarnation: Incarnation(1),
+        service: "".into(),
     };
     let request = WatchRequest { node, document: 0, revision: 0 };
     net::block_on(|tasks| async move {
--- a/soak/src/room/callers.rs
+++ b/soak/src/room/callers.rs
@@ -10,7 +10,9 @@
 impl World {
     pub(super) fn submit(&mut self, id: &JobId) {
         let entry = self.rng.random_range(0..self.entries.len());
-        let Some(client) = self.clients.get_mut(id) else { return };
+        let Some(client) = self.clients.get_mut(id).filter(|client| !client.cancelled) else {
+            return;
+        };
         client.tries += 1;
         let tries = client.tries;
         let process = &mut self.entries[entry];
--- a/soak/src/room/checks.rs
+++ b/soak/src/room/checks.rs
@@ -11,6 +11,10 @@
 
 /// A start may be on its way for so long when its job is answered.
 const ON_ITS_WAY: Duration = Duration::from_millis(400);
+/// A cancel that was acknowledged has reached everyone after so long, and what runs has been stopped: an
+/// entry or agent that can't be reached gives its jobs up within 450 ms, a lease ends within 805 ms after,
+/// and a stop takes 50 ms.
+const CANCEL_TIME: Duration = Duration::from_millis(1_400);
 /// After a target's notice that it leaves reached its agent, nothing starts there.
 const DRAIN_TIME: Duration = Duration::from_millis(200);
 
@@ -35,6 +39,8 @@
     pub no_room: u64,
     /// Faults that happened.
     pub faults: u64,
+    /// Jobs that were cancelled.
+    pub cancelled: u64,
     /// Jobs handed in after the last fault, and completed.
     pub calm: u64,
 }
@@ -51,6 +57,7 @@
         self.thrown_away += other.thrown_away;
         self.no_room += other.no_room;
         self.faults += other.faults;
+        self.cancelled += other.cancelled;
         self.calm += other.calm;
     }
 }
@@ -66,6 +73,8 @@
     tasks: u32,
     max_attempts: u32,
     last_start: Option<Time>,
+    /// When a client's cancel was acknowledged.
+    cancelled: Option<Time>,
 }
 
 /// Watches targets and clients.
@@ -107,6 +116,12 @@
             return self.violation(now, format!("{task} starts though nobody asked for it"));
         };
         known.last_start = Some(now);
+        if let Some(at) = known.cancelled
+            && now.since(at) > CANCEL_TIME
+        {
+            self.violation(now, format!("{task} starts though cancelled at {at}"));
+        }
+        let Some(known) = self.jobs.get(&task.job) else { return };
         if let Some((at, outcome)) = known.answered {
             let not_run = matches!(outcome, Outcome::NotRun { .. });
             if not_run || now.since(at) > ON_ITS_WAY {
@@ -115,6 +130,21 @@
         }
     }
 
+    /// A client's cancel of a job is acknowledged.
+    pub fn cancelled(&mut self, now: Time, id: &JobId) {
+        self.summary.cancelled += 1;
+        self.jobs.entry(id.clone()).or_default().cancelled.get_or_insert(now);
+    }
+
+    /// A task runs; it must not where its job was cancelled long enough ago. Told once a job.
+    pub fn runs_on(&mut self, now: Time, task: &TaskId) {
+        let Some(known) = self.jobs.get_mut(&task.job) else { return };
+        if known.cancelled.is_some_and(|at| now.since(at) > CANCEL_TIME) {
+            let at = known.cancelled.take();
+            self.violation(now, format!("{task} runs on though cancelled at {at:?}"));
+        }
+    }
+
     pub fn ended(&mut self, task: &TaskId, reason: EndReason) {
         if matches!(reason, EndReason::Stopped | EndReason::Lapsed) {
             self.summary.thrown_away += 1;
--- a/soak/src/room/client.rs
+++ b/soak/src/room/client.rs
@@ -25,6 +25,8 @@
     /// Handed in after the last fault.
     pub calm: bool,
     pub first: Time,
+    /// It has cancelled the job: it does not send it any more.
+    pub cancelled: bool,
 }
 
 impl Client {
@@ -62,6 +64,6 @@
             objective,
             deadline: objective * 3 + Duration::from_millis(500),
         };
-        Self { request, work, tries: 0, at: None, calm, first: now }
+        Self { request, work, tries: 0, at: None, calm, first: now, cancelled: false }
     }
 }
--- a/soak/src/room/mod.rs
+++ b/soak/src/room/mod.rs
@@ -12,6 +12,7 @@
 mod orders;
 mod processes;
 mod sessions;
+mod sets;
 mod strikes;
 mod target;
 mod world;
--- a/soak/src/room/orders.rs
+++ b/soak/src/room/orders.rs
@@ -95,6 +95,8 @@
         for agent in 0..self.agents.len() {
             let Some(target) = &mut self.agents[agent].target else { continue };
             let ended = target.pass(now);
+            let runs_on = target.running().into_iter().cloned().collect::<Vec<TaskId>>();
+            runs_on.iter().for_each(|task| self.checks.runs_on(now, task));
             for end in &ended {
                 self.note(|| format!("target {agent}: {} ends {:?}", end.task, end.reason));
                 self.checks.ended(&end.task, end.reason);
--- a/soak/src/room/processes.rs
+++ b/soak/src/room/processes.rs
@@ -27,6 +27,7 @@
                         self.close_at_entry(session);
                     }
                 }
+                dispatch::Action::TellEntries(job) => self.tell_entries(entry, &job),
                 dispatch::Action::Answer(ticket, outcome) => self.answer(entry, ticket, outcome),
                 dispatch::Action::News(dispatch::News::Breach(breach)) => {
                     self.checks.violation(self.now, breach.to_string());
--- a/soak/src/room/sessions.rs
+++ b/soak/src/room/sessions.rs
@@ -18,7 +18,7 @@
             .sessions
             .values()
             .any(|session| self.sessions[*session].entry == entry);
-        if !is_up || cut || connected {
+        if !is_up || cut || connected || !self.sets.serves(agent, entry) {
             return;
         }
         let number = self.sessions.len();
--- /dev/null
+++ b/soak/src/room/sets.rs
@@ -0,0 +1,132 @@
+//! Agents that serve some of the entries, and cancels that reach an entry which has not the job.
+//!
+//! All that is drawn here comes from a stream of its own, so that seeds keep the faults that they had.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use model::JobId;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::world::{CALM_FROM, Happening, TROUBLED, World};
+
+/// Told apart from the seed of everything else.
+const STREAM: u64 = 0x5e70_fe77_1e55;
+/// What part of the runs has sets.
+const RUNS_WITH_SETS: f64 = 0.5;
+/// What part of their jobs is cancelled.
+const CANCELLED_PART: f64 = 0.06;
+/// All sets are whole again by then, so that the last jobs find room as in runs without sets.
+const WHOLE_FROM: Duration = Duration::from_millis(CALM_FROM.as_millis() as u64 - 2_000);
+
+/// Which entries each agent serves.
+#[derive(Debug)]
+pub(super) struct Sets {
+    rng: ChaCha8Rng,
+    serves: Vec<BTreeSet<usize>>,
+}
+
+impl Sets {
+    pub fn new(seed: u64, entries: usize, agents: usize) -> Self {
+        let serves = vec![(0..entries).collect(); agents];
+        Self { rng: ChaCha8Rng::seed_from_u64(seed ^ STREAM), serves }
+    }
+
+    pub fn serves(&self, agent: usize, entry: usize) -> bool {
+        self.serves[agent].contains(&entry)
+    }
+
+    /// Draws another set for an agent, which serves one entry at least.
+    fn redraw(&mut self, agent: usize, entries: usize) {
+        let always = self.rng.random_range(0..entries);
+        let drawn = (0..entries).filter(|entry| *entry == always || self.rng.random_bool(0.5));
+        self.serves[agent] = drawn.collect();
+    }
+}
+
+impl World {
+    /// Draws when sets change and which jobs are cancelled.
+    pub(super) fn set_up_sets(&mut self) {
+        if !self.sets.rng.random_bool(RUNS_WITH_SETS) {
+            return;
+        }
+        for agent in 0..self.agents.len() {
+            let mut after = Duration::from_millis(4);
+            while after < TROUBLED {
+                self.at(after, Happening::Choose(agent, false));
+                after += Duration::from_millis(self.sets.rng.random_range(300..4_000));
+            }
+            self.at(WHOLE_FROM, Happening::Choose(agent, true));
+        }
+        let jobs: Vec<(JobId, Duration)> = self
+            .clients
+            .values()
+            .filter(|client| !client.calm)
+            .map(|client| (client.request.id.clone(), client.first.since(self.now)))
+            .collect();
+        for (id, first) in jobs {
+            if self.sets.rng.random_bool(CANCELLED_PART) {
+                let after = Duration::from_millis(self.sets.rng.random_range(0..400));
+                self.at(first + after, Happening::Cancel(id));
+            }
+        }
+    }
+
+    /// An agent is to serve other entries, or all.
+    pub(super) fn choose(&mut self, agent: usize, all: bool) {
+        let entries = self.entries.len();
+        match all {
+            true => self.sets.serves[agent] = (0..entries).collect(),
+            false => self.sets.redraw(agent, entries),
+        }
+        if self.agents[agent].frozen > self.now {
+            // What it serves is looked at when it dials next.
+            return;
+        }
+        let retired: Vec<u64> = self.agents[agent]
+            .sessions
+            .iter()
+            .filter(|(_, session)| !self.sets.serves(agent, self.sessions[**session].entry))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in retired {
+            self.feed_agent(agent, runner::Event::SessionRetired(runner::SessionId(id)));
+        }
+    }
+
+    /// A client cancels its job at any entry.
+    pub(super) fn cancel(&mut self, id: &JobId) {
+        let entry = self.sets.rng.random_range(0..self.entries.len());
+        let process = &self.entries[entry];
+        if process.dispatcher.is_none() || process.frozen > self.now {
+            // It is not acknowledged, so nothing is owed.
+            return;
+        }
+        if let Some(client) = self.clients.get_mut(id) {
+            client.cancelled = true;
+        }
+        self.checks.cancelled(self.now, id);
+        self.feed_entry(entry, dispatch::Event::Cancel(id.clone()));
+    }
+
+    /// An entry tells the others that a job is cancelled.
+    pub(super) fn tell_entries(&mut self, from: usize, job: &JobId) {
+        for entry in (0..self.entries.len()).filter(|entry| *entry != from) {
+            let hop = Duration::from_micros(self.sets.rng.random_range(200..4_000));
+            let life = self.entries[entry].life;
+            self.at(hop, Happening::CancelTold(entry, life, job.clone()));
+        }
+    }
+
+    pub(super) fn cancel_told(&mut self, entry: usize, life: u64, job: JobId) {
+        let process = &self.entries[entry];
+        if process.life != life {
+            return;
+        }
+        if process.frozen > self.now {
+            return self.at_time(process.frozen, Happening::CancelTold(entry, life, job));
+        }
+        self.feed_entry(entry, dispatch::Event::CancelledElsewhere(job));
+    }
+}
--- a/soak/src/room/world.rs
+++ b/soak/src/room/world.rs
@@ -17,15 +17,16 @@
 use super::client::Client;
 use super::faults::Fault;
 use super::link::{Parcel, Session};
+use super::sets::Sets;
 use super::target::{Manner, Target};
 use crate::checks::Violation;
 use crate::world::Options;
 
 const START: Time = Time::from_millis(1_000_000);
 /// Faults and jobs come for so long,
-const TROUBLED: Duration = Duration::from_secs(8);
+pub(super) const TROUBLED: Duration = Duration::from_secs(8);
 /// and jobs alone from then
-const CALM_FROM: Duration = Duration::from_millis(13_500);
+pub(super) const CALM_FROM: Duration = Duration::from_millis(13_500);
 /// until then.
 const CALM_TO: Duration = Duration::from_millis(15_500);
 /// All has to be over by then.
@@ -51,6 +52,11 @@
     /// A report of a target that was held up on its way.
     LateReport(usize, TargetReport),
     Dial(usize, usize),
+    /// An agent is to serve other entries, or all.
+    Choose(usize, bool),
+    Cancel(JobId),
+    /// One life of an entry is told that a job is cancelled.
+    CancelTold(usize, u64, JobId),
     Submit(JobId),
     Unread(usize, u64, Ticket, JobRequest),
     Gone(usize, u64, Ticket),
@@ -110,6 +116,7 @@
     pub(super) calls: BTreeSet<u64>,
     pub(super) trace: Option<String>,
     pub(super) times: RoomTimes,
+    pub(super) sets: Sets,
 }
 
 impl World {
@@ -131,6 +138,7 @@
             calls: BTreeSet::new(),
             trace: options.trace.clone(),
             times,
+            sets: Sets::new(options.seed, entries, agents),
         };
         for _ in 0..entries {
             world.entries.push(EntryProcess {
@@ -199,6 +207,7 @@
             }
         }
         debug_assert!(CALM_TO > CALM_FROM);
+        self.set_up_sets();
     }
 
     /// Runs to the end.
@@ -310,6 +319,9 @@
             Happening::Beat(agent) => self.beat(agent),
             Happening::LateReport(agent, report) => self.report(agent, report),
             Happening::Dial(agent, entry) => self.dial(agent, entry),
+            Happening::Choose(agent, all) => self.choose(agent, all),
+            Happening::Cancel(id) => self.cancel(&id),
+            Happening::CancelTold(entry, life, job) => self.cancel_told(entry, life, job),
             Happening::Submit(id) => self.submit(&id),
             Happening::Unread(entry, life, ticket, request) => {
                 let frozen = self.entries[entry].frozen;
