Messages of sessions are counted by kind; how many entries an agent serves is a setting

Change: dockpass_session_messages_total by direction and kind at the metrics addresses; [agent] entries_served and agents_of_entry, checked and on the reference page.

--- a/components/subset/src/subset.rs
+++ b/components/subset/src/subset.rs
@@ -10,7 +10,7 @@
 use crate::steady::Steady;
 
 /// How many sessions there are.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sizes {
     /// Entries that an agent serves at least, where there are so many.
     pub entries_of_agent: usize,
--- a/components/wire/src/session.rs
+++ b/components/wire/src/session.rs
@@ -155,3 +155,27 @@
     /// A job was cancelled at another entry.
     Cancelled(JobId),
 }
+
+impl ToAgent {
+    /// What kind of message it is, as a word for counters.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat { .. } => "heartbeat",
+            Self::Start { .. } => "start",
+            Self::Stop(_) => "stop",
+            Self::Cancel(_) => "cancel",
+        }
+    }
+}
+
+impl ToEntry {
+    /// What kind of message it is, as a word for counters.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello { .. } => "hello",
+            Self::Load(_) => "load",
+            Self::Ended { .. } => "ended",
+            Self::Cancelled(_) => "cancelled",
+        }
+    }
+}
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -10,6 +10,7 @@
 use membership::Role;
 use model::NodeName;
 use settings::{SettingsError, Value, parse_ini};
+use subset::Sizes;
 use thiserror::Error;
 
 pub use keys::print_reference;
@@ -108,6 +109,8 @@
     pub slots: u32,
     /// After this a task that the target does not answer is given up.
     pub stuck: Duration,
+    /// With room: how many entries it serves.
+    pub sizes: Sizes,
 }
 
 /// The keeper's part.
@@ -252,12 +255,17 @@
 fn agent(sections: &Sections) -> Result<AgentConfig, SettingsError> {
     let slots = sections.value(AGENT, "slots")?.integer();
     let stuck = sections.value(AGENT, "stuck_ms")?.integer();
+    let sizes = Sizes {
+        entries_of_agent: sections.value(AGENT, "entries_served")?.integer() as usize,
+        agents_of_entry: sections.value(AGENT, "agents_of_entry")?.integer() as usize,
+    };
     Ok(AgentConfig {
         listen: address(sections, AGENT, "listen")?,
         target: address(sections, AGENT, "target")?,
         service: sections.required(AGENT, "service")?.text().to_owned(),
         slots: u32::try_from(slots).unwrap_or(u32::MAX),
         stuck: Duration::from_millis(stuck),
+        sizes,
     })
 }
 
--- a/daemon/src/config/keys.rs
+++ b/daemon/src/config/keys.rs
@@ -146,6 +146,18 @@
         default: "30000",
         help: "After this a task that the target does not answer is given up as may-have-run.",
     },
+    Key {
+        name: "entries_served",
+        value_type: ValueType::Integer { min: 1, max: 1_024, unit: "entries" },
+        default: "6",
+        help: "With room: entries that it has sessions with at least, where there are so many.",
+    },
+    Key {
+        name: "agents_of_entry",
+        value_type: ValueType::Integer { min: 1, max: 4_096, unit: "agents" },
+        default: "28",
+        help: "With room: agents of its service that each entry has at least, on the mean.",
+    },
 ];
 
 const KEEPER_KEYS: &[Key] = &[
--- a/daemon/src/room/agent.rs
+++ b/daemon/src/room/agent.rs
@@ -17,9 +17,10 @@
     StopReply, Timing,
 };
 use serde_json::json;
-use subset::{Sizes, Subset};
-use wire::{NodeInfo, NodeRole, ToEntry};
+use subset::Subset;
+use wire::{NodeInfo, NodeRole, ToAgent, ToEntry};
 
+use super::messages::Messages;
 use super::metrics::{self, Page};
 use super::session::{self, Outgoing};
 use super::watch::Watch;
@@ -53,6 +54,7 @@
     holds: Client,
     runner: RefCell<Runner>,
     sessions: RefCell<HashMap<SessionId, Outgoing<ToEntry>>>,
+    messages: Messages,
     subset: RefCell<Subset>,
     /// Entries that are connected to, or tried.
     entries: RefCell<BTreeMap<SocketAddr, Contact>>,
@@ -88,7 +90,8 @@
         holds: Client::new(config.target, tasks.clone()),
         runner: RefCell::new(Runner::new(node.name.clone(), Timing::default(), clock.now())),
         sessions: RefCell::default(),
-        subset: RefCell::new(Subset::new(node.name.clone(), Sizes::default())),
+        messages: Messages::default(),
+        subset: RefCell::new(Subset::new(node.name.clone(), config.sizes)),
         entries: RefCell::default(),
         next: Cell::new(0),
         stop_grace: Cell::new(node.stop_grace),
@@ -228,7 +231,10 @@
         self.feed(Event::SessionOpened(id));
         self.note_session(address, Some(id));
         let taker = self.clone();
-        let take = move |message| taker.feed(Event::FromEntry(id, message));
+        let take = move |message: ToAgent| {
+            taker.messages.received(message.kind());
+            taker.feed(Event::FromEntry(id, message));
+        };
         session::run(stream, waiting, take).await;
         self.sessions.borrow_mut().remove(&id);
         self.feed(Event::SessionClosed(id));
@@ -265,6 +271,7 @@
     fn act(self: &Rc<Self>, action: Action) {
         match action {
             Action::Send(id, message) => {
+                self.messages.sent(message.kind());
                 let sent = self.sessions.borrow().get(&id).is_some_and(|entry| entry.send(message));
                 if !sent {
                     // Its end is told once the connection is closed.
@@ -349,6 +356,7 @@
         page.value("starts_unanswered_total", "", counters.silent_starts);
         page.value("sessions_lost_total", "", counters.sessions_lost);
         page.value("target_reports_late_total", "", counters.late_reports);
+        self.messages.fill(page);
         page.value("sessions", "", self.sessions.borrow().len() as u64);
         let (waiting, running) = runner.sizes();
         page.value("tasks", "{state=\"waiting\"}", waiting as u64);
--- a/daemon/src/room/entry.rs
+++ b/daemon/src/room/entry.rs
@@ -19,6 +19,7 @@
 use super::entry_news;
 use super::entry_peers::EntryPeers;
 use super::entry_stop::StopProgress;
+use super::messages::Messages;
 use super::metrics::{self, Page};
 use super::session::{self, Outgoing};
 use super::watch::Watch;
@@ -55,6 +56,7 @@
     /// Callers find it.
     listening: Cell<bool>,
     pub stop: StopProgress,
+    messages: Messages,
     peers: Rc<EntryPeers>,
     watch: RefCell<Option<Rc<Watch>>>,
 }
@@ -82,6 +84,7 @@
         next: Cell::new(0),
         listening: Cell::new(false),
         stop: StopProgress::new(started.config.node.stop_grace),
+        messages: Messages::default(),
         peers: EntryPeers::new(peer_address, tasks.clone(), started.log.clone()),
         watch: RefCell::default(),
     });
@@ -141,10 +144,13 @@
         let entry = entry.clone();
         tasks.spawn(async move {
             let taker = entry.clone();
-            let take = move |message| match message {
-                // Agents tell this, and other entries.
-                ToEntry::Cancelled(job) => taker.feed(Event::CancelledElsewhere(job)),
-                message => taker.feed(Event::FromAgent(id, message)),
+            let take = move |message: ToEntry| {
+                taker.messages.received(message.kind());
+                taker.feed(match message {
+                    // Agents tell this, and other entries.
+                    ToEntry::Cancelled(job) => Event::CancelledElsewhere(job),
+                    message => Event::FromAgent(id, message),
+                });
             };
             session::run(stream, waiting, take).await;
             entry.agents.borrow_mut().remove(&id);
@@ -221,6 +227,7 @@
     fn act(&self, action: Action) {
         match action {
             Action::Send(id, message) => {
+                self.messages.sent(message.kind());
                 let sent = self.agents.borrow().get(&id).is_some_and(|agent| agent.send(message));
                 if !sent {
                     // Its end is told once the connection is closed.
@@ -357,6 +364,7 @@
             let label = format!("{{phase=\"{}\"}}", phase.as_str());
             page.value("connections", &label, callers.count(phase) as u64);
         }
+        self.messages.fill(page);
         page.value("ready", "", u64::from(self.is_ready()));
         let version = self.table.borrow().as_ref().map_or(0, |table| table.version);
         page.value("configuration_version", "", version);
--- a/daemon/src/room/mod.rs
+++ b/daemon/src/room/mod.rs
@@ -12,6 +12,7 @@
 mod entry_peers;
 mod entry_stop;
 mod keeper;
+mod messages;
 mod metrics;
 mod session;
 mod target_http;
--- a/daemon/tests/room_support/mod.rs
+++ b/daemon/tests/room_support/mod.rs
@@ -74,6 +74,8 @@
     links: Vec<Proxy>,
     /// Where logs stay, also those of a run that passed.
     logs: Option<PathBuf>,
+    /// What agents' files say besides.
+    agent_settings: &'static str,
 }
 
 impl Fleet {
@@ -87,6 +89,14 @@
         Self::with(entries, agents, false, temporary_folder())
     }
 
+    /// The same, with more settings of its agents.
+    pub fn with_agent_settings(entries: usize, agents: usize, settings: &'static str) -> Self {
+        let mut fleet = Self::of(entries, agents);
+        fleet.agent_settings = settings;
+        fleet.write_files();
+        fleet
+    }
+
     /// The same, with a keeper whose folder is in memory where the host has such, unless a variable
     /// names another: a host's disk may stand still for longer than a process has for its end.
     pub fn without_disk(entries: usize, agents: usize) -> Self {
@@ -108,7 +118,16 @@
         let network = format!("127.{}.{}", 1 + pid % 250, 1 + (pid / 250 + number * 31) % 250);
         let folder = temporary_folder();
         let logs = std::env::var_os(LOGS_VARIABLE).map(PathBuf::from);
-        let mut fleet = Self { folder, data, network, agents, entries, links: Vec::new(), logs };
+        let mut fleet = Self {
+            folder,
+            data,
+            network,
+            agents,
+            entries,
+            links: Vec::new(),
+            logs,
+            agent_settings: "",
+        };
         if links {
             fleet.start_links();
         }
@@ -242,10 +261,11 @@
         self.write("keeper", &keeper);
         for number in 0..self.agents {
             let agent = format!(
-                "{}[agent]\nlisten = {}\ntarget = {}\nservice = work\n",
+                "{}[agent]\nlisten = {}\ntarget = {}\nservice = work\n{}",
                 common(&format!("a{number}"), "agent"),
                 self.agent(number),
-                self.orders(number)
+                self.orders(number),
+                self.agent_settings
             );
             self.write(&format!("agent{number}"), &agent);
         }
@@ -310,7 +330,12 @@
 
     /// Where the entry tells its figures.
     pub fn metrics(&self) -> SocketAddr {
-        self.address(2, 7_900)
+        self.metrics_of(0)
+    }
+
+    /// Where an entry tells its figures.
+    pub fn metrics_of(&self, entry: usize) -> SocketAddr {
+        self.address(entry_host(entry), 7_900)
     }
 
     /// Sends a configuration until it is acknowledged.
