Scarce room is told to one entry at a time

Cause: at full targets every entry that waits for room sends a task as soon as it is told of what has become free; one runs, the others wait for nothing and are tried elsewhere, late.

Change: while a target has room for fewer than 1.5 usual tasks, the entries that sent starts within a second are told of it in turns of 8 ms; an idle entry is told the truth. That there is still no room is not told again.

--- a/components/runner/src/lib.rs
+++ b/components/runner/src/lib.rs
@@ -17,6 +17,7 @@
 mod runner;
 mod sessions;
 mod target;
+mod turns;
 
 pub use event::{
     Action, EndReason, Event, HoldOrder, HoldReply, News, RunKey, SessionId, StartOrder,
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -12,6 +12,7 @@
 use crate::run::{Run, RunState, Stopping};
 use crate::sessions::Session;
 use crate::target::Target;
+use crate::turns::Turns;
 
 /// The times of an agent.
 #[derive(Clone, Copy, Debug)]
@@ -126,6 +127,7 @@
     pub(crate) lost: BTreeMap<TaskId, (u64, Time)>,
     /// Jobs that were cancelled, and when that is forgotten.
     pub(crate) cancelled: BTreeMap<JobId, Time>,
+    pub(crate) turns: Turns,
     pub(crate) draining: bool,
     /// When this life of the agent began.
     pub(crate) began: Time,
@@ -153,6 +155,7 @@
             document: None,
             lost: BTreeMap::new(),
             cancelled: BTreeMap::new(),
+            turns: Turns::default(),
             draining: false,
             began: now,
             last_event: now,
@@ -195,6 +198,9 @@
         let busy = self.runs.values().any(waits)
             || self.sessions.values().any(Session::is_dirty)
             || !self.newcomers.is_empty();
+        if self.takes_turns(now) {
+            return Turns::end(now);
+        }
         now + if busy { TICK } else { IDLE_TICK }
     }
 
--- a/components/runner/src/sessions.rs
+++ b/components/runner/src/sessions.rs
@@ -9,6 +9,7 @@
 use crate::rate::StartRate;
 use crate::run::{Run, RunState};
 use crate::runner::Runner;
+use crate::turns::Turns;
 
 /// How long a cancelled job is remembered.
 const CANCELLED_KEPT: Duration = Duration::from_secs(20);
@@ -22,8 +23,10 @@
     /// The entry has not been told the last change of the load.
     dirty: bool,
     told: Time,
-    /// Whether it was told that the target takes work.
-    told_open: bool,
+    /// The load that it was told last.
+    told_load: Load,
+    /// When the entry sent a start last.
+    last_start: Option<Time>,
     /// Ends to be told.
     reports: Vec<TaskReport>,
     /// How fast the entry takes room.
@@ -37,6 +40,26 @@
     pub fn is_dirty(&self) -> bool {
         self.dirty || !self.reports.is_empty()
     }
+
+    /// The load as the entry is told it; `its_turn` says whether scarce room is told to it, if room is scarce.
+    fn view(&self, now: Time, load: &Load, per_ms: f64, its_turn: Option<bool>) -> Load {
+        let open = load.open && self.retired.is_none();
+        let mut view = Load { seen: self.seen, open, ..*load };
+        match its_turn {
+            // Others are not told of it, and take none.
+            Some(true) => view.taken_per_ms = 0,
+            Some(false) if Turns::is_active(now, self.last_start) => view.free.cpu_milli = 0,
+            _ => view.taken_per_ms = (per_ms - self.rate.per_ms(now)).max(0.0) as u32,
+        }
+        view
+    }
+
+    /// Whether a load tells the entry more than the last one did. That there is still no room does not.
+    fn has_news(&self, load: &Load) -> bool {
+        let told = &self.told_load;
+        let still_full = told.free.cpu_milli == 0 && load.free.cpu_milli == 0;
+        self.dirty && !(still_full && told.open == load.open && told.seen == load.seen)
+    }
 }
 
 impl Runner {
@@ -46,7 +69,8 @@
             seen: 0,
             dirty: true,
             told: Time::default(),
-            told_open: false,
+            told_load: Load::default(),
+            last_start: None,
             reports: vec![],
             rate: StartRate::default(),
             retired: None,
@@ -141,7 +165,9 @@
         }
         if let Some(session) = self.sessions.get_mut(&id) {
             session.rate.add(now, start.resources.cpu_milli);
+            session.last_start = Some(now);
         }
+        self.turns.asked(start.resources.cpu_milli);
         let run = Run {
             session: Some(id),
             sequence: start.sequence,
@@ -249,37 +275,68 @@
 
     /// Tells each entry of ends at once, and of the load now and then.
     pub(crate) fn report_loads(&mut self, now: Time, out: &mut Vec<Action>) {
+        let load = self.load(now);
+        let turn = self.turn(now, &load);
         let interval = self.timing.load_interval;
         let may_tell =
             |session: &Session| session.is_dirty() || now.since(session.told) >= interval;
         if !self.sessions.values().any(may_tell) {
             return;
         }
-        let load = self.load(now);
         let per_ms: f64 = self.sessions.values().map(|session| session.rate.per_ms(now)).sum();
         let gap = self.load_gap(&load, per_ms);
         for (id, session) in &mut self.sessions {
             if !may_tell(session) {
                 continue;
             }
-            let taken_per_ms = (per_ms - session.rate.per_ms(now)).max(0.0) as u32;
-            let open = load.open && session.retired.is_none();
-            let load = Load { seen: session.seen, taken_per_ms, open, ..load };
+            let its_turn = turn.map(|turn| turn == *id);
+            let load = session.view(now, &load, per_ms, its_turn);
             let age = now.since(session.told);
-            // That the target takes work again is never held back.
-            let gap = if session.told_open == load.open { gap } else { self.timing.load_gap };
+            let gap = match its_turn {
+                // A turn is too short to wait.
+                Some(true) => Duration::ZERO,
+                // That the target takes work again is never held back.
+                _ if session.told_load.open != load.open => self.timing.load_gap,
+                _ => gap,
+            };
             if !session.reports.is_empty() {
                 let reports = std::mem::take(&mut session.reports);
                 out.push(Action::Send(*id, ToEntry::Ended { reports, load }));
-            } else if age >= interval || (session.dirty && age >= gap) {
+            } else if age >= interval || (session.has_news(&load) && age >= gap) {
                 out.push(Action::Send(*id, ToEntry::Load(load)));
             } else {
                 continue;
             }
             session.dirty = false;
             session.told = now;
-            session.told_open = load.open;
+            session.told_load = load;
+        }
+    }
+
+    /// Whose turn it is to be told of scarce room; none while room is not scarce.
+    fn turn(&mut self, now: Time, load: &Load) -> Option<SessionId> {
+        if !load.open || !self.turns.is_scarce(load.free.cpu_milli) {
+            return None;
+        }
+        let active = self.active_sessions(now);
+        let holder = self.turns.holder(now, &active)?;
+        if let Some(session) = self.sessions.get_mut(&holder)
+            && session.told_load.free.cpu_milli != load.free.cpu_milli
+        {
+            session.dirty = true;
         }
+        Some(holder)
+    }
+
+    /// Whether entries are told of room in turns.
+    pub(crate) fn takes_turns(&self, now: Time) -> bool {
+        self.turns.is_scarce(self.load(now).free.cpu_milli) && self.active_sessions(now).len() > 1
+    }
+
+    fn active_sessions(&self, now: Time) -> Vec<SessionId> {
+        let is_active = |session: &Session| Turns::is_active(now, session.last_start);
+        let active = self.sessions.iter().filter(|(_, session)| is_active(session));
+        active.map(|(id, _)| *id).collect()
     }
 
     /// From one report of a load like this to the next, at least: what is free changes the more in
--- a/components/runner/tests/runner.rs
+++ b/components/runner/tests/runner.rs
@@ -305,3 +305,43 @@
     assert_eq!(agent.closed, [SESSION]);
     assert_eq!(agent.runner.counters().sessions_lost, 0);
 }
+
+/// At a full target each of the entries that wait for room sends a task as soon as it is told of what has
+/// become free: one runs, the others wait for nothing. What has become free is told to one of them, and to the other
+/// once its turn has come; one that has sent nothing lately is told the truth.
+#[test]
+fn scarce_room_is_told_to_one_entry_at_a_time() {
+    let mut agent = Agent::new();
+    let (second, idle) = (SessionId(2), SessionId(3));
+    agent.handle(Event::SessionOpened(second));
+    agent.handle(Event::SessionOpened(idle));
+    // All five tasks that the target has room for, of two entries.
+    agent.ask("a", 3, 0);
+    let (heard, job) = (agent.now, JobId::new("b"));
+    let tasks = (0..2).map(|index| agent.task(index, 0)).collect();
+    let start = ToAgent::Start { heard, job, spec: "spec".into(), tasks };
+    agent.handle(Event::FromEntry(second, start));
+    let starts = agent.take_starts();
+    agent.run_for(100);
+    // What each entry is told after an end, with the time since.
+    let mut told = Vec::new();
+    agent.hold(&[], &[(1, &starts[0].key, EndReason::Done)]);
+    for tick in 0..30 {
+        let mut actions = Vec::new();
+        for session in [SESSION, second, idle] {
+            let event = Event::FromEntry(session, ToAgent::Heartbeat { heard: agent.now });
+            agent.runner.handle(agent.now, event, &mut actions);
+        }
+        let loads = actions.iter().filter_map(|action| match action {
+            Action::Send(id, ToEntry::Load(load)) => Some((tick * 4, id.0, load.free.cpu_milli)),
+            _ => None,
+        });
+        told.extend(loads);
+        agent.now = agent.now + Duration::from_millis(4);
+    }
+    let first_told = |entry: u64| {
+        told.iter().find(|(_, id, free)| *id == entry && *free == 1_600).map(|(at, ..)| *at)
+    };
+    assert_eq!(first_told(2), Some(8), "its turn comes after 8 ms: {told:?}");
+    assert!(first_told(3).is_some(), "it may come to need it: {told:?}");
+}
