--- a/daemon/tests/room_support/mod.rs
+++ b/daemon/tests/room_support/mod.rs
@@ -40,6 +40,8 @@
 const MEMORY_FOLDER: &str = "/dev/shm";
 /// Names a folder that keeps the logs of all processes, also those of runs that pass.
 const LOGS_VARIABLE: &str = "DOCKPASS_SOAK_LOGS";
+/// Names how many entries each agent serves at least; without it, each serves each in a fleet of a test.
+const SETS_VARIABLE: &str = "DOCKPASS_SETS";
 
 /// The host of an entry; its proxies, if any, are the two after it.
 fn entry_host(number: usize) -> usize {
@@ -62,6 +64,14 @@
     pub body: String,
 }
 
+/// What agents' files say of sets: nothing, unless a variable asks for sets.
+fn set_settings() -> String {
+    let served = std::env::var(SETS_VARIABLE).ok();
+    served.map_or_else(String::new, |served| {
+        format!("entries_served = {served}\nagents_of_entry = 1\n")
+    })
+}
+
 /// A keeper, an entry, agents and their targets.
 pub struct Fleet {
     folder: TempDir,
@@ -75,7 +85,7 @@
     /// Where logs stay, also those of a run that passed.
     logs: Option<PathBuf>,
     /// What agents' files say besides.
-    agent_settings: &'static str,
+    agent_settings: String,
 }
 
 impl Fleet {
@@ -90,9 +100,9 @@
     }
 
     /// The same, with more settings of its agents.
-    pub fn with_agent_settings(entries: usize, agents: usize, settings: &'static str) -> Self {
+    pub fn with_agent_settings(entries: usize, agents: usize, settings: &str) -> Self {
         let mut fleet = Self::of(entries, agents);
-        fleet.agent_settings = settings;
+        fleet.agent_settings = settings.to_owned();
         fleet.write_files();
         fleet
     }
@@ -126,7 +136,7 @@
             entries,
             links: Vec::new(),
             logs,
-            agent_settings: "",
+            agent_settings: set_settings(),
         };
         if links {
             fleet.start_links();
