Placing in steps: a pass over the queue, a choice, a start

Cause: the loop of place() had grown to 75 lines with four ways to go on, with the room kept for urgent jobs the fifth.

Change: no behaviour: one function a step, what a pass keeps in one struct.

--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -47,73 +47,121 @@
     }
 }
 
+/// One pass over the queue.
+struct Pass {
+    now: Time,
+    /// Where room is looked for.
+    changed: ChangedRoom,
+    /// The most processor that one of these agents has free, in thousandths of a core.
+    largest: u64,
+    /// The slowdown that half of the agents do not exceed.
+    usual: f64,
+    rooms: Rooms,
+    /// Tasks so far that found no agent.
+    misses: usize,
+    placed: Vec<QueueEntry>,
+    /// Jobs of which a task was placed for the first time.
+    begun: Vec<JobId>,
+}
+
+impl Pass {
+    fn new(now: Time, changed: ChangedRoom, largest: u64, usual: f64) -> Self {
+        let (placed, begun) = (Vec::new(), Vec::new());
+        Self { now, changed, largest, usual, rooms: Rooms::default(), misses: 0, placed, begun }
+    }
+}
+
+/// What a look for an agent has found.
+enum Choice {
+    At(SessionId),
+    Nowhere,
+    /// The job of the task is gone.
+    NoJob,
+}
+
 impl Dispatcher {
     /// Places the tasks that find room, the most urgent first.
     pub(crate) fn place(&mut self, now: Time, changed: ChangedRoom, out: &mut Vec<Action>) {
         if self.queue.is_empty() {
             return;
         }
-        let mut largest = largest_free(changed.of(&self.agents), now, &self.timing);
+        let largest = largest_free(changed.of(&self.agents), now, &self.timing);
         let too_large = |entry: &QueueEntry| entry.cpu_milli > largest;
         if self.queue.iter().take(PASS_OVER).all(too_large) {
             return;
         }
-        let usual = self.usual_slowdown();
-        let mut rooms = Rooms::default();
-        let mut misses = 0;
-        let mut placed = Vec::new();
-        let mut begun = Vec::new();
-        for entry in self.queue.iter().take(PASS_OVER) {
-            if entry.cpu_milli > largest {
-                continue;
-            }
-            let Some(job) = self.jobs.get_mut(&entry.job) else { continue };
-            if self.policy.urgent_reserve && entry.fresh && job.starts == 0 {
-                let room = rooms.of(&job.request.service, &self.agents, now, &self.timing);
-                if !self.reserve.leaves_enough(now, &job.request, room) {
-                    misses += 1;
-                    if misses >= LOOK_AHEAD {
-                        break;
-                    }
-                    continue;
-                }
-            }
-            let look = Look { agents: changed.of(&self.agents), now, timing: &self.timing, usual };
-            let chosen = look.choose(job, entry.index, self.agents.len());
-            let Some(id) = chosen else {
-                misses += 1;
-                if misses >= LOOK_AHEAD {
-                    break;
-                }
+        // Apart while tasks of it are placed; nothing else is queued meanwhile.
+        let queue = std::mem::take(&mut self.queue);
+        let mut pass = Pass::new(now, changed, largest, self.usual_slowdown());
+        for entry in queue.iter().take(PASS_OVER) {
+            if entry.cpu_milli > pass.largest {
                 continue;
-            };
-            let Some(agent) = self.agents.get_mut(&id) else { continue };
-            if entry.fresh && job.starts == 0 {
-                begun.push(entry.job.clone());
-            }
-            let free = agent.free(now);
-            let start = start(job, entry.index, agent, id, now, &self.timing);
-            if let Some(name) = agent.name() {
-                out.push(Action::News(News::Placed {
-                    task: TaskId { job: entry.job.clone(), index: entry.index },
-                    run: start.run,
-                    agent: name.clone(),
-                    free,
-                    age_ms: now.since(agent.heard).as_millis() as u64,
-                }));
             }
-            if free.cpu_milli >= largest {
-                largest = largest_free(changed.of(&self.agents), now, &self.timing);
+            match self.choose(entry, &mut pass) {
+                Choice::At(id) => self.start_at(id, entry, &mut pass, out),
+                Choice::Nowhere if pass.misses + 1 >= LOOK_AHEAD => break,
+                Choice::Nowhere => pass.misses += 1,
+                Choice::NoJob => {}
             }
-            self.counters.starts += 1;
-            rooms.taken(&job.request.service, job.request.shape.resources.cpu_milli);
-            self.outbox.entry((id, entry.job.clone())).or_default().push(start);
-            placed.push(entry.clone());
         }
-        placed.iter().for_each(|entry| {
+        self.queue = queue;
+        for entry in &pass.placed {
             self.queue.remove(entry);
-        });
-        begun.iter().for_each(|job| self.move_forward(job));
+        }
+        pass.begun.iter().for_each(|job| self.move_forward(job));
+    }
+
+    /// Looks for the agent that is best for a task.
+    fn choose(&self, entry: &QueueEntry, pass: &mut Pass) -> Choice {
+        let Some(job) = self.jobs.get(&entry.job) else { return Choice::NoJob };
+        if entry.fresh && job.starts == 0 && !self.may_begin(job, pass) {
+            return Choice::Nowhere;
+        }
+        let agents = pass.changed.of(&self.agents);
+        let look = Look { agents, now: pass.now, timing: &self.timing, usual: pass.usual };
+        look.choose(job, entry.index, self.agents.len()).map_or(Choice::Nowhere, Choice::At)
+    }
+
+    /// Whether a job may begin beside what is kept for more urgent ones.
+    fn may_begin(&self, job: &Job, pass: &mut Pass) -> bool {
+        if !self.policy.urgent_reserve {
+            return true;
+        }
+        let room = pass.rooms.of(&job.request.service, &self.agents, pass.now, &self.timing);
+        self.reserve.leaves_enough(pass.now, &job.request, room)
+    }
+
+    /// Starts a task at an agent that has room for it.
+    fn start_at(
+        &mut self,
+        id: SessionId,
+        entry: &QueueEntry,
+        pass: &mut Pass,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&entry.job) else { return };
+        let Some(agent) = self.agents.get_mut(&id) else { return };
+        if entry.fresh && job.starts == 0 {
+            pass.begun.push(entry.job.clone());
+        }
+        let free = agent.free(pass.now);
+        let start = start(job, entry.index, agent, id, pass.now, &self.timing);
+        if let Some(name) = agent.name() {
+            out.push(Action::News(News::Placed {
+                task: TaskId { job: entry.job.clone(), index: entry.index },
+                run: start.run,
+                agent: name.clone(),
+                free,
+                age_ms: pass.now.since(agent.heard).as_millis() as u64,
+            }));
+        }
+        pass.rooms.taken(&job.request.service, job.request.shape.resources.cpu_milli);
+        if free.cpu_milli >= pass.largest {
+            pass.largest = largest_free(pass.changed.of(&self.agents), pass.now, &self.timing);
+        }
+        self.counters.starts += 1;
+        self.outbox.entry((id, entry.job.clone())).or_default().push(start);
+        pass.placed.push(entry.clone());
     }
 
     /// A job has begun: what is left of it goes before jobs that have not.
