--- a/components/runner/src/lib.rs
+++ b/components/runner/src/lib.rs
@@ -11,6 +11,7 @@
 mod health;
 mod hold;
 mod lives;
+mod loads;
 mod orders;
 mod rate;
 mod run;
--- a/daemon/src/room/mod.rs
+++ b/daemon/src/room/mod.rs
@@ -5,6 +5,7 @@
 //! stands in `docs/design/platform.md`.
 
 mod agent;
+mod agent_entries;
 mod agent_news;
 mod entry;
 mod entry_http;
