Keepers send a new document to each node once, and lists as what has changed

Cause: every node watches every keeper, and each of them sent each new document to each node: with five keepers and 291 nodes 1,455 times 10 kB a change. Each change of the entries sent all 51 rows to each node besides. Both grow with the square of the fleet or with keepers times nodes.

A node that has a list is told what has changed since (ListNews).

--- a/components/keeper/src/keeper.rs
+++ b/components/keeper/src/keeper.rs
@@ -337,10 +337,12 @@
     /// version that it is told.
     fn answer_watchers(&self, ended: Vec<crate::registry::Watcher>, out: &mut Vec<Action>) {
         for watcher in ended {
-            let newer = self.state.document_version() > watcher.document;
+            let version = self.state.document_version();
+            let is_sent = watcher.sends_document && version > watcher.document;
             let reply = WatchReply {
-                document: self.state.document().filter(|_| newer).cloned(),
-                nodes: self.registry.list_unless(watcher.revision),
+                version,
+                document: self.state.document().filter(|_| is_sent).cloned(),
+                nodes: self.registry.list_news(watcher.revision),
                 peers: self.registry.peers(&watcher),
                 keepers: self.replica.voters().to_vec(),
             };
--- a/components/keeper/src/lib.rs
+++ b/components/keeper/src/lib.rs
@@ -7,11 +7,13 @@
 //! actions that follow.
 
 mod event;
+mod fetch;
 mod full_disk;
 mod keeper;
 mod registry;
 mod state;
 
 pub use event::{Action, Event, News, Reply, Ticket, TreeReply};
+pub use fetch::{Ask, DocumentFetch};
 pub use keeper::{Keeper, KeeperError, initial_records};
 pub use state::{Command, LogCommand, State, Version};
--- a/components/keeper/src/registry.rs
+++ b/components/keeper/src/registry.rs
@@ -5,14 +5,15 @@
 //!
 //! Only entries are told of, and only when they change: with 240 agents, 51 entries and 5 keepers that
 //! start together, lists of all nodes are 291 rows for 291 nodes at each change, and most changes are of
-//! agents, which nobody looks for.
+//! agents, which nobody looks for. A node that has an earlier list is told what has changed since: of 300 hosts a keeper
+//! would else send most of what it sends, and the more the larger the fleet, as rows and nodes both grow.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use model::{NodeName, Time};
-use wire::{NodeInfo, NodeList, NodeRole, WatchRequest};
+use wire::{ListChange, ListNews, NodeInfo, NodeList, NodeRole, WatchRequest};
 
 use crate::Ticket;
 
@@ -23,6 +24,9 @@
 /// A changed list is told this long after the first change, so that nodes which start together
 /// are told of together.
 const GATHER: Duration = Duration::from_millis(50);
+/// Changes of the list that are remembered: all entries of the largest fleet so far, five times over. A node that
+/// has missed more is told the whole list.
+const CHANGES_KEPT: usize = 256;
 /// Bits of a revision that count up; the others tell the keeper's lives apart.
 const REVISION_BITS: u32 = 24;
 
@@ -37,6 +41,8 @@
     pub group: Group,
     /// The document that it has.
     pub document: u64,
+    /// Whether a newer one is to be sent to it.
+    pub sends_document: bool,
     /// The list that it has.
     pub revision: u64,
     until: Time,
@@ -49,6 +55,8 @@
     /// How many nodes each group has.
     sizes: BTreeMap<Group, u32>,
     revision: u64,
+    /// The entries that the last revisions changed, the newest last.
+    changes: VecDeque<NodeName>,
     /// The document in force.
     document: u64,
     watchers: Vec<Watcher>,
@@ -63,6 +71,7 @@
             nodes: BTreeMap::new(),
             sizes: BTreeMap::new(),
             revision,
+            changes: VecDeque::new(),
             document: 0,
             watchers: Vec::new(),
             tell_at: None,
@@ -75,17 +84,18 @@
 
     /// Registers a node; returns it as one to answer where there is news already.
     pub fn watch(&mut self, now: Time, ticket: Ticket, request: WatchRequest) -> Vec<Watcher> {
-        let WatchRequest { node, document, revision } = request;
+        let WatchRequest { node, document, sends_document, revision } = request;
         let group = group_of(&node);
         let known = self.nodes.insert(node.name.clone(), (node.clone(), now)).map(|(node, _)| node);
         if known.as_ref() != Some(&node) {
             *self.sizes.entry(group.clone()).or_default() += 1;
             let was_entry = known.is_some_and(|before| self.leave_group(&before));
             if was_entry || node.role == NodeRole::Entry {
-                self.changed(now);
+                self.changed(now, node.name.clone());
             }
         }
-        let watcher = Watcher { ticket, group, document, revision, until: now + WATCH_TIME };
+        let until = now + WATCH_TIME;
+        let watcher = Watcher { ticket, group, document, sends_document, revision, until };
         let settled = self.tell_at.is_none() && revision != self.revision;
         if document < self.document || settled {
             return vec![watcher];
@@ -111,7 +121,7 @@
         for node in over {
             self.nodes.remove(&node.name);
             if self.leave_group(&node) {
-                self.changed(now);
+                self.changed(now, node.name);
             }
         }
         if self.tell_at.is_some_and(|at| at <= now) {
@@ -127,14 +137,33 @@
         self.watchers.iter().map(|watcher| watcher.until).chain(self.tell_at).min()
     }
 
-    /// The list, unless a node has it already.
-    pub fn list_unless(&self, revision: u64) -> Option<NodeList> {
+    /// What a node is told that has a list of this keeper, or none.
+    pub fn list_news(&self, revision: u64) -> Option<ListNews> {
         if revision == self.revision {
             return None;
         }
+        // A revision of an earlier life of this keeper is far away from the present ones.
+        let missed = self.revision.checked_sub(revision).and_then(|by| usize::try_from(by).ok());
+        let known = missed.filter(|missed| *missed <= self.changes.len());
+        Some(known.map_or_else(|| ListNews::Whole(self.list()), |missed| self.last_changes(missed)))
+    }
+
+    fn list(&self) -> NodeList {
         let nodes = self.nodes.values().map(|(node, _)| node);
         let entries = nodes.filter(|node| node.role == NodeRole::Entry).cloned().collect();
-        Some(NodeList { revision: self.revision, nodes: entries })
+        NodeList { revision: self.revision, nodes: entries }
+    }
+
+    fn last_changes(&self, count: usize) -> ListNews {
+        let changed: BTreeSet<&NodeName> = self.changes.iter().rev().take(count).collect();
+        let mut change = ListChange { revision: self.revision, put: vec![], gone: vec![] };
+        for name in changed {
+            match self.nodes.get(name).filter(|(node, _)| node.role == NodeRole::Entry) {
+                Some((node, _)) => change.put.push(node.clone()),
+                None => change.gone.push(name.clone()),
+            }
+        }
+        ListNews::Change(change)
     }
 
     /// How many nodes do the same as one that waits.
@@ -150,8 +179,12 @@
         node.role == NodeRole::Entry
     }
 
-    fn changed(&mut self, now: Time) {
+    fn changed(&mut self, now: Time, entry: NodeName) {
         self.revision += 1;
+        self.changes.push_back(entry);
+        if self.changes.len() > CHANGES_KEPT {
+            self.changes.pop_front();
+        }
         self.tell_at.get_or_insert(now + GATHER);
     }
 
--- a/components/keeper/tests/document.rs
+++ b/components/keeper/tests/document.rs
@@ -7,7 +7,9 @@
 use keeper::{Action, Event, Keeper, Reply, Ticket, initial_records};
 use model::{Incarnation, NodeName, Time};
 use settings::Tree;
-use wire::{Document, NodeInfo, NodeRole, WatchReply, WatchRequest};
+use wire::{
+    Document, ListChange, ListNews, NodeInfo, NodeList, NodeRole, WatchReply, WatchRequest,
+};
 
 const START: Time = Time::from_millis(1_000_000);
 
@@ -82,7 +84,10 @@
 
     fn watch(&mut self, node: NodeInfo, document: u64, revision: u64) -> Ticket {
         let ticket = self.ticket();
-        let replies = self.handle(Event::Watch(ticket, WatchRequest { node, document, revision }));
+        let replies = self.handle(Event::Watch(
+            ticket,
+            WatchRequest { node, document, sends_document: true, revision },
+        ));
         assert!(replies.is_empty(), "{replies:?}");
         ticket
     }
@@ -90,7 +95,7 @@
     /// A node asks, and is answered at once or within a time.
     fn ask(&mut self, node: NodeInfo, revision: u64, within: Duration) -> Option<WatchReply> {
         let ticket = self.ticket();
-        let request = WatchRequest { node, document: 0, revision };
+        let request = WatchRequest { node, document: 0, sends_document: true, revision };
         let mut replies = self.handle(Event::Watch(ticket, request));
         if replies.is_empty() {
             replies = self.run_for(within);
@@ -101,7 +106,7 @@
     /// A node registers; whatever it is told.
     fn register(&mut self, node: NodeInfo, revision: u64) {
         let ticket = self.ticket();
-        let request = WatchRequest { node, document: 0, revision };
+        let request = WatchRequest { node, document: 0, sends_document: true, revision };
         self.handle(Event::Watch(ticket, request));
     }
 }
@@ -127,6 +132,22 @@
     })
 }
 
+/// The list that a node is told whole, as it had none.
+fn whole(news: Option<ListNews>) -> NodeList {
+    match news {
+        Some(ListNews::Whole(list)) => list,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// What a node that has a list is told.
+fn change(news: Option<ListNews>) -> ListChange {
+    match news {
+        Some(ListNews::Change(change)) => change,
+        other => panic!("{other:?}"),
+    }
+}
+
 #[test]
 fn the_highest_version_holds_and_every_valid_one_is_acknowledged() {
     let mut one = One::new();
@@ -168,7 +189,7 @@
     let mut one = One::new();
     let first = one.watch(node(1), 0, 0);
     let list = watch_reply(one.run_for(Duration::from_millis(100)), first).expect("a list");
-    let revision = list.nodes.expect("the first list").revision;
+    let revision = whole(list.nodes).revision;
     let waits = one.watch(node(1), 0, revision);
     let ticket = one.ticket();
     let event = Event::Replace(ticket, Document { version: 7, body: Arc::from("seven") });
@@ -182,12 +203,14 @@
     let mut one = One::new();
     let first = one.watch(node(1), 0, 0);
     let list = watch_reply(one.run_for(Duration::from_millis(100)), first).expect("a list");
-    let list = list.nodes.expect("the first list");
+    let mut list = whole(list.nodes);
     assert_eq!(list.nodes, [node(1)]);
     let waits = one.watch(node(1), 0, list.revision);
     one.watch(node(2), 0, 0);
     let told = watch_reply(one.run_for(Duration::from_millis(100)), waits).expect("a list");
-    let list = told.nodes.expect("another list");
+    let changed = change(told.nodes);
+    assert_eq!((&changed.put[..], &changed.gone[..]), (&[node(2)][..], &[][..]));
+    list.apply(changed);
     assert_eq!(list.nodes, [node(1), node(2)]);
     let waits = one.watch(node(1), 0, list.revision);
     let told = watch_reply(one.run_for(Duration::from_millis(1_100)), waits).expect("an answer");
@@ -198,17 +221,17 @@
 fn a_node_that_asks_no_more_is_no_longer_listed() {
     let mut one = One::new();
     one.watch(node(2), 0, 0);
-    let mut revision = 0;
-    let mut listed = Vec::new();
+    let mut list = NodeList { revision: 0, nodes: Vec::new() };
     for _ in 0..8 {
-        let ticket = one.watch(node(1), 0, revision);
+        let ticket = one.watch(node(1), 0, list.revision);
         let reply = watch_reply(one.run_for(Duration::from_millis(1_100)), ticket);
-        if let Some(list) = reply.and_then(|reply| reply.nodes) {
-            revision = list.revision;
-            listed = list.nodes;
+        match reply.and_then(|reply| reply.nodes) {
+            Some(ListNews::Whole(told)) => list = told,
+            Some(ListNews::Change(change)) => list.apply(change),
+            None => {}
         }
     }
-    assert_eq!(listed, [node(1)]);
+    assert_eq!(list.nodes, [node(1)]);
 }
 
 #[test]
@@ -221,7 +244,7 @@
     }
     let mut again = One::from_records(one.records.clone());
     let ticket = again.ticket();
-    let request = WatchRequest { node: node(1), document: 0, revision: 0 };
+    let request = WatchRequest { node: node(1), document: 0, sends_document: true, revision: 0 };
     let replies = again.handle(Event::Watch(ticket, request));
     let told = watch_reply(replies, ticket).expect("told at once");
     assert!(told.document.is_some_and(|document| document.version >= 1_000));
@@ -234,7 +257,7 @@
     assert_eq!(one.replace(9, "nine"), Some(Reply::Replaced));
     let mut again = One::from_records(one.records.clone());
     let ticket = again.ticket();
-    let request = WatchRequest { node: node(1), document: 0, revision: 0 };
+    let request = WatchRequest { node: node(1), document: 0, sends_document: true, revision: 0 };
     let replies = again.handle(Event::Watch(ticket, request));
     let reply = watch_reply(replies, ticket).expect("it is answered at once");
     // The last commit may not be on the disk yet, the one before it is.
@@ -261,12 +284,12 @@
     let lists = |one: &mut One| {
         let ticket = one.watch(node(1), 0, 0);
         let reply = watch_reply(one.run_for(Duration::from_millis(100)), ticket);
-        reply.and_then(|reply| reply.nodes).expect("a list").nodes
+        whole(reply.and_then(|reply| reply.nodes)).nodes
     };
     assert_eq!(lists(&mut one), [node(1), earlier]);
     let asks = one.watch(present.clone(), 0, 0);
     let told = watch_reply(one.run_for(Duration::from_millis(100)), asks).expect("an answer");
-    assert_eq!(told.nodes.expect("a list").nodes, [node(1), present]);
+    assert_eq!(whole(told.nodes).nodes, [node(1), present]);
 }
 
 /// With 240 agents beside 51 entries, lists of all nodes are most of what keepers send while nodes start.
@@ -283,7 +306,7 @@
     one.run_for(Duration::from_millis(100));
     let told = one.ask(agent(2, "booking"), 0, Duration::ZERO).expect("a list");
     assert_eq!(told.peers, 3);
-    let list = told.nodes.expect("a list");
+    let list = whole(told.nodes);
     assert_eq!(list.nodes, [node(1)]);
 
     let asks = one.watch(agent(3, "booking"), 0, list.revision);
@@ -316,3 +339,66 @@
     let told = one.ask(agent(2, "booking"), 0, Duration::ZERO).expect("a list");
     assert_eq!(told.peers, 1);
 }
+
+/// At 300 hosts keepers sent 1 MB a second each while entries came and went, nearly all of it lists: each change sent
+/// 51 rows to each of 291 nodes. A node is told the rows that have changed, and what it makes of them is the list.
+#[test]
+fn a_node_is_told_what_has_changed_since_the_list_that_it_has() {
+    let mut one = One::new();
+    (1..52).for_each(|number| one.register(node(number), 0));
+    one.run_for(Duration::from_millis(100));
+    let told = one.ask(agent(100, "booking"), 0, Duration::ZERO).expect("a list");
+    let mut list = whole(told.nodes);
+    assert_eq!(list.nodes.len(), 51);
+
+    let restarted = NodeInfo { incarnation: Incarnation(2), ..node(7) };
+    one.register(restarted.clone(), 0);
+    one.register(agent(8, "booking"), 0);
+    one.register(node(60), 0);
+    let asked = one.ask(agent(100, "booking"), list.revision, Duration::from_millis(100));
+    let changed = change(asked.expect("a change").nodes);
+    assert_eq!(changed.put, [node(60), restarted], "by name");
+    assert_eq!(changed.gone, [node(8).name], "it is an agent now");
+    list.apply(changed);
+    let told = one.ask(agent(101, "booking"), 0, Duration::from_millis(100)).expect("a list");
+    assert_eq!(list, whole(told.nodes));
+}
+
+/// A node that has missed more than is remembered, or has a list of the keeper's earlier life, is told all.
+#[test]
+fn a_list_that_is_too_old_is_told_whole() {
+    let mut one = One::new();
+    one.register(node(1), 0);
+    one.run_for(Duration::from_millis(100));
+    let told = one.ask(agent(2, "booking"), 0, Duration::ZERO).expect("a list");
+    let old = whole(told.nodes).revision;
+    for life in 2..260 {
+        one.register(NodeInfo { incarnation: Incarnation(life), ..node(1) }, 0);
+    }
+    for revision in [old, old - 1, u64::MAX, 1] {
+        let told = one.ask(agent(2, "booking"), revision, Duration::from_millis(100));
+        assert_eq!(whole(told.expect("a list").nodes).nodes.len(), 1, "{revision}");
+    }
+}
+
+/// Every keeper sent a new document to every node: 1,455 times 10 kB at 300 hosts. A node that has not asked for it is
+/// told of its version.
+#[test]
+fn a_document_is_sent_to_a_node_that_asks_for_it() {
+    let mut one = One::new();
+    one.register(node(1), 0);
+    one.run_for(Duration::from_millis(100));
+    let told = one.ask(node(1), 0, Duration::ZERO).expect("a list");
+    let revision = whole(told.nodes).revision;
+    let waits = one.ticket();
+    let request = WatchRequest { node: node(1), document: 0, sends_document: false, revision };
+    assert!(one.handle(Event::Watch(waits, request.clone())).is_empty());
+    let ticket = one.ticket();
+    let event = Event::Replace(ticket, Document { version: 7, body: Arc::from("seven") });
+    let told = watch_reply(one.handle(event), waits).expect("told with the commit");
+    assert_eq!((told.version, told.document), (7, None));
+    let ticket = one.ticket();
+    let request = WatchRequest { sends_document: true, ..request };
+    let sent = watch_reply(one.handle(Event::Watch(ticket, request)), ticket).expect("at once");
+    assert_eq!(sent.document.map(|document| document.version), Some(7));
+}
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -20,5 +20,7 @@
     ChangeRequest, ChangeResult, KeeperService, KeeperServiceClient, PeerMessage, PullReply,
     PullRequest,
 };
-pub use registry::{Document, NodeInfo, NodeList, NodeRole, WatchReply, WatchRequest};
+pub use registry::{
+    Document, ListChange, ListNews, NodeInfo, NodeList, NodeRole, WatchReply, WatchRequest,
+};
 pub use session::{AgentProfile, Load, Refusal, StartTask, TaskEnd, TaskReport, ToAgent, ToEntry};
--- a/components/wire/src/registry.rs
+++ b/components/wire/src/registry.rs
@@ -47,6 +47,8 @@
     pub node: NodeInfo,
     /// The version of the document that it has; 0 for none.
     pub document: u64,
+    /// Whether a newer document is to be sent; else its version alone is told.
+    pub sends_document: bool,
     /// The revision of this keeper's list of nodes that it has; 0 for none.
     pub revision: u64,
 }
@@ -61,13 +63,57 @@
     pub nodes: Vec<NodeInfo>,
 }
 
+impl NodeList {
+    /// Takes what has changed.
+    pub fn apply(&mut self, change: ListChange) {
+        let ListChange { revision, put, gone } = change;
+        let is_put = |node: &NodeInfo| put.iter().any(|other| other.name == node.name);
+        self.nodes.retain(|node| !gone.contains(&node.name) && !is_put(node));
+        self.nodes.extend(put);
+        self.nodes.sort_by(|a, b| a.name.cmp(&b.name));
+        self.revision = revision;
+    }
+}
+
+/// What has changed in a list since the revision that a node has.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListChange {
+    /// The revision that this leads to.
+    pub revision: u64,
+    /// Entries that have come, or are no longer what they were.
+    pub put: Vec<NodeInfo>,
+    /// Entries that are no longer listed.
+    pub gone: Vec<NodeName>,
+}
+
+/// What a node is told of a list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ListNews {
+    /// All of it.
+    Whole(NodeList),
+    /// What has changed.
+    Change(ListChange),
+}
+
+impl ListNews {
+    /// The revision that it leads to.
+    pub fn revision(&self) -> u64 {
+        match self {
+            Self::Whole(list) => list.revision,
+            Self::Change(change) => change.revision,
+        }
+    }
+}
+
 /// A keeper's news.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WatchReply {
-    /// The document, where it is newer than the node's. It is committed.
+    /// The version of the document in force here; 0 for none.
+    pub version: u64,
+    /// The document, where it is newer than the node's and was asked for. It is committed.
     pub document: Option<Document>,
     /// The entries, where the list is another than the node's.
-    pub nodes: Option<NodeList>,
+    pub nodes: Option<ListNews>,
     /// Nodes of the same role and service as the node that asks, itself included.
     pub peers: u32,
     /// The keepers that vote, by the addresses that they are named by.
--- a/daemon/src/keeper_role/listen.rs
+++ b/daemon/src/keeper_role/listen.rs
@@ -146,7 +146,13 @@
         match ask(&self.ring, Ask::Watch(request)).await {
             Some(Reply::Watch(reply)) => reply,
             // The keeper is ending; the connection ends with it.
-            _ => WatchReply { document: None, nodes: None, peers: 0, keepers: Vec::new() },
+            _ => WatchReply {
+                version: 0,
+                document: None,
+                nodes: None,
+                peers: 0,
+                keepers: Vec::new(),
+            },
         }
     }
 }
--- a/daemon/src/room/watch.rs
+++ b/daemon/src/room/watch.rs
@@ -1,5 +1,5 @@
-//! A node's watch of the keepers: it registers at each of them, and takes the document and the
-//! list of nodes from whichever tells first.
+//! A node's watch of the keepers: it registers at each of them, takes the list of nodes of each, and the document
+//! from one that has it.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -9,11 +9,13 @@
 
 use async_io::Timer;
 use futures_lite::FutureExt;
+use keeper::{Ask, DocumentFetch};
 use net::Tasks;
 use serde_json::json;
 use tarpc::client::{Config, NewClient};
-use wire::{Document, KeeperServiceClient, NodeInfo, NodeList, WatchReply, WatchRequest};
+use wire::{Document, KeeperServiceClient, ListNews, NodeInfo, NodeList, WatchReply, WatchRequest};
 
+use crate::clock::Clock;
 use crate::event_log::{Budget, EventLog};
 
 /// Pause before a keeper is tried again.
@@ -44,6 +46,8 @@
     named: RefCell<BTreeMap<SocketAddr, Vec<SocketAddr>>>,
     watched: RefCell<BTreeSet<SocketAddr>>,
     lists: RefCell<BTreeMap<SocketAddr, Listing>>,
+    fetch: RefCell<DocumentFetch>,
+    clock: Clock,
 }
 
 /// What one keeper has told of other nodes.
@@ -76,6 +80,8 @@
             named: RefCell::default(),
             watched: RefCell::default(),
             lists: RefCell::default(),
+            fetch: RefCell::default(),
+            clock: Clock::start(),
         });
         watch.set_seeds(seeds);
         watch
@@ -140,16 +146,24 @@
     /// Asks one keeper again and again; returns whether it ever answered.
     async fn ask(self: &Rc<Self>, keeper: SocketAddr, client: &KeeperServiceClient) -> bool {
         let mut heard = false;
-        let mut revision = 0;
+        let (mut revision, mut version) = (0, 0);
         loop {
-            let request =
-                WatchRequest { node: self.own.clone(), document: self.version.get(), revision };
+            let sends_document = self.until_due(version).await;
+            let request = WatchRequest {
+                node: self.own.clone(),
+                document: self.version.get(),
+                sends_document,
+                revision,
+            };
             let answer = async { client.watch(net::call_context(), request).await.ok() };
             let late = async {
                 Timer::after(SILENCE).await;
                 None
             };
             let Some(reply) = answer.or(late).await else {
+                if sends_document {
+                    self.fetch.borrow_mut().lost();
+                }
                 if heard {
                     self.keeper_is(keeper, "keeper-lost");
                 }
@@ -158,13 +172,27 @@
             if !std::mem::replace(&mut heard, true) {
                 self.keeper_is(keeper, "keeper-heard");
             }
-            if let Some(nodes) = &reply.nodes {
-                revision = nodes.revision;
+            version = reply.version;
+            if let Some(news) = &reply.nodes {
+                revision = news.revision();
             }
             self.take(keeper, reply);
         }
     }
 
+    /// Waits until a keeper that has told of a version of the document is to be asked again; returns whether
+    /// it is to send the document.
+    async fn until_due(&self, told: u64) -> bool {
+        loop {
+            let next = self.fetch.borrow_mut().next(self.clock.now(), self.version.get(), told);
+            match next {
+                Ask::News => return false,
+                Ask::Document => return true,
+                Ask::After(time) => Timer::after(time).await,
+            };
+        }
+    }
+
     fn keeper_is(&self, keeper: SocketAddr, what: &'static str) {
         self.log.line(what, Budget::Full, || json!({"keeper": keeper.to_string()}));
     }
@@ -186,14 +214,22 @@
     }
 
     /// Takes note of what a keeper tells of other nodes; returns whether that is new.
-    fn note_list(&self, keeper: SocketAddr, list: Option<NodeList>, peers: usize) -> bool {
+    fn note_list(&self, keeper: SocketAddr, news: Option<ListNews>, peers: usize) -> bool {
         let mut lists = self.lists.borrow_mut();
-        if let Some(list) = list {
-            lists.insert(keeper, Listing { list, peers });
-            return true;
+        let listing = match news {
+            Some(ListNews::Whole(list)) => {
+                lists.insert(keeper, Listing { list, peers });
+                return true;
+            }
+            _ => lists.get_mut(&keeper),
+        };
+        // Only who has a list is told what has changed in it.
+        let Some(listing) = listing else { return false };
+        let changed = news.is_some();
+        if let Some(ListNews::Change(change)) = news {
+            listing.list.apply(change);
         }
-        let Some(listing) = lists.get_mut(&keeper) else { return false };
-        std::mem::replace(&mut listing.peers, peers) != peers
+        std::mem::replace(&mut listing.peers, peers) != peers || changed
     }
 
     /// All entries that some keeper lists. Of the numbers of peers the highest counts: keepers that have
--- a/daemon/tests/silent_connections.rs
+++ b/daemon/tests/silent_connections.rs
@@ -121,7 +121,7 @@
     }
 
     async fn watch(self, _: Context, _: WatchRequest) -> WatchReply {
-        WatchReply { document: None, nodes: None, peers: 0, keepers: Vec::new() }
+        WatchReply { version: 0, document: None, nodes: None, peers: 0, keepers: Vec::new() }
     }
 }
 
@@ -292,7 +292,7 @@
         incarnation: Incarnation(1),
         service: "".into(),
     };
-    let request = WatchRequest { node, document: 0, revision: 0 };
+    let request = WatchRequest { node, document: 0, sends_document: true, revision: 0 };
     net::block_on(|tasks| async move {
         let stream = net::connect(keeper).await.expect("the keeper listens");
         let NewClient { client, dispatch } =
