--- a/tools/panel.py
+++ b/tools/panel.py
@@ -37,6 +37,7 @@
     site: pathlib.Path
     day: str
     seed: str
+    small: bool
 
 
 @dataclass
@@ -84,6 +85,8 @@
     command = [bench, "run", str(item.site), item.day, "--jobs", "1", "--why", why]
     if item.seed != "own":
         command += ["--seed", item.seed]
+    if item.small:
+        command.append("--small")
     done = subprocess.run(command, cwd=item.checkout, capture_output=True, text=True, check=False)
     result = read_result(item.checkout, done.stdout)
     if result is None:
@@ -155,6 +158,7 @@
     parser.add_argument("--site", action="append", required=True, type=pathlib.Path)
     parser.add_argument("--days", required=True, help="names of days, by commas")
     parser.add_argument("--seeds", default="own", help="'own' is the day's own seed")
+    parser.add_argument("--small", action="store_true", help="small twins of the days")
     parser.add_argument("--why", required=True)
     parser.add_argument("--jobs", type=int, default=7, help="days played at once")
     parser.add_argument("--json", type=pathlib.Path, help="where the figures go, as JSON")
@@ -164,7 +168,7 @@
     for checkout in checkouts.values():
         subprocess.run([args.bench, "build"], cwd=checkout, capture_output=True, check=True)
     plays = [
-        Play(label, pathlib.Path(checkout), site, day, seed)
+        Play(label, pathlib.Path(checkout), site, day, seed, args.small)
         for site in args.site
         for day in args.days.split(",")
         for seed in args.seeds.split(",")
