--- a/daemon/src/keeper_role/decide.rs
+++ b/daemon/src/keeper_role/decide.rs
@@ -4,22 +4,19 @@
 //! what follows from the batch done.
 
 use std::collections::HashMap;
-use std::path::Path;
-use std::time::Duration;
 
 use async_channel::Sender;
-use consensus::{Message, Record};
-use journal::{Disk, Journal, JournalError};
-use keeper::{Action, Event, Keeper, News, Reply, Ticket};
+use consensus::Message;
+use journal::{Journal, JournalError};
+use keeper::{Action, Event, Keeper, Reply, Ticket};
 use model::{NodeName, Time};
-use serde_json::json;
-use spdlog::{error, info, warn};
+use spdlog::error;
 
-use super::KeeperError;
 use super::news_lines;
 use super::peers::ToPeers;
+use super::storage::Storage;
 use crate::driver::Decider;
-use crate::event_log::{Budget, EventLog};
+use crate::event_log::EventLog;
 
 /// What reaches the deciding thread.
 #[derive(Debug)]
@@ -84,52 +81,21 @@
     pub disk_full: bool,
 }
 
-/// From one try to store what a full disk refused to the next: room is made by hand or by other programs, in
-/// seconds; a try costs a write of what waits.
-const STORE_AGAIN: Duration = Duration::from_millis(100);
-
-/// A disk without room, on which something waits to be stored.
-#[derive(Clone, Copy, Debug)]
-struct FullDisk {
-    since: Time,
-    again_at: Time,
-}
-
 /// The deciding thread's state.
 pub(crate) struct KeeperDecider {
     name: NodeName,
     keeper: Keeper,
-    journal: Journal,
+    storage: Storage,
     peers: Sender<ToPeers>,
     waiting: HashMap<Ticket, Sender<Reply>>,
     next_ticket: u64,
     actions: Vec<Action>,
     /// When the last input or tick came.
     now: Time,
-    full_disk: Option<FullDisk>,
     broken: bool,
     log: Option<EventLog>,
 }
 
-/// Reads a keeper's journal.
-pub(crate) fn read_journal(
-    path: &Path,
-    disk: Disk,
-) -> Result<(Journal, Vec<Record>, u64), KeeperError> {
-    let opened = Journal::open_on(path, disk)?;
-    let mut records = Vec::with_capacity(opened.records.len());
-    for (number, bytes) in opened.records.iter().enumerate() {
-        let record = bincode::deserialize(bytes).map_err(|_| KeeperError::BadRecord(number))?;
-        records.push(record);
-    }
-    Ok((opened.journal, records, opened.cut))
-}
-
-/// A record's bytes in the journal.
-pub(crate) fn write_record(record: &Record) -> Vec<u8> {
-    bincode::serialize(record).expect("plain structs become bincode")
-}
-
 impl KeeperDecider {
     pub(crate) fn new(
         name: NodeName,
@@ -139,30 +105,20 @@
         log: Option<EventLog>,
         now: Time,
     ) -> Self {
-        match &log {
-            Some(log) => log.line("recovered", Budget::Full, || {
-                let replica = keeper.replica();
-                let document = keeper.state().document_version();
-                let (term, committed) = (replica.term(), replica.committed());
-                json!({"document": document, "term": term, "committed": committed,
-                    "blank": replica.is_blank(), "journal_bytes": journal.bytes()})
-            }),
-            None => info!("keeper {}: settings {} recovered", name, keeper.version()),
-        }
+        news_lines::recovered(log.as_ref(), &name, &keeper, journal.bytes());
         let mut decider = Self {
             name,
             keeper,
-            journal,
+            storage: Storage::new(journal, now),
             peers,
             waiting: HashMap::new(),
             next_ticket: 0,
             actions: Vec::new(),
             now,
-            full_disk: None,
             broken: false,
             log,
         };
-        if !decider.journal.is_settled() {
+        if decider.storage.is_full() {
             decider.disk_is_full(Vec::new());
         }
         decider
@@ -197,8 +153,8 @@
             nodes: self.keeper.registered(),
             voters: replica.voters().iter().map(ToString::to_string).collect(),
             blank: replica.is_blank(),
-            journal_bytes: self.journal.bytes(),
-            disk_full: self.full_disk.is_some(),
+            journal_bytes: self.storage.bytes(),
+            disk_full: self.storage.is_full(),
         }
     }
 
@@ -206,53 +162,45 @@
     /// what a keeper without one can do; where it fails, nothing is done and the keeper ends, as what
     /// the disk holds is unknown.
     fn flush(&mut self) {
-        if self.full_disk.is_some_and(|full| full.again_at <= self.now) {
-            self.store_again();
-        }
-        let actions = std::mem::take(&mut self.actions);
-        if self.full_disk.is_some() {
-            return self.perform(actions);
+        if let Err(error) = self.store_again().and_then(|()| self.store_batch()) {
+            error!("keeper {}: {}", self.name, error);
+            self.broken = true;
         }
-        match self.store(&actions) {
-            Ok(()) => self.perform(actions),
-            Err(error) if error.is_full() && !self.keeper.votes_alone() => {
-                self.disk_is_full(actions);
-            }
-            Err(error) => self.fail(&error),
+    }
+
+    /// Tries to store what a full disk has refused.
+    fn store_again(&mut self) -> Result<(), JournalError> {
+        if let Some(full_for) = self.storage.store_again(self.now)? {
+            self.keeper.disk_has_room();
+            news_lines::disk_has_room(self.log.as_ref(), &self.name, full_for);
         }
+        Ok(())
     }
 
-    fn fail(&mut self, error: &JournalError) {
-        error!("keeper {}: {}", self.name, error);
-        self.broken = true;
+    fn store_batch(&mut self) -> Result<(), JournalError> {
+        let actions = std::mem::take(&mut self.actions);
+        // The keeper has nothing to store while it knows that its disk is full.
+        if !self.storage.is_full() {
+            match self.storage.store(self.now, &actions) {
+                Err(error) if error.is_full() && !self.keeper.votes_alone() => {
+                    self.disk_is_full(actions);
+                    return Ok(());
+                }
+                stored => stored?,
+            }
+        }
+        self.perform(actions);
+        Ok(())
     }
 
     /// Goes on without the disk, with what was to follow from what it refused.
     fn disk_is_full(&mut self, refused: Vec<Action>) {
-        let (since, again_at) = (self.now, self.now + STORE_AGAIN);
-        self.full_disk = Some(FullDisk { since, again_at });
         news_lines::disk_full(self.log.as_ref(), &self.name);
         let mut actions = Vec::new();
         self.keeper.disk_is_full(self.now, refused, &mut actions);
         self.perform(actions);
     }
 
-    /// Tries to store what the disk has refused.
-    fn store_again(&mut self) {
-        let Some(full) = &mut self.full_disk else { return };
-        full.again_at = self.now + STORE_AGAIN;
-        let since = full.since;
-        match self.journal.sync() {
-            Ok(()) => {
-                self.full_disk = None;
-                self.keeper.disk_has_room();
-                news_lines::disk_has_room(self.log.as_ref(), &self.name, self.now.since(since));
-            }
-            Err(error) if error.is_full() => {}
-            Err(error) => self.fail(&error),
-        }
-    }
-
     fn perform(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
@@ -267,55 +215,7 @@
                         let _ = waiting.try_send(reply);
                     }
                 }
-                Action::News(news) => match &self.log {
-                    Some(log) => news_lines::write(log, &news),
-                    None => self.log(&news),
-                },
-            }
-        }
-    }
-
-    fn store(&mut self, actions: &[Action]) -> Result<(), JournalError> {
-        for action in actions {
-            match action {
-                Action::Store(records) => {
-                    records.iter().for_each(|record| self.journal.append(&write_record(record)));
-                }
-                Action::Rewrite(records) => {
-                    let records: Vec<Vec<u8>> = records.iter().map(write_record).collect();
-                    self.journal.replace(&records);
-                }
-                _ => {}
-            }
-        }
-        self.journal.sync()
-    }
-
-    fn log(&self, news: &News) {
-        use consensus::News as Log;
-        let name = &self.name;
-        match news {
-            News::Log(Log::Leads(term)) => info!("keeper {}: leads in term {}", name, term),
-            News::Log(Log::StepsDown(term)) => {
-                warn!("keeper {}: steps down in term {}", name, term);
-            }
-            News::Log(Log::Follows(leader, term)) => {
-                info!("keeper {}: follows {} in term {}", name, leader, term);
-            }
-            News::Log(Log::CaughtUp(index)) => {
-                info!("keeper {}: caught up to entry {}, votes from now on", name, index);
-            }
-            News::Log(Log::Violation(violation)) => {
-                error!("keeper {}: BREACH: {}", name, violation);
-            }
-            News::Log(Log::Members(members)) => {
-                info!("keeper {}: {} keepers vote", name, members.len());
-            }
-            News::Document(version) => info!("keeper {}: document {} accepted", name, version),
-            News::Nodes(count) => info!("keeper {}: {} nodes are registered", name, count),
-            News::Version(version) => info!("keeper {}: settings {} accepted", name, version),
-            News::Unreadable(index) => {
-                error!("keeper {}: entry {} can't be read", name, index);
+                Action::News(news) => news_lines::write(self.log.as_ref(), &self.name, &news),
             }
         }
     }
@@ -345,8 +245,7 @@
     }
 
     fn next_timer(&self) -> Option<Time> {
-        let again = self.full_disk.as_ref().map(|full| full.again_at);
-        self.keeper.next_timer().into_iter().chain(again).min()
+        self.keeper.next_timer().into_iter().chain(self.storage.again_at()).min()
     }
 
     fn goes_on(&mut self) -> bool {
--- a/daemon/src/keeper_role/mod.rs
+++ b/daemon/src/keeper_role/mod.rs
@@ -5,6 +5,7 @@
 mod listen;
 mod news_lines;
 mod peers;
+mod storage;
 
 use std::collections::HashMap;
 use std::io;
@@ -30,8 +31,9 @@
 use crate::threads::{Duty, join, spawn};
 
 pub use decide::KeeperStatus;
-use decide::{Input, KeeperDecider, read_journal, write_record};
+use decide::{Input, KeeperDecider};
 use peers::ToPeers;
+use storage::{read_journal, write_record};
 
 /// The journal's file in the data folder.
 const JOURNAL: &str = "settings.journal";
--- a/daemon/src/keeper_role/news_lines.rs
+++ b/daemon/src/keeper_role/news_lines.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use keeper::News;
+use keeper::{Keeper, News};
 use model::NodeName;
 use serde_json::json;
-use spdlog::{info, warn};
+use spdlog::{error, info, warn};
 
 use super::peers::{Answers, Notice};
 use crate::event_log::{Budget, EventLog};
@@ -41,8 +41,29 @@
     }
 }
 
+/// Writes what a keeper begins with.
+pub(super) fn recovered(log: Option<&EventLog>, own: &NodeName, keeper: &Keeper, bytes: u64) {
+    match log {
+        Some(log) => log.line("recovered", Budget::Full, || {
+            let replica = keeper.replica();
+            let document = keeper.state().document_version();
+            let (term, committed) = (replica.term(), replica.committed());
+            json!({"document": document, "term": term, "committed": committed,
+                "blank": replica.is_blank(), "journal_bytes": bytes})
+        }),
+        None => info!("keeper {}: settings {} recovered", own, keeper.version()),
+    }
+}
+
 /// Writes a change of state.
-pub(super) fn write(log: &EventLog, news: &News) {
+pub(super) fn write(log: Option<&EventLog>, own: &NodeName, news: &News) {
+    match log {
+        Some(log) => write_line(log, news),
+        None => write_plain(own, news),
+    }
+}
+
+fn write_line(log: &EventLog, news: &News) {
     use consensus::News as Log;
     match news {
         News::Log(Log::Leads(term)) => log.line("leads", Budget::Full, || json!({"term": term})),
@@ -74,3 +95,31 @@
         }
     }
 }
+
+fn write_plain(name: &NodeName, news: &News) {
+    use consensus::News as Log;
+    match news {
+        News::Log(Log::Leads(term)) => info!("keeper {}: leads in term {}", name, term),
+        News::Log(Log::StepsDown(term)) => {
+            warn!("keeper {}: steps down in term {}", name, term);
+        }
+        News::Log(Log::Follows(leader, term)) => {
+            info!("keeper {}: follows {} in term {}", name, leader, term);
+        }
+        News::Log(Log::CaughtUp(index)) => {
+            info!("keeper {}: caught up to entry {}, votes from now on", name, index);
+        }
+        News::Log(Log::Violation(violation)) => {
+            error!("keeper {}: BREACH: {}", name, violation);
+        }
+        News::Log(Log::Members(members)) => {
+            info!("keeper {}: {} keepers vote", name, members.len());
+        }
+        News::Document(version) => info!("keeper {}: document {} accepted", name, version),
+        News::Nodes(count) => info!("keeper {}: {} nodes are registered", name, count),
+        News::Version(version) => info!("keeper {}: settings {} accepted", name, version),
+        News::Unreadable(index) => {
+            error!("keeper {}: entry {} can't be read", name, index);
+        }
+    }
+}
