A task goes first to a target that it fills

Hypothesis: targets are chosen by what stays free, so that in a burst all have a piece left in which no task fits, and entries all run for the same emptiest one. Where a task leaves less than a twentieth of a target, that target goes first.

--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -10,6 +10,7 @@
 use crate::dispatcher::{Dispatcher, QueueEntry, Timing, queue_entry};
 use crate::event::{Action, JobRequest, News, SessionId};
 use crate::job::{Job, Task, TaskState};
+use crate::policy::Policy;
 use crate::reserve::Rooms;
 
 /// Tasks at the head of the queue for which every agent is looked at though none suits.
@@ -22,6 +23,13 @@
 const AFFINITY_WORTH: f64 = 10.0;
 /// A target this many times slower than the others is left aside while others have room.
 const FAR_SLOWER: f64 = 2.5;
+/// What stays free at a target below this part of it holds no other task: the task fills it.
+const FILLED_PART: f64 = 0.05;
+/// What filling a target adds to its score: more than any free part, less than what makes it a last resort. Room at other
+/// targets stays whole for tasks that need more of it, and entries do not all run for the emptiest target: with bursts and cuts
+/// of six kinds 0.876 of all worth is earned for 0.875 (51 entries, 240 targets, each agent serving 6 entries) and 0.880 for
+/// 0.873 (7, 66, each serving all; in virtual time, three seeds). With a part of 0.14 for 0.05 it is lost again.
+const FILLED_WORTH: f64 = 1.0;
 /// What being far slower, or avoided, takes from a target's score.
 const LAST_RESORT: f64 = 100.0;
 
@@ -118,7 +126,13 @@
             return Choice::Nowhere;
         }
         let agents = pass.changed.of(&self.agents);
-        let look = Look { agents, now: pass.now, timing: &self.timing, usual: pass.usual };
+        let look = Look {
+            agents,
+            now: pass.now,
+            timing: &self.timing,
+            usual: pass.usual,
+            policy: self.policy,
+        };
         look.choose(job, entry.index, self.agents.len()).map_or(Choice::Nowhere, Choice::At)
     }
 
@@ -224,12 +238,13 @@
     timing: &'a Timing,
     /// The slowdown that half of the agents do not exceed.
     usual: f64,
+    policy: Policy,
 }
 
 impl Look<'_> {
     /// The agent that is best for a task, if any has room; `known` agents have a session.
     fn choose(self, job: &Job, index: u32, known: usize) -> Option<SessionId> {
-        let Self { agents, now, timing, usual } = self;
+        let Self { agents, now, timing, usual, policy } = self;
         let request = &job.request;
         let task = &job.tasks[index as usize];
         let fit = |(id, agent, free): &(&SessionId, &Agent, Resources)| {
@@ -241,7 +256,8 @@
                 && !(agent.load.on_trial && task.failures > 0)
         };
         let fitting = agents.map(|(id, agent)| (id, agent, agent.free(now))).filter(fit);
-        let scored = fitting.map(|(id, agent, free)| (*id, score(agent, free, request, usual)));
+        let scored =
+            fitting.map(|(id, agent, free)| (*id, score(agent, free, request, usual, policy)));
         scored.max_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(id, _)| id)
     }
 }
@@ -262,11 +278,14 @@
     task.avoid.is_some_and(|(avoided, until)| avoided == id && now < until)
 }
 
-/// How good an agent is for a task: the part of it that stays free, less what it is slower.
-fn score(agent: &Agent, free: Resources, request: &JobRequest, usual: f64) -> f64 {
+/// How good an agent is for a task: the part of it that stays free, unless the task fills it, less what it is slower.
+fn score(agent: &Agent, free: Resources, request: &JobRequest, usual: f64, policy: Policy) -> f64 {
     let free = free.less(&request.shape.resources);
     let capacity = agent.capacity().cpu_milli.max(1);
     let mut score = free.cpu_milli as f64 / capacity as f64;
+    if policy.fill_targets && score < FILLED_PART {
+        score += FILLED_WORTH;
+    }
     let slower = f64::from(agent.load.slowdown_percent) / usual;
     score -= (slower - 1.0).max(0.0) * SLOWDOWN_PRICE;
     if slower > FAR_SLOWER {
--- a/components/dispatch/src/policy.rs
+++ b/components/dispatch/src/policy.rs
@@ -8,6 +8,8 @@
     pub begun_first: bool,
     /// Targets that are slower than others are chosen less.
     pub slowdown_score: bool,
+    /// A target that a task fills is chosen before emptier ones.
+    pub fill_targets: bool,
     /// Jobs that find no room soon are refused while what is left could still be in time.
     pub early_refusal: bool,
     /// Less urgent jobs leave room free for more urgent ones.
@@ -21,6 +23,7 @@
         Self {
             begun_first: true,
             slowdown_score: true,
+            fill_targets: true,
             early_refusal: true,
             urgent_reserve: true,
             lost_again: true,
@@ -34,6 +37,7 @@
         let switch = match part {
             "begun-first" => &mut self.begun_first,
             "slowdown-score" => &mut self.slowdown_score,
+            "fill-targets" => &mut self.fill_targets,
             "early-refusal" => &mut self.early_refusal,
             "urgent-reserve" => &mut self.urgent_reserve,
             "lost-again" => &mut self.lost_again,
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -45,6 +45,12 @@
         .arg(number("surge", "100", "Percent of the usual jobs for the middle third of a load"))
         .arg(number("cut", "0", "Percent of the agents cut off for the middle third of a load"))
         .arg(number("seconds", "6", "How long the jobs of a load come"))
+        .arg(
+            Arg::new("without")
+                .long("without")
+                .value_name("PART")
+                .help("Switch off a part of the entries' policy under a load"),
+        )
         .arg(
             Arg::new("trace")
                 .long("trace")
@@ -57,7 +63,14 @@
     let trace = arguments.get_one::<String>("trace").cloned();
     let started = Instant::now();
     if arguments.get_flag("load") {
-        let result = play_load(&load(&get));
+        let mut load = load(&get);
+        if let Some(part) = arguments.get_one::<String>("without")
+            && !load.times.policy.switch_off(part)
+        {
+            eprintln!("no part of the policy is called {part}");
+            return ExitCode::FAILURE;
+        }
+        let result = play_load(&load);
         println!("{:.1} s: {result:?}", started.elapsed().as_secs_f64());
         return ExitCode::SUCCESS;
     }
