--- a/soak/src/keepers/faults.rs
+++ b/soak/src/keepers/faults.rs
@@ -2,14 +2,13 @@
 
 use std::time::Duration;
 
-use consensus::Record;
 use keeper::Reply;
 use model::Time;
 use rand::Rng;
 use rand::seq::SliceRandom;
 use wire::ChangeResult;
 
-use super::world::{Disked, Happening, KeeperWorld};
+use super::world::{Happening, KeeperWorld};
 
 /// Longest time that a dead keeper stays away.
 const LONGEST_AWAY: Duration = Duration::from_secs(6);
@@ -78,15 +77,6 @@
         self.after(time, Happening::DiskHasRoom(number));
     }
 
-    /// A disk has room: what it has refused is stored.
-    pub fn make_room(&mut self, number: usize) {
-        let refused = std::mem::take(&mut self.keepers[number].refused);
-        self.keepers[number].full = false;
-        let Some(machine) = &mut self.keepers[number].keeper else { return };
-        machine.disk_has_room();
-        self.store(number, &refused);
-    }
-
     /// Loses a keeper with its disk, where the cluster bears that.
     fn kill_and_lose_disk(&mut self, number: usize) {
         let bears = self.losses_left(&[number]) > 0;
@@ -181,24 +171,3 @@
         }
     }
 }
-
-impl Disked {
-    /// Whether its disk holds all that it acknowledged.
-    fn holds_all(&self) -> bool {
-        let states = self.disk.iter().rev().filter_map(|record| match record {
-            Record::Blank(blank) => Some(!blank),
-            _ => None,
-        });
-        states.into_iter().next().unwrap_or(false)
-    }
-
-    /// The last entry on its disk.
-    fn last_entry(&self) -> u64 {
-        let entries = self.disk.iter().rev().find_map(|record| match record {
-            Record::Append(entries) => entries.last().map(|entry| entry.index),
-            Record::Snapshot(snapshot) => Some(snapshot.index),
-            _ => None,
-        });
-        entries.unwrap_or(0)
-    }
-}
--- a/soak/src/keepers/world.rs
+++ b/soak/src/keepers/world.rs
@@ -12,6 +12,7 @@
 use settings::Tree;
 
 use super::checks::{KeeperChecks, KeeperSummary};
+use super::disks::Disked;
 use super::nodes::NodeState;
 use super::operators::Asker;
 use crate::{Options, Violation};
@@ -23,9 +24,6 @@
 /// Longest time between two ticks of a keeper.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Most records of a batch that a loss of power leaves.
-const MOST_TORN: usize = 3;
-
 /// Something that happens at a moment.
 #[derive(Debug)]
 pub(crate) enum Happening {
@@ -83,20 +81,6 @@
     Arrangement { founders: 3, count: 6, voters: 5, members_change: true },
 ];
 
-/// One keeper with its disk.
-pub(crate) struct Disked {
-    pub name: NodeName,
-    pub keeper: Option<Keeper>,
-    pub disk: Vec<Record>,
-    pub stalled_until: Time,
-    pub cut_off: bool,
-    pub tick_at: Option<Time>,
-    /// The disk takes nothing more.
-    pub full: bool,
-    /// What it has refused in this life.
-    pub refused: Vec<Action>,
-}
-
 /// One run.
 pub(crate) struct KeeperWorld {
     pub rng: ChaCha8Rng,
@@ -137,7 +121,7 @@
         (0..self.count).map(|number| NodeName::new(&format!("k{number}"))).collect()
     }
 
-    fn empty_disk(&self) -> Vec<Record> {
+    pub fn empty_disk(&self) -> Vec<Record> {
         let members = if self.members_change { Vec::new() } else { self.names() };
         Replica::blank_records(members)
     }
@@ -160,10 +144,6 @@
     }
 }
 
-fn is_store(action: &Action) -> bool {
-    matches!(action, Action::Store(_) | Action::Rewrite(_))
-}
-
 impl KeeperWorld {
     fn new(options: &Options) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
@@ -302,33 +282,8 @@
         self.plan_tick(number);
     }
 
-    /// Empties a dead keeper's disk.
-    pub fn lose_disk(&mut self, number: usize) {
-        self.keepers[number].disk = self.arrangement.empty_disk();
-        self.checks.summary.disks_lost += 1;
-    }
-
-    /// Ends a keeper while it stores what the next message to it leads to: of that, some of the first
-    /// records are on its disk, and nothing that was to follow is done.
-    pub fn die_while_storing(&mut self, number: usize) {
-        let now = self.now;
-        let message = self.next_message(number);
-        let kept = self.rng.random_range(0..=MOST_TORN);
-        let keeper = &mut self.keepers[number];
-        let Some(mut machine) = keeper.keeper.take() else { return };
-        let Some(event) = message else { return };
-        let mut actions = Vec::new();
-        machine.handle(now, event, &mut actions);
-        let stores = actions.into_iter().map_while(|action| match action {
-            Action::Rewrite(_) => None,
-            Action::Store(records) => Some(records),
-            _ => Some(Vec::new()),
-        });
-        keeper.disk.extend(stores.flatten().take(kept));
-    }
-
     /// The message that is to reach a keeper first.
-    fn next_message(&self, number: usize) -> Option<Event> {
+    pub fn next_message(&self, number: usize) -> Option<Event> {
         let planned = self.happenings.iter().map(|Reverse(planned)| *planned);
         let messages = planned.filter_map(|planned| match self.contents.get(&planned.1) {
             Some(Happening::Message { to, from, message }) if *to == number => {
@@ -362,44 +317,12 @@
         let Some(machine) = &mut keeper.keeper else { return };
         let mut actions = Vec::new();
         machine.handle(now, event, &mut actions);
-        if self.keepers[number].full && actions.iter().any(is_store) {
-            actions = self.refuse(number, actions);
-        }
-        self.store(number, &actions);
-        for action in actions {
+        for action in self.store_or_refuse(number, actions) {
             self.act(number, action);
         }
         self.plan_tick(number);
     }
 
-    /// What is stored is synced before anything else is done.
-    pub fn store(&mut self, number: usize, actions: &[Action]) {
-        let disk = &mut self.keepers[number].disk;
-        for action in actions {
-            match action {
-                Action::Store(records) => disk.extend(records.clone()),
-                Action::Rewrite(records) => *disk = records.clone(),
-                _ => {}
-            }
-        }
-    }
-
-    /// A full disk refuses what is to be stored; returns what the keeper does instead.
-    fn refuse(&mut self, number: usize, actions: Vec<Action>) -> Vec<Action> {
-        let now = self.now;
-        let keeper = &mut self.keepers[number];
-        let Some(machine) = &mut keeper.keeper else { return Vec::new() };
-        if !keeper.refused.is_empty() {
-            self.checks.violation(now, "a keeper stores on a disk that it knows to be full");
-            return Vec::new();
-        }
-        keeper.refused = actions.iter().filter(|action| is_store(action)).cloned().collect();
-        let mut instead = Vec::new();
-        machine.disk_is_full(now, actions, &mut instead);
-        self.checks.summary.full_disks += 1;
-        instead
-    }
-
     fn act(&mut self, number: usize, action: Action) {
         let name = self.keepers[number].name.to_string();
         match action {
