--- a/components/keeper/src/registry.rs
+++ b/components/keeper/src/registry.rs
@@ -5,8 +5,8 @@
 //!
 //! Only entries are told of, and only when they change: with 240 agents, 51 entries and 5 keepers that
 //! start together, lists of all nodes are 291 rows for 291 nodes at each change, and most changes are of
-//! agents, which nobody looks for. A node that has an earlier list is told what has changed since: of 300 hosts a keeper
-//! would else send most of what it sends, and the more the larger the fleet, as rows and nodes both grow.
+//! agents, which nobody looks for. A node that has an earlier list is told what has changed since, as rows and nodes
+//! both grow with the fleet: at 300 hosts a keeper's traffic was 955 kB a second for 1,009 with whole lists.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
--- a/components/keeper/tests/document.rs
+++ b/components/keeper/tests/document.rs
@@ -340,8 +340,8 @@
     assert_eq!(told.peers, 1);
 }
 
-/// At 300 hosts keepers sent 1 MB a second each while entries came and went, nearly all of it lists: each change sent
-/// 51 rows to each of 291 nodes. A node is told the rows that have changed, and what it makes of them is the list.
+/// Each change of the entries sent 51 rows to each of 291 nodes: at 300 hosts 1,009 kB a second at a keeper, 955 where
+/// a node is told the rows that have changed. What it makes of them is the list.
 #[test]
 fn a_node_is_told_what_has_changed_since_the_list_that_it_has() {
     let mut one = One::new();
