Nodes fetch a configuration in parts, from all keepers that have it

Cause: a keeper's answer had the whole document, and was given up after 1.7 s whatever its size; all of it was asked for again, of keeper after keeper. Now a node asks for 32 kB at a time, of the next keeper each time; a part that is late is asked for elsewhere and counts when it comes. Keepers keep the last three replaced versions for nodes that are in the middle of one.

--- a/components/keeper/src/event.rs
+++ b/components/keeper/src/event.rs
@@ -4,7 +4,8 @@
 use model::NodeName;
 use serde::{Deserialize, Serialize};
 use wire::{
-    ChangeRequest, ChangeResult, Document, PullReply, PullRequest, WatchReply, WatchRequest,
+    ChangeRequest, ChangeResult, Document, DocumentPart, PartRequest, PullReply, PullRequest,
+    WatchReply, WatchRequest,
 };
 
 use crate::Version;
@@ -28,6 +29,8 @@
     Fetch(Ticket),
     /// A node registers and waits for news.
     Watch(Ticket, WatchRequest),
+    /// A node asks for a part of a document.
+    Part(Ticket, PartRequest),
     /// The process is about to stop.
     Resign,
     /// A node asks for newer settings.
@@ -62,6 +65,8 @@
     Document(Option<Document>),
     /// To a node that is registered.
     Watch(WatchReply),
+    /// To a node that asks for a part; none where this keeper has not that version.
+    Part(Option<DocumentPart>),
     /// To a node.
     Pull(PullReply),
     /// This keeper is not sure to lead: nothing is known from it. Of a change, not even whether
--- a/components/keeper/src/full_disk.rs
+++ b/components/keeper/src/full_disk.rs
@@ -42,6 +42,7 @@
     pub(crate) fn handle_without_disk(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Watch(ticket, request) => self.watch(now, ticket, request, out),
+            Event::Part(ticket, request) => self.part(ticket, request, out),
             Event::Change(ticket, _)
             | Event::Read(ticket)
             | Event::History(ticket)
@@ -59,7 +60,7 @@
 fn without_store(action: Action) -> Option<Action> {
     match action {
         Action::Store(_) | Action::Rewrite(_) | Action::Send(..) => None,
-        Action::Respond(ticket, reply @ (Reply::Watch(_) | Reply::Unsure(_))) => {
+        Action::Respond(ticket, reply @ (Reply::Watch(_) | Reply::Part(_) | Reply::Unsure(_))) => {
             Some(Action::Respond(ticket, reply))
         }
         Action::Respond(ticket, _) => Some(Action::Respond(ticket, Reply::Unsure(None))),
--- a/components/keeper/src/keeper.rs
+++ b/components/keeper/src/keeper.rs
@@ -1,6 +1,6 @@
 //! The keeper's state machine: the replicated log with the settings tree on it.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 use consensus::{
@@ -9,7 +9,9 @@
 use model::{NodeName, Time};
 use settings::Tree;
 use thiserror::Error;
-use wire::{ChangeRequest, Document, PullReply, PullRequest, WatchReply, WatchRequest};
+use wire::{
+    ChangeRequest, Document, PartRequest, PullReply, PullRequest, WatchReply, WatchRequest,
+};
 
 use crate::registry::Registry;
 use crate::{Action, Command, Event, LogCommand, News, Reply, State, Ticket, TreeReply};
@@ -20,6 +22,9 @@
 const CHANGE_TIME: Duration = Duration::from_secs(4);
 /// Entries after which the log is replaced by a snapshot.
 const COMPACT_AT: usize = 1_000;
+/// Replaced documents that are still sent. While versions follow each other faster than a slow link carries one, a node
+/// that had to begin anew with each would get none: it finishes one that is at most so many versions old.
+const REPLACED_KEPT: usize = 3;
 /// Versions shown to operators.
 const HISTORY: usize = 100;
 
@@ -61,6 +66,8 @@
     proposals: HashMap<ProposalId, Waiter>,
     next_proposal: u64,
     registry: Registry,
+    /// The last documents that were replaced, the newest last.
+    replaced: VecDeque<Document>,
     /// The disk takes nothing more: the replica is handed nothing, as if it stood still.
     pub(crate) disk_full: bool,
 }
@@ -100,6 +107,7 @@
             proposals: HashMap::new(),
             next_proposal: 0,
             registry: Registry::new(seed),
+            replaced: VecDeque::new(),
             disk_full: false,
         };
         keeper.apply_recovered(now);
@@ -141,6 +149,7 @@
                 self.if_sure(now, ticket, reply, out);
             }
             Event::Watch(ticket, request) => self.watch(now, ticket, request, out),
+            Event::Part(ticket, request) => self.part(ticket, request, out),
             Event::Resign => self.drive(now, consensus::Event::Resign, out),
             Event::Pull(ticket, request) => self.pull(now, ticket, &request, out),
             Event::Peer(from, message) => {
@@ -161,6 +170,13 @@
         self.answer_watchers(ended, out);
     }
 
+    /// What is committed here is sent whether or not this keeper leads.
+    pub(crate) fn part(&self, ticket: Ticket, request: PartRequest, out: &mut Vec<Action>) {
+        let documents = self.state.document().into_iter().chain(&self.replaced);
+        let part = documents.filter_map(|document| document.part(request)).next();
+        out.push(Action::Respond(ticket, Reply::Part(part)));
+    }
+
     /// When the next tick is due; none where nothing waits for one.
     pub fn next_timer(&self) -> Option<Time> {
         let replica = (!self.disk_full).then(|| self.replica.next_timer());
@@ -322,12 +338,22 @@
 
     fn take_document(&mut self, document: Document, out: &mut Vec<Action>) {
         let version = document.version;
+        let before = self.state.document().cloned();
         if self.state.replace(document) {
+            self.remember_replaced(before);
             out.push(Action::News(News::Document(version)));
             self.tell_watchers(out);
         }
     }
 
+    /// Keeps a document for nodes that are in the middle of fetching it.
+    fn remember_replaced(&mut self, document: Option<Document>) {
+        self.replaced.extend(document);
+        if self.replaced.len() > REPLACED_KEPT {
+            self.replaced.pop_front();
+        }
+    }
+
     fn tell_watchers(&mut self, out: &mut Vec<Action>) {
         let ended = self.registry.document_is(self.state.document_version());
         self.answer_watchers(ended, out);
@@ -337,11 +363,8 @@
     /// version that it is told.
     fn answer_watchers(&self, ended: Vec<crate::registry::Watcher>, out: &mut Vec<Action>) {
         for watcher in ended {
-            let version = self.state.document_version();
-            let is_sent = watcher.sends_document && version > watcher.document;
             let reply = WatchReply {
-                version,
-                document: self.state.document().filter(|_| is_sent).cloned(),
+                version: self.state.document_version(),
                 nodes: self.registry.list_news(watcher.revision),
                 peers: self.registry.peers(&watcher),
                 keepers: self.replica.voters().to_vec(),
@@ -353,7 +376,8 @@
     fn install(&mut self, snapshot: &Snapshot, out: &mut Vec<Action>) {
         match decode(snapshot) {
             Ok(state) => {
-                self.state = state;
+                let before = std::mem::replace(&mut self.state, state);
+                self.remember_replaced(before.document().cloned());
                 self.tell_watchers(out);
             }
             Err(_) => out.push(Action::News(News::Unreadable(snapshot.index))),
--- a/components/keeper/src/lib.rs
+++ b/components/keeper/src/lib.rs
@@ -14,6 +14,6 @@
 mod state;
 
 pub use event::{Action, Event, News, Reply, Ticket, TreeReply};
-pub use fetch::{Ask, DocumentFetch};
+pub use fetch::{DocumentFetch, DocumentSource, FetchStep, PART_WITHIN};
 pub use keeper::{Keeper, KeeperError, initial_records};
 pub use state::{Command, LogCommand, State, Version};
--- a/components/keeper/src/registry.rs
+++ b/components/keeper/src/registry.rs
@@ -39,10 +39,8 @@
     pub ticket: Ticket,
     /// The nodes that it is one of.
     pub group: Group,
-    /// The document that it has.
-    pub document: u64,
-    /// Whether a newer one is to be sent to it.
-    pub sends_document: bool,
+    /// The document that it was told of.
+    document: u64,
     /// The list that it has.
     pub revision: u64,
     until: Time,
@@ -84,7 +82,7 @@
 
     /// Registers a node; returns it as one to answer where there is news already.
     pub fn watch(&mut self, now: Time, ticket: Ticket, request: WatchRequest) -> Vec<Watcher> {
-        let WatchRequest { node, document, sends_document, revision } = request;
+        let WatchRequest { node, document, revision } = request;
         let group = group_of(&node);
         let known = self.nodes.insert(node.name.clone(), (node.clone(), now)).map(|(node, _)| node);
         if known.as_ref() != Some(&node) {
@@ -95,7 +93,7 @@
             }
         }
         let until = now + WATCH_TIME;
-        let watcher = Watcher { ticket, group, document, sends_document, revision, until };
+        let watcher = Watcher { ticket, group, document, revision, until };
         let settled = self.tell_at.is_none() && revision != self.revision;
         if document < self.document || settled {
             return vec![watcher];
--- a/components/keeper/tests/document.rs
+++ b/components/keeper/tests/document.rs
@@ -8,7 +8,8 @@
 use model::{Incarnation, NodeName, Time};
 use settings::Tree;
 use wire::{
-    Document, ListChange, ListNews, NodeInfo, NodeList, NodeRole, WatchReply, WatchRequest,
+    Document, ListChange, ListNews, NodeInfo, NodeList, NodeRole, PartRequest, WatchReply,
+    WatchRequest,
 };
 
 const START: Time = Time::from_millis(1_000_000);
@@ -82,12 +83,19 @@
         }
     }
 
+    /// The whole text that a node gets that asks for the one part of a document.
+    fn part(&mut self, version: u64) -> Option<String> {
+        let ticket = self.ticket();
+        let request = PartRequest { version, offset: 0 };
+        match self.handle(Event::Part(ticket, request)).pop() {
+            Some((to, Reply::Part(part))) if to == ticket => part.map(|part| part.text),
+            other => panic!("{other:?}"),
+        }
+    }
+
     fn watch(&mut self, node: NodeInfo, document: u64, revision: u64) -> Ticket {
         let ticket = self.ticket();
-        let replies = self.handle(Event::Watch(
-            ticket,
-            WatchRequest { node, document, sends_document: true, revision },
-        ));
+        let replies = self.handle(Event::Watch(ticket, WatchRequest { node, document, revision }));
         assert!(replies.is_empty(), "{replies:?}");
         ticket
     }
@@ -95,7 +103,7 @@
     /// A node asks, and is answered at once or within a time.
     fn ask(&mut self, node: NodeInfo, revision: u64, within: Duration) -> Option<WatchReply> {
         let ticket = self.ticket();
-        let request = WatchRequest { node, document: 0, sends_document: true, revision };
+        let request = WatchRequest { node, document: 0, revision };
         let mut replies = self.handle(Event::Watch(ticket, request));
         if replies.is_empty() {
             replies = self.run_for(within);
@@ -106,7 +114,7 @@
     /// A node registers; whatever it is told.
     fn register(&mut self, node: NodeInfo, revision: u64) {
         let ticket = self.ticket();
-        let request = WatchRequest { node, document: 0, sends_document: true, revision };
+        let request = WatchRequest { node, document: 0, revision };
         self.handle(Event::Watch(ticket, request));
     }
 }
@@ -194,7 +202,8 @@
     let ticket = one.ticket();
     let event = Event::Replace(ticket, Document { version: 7, body: Arc::from("seven") });
     let told = watch_reply(one.handle(event), waits).expect("told with the commit");
-    assert_eq!(told.document.map(|document| document.version), Some(7));
+    assert_eq!(told.version, 7);
+    assert_eq!(one.part(7), Some("seven".to_owned()));
     assert_eq!(told.nodes, None, "the list is the same");
 }
 
@@ -214,7 +223,7 @@
     assert_eq!(list.nodes, [node(1), node(2)]);
     let waits = one.watch(node(1), 0, list.revision);
     let told = watch_reply(one.run_for(Duration::from_millis(1_100)), waits).expect("an answer");
-    assert_eq!((told.nodes, told.document), (None, None), "no news");
+    assert_eq!((told.nodes, told.version), (None, 0), "no news");
 }
 
 #[test]
@@ -244,10 +253,11 @@
     }
     let mut again = One::from_records(one.records.clone());
     let ticket = again.ticket();
-    let request = WatchRequest { node: node(1), document: 0, sends_document: true, revision: 0 };
+    let request = WatchRequest { node: node(1), document: 0, revision: 0 };
     let replies = again.handle(Event::Watch(ticket, request));
     let told = watch_reply(replies, ticket).expect("told at once");
-    assert!(told.document.is_some_and(|document| document.version >= 1_000));
+    assert!(told.version >= 1_000);
+    assert_eq!(again.part(told.version), Some("later".to_owned()));
 }
 
 #[test]
@@ -257,12 +267,12 @@
     assert_eq!(one.replace(9, "nine"), Some(Reply::Replaced));
     let mut again = One::from_records(one.records.clone());
     let ticket = again.ticket();
-    let request = WatchRequest { node: node(1), document: 0, sends_document: true, revision: 0 };
+    let request = WatchRequest { node: node(1), document: 0, revision: 0 };
     let replies = again.handle(Event::Watch(ticket, request));
     let reply = watch_reply(replies, ticket).expect("it is answered at once");
     // The last commit may not be on the disk yet, the one before it is.
-    let document = reply.document.expect("it has one");
-    assert!(document.version >= 7, "{}", document.version);
+    assert!(reply.version >= 7, "{}", reply.version);
+    assert!(again.part(reply.version).is_some());
     let ticket = again.ticket();
     let unsure = again.handle(Event::Fetch(ticket));
     assert_eq!(unsure, [(ticket, Reply::Unsure(None))], "operators are not told before it leads");
@@ -381,8 +391,8 @@
     }
 }
 
-/// Every keeper sent a new document to every node: 1,455 times 10 kB at 300 hosts. A node that has not asked for it is
-/// told of its version.
+/// Every keeper sent a new document to every node: 1,455 times 10 kB at 300 hosts. A node is told of its version, and
+/// gets the document when it asks for it.
 #[test]
 fn a_document_is_sent_to_a_node_that_asks_for_it() {
     let mut one = One::new();
@@ -390,15 +400,25 @@
     one.run_for(Duration::from_millis(100));
     let told = one.ask(node(1), 0, Duration::ZERO).expect("a list");
     let revision = whole(told.nodes).revision;
-    let waits = one.ticket();
-    let request = WatchRequest { node: node(1), document: 0, sends_document: false, revision };
-    assert!(one.handle(Event::Watch(waits, request.clone())).is_empty());
+    let waits = one.watch(node(1), 0, revision);
     let ticket = one.ticket();
     let event = Event::Replace(ticket, Document { version: 7, body: Arc::from("seven") });
     let told = watch_reply(one.handle(event), waits).expect("told with the commit");
-    assert_eq!((told.version, told.document), (7, None));
-    let ticket = one.ticket();
-    let request = WatchRequest { sends_document: true, ..request };
-    let sent = watch_reply(one.handle(Event::Watch(ticket, request)), ticket).expect("at once");
-    assert_eq!(sent.document.map(|document| document.version), Some(7));
+    assert_eq!(told.version, 7);
+    assert_eq!(one.part(7), Some("seven".to_owned()));
+    assert_eq!(one.part(8), None);
+    one.watch(node(1), 7, revision);
+}
+
+/// Nodes begin to fetch a version while the next ones come: where it is gone they begin anew, again and again.
+#[test]
+fn the_last_versions_are_sent_on_after_they_are_replaced() {
+    let mut one = One::new();
+    for version in 1..=6 {
+        one.replace(version, &format!("version {version}"));
+    }
+    assert_eq!(one.part(2), None);
+    for version in 3..=6 {
+        assert_eq!(one.part(version), Some(format!("version {version}")));
+    }
 }
--- a/components/keeper/tests/fetch.rs
+++ b/components/keeper/tests/fetch.rs
@@ -1,46 +1,245 @@
-//! Who sends a node a new document, where several keepers tell of it.
+//! A node's fetching of a document in parts, where several sources tell of it.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use keeper::{Ask, DocumentFetch};
+use keeper::{DocumentFetch, DocumentSource, FetchStep, PART_WITHIN};
 use model::Time;
+use wire::{Document, PART_BYTES_MAX, PartRequest};
 
 const START: Time = Time::from_millis(1_000_000);
+/// Parts of the documents of these tests; the last is short.
+const PARTS: usize = 5;
 
-fn at(millis: u64) -> Time {
-    START + Duration::from_millis(millis)
+fn keeper(number: u8) -> DocumentSource {
+    DocumentSource::Keeper(SocketAddr::from(([10, 0, 0, number], 7_101)))
 }
 
-/// Five keepers each sent a node of 291 a document of 10 kB: 15 MB a change.
+fn agent(number: u64) -> DocumentSource {
+    DocumentSource::Agent(number)
+}
+
+/// A document whose text has characters of several bytes, so that parts may not be cut anywhere.
+fn document(version: u64) -> Document {
+    let text = format!("{version}ü€");
+    let count = (PARTS - 1) * PART_BYTES_MAX / text.len() + 100;
+    Document { version, body: text.repeat(count).into() }
+}
+
+/// A node, and what its sources have.
+struct Node {
+    fetch: DocumentFetch,
+    now: Time,
+    step: Option<FetchStep>,
+    /// Whom it asked, and for what.
+    asked: Vec<(DocumentSource, PartRequest)>,
+}
+
+impl Node {
+    fn new() -> Self {
+        Self { fetch: DocumentFetch::default(), now: START, step: None, asked: Vec::new() }
+    }
+
+    fn follow(&mut self, step: Option<FetchStep>) {
+        if let Some(FetchStep::Ask(source, request)) = &step {
+            self.asked.push((*source, *request));
+        }
+        if step.is_some() {
+            self.step = step;
+        }
+    }
+
+    fn offered(&mut self, source: DocumentSource, version: u64) {
+        let step = self.fetch.offered(self.now, source, version);
+        self.follow(step);
+    }
+
+    fn pass(&mut self, time: Duration) {
+        self.now = self.now + time;
+        let step = self.fetch.next(self.now);
+        self.follow(step);
+    }
+
+    /// Whom it waits for.
+    fn waits_for(&self) -> (DocumentSource, PartRequest) {
+        match &self.step {
+            Some(FetchStep::Ask(source, request)) => (*source, *request),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// The source that is asked answers from what it has.
+    fn answered_from(&mut self, documents: &[Document]) {
+        let (source, request) = self.waits_for();
+        let part = documents.iter().find_map(|document| document.part(request));
+        let step = self.fetch.answered(self.now, source, part);
+        self.follow(step);
+    }
+
+    fn fetch_from(&mut self, documents: &[Document]) -> Document {
+        for _ in 0..10 * PARTS {
+            match self.step.take() {
+                Some(FetchStep::Whole(document, _)) => return document,
+                step => self.step = step,
+            }
+            self.answered_from(documents);
+        }
+        panic!("it has not come whole: {:?}", self.step);
+    }
+}
+
+/// Five keepers each sent a node of 291 a document of 10 kB: 15 MB a change. In parts each keeper sends its share.
 #[test]
-fn one_of_several_keepers_sends_a_document() {
-    let mut fetch = DocumentFetch::default();
-    assert_eq!(fetch.next(at(0), 7, 7), Ask::News);
-    assert_eq!(fetch.next(at(1), 7, 8), Ask::Document);
-    for millis in 1..5 {
-        assert_eq!(fetch.next(at(millis), 7, 8), Ask::After(Duration::from_millis(201 - millis)));
+fn a_document_comes_once_and_from_all_that_have_it() {
+    let mut node = Node::new();
+    (1..=5).for_each(|number| node.offered(keeper(number), 8));
+    assert_eq!(node.asked.len(), 1, "nothing more is asked for before it answers");
+    assert_eq!(node.fetch_from(&[document(8)]), document(8));
+    let offsets: Vec<usize> = node.asked.iter().map(|(_, request)| request.offset).collect();
+    assert_eq!(offsets.len(), PARTS, "each part is asked for once: {offsets:?}");
+    assert!(offsets.is_sorted_by(|a, b| a < b));
+    let mut sources: Vec<DocumentSource> = node.asked.iter().map(|(source, _)| *source).collect();
+    sources.sort();
+    assert_eq!(sources, (1..=5).map(keeper).collect::<Vec<_>>());
+    node.offered(keeper(1), 8);
+    assert_eq!((node.asked.len(), node.fetch.version()), (PARTS, 8), "it has come");
+}
+
+/// A keeper that was asked and does not answer must not hold up a configuration that others have, nor cost what has
+/// come already.
+#[test]
+fn another_keeper_is_asked_for_the_part_where_the_first_is_silent_or_gone() {
+    let mut node = Node::new();
+    node.offered(keeper(1), 8);
+    node.answered_from(&[document(8)]);
+    let (_, part) = node.waits_for();
+    assert!(part.offset > 0);
+    node.offered(keeper(2), 8);
+    node.pass(PART_WITHIN - Duration::from_millis(1));
+    assert_eq!(node.asked.len(), 2);
+    node.pass(Duration::from_millis(1));
+    assert_eq!(node.waits_for(), (keeper(2), part), "silent");
+    node.offered(keeper(3), 8);
+    let step = node.fetch.gone(node.now, keeper(2));
+    node.follow(step);
+    assert_eq!(node.waits_for(), (keeper(3), part), "gone");
+    assert_eq!(node.fetch_from(&[document(8)]), document(8));
+    assert!(node.asked.iter().skip(2).all(|(source, _)| *source != keeper(1)), "not asked again");
+}
+
+/// Over a busy link every part comes late. All of it was asked for again, and none of it ever came whole.
+#[test]
+fn a_part_that_comes_late_counts_once() {
+    let mut node = Node::new();
+    let mut late = 0;
+    (1..=2).for_each(|number| node.offered(keeper(number), 8));
+    while !matches!(node.step, Some(FetchStep::Whole(..))) {
+        let before = node.waits_for();
+        node.pass(PART_WITHIN);
+        late += usize::from(node.waits_for() != before);
+        // The answer to the first of the two questions, then that to the second.
+        for (source, request) in [before, node.waits_for()] {
+            let step = node.fetch.answered(node.now, source, document(8).part(request));
+            node.follow(step);
+        }
+        assert!(node.asked.len() < 4 * PARTS, "it goes on: {:?}", node.asked);
     }
-    assert_eq!(fetch.next(at(6), 8, 8), Ask::News, "it has come");
+    assert_eq!(late, PARTS, "each was asked for twice");
+    assert_eq!(node.fetch_from(&[]), document(8));
 }
 
-/// A keeper that was asked and does not answer must not hold up a configuration that others have.
+/// Configurations come in quick succession: the one that is on its way is finished, then the newest is fetched.
 #[test]
-fn another_keeper_is_asked_where_the_first_is_silent_or_gone() {
-    let mut fetch = DocumentFetch::default();
-    assert_eq!(fetch.next(at(0), 0, 8), Ask::Document);
-    assert_eq!(fetch.next(at(150), 0, 8), Ask::After(Duration::from_millis(50)));
-    assert_eq!(fetch.next(at(200), 0, 8), Ask::Document, "silent");
-    assert_eq!(fetch.next(at(201), 0, 8), Ask::After(Duration::from_millis(199)));
-    fetch.lost();
-    assert_eq!(fetch.next(at(202), 0, 8), Ask::Document, "gone");
+fn a_newer_version_does_not_cost_what_has_come_of_an_older_one() {
+    let mut node = Node::new();
+    node.offered(keeper(1), 8);
+    node.answered_from(&[document(8)]);
+    node.offered(keeper(1), 9);
+    node.offered(keeper(1), 11);
+    assert_eq!(node.fetch_from(&[document(11), document(9), document(8)]), document(8));
+    assert_eq!(node.asked.len(), PARTS);
+    node.pass(Duration::ZERO);
+    assert_eq!(node.fetch_from(&[document(11), document(9)]), document(11));
+}
+
+/// A version that nobody has any more is given up for one that somebody has.
+#[test]
+fn the_newest_version_is_fetched_where_the_older_one_is_gone() {
+    let mut node = Node::new();
+    node.offered(keeper(1), 8);
+    node.answered_from(&[document(8)]);
+    node.offered(keeper(1), 12);
+    assert_eq!(node.fetch_from(&[document(12)]), document(12));
+
+    let mut node = Node::new();
+    node.offered(keeper(1), 12);
+    node.answered_from(&[document(12)]);
+    node.offered(keeper(2), 8);
+    let step = node.fetch.gone(node.now, keeper(1));
+    node.follow(step);
+    assert_eq!(node.fetch_from(&[document(8)]), document(8));
+}
+
+/// A keeper's next life, with an empty disk, has nothing of what the life before told of.
+#[test]
+fn a_source_that_has_nothing_is_not_asked_before_it_tells_again() {
+    let mut node = Node::new();
+    node.offered(keeper(1), 8);
+    node.answered_from(&[]);
+    node.pass(PART_WITHIN * 4);
+    assert_eq!(node.asked.len(), 1);
+    node.offered(keeper(1), 8);
+    assert_eq!(node.fetch_from(&[document(8)]), document(8));
+}
+
+/// An entry that restarts while no keeper can be reached gets the configuration from agents; what keepers have is newer.
+#[test]
+fn agents_are_asked_where_no_keeper_is() {
+    let mut node = Node::new();
+    node.offered(agent(1), 8);
+    node.answered_from(&[document(8)]);
+    assert_eq!(node.waits_for().0, agent(1));
+    node.offered(agent(2), 8);
+    node.answered_from(&[document(8)]);
+    assert_eq!(node.waits_for().0, agent(2));
+    node.offered(keeper(1), 8);
+    node.answered_from(&[document(8)]);
+    assert_eq!(node.waits_for().0, keeper(1));
+    assert_eq!(node.fetch_from(&[document(8)]), document(8));
+    assert!(node.asked.iter().skip(3).all(|(source, _)| *source == keeper(1)));
+}
+
+/// A document may be larger than what a node's link carries before a connection over it is taken for dead.
+#[test]
+fn no_part_is_longer_than_a_link_carries_at_once() {
+    let document = document(8);
+    let mut text = String::new();
+    while let Some(part) = document.part(PartRequest { version: 8, offset: text.len() })
+        && !part.text.is_empty()
+    {
+        assert!(part.text.len() <= PART_BYTES_MAX);
+        assert_eq!((part.offset, part.total), (text.len(), document.body.len()));
+        text.push_str(&part.text);
+    }
+    assert_eq!(*text, *document.body);
+    // Within a character of several bytes, and beyond the end.
+    for offset in [2, document.body.len() + 1] {
+        assert_eq!(document.part(PartRequest { version: 8, offset }), None);
+    }
+    assert_eq!(document.part(PartRequest { version: 7, offset: 0 }), None);
 }
 
-/// Configurations come in quick succession: who tells of a newer one is asked at once.
+/// A source whose text ends before the length that it tells does not hold up the others.
 #[test]
-fn a_newer_version_is_asked_for_at_once() {
-    let mut fetch = DocumentFetch::default();
-    assert_eq!(fetch.next(at(0), 7, 8), Ask::Document);
-    assert_eq!(fetch.next(at(1), 7, 9), Ask::Document);
-    assert_eq!(fetch.next(at(2), 7, 8), Ask::After(Duration::from_millis(199)));
-    assert_eq!(fetch.next(at(3), 8, 9), Ask::After(Duration::from_millis(198)));
+fn a_text_that_is_not_as_long_as_told_is_fetched_anew() {
+    let mut node = Node::new();
+    node.offered(keeper(1), 8);
+    node.offered(keeper(2), 8);
+    let (source, request) = node.waits_for();
+    let mut part = document(8).part(request).expect("the first part");
+    part.text.clear();
+    let step = node.fetch.answered(node.now, source, Some(part));
+    node.follow(step);
+    assert_eq!(node.waits_for().0, keeper(2));
+    assert_eq!(node.fetch_from(&[document(8)]), document(8));
 }
--- a/components/keeper/tests/full_disk.rs
+++ b/components/keeper/tests/full_disk.rs
@@ -8,7 +8,7 @@
 use keeper::{Action, Event, Keeper, Reply, Ticket, initial_records};
 use model::{Incarnation, NodeName, Time};
 use settings::Tree;
-use wire::{Document, NodeInfo, NodeRole, WatchRequest};
+use wire::{Document, NodeInfo, NodeRole, PartRequest, WatchRequest};
 
 const START: Time = Time::from_millis(1_000_000);
 const STEP: Duration = Duration::from_millis(1);
@@ -139,11 +139,15 @@
     three.full = Some((other, 0));
     three.replace(leads, 2, 8);
     three.until(Duration::from_secs(1), |three| three.full == Some((other, 1)));
-    let watch = WatchRequest { node: entry(), document: 0, sends_document: true, revision: 0 };
+    let watch = WatchRequest { node: entry(), document: 0, revision: 0 };
     three.handle(other, Event::Watch(Ticket(3), watch));
     three.until(Duration::from_millis(200), |three| three.reply(3).is_some());
     let Some(Reply::Watch(reply)) = three.reply(3) else { panic!("{:?}", three.reply(3)) };
-    assert_eq!(reply.document.as_ref().map(|document| document.version), Some(7));
+    assert_eq!(reply.version, 7);
+    let request = PartRequest { version: 7, offset: 0 };
+    three.handle(other, Event::Part(Ticket(8), request));
+    let Some(Reply::Part(Some(part))) = three.reply(8) else { panic!("{:?}", three.reply(8)) };
+    assert_eq!((part.version, part.text.len()), (7, part.total));
     let replies = [
         Event::Fetch(Ticket(4)),
         Event::Read(Ticket(5)),
--- a/components/wire/src/keeper.rs
+++ b/components/wire/src/keeper.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use settings::{Edit, Tree};
 
-use crate::{WatchReply, WatchRequest};
+use crate::{DocumentPart, PartRequest, WatchReply, WatchRequest};
 
 /// A change of the settings tree as an operator sends it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -93,4 +93,6 @@
     async fn pull(request: PullRequest) -> PullReply;
     /// Registers a node, and waits a while for a newer document or other nodes.
     async fn watch(request: WatchRequest) -> WatchReply;
+    /// A part of the document; `None` where this keeper does not have that version.
+    async fn document(request: PartRequest) -> Option<DocumentPart>;
 }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -6,6 +6,7 @@
 #![allow(missing_docs)]
 
 mod agent;
+mod document;
 mod entry;
 mod keeper;
 mod registry;
@@ -15,12 +16,11 @@
     AgentInfo, AgentService, AgentServiceClient, AgentStatus, HelloRequest, SettleReply,
     SettleRequest, StartRefusal, StartReply, StartRequest, StartResult, SyncReply, SyncRequest,
 };
+pub use document::{Document, DocumentPart, PART_BYTES_MAX, PartRequest};
 pub use entry::{EntryService, EntryServiceClient, RelayReply, RelayRequest};
 pub use keeper::{
     ChangeRequest, ChangeResult, KeeperService, KeeperServiceClient, PeerMessage, PullReply,
     PullRequest,
 };
-pub use registry::{
-    Document, ListChange, ListNews, NodeInfo, NodeList, NodeRole, WatchReply, WatchRequest,
-};
+pub use registry::{ListChange, ListNews, NodeInfo, NodeList, NodeRole, WatchReply, WatchRequest};
 pub use session::{AgentProfile, Load, Refusal, StartTask, TaskEnd, TaskReport, ToAgent, ToEntry};
--- a/components/wire/src/registry.rs
+++ b/components/wire/src/registry.rs
@@ -6,16 +6,6 @@
 use model::{Incarnation, NodeName};
 use serde::{Deserialize, Serialize};
 
-/// The configuration as operators send it: a whole text with its version. Keepers keep it and
-/// don't look inside.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Document {
-    /// The operators' version; the highest holds.
-    pub version: u64,
-    /// The text, as it was sent.
-    pub body: Arc<str>,
-}
-
 /// What a registered node does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum NodeRole {
@@ -45,10 +35,8 @@
 pub struct WatchRequest {
     /// The node that asks.
     pub node: NodeInfo,
-    /// The version of the document that it has; 0 for none.
+    /// The version of the document that this keeper has told it of; 0 for none.
     pub document: u64,
-    /// Whether a newer document is to be sent; else its version alone is told.
-    pub sends_document: bool,
     /// The revision of this keeper's list of nodes that it has; 0 for none.
     pub revision: u64,
 }
@@ -108,10 +96,8 @@
 /// A keeper's news.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WatchReply {
-    /// The version of the document in force here; 0 for none.
+    /// The version of the document in force here, which is committed; 0 for none.
     pub version: u64,
-    /// The document, where it is newer than the node's and was asked for. It is committed.
-    pub document: Option<Document>,
     /// The entries, where the list is another than the node's.
     pub nodes: Option<ListNews>,
     /// Nodes of the same role and service as the node that asks, itself included.
--- a/daemon/src/keeper_role/decide.rs
+++ b/daemon/src/keeper_role/decide.rs
@@ -50,6 +50,8 @@
     Fetch,
     /// News for a node that registers.
     Watch(wire::WatchRequest),
+    /// A part of a document for a node.
+    Part(wire::PartRequest),
 }
 
 /// What a keeper tells of itself.
@@ -136,6 +138,7 @@
             Ask::Replace(document) => Event::Replace(ticket, document),
             Ask::Fetch => Event::Fetch(ticket),
             Ask::Watch(request) => Event::Watch(ticket, request),
+            Ask::Part(request) => Event::Part(ticket, request),
         };
         self.keeper.handle(now, event, &mut self.actions);
     }
--- a/daemon/src/keeper_role/listen.rs
+++ b/daemon/src/keeper_role/listen.rs
@@ -20,8 +20,8 @@
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use wire::{
-    ChangeRequest, ChangeResult, KeeperService, PeerMessage, PullReply, PullRequest, WatchReply,
-    WatchRequest,
+    ChangeRequest, ChangeResult, DocumentPart, KeeperService, PartRequest, PeerMessage, PullReply,
+    PullRequest, WatchReply, WatchRequest,
 };
 
 use super::decide::{Ask, Input};
@@ -146,13 +146,15 @@
         match ask(&self.ring, Ask::Watch(request)).await {
             Some(Reply::Watch(reply)) => reply,
             // The keeper is ending; the connection ends with it.
-            _ => WatchReply {
-                version: 0,
-                document: None,
-                nodes: None,
-                peers: 0,
-                keepers: Vec::new(),
-            },
+            _ => WatchReply { version: 0, nodes: None, peers: 0, keepers: Vec::new() },
+        }
+    }
+
+    async fn document(self, _: Context, request: PartRequest) -> Option<DocumentPart> {
+        match ask(&self.ring, Ask::Part(request)).await {
+            Some(Reply::Part(part)) => part,
+            // The keeper is ending; another has it.
+            _ => None,
         }
     }
 }
@@ -252,9 +254,14 @@
         Some(Reply::History(versions)) => json(200, &versions),
         Some(Reply::Change(result)) => json(status(&result), &result),
         Some(Reply::Unsure(leader)) => unsure(leader),
-        Some(Reply::Pull(_) | Reply::Replaced | Reply::Document(_) | Reply::Watch(_)) | None => {
-            problem(503, "not-ready", "the keeper is stopping")
-        }
+        Some(
+            Reply::Pull(_)
+            | Reply::Replaced
+            | Reply::Document(_)
+            | Reply::Watch(_)
+            | Reply::Part(_),
+        )
+        | None => problem(503, "not-ready", "the keeper is stopping"),
     }
 }
 
--- a/daemon/src/room/agent.rs
+++ b/daemon/src/room/agent.rs
@@ -125,7 +125,7 @@
             self.log.clone(),
             node.node_port,
             &node.keepers,
-            Box::new(move |document| for_documents.feed(Event::Document(document))),
+            Box::new(move |document, _| for_documents.feed(Event::Document(document))),
             Box::new(move |entries, agents| for_nodes.entries_are(entries, agents)),
         )
     }
--- a/daemon/src/room/entry.rs
+++ b/daemon/src/room/entry.rs
@@ -10,6 +10,7 @@
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use dispatch::{Action, Dispatcher, Event, Outcome, SessionId, Ticket, Timing};
+use keeper::DocumentSource;
 use net::{Phase, Tasks};
 use routing::RouteTable;
 use serde_json::json;
@@ -193,7 +194,9 @@
             service: Arc::from(""),
         };
         let entry = self.clone();
-        let take = Box::new(move |document: Document| entry.take_document(&document, "keeper"));
+        let take = Box::new(move |document: Document, source: DocumentSource| {
+            entry.take_document(&document, source.kind());
+        });
         let peers = self.peers.clone();
         let watch = Watch::start(
             own,
@@ -268,9 +271,6 @@
                         "from": from})
                 });
                 *self.table.borrow_mut() = Some(Rc::new(table));
-                if let Some(watch) = &*self.watch.borrow() {
-                    watch.has_document(document.version);
-                }
             }
             Err(error) => {
                 let reason = error.to_string();
--- a/daemon/src/room/watch.rs
+++ b/daemon/src/room/watch.rs
@@ -1,7 +1,7 @@
-//! A node's watch of the keepers: it registers at each of them, takes the list of nodes of each, and the document
-//! from one that has it.
+//! A node's watch of the keepers: it registers at each of them, takes the list of nodes of each, and fetches the
+//! newest document from those that have it.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,11 +9,15 @@
 
 use async_io::Timer;
 use futures_lite::FutureExt;
-use keeper::{Ask, DocumentFetch};
+use keeper::{DocumentFetch, DocumentSource, FetchStep, PART_WITHIN};
+use model::Time;
 use net::Tasks;
 use serde_json::json;
 use tarpc::client::{Config, NewClient};
-use wire::{Document, KeeperServiceClient, ListNews, NodeInfo, NodeList, WatchReply, WatchRequest};
+use wire::{
+    Document, KeeperServiceClient, ListNews, NodeInfo, NodeList, PartRequest, WatchReply,
+    WatchRequest,
+};
 
 use crate::clock::Clock;
 use crate::event_log::{Budget, EventLog};
@@ -25,8 +29,8 @@
 /// Failures after which a keeper that nobody names any more is forgotten.
 const FAILURES: u32 = 20;
 
-/// Takes a newer document.
-type TakeDocument = Box<dyn Fn(Document)>;
+/// Takes a newer document, and who sent the last of it.
+type TakeDocument = Box<dyn Fn(Document, DocumentSource)>;
 /// Takes the entries that are listed, and how many nodes do the same as this one.
 type TakeNodes = Box<dyn Fn(&[NodeInfo], usize)>;
 
@@ -36,8 +40,6 @@
     tasks: Tasks,
     log: EventLog,
     node_port: u16,
-    /// The newest version that is known.
-    version: Cell<u64>,
     take_document: TakeDocument,
     take_nodes: TakeNodes,
     /// Keepers that are named by the configuration.
@@ -46,6 +48,8 @@
     named: RefCell<BTreeMap<SocketAddr, Vec<SocketAddr>>>,
     watched: RefCell<BTreeSet<SocketAddr>>,
     lists: RefCell<BTreeMap<SocketAddr, Listing>>,
+    /// The keepers that are connected to.
+    clients: RefCell<BTreeMap<SocketAddr, KeeperServiceClient>>,
     fetch: RefCell<DocumentFetch>,
     clock: Clock,
 }
@@ -73,13 +77,13 @@
             tasks,
             log,
             node_port,
-            version: Cell::new(0),
             take_document,
             take_nodes,
             seeds: RefCell::default(),
             named: RefCell::default(),
             watched: RefCell::default(),
             lists: RefCell::default(),
+            clients: RefCell::default(),
             fetch: RefCell::default(),
             clock: Clock::start(),
         });
@@ -96,11 +100,6 @@
         all.into_iter().for_each(|keeper| self.add(keeper));
     }
 
-    /// A document became known in another way.
-    pub fn has_document(&self, version: u64) {
-        self.version.set(self.version.get().max(version));
-    }
-
     fn add(self: &Rc<Self>, keeper: SocketAddr) {
         if self.watched.borrow_mut().insert(keeper) {
             let watch = self.clone();
@@ -126,6 +125,7 @@
                     // The calls see why it ended.
                     let _ = dispatch.await;
                 };
+                self.clients.borrow_mut().insert(keeper, client.clone());
                 let heard = self.ask(keeper, &client).or(async {
                     dispatch.await;
                     false
@@ -133,6 +133,8 @@
                 if heard.await {
                     failures = 0;
                 }
+                self.clients.borrow_mut().remove(&keeper);
+                self.fetch_goes_on(|fetch, now| fetch.gone(now, DocumentSource::Keeper(keeper)));
             }
             failures += 1;
             Timer::after(RETRY_PAUSE).await;
@@ -148,31 +150,20 @@
         let mut heard = false;
         let (mut revision, mut version) = (0, 0);
         loop {
-            let sends_document = self.until_due(version).await;
-            let request = WatchRequest {
-                node: self.own.clone(),
-                document: self.version.get(),
-                sends_document,
-                revision,
-            };
+            let request = WatchRequest { node: self.own.clone(), document: version, revision };
             let answer = async { client.watch(net::call_context(), request).await.ok() };
             let late = async {
                 Timer::after(SILENCE).await;
                 None
             };
             let Some(reply) = answer.or(late).await else {
-                if sends_document {
-                    self.fetch.borrow_mut().lost();
-                }
                 if heard {
-                    let what = json!({"keeper": keeper.to_string(), "document": sends_document});
-                    self.log.line("keeper-lost", Budget::Full, || what);
+                    self.keeper_is(keeper, "keeper-lost");
                 }
                 return heard;
             };
             if !std::mem::replace(&mut heard, true) {
-                let what = json!({"keeper": keeper.to_string()});
-                self.log.line("keeper-heard", Budget::Full, || what);
+                self.keeper_is(keeper, "keeper-heard");
             }
             version = reply.version;
             if let Some(news) = &reply.nodes {
@@ -182,26 +173,59 @@
         }
     }
 
-    /// Waits until a keeper that has told of a version of the document is to be asked again; returns whether
-    /// it is to send the document.
-    async fn until_due(&self, told: u64) -> bool {
-        loop {
-            let next = self.fetch.borrow_mut().next(self.clock.now(), self.version.get(), told);
-            match next {
-                Ask::News => return false,
-                Ask::Document => return true,
-                Ask::After(time) => Timer::after(time).await,
-            };
+    fn keeper_is(&self, keeper: SocketAddr, what: &'static str) {
+        self.log.line(what, Budget::Full, || json!({"keeper": keeper.to_string()}));
+    }
+
+    /// Tells the fetch of what has happened, and does what follows.
+    fn fetch_goes_on(
+        self: &Rc<Self>,
+        happened: impl FnOnce(&mut DocumentFetch, Time) -> Option<FetchStep>,
+    ) {
+        let mut next = happened(&mut self.fetch.borrow_mut(), self.clock.now());
+        while let Some(step) = next.take() {
+            match step {
+                FetchStep::Ask(source, request) => self.ask_part(source, request),
+                FetchStep::Whole(document, source) => {
+                    (self.take_document)(document, source);
+                    next = self.fetch.borrow_mut().next(self.clock.now());
+                }
+            }
         }
     }
 
-    fn take(self: &Rc<Self>, keeper: SocketAddr, reply: WatchReply) {
-        if let Some(document) = reply.document
-            && document.version > self.version.get()
-        {
-            self.version.set(document.version);
-            (self.take_document)(document);
+    /// Asks for a part of a document, and looks after a while whether it has come.
+    fn ask_part(self: &Rc<Self>, source: DocumentSource, request: PartRequest) {
+        let watch = self.clone();
+        self.tasks.spawn(async move {
+            Timer::after(PART_WITHIN).await;
+            watch.fetch_goes_on(DocumentFetch::next);
+        });
+        match source {
+            DocumentSource::Keeper(keeper) => self.ask_keeper_part(keeper, request),
+            DocumentSource::Agent(_) => {}
         }
+    }
+
+    fn ask_keeper_part(self: &Rc<Self>, keeper: SocketAddr, request: PartRequest) {
+        let client = self.clients.borrow().get(&keeper).cloned();
+        let watch = self.clone();
+        self.tasks.spawn_rpc(async move {
+            let source = DocumentSource::Keeper(keeper);
+            let answer = match &client {
+                Some(client) => client.document(net::call_context(), request).await.ok(),
+                None => None,
+            };
+            watch.fetch_goes_on(|fetch, now| match answer {
+                Some(part) => fetch.answered(now, source, part),
+                None => fetch.gone(now, source),
+            });
+        });
+    }
+
+    fn take(self: &Rc<Self>, keeper: SocketAddr, reply: WatchReply) {
+        let source = DocumentSource::Keeper(keeper);
+        self.fetch_goes_on(|fetch, now| fetch.offered(now, source, reply.version));
         let named: Vec<SocketAddr> =
             reply.keepers.iter().filter_map(|name| name.as_str().parse().ok()).collect();
         self.named.borrow_mut().insert(keeper, named.clone());
--- a/daemon/tests/large_documents.rs
+++ b/daemon/tests/large_documents.rs
@@ -13,7 +13,8 @@
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use wire::{
-    Document, KeeperService, PeerMessage, PullReply, PullRequest, WatchReply, WatchRequest,
+    Document, DocumentPart, KeeperService, PartRequest, PeerMessage, PullReply, PullRequest,
+    WatchReply, WatchRequest,
 };
 
 mod room_support;
@@ -39,15 +40,12 @@
         if request.document == document.version {
             net::pause(WATCH_TIME).await;
         }
-        let version = document.version;
-        let is_sent = request.sends_document && request.document < version;
-        WatchReply {
-            version,
-            document: is_sent.then_some(document),
-            nodes: None,
-            peers: 1,
-            keepers: Vec::new(),
-        }
+        WatchReply { version: document.version, nodes: None, peers: 1, keepers: Vec::new() }
+    }
+
+    async fn document(self, _: Context, request: PartRequest) -> Option<DocumentPart> {
+        let Telling(document) = self;
+        document.part(request)
     }
 }
 
--- a/daemon/tests/silent_connections.rs
+++ b/daemon/tests/silent_connections.rs
@@ -24,8 +24,8 @@
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use wire::{
-    KeeperService, KeeperServiceClient, NodeInfo, NodeRole, PeerMessage, PullReply, PullRequest,
-    WatchReply, WatchRequest,
+    DocumentPart, KeeperService, KeeperServiceClient, NodeInfo, NodeRole, PartRequest, PeerMessage,
+    PullReply, PullRequest, WatchReply, WatchRequest,
 };
 
 #[allow(unused_imports)]
@@ -121,7 +121,11 @@
     }
 
     async fn watch(self, _: Context, _: WatchRequest) -> WatchReply {
-        WatchReply { version: 0, document: None, nodes: None, peers: 0, keepers: Vec::new() }
+        WatchReply { version: 0, nodes: None, peers: 0, keepers: Vec::new() }
+    }
+
+    async fn document(self, _: Context, _: PartRequest) -> Option<DocumentPart> {
+        None
     }
 }
 
@@ -292,7 +296,7 @@
         incarnation: Incarnation(1),
         service: "".into(),
     };
-    let request = WatchRequest { node, document: 0, sends_document: true, revision: 0 };
+    let request = WatchRequest { node, document: 0, revision: 0 };
     net::block_on(|tasks| async move {
         let stream = net::connect(keeper).await.expect("the keeper listens");
         let NewClient { client, dispatch } =
