Keepers bound their log and their messages in bytes, not in entries alone

The same cause as that of the full links, found by reading: what grows with a configuration was bounded by a count. Logs are replaced by their state also after 8 MB of committed commands (24 MB after 60 changes of 400 kB before, below 10 MB now; 220 changes of 845 kB filled a disk of 192 MB, at every keeper at once). A message has 1 MB of commands at most, or one (4 MB in the test before; 40 changes of 845 kB made one that no frame takes, so that who missed them never caught up).

--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -11,6 +11,10 @@
 
 /// Most entries in one message.
 const BATCH: usize = 64;
+/// Most bytes of commands in one message, unless a single one is larger: a third of a second of a link of 25 Mbit/s, and
+/// a thirtieth of the longest frame. By count alone 40 configurations of 845 kB made a message of 34 MB, which no
+/// frame takes.
+const BATCH_BYTES: usize = 1_000_000;
 /// A replica that is no member and silent for longer is sent nothing more until it asks again.
 const LEARNER_SILENCE: Duration = Duration::from_secs(3);
 /// A replica whose last acknowledgement is older does not take a member's place.
@@ -234,7 +238,7 @@
         let Some(prev_term) = self.log.term(prev_index) else {
             return self.send_snapshot(now, to, out);
         };
-        let entries = self.log.from(progress.next, BATCH);
+        let entries = self.log.batch(progress.next, BATCH, BATCH_BYTES);
         let sent = entries.len() as Index;
         let message = Message::Append {
             term: self.term,
--- a/components/consensus/src/log.rs
+++ b/components/consensus/src/log.rs
@@ -25,6 +25,16 @@
     Members(Vec<NodeName>),
 }
 
+impl Payload {
+    /// How large its command is.
+    fn bytes(&self) -> usize {
+        match self {
+            Self::Command(command) => command.len(),
+            Self::Empty | Self::Members(_) => 0,
+        }
+    }
+}
+
 /// One entry of the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -71,11 +81,34 @@
         self.entries.get(usize::try_from(offset).ok()?)
     }
 
-    /// Up to `count` entries from an index on.
-    pub fn from(&self, index: Index, count: usize) -> Vec<Entry> {
+    /// All entries from an index on.
+    pub fn from(&self, index: Index) -> Vec<Entry> {
+        self.iter_from(index).cloned().collect()
+    }
+
+    /// The entries from an index on that are sent in one message: up to `count`, and up to so many bytes of
+    /// commands, but one at least.
+    pub fn batch(&self, index: Index, count: usize, bytes: usize) -> Vec<Entry> {
+        let mut left = bytes;
+        let mut fits = |entry: &&Entry| {
+            let size = entry.payload.bytes();
+            let fits = size <= left || entry.index == index;
+            left = left.saturating_sub(size);
+            fits
+        };
+        self.iter_from(index).take(count).take_while(|entry| fits(entry)).cloned().collect()
+    }
+
+    fn iter_from(&self, index: Index) -> impl Iterator<Item = &Entry> {
         let offset = index.saturating_sub(self.snapshot.index + 1);
         let skipped = usize::try_from(offset).unwrap_or(usize::MAX);
-        self.entries.iter().skip(skipped).take(count).cloned().collect()
+        self.entries.iter().skip(skipped)
+    }
+
+    /// Bytes of the commands up to an index.
+    pub fn bytes_to(&self, index: Index) -> usize {
+        let before = self.entries.iter().take_while(|entry| entry.index <= index);
+        before.map(|entry| entry.payload.bytes()).sum()
     }
 
     /// Adds the entry that follows the last.
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -118,9 +118,8 @@
     /// are not reported by [`Action::Commit`]: the state machine applies them after
     /// [`Replica::recover`], before it hands in the first event.
     pub fn recovered_entries(&self) -> Vec<Entry> {
-        let first = self.log.snapshot.index + 1;
-        let count = self.commit + 1 - first;
-        self.log.from(first, usize::try_from(count).unwrap_or(usize::MAX))
+        let entries = self.log.from(self.log.snapshot.index + 1);
+        entries.into_iter().filter(|entry| entry.index <= self.commit).collect()
     }
 
     /// Takes an event and adds the actions that follow.
@@ -193,6 +192,11 @@
         self.log.len()
     }
 
+    /// Bytes of the commands in memory that are committed.
+    pub fn committed_bytes(&self) -> usize {
+        self.log.bytes_to(self.commit)
+    }
+
     /// Replaces the log up to the last committed entry by the state after it.
     pub fn compact(&mut self, state: Vec<u8>, out: &mut Vec<Action>) {
         let Some(term) = self.log.term(self.commit) else { return };
@@ -203,7 +207,7 @@
 
     /// Everything that has to be on the disk.
     pub(crate) fn records(&self) -> Vec<Record> {
-        let entries = self.log.from(self.log.snapshot.index + 1, usize::MAX);
+        let entries = self.log.from(self.log.snapshot.index + 1);
         vec![
             Record::Snapshot(self.log.snapshot.clone()),
             Record::Blank(self.blank),
--- a/components/consensus/tests/cluster/mod.rs
+++ b/components/consensus/tests/cluster/mod.rs
@@ -36,12 +36,23 @@
     sequence: u64,
     proposals: u64,
     lives: u64,
+    /// The most bytes of commands that one message had.
+    pub largest: usize,
 }
 
 pub fn name(number: usize) -> NodeName {
     NodeName::new(&format!("k{number}"))
 }
 
+fn command_bytes(message: &Message) -> usize {
+    let Message::Append { entries, .. } = message else { return 0 };
+    let bytes = |entry: &Entry| match &entry.payload {
+        Payload::Command(command) => command.len(),
+        _ => 0,
+    };
+    entries.iter().map(bytes).sum()
+}
+
 impl Cluster {
     /// Replicas whose members never change.
     pub fn new(count: usize) -> Self {
@@ -82,6 +93,7 @@
             sequence: 0,
             proposals: 0,
             lives: 0,
+            largest: 0,
         };
         members.iter().for_each(|name| cluster.start(name));
         cluster
@@ -185,6 +197,7 @@
         if self.cut.contains(from) || self.cut.contains(to) {
             return;
         }
+        self.largest = self.largest.max(command_bytes(&message));
         self.sequence += 1;
         self.frames.push(Reverse((self.now + HOP, self.sequence)));
         self.contents.insert(self.sequence, (from.clone(), to.clone(), message));
--- a/components/consensus/tests/replicas.rs
+++ b/components/consensus/tests/replicas.rs
@@ -182,3 +182,28 @@
     assert!(cluster.has(&leader, b"kept"));
     assert!(!cluster.has(&leader, b"lonely"));
 }
+
+/// What operators would see: a keeper that was down while configurations of 845 kB changed 40 times never takes part
+/// again. The cause, found by reading after links of entries had been filled by whole configurations: what it lacks was
+/// counted in entries, 64 to a message, and no frame takes 34 MB. Before: 4,000,000 bytes in one message of this run.
+#[test]
+fn a_replica_that_missed_many_large_entries_is_sent_them_in_bounded_messages() {
+    let mut cluster = Cluster::new(3);
+    cluster.run_for(ELECTION);
+    let leader = cluster.leader().unwrap();
+    let behind = (1..=3).map(name).find(|name| *name != leader).unwrap();
+    cluster.kill(&behind);
+    let large = |number: u8| vec![number; 100_000];
+    for number in 0..40 {
+        assert!(cluster.propose(&large(number)));
+    }
+    cluster.start(&behind);
+    cluster.run_for(ELECTION);
+    assert!(cluster.has(&behind, &large(39)));
+    assert!(cluster.largest <= 1_100_000, "{} bytes in one message", cluster.largest);
+    // An entry that is larger than a message is to be is sent alone.
+    let huge = vec![7; 3_000_000];
+    assert!(cluster.propose(&huge));
+    cluster.run_for(ELECTION);
+    assert!(cluster.has(&behind, &huge));
+}
--- a/components/keeper/src/keeper.rs
+++ b/components/keeper/src/keeper.rs
@@ -22,6 +22,9 @@
 const CHANGE_TIME: Duration = Duration::from_secs(4);
 /// Entries after which the log is replaced by a snapshot.
 const COMPACT_AT: usize = 1_000;
+/// Bytes of committed commands after which it is so as well: a sixteenth of the smallest disk so far (128 MB).
+/// By entries alone 220 configurations of 845 kB filled a disk of 192 MB for good, that of each keeper at once.
+const COMPACT_AT_BYTES: usize = 8_000_000;
 /// Replaced documents that are still sent. While versions follow each other faster than a slow link carries one, a node
 /// that had to begin anew with each would get none: it finishes one that is at most so many versions old.
 const REPLACED_KEPT: usize = 3;
@@ -284,11 +287,16 @@
         for action in actions {
             self.act(now, action, out);
         }
-        if self.replica.log_len() > COMPACT_AT && self.replica.committed() > 0 {
+        if self.is_log_long() {
             self.compact(out);
         }
     }
 
+    fn is_log_long(&self) -> bool {
+        let many = self.replica.log_len() > COMPACT_AT && self.replica.committed() > 0;
+        many || self.replica.committed_bytes() > COMPACT_AT_BYTES
+    }
+
     fn act(&mut self, now: Time, action: consensus::Action, out: &mut Vec<Action>) {
         use consensus::Action as Log;
         match action {
--- a/components/keeper/tests/document.rs
+++ b/components/keeper/tests/document.rs
@@ -422,3 +422,37 @@
         assert_eq!(one.part(version), Some(format!("version {version}")));
     }
 }
+
+/// What operators would see: after 220 changes of a configuration of 845 kB on disks of 192 MB, no change is taken any
+/// more, by any keeper. The cause, found by reading after links of entries had been filled by whole configurations: a log
+/// was replaced by its state after 1,000 entries, however large they were. Before: 24 MB after the 60 changes of this run.
+#[test]
+fn a_journal_stays_small_however_large_configurations_are() {
+    let mut one = One::new();
+    let body = "a".repeat(400_000);
+    let mut most = 0;
+    for version in 1..=60 {
+        assert_eq!(one.replace(version, &body), Some(Reply::Replaced));
+        most = most.max(stored_bytes(&one.records));
+    }
+    assert!(most < 10_000_000, "{most} bytes stored");
+    let again = One::from_records(one.records.clone());
+    assert_eq!(again.keeper.state().document_version(), 60);
+}
+
+/// Bytes of all commands and of the snapshot.
+fn stored_bytes(records: &[consensus::Record]) -> usize {
+    let bytes = |record: &consensus::Record| match record {
+        consensus::Record::Append(entries) => entries.iter().map(command_bytes).sum(),
+        consensus::Record::Snapshot(snapshot) => snapshot.state.len(),
+        _ => 0,
+    };
+    records.iter().map(bytes).sum()
+}
+
+fn command_bytes(entry: &consensus::Entry) -> usize {
+    match &entry.payload {
+        consensus::Payload::Command(command) => command.len(),
+        _ => 0,
+    }
+}
