--- a/daemon/src/room/agent.rs
+++ b/daemon/src/room/agent.rs
@@ -23,7 +23,7 @@
 use super::messages::Messages;
 use super::metrics::{self, Page};
 use super::session::Outgoing;
-use super::watch::{Watch, WatchTakers};
+use super::watch::{Watch, WatchCallbacks};
 use super::{RoomError, Started, agent_news, io_error, target_http, until_stopped};
 use crate::clock::Clock;
 use crate::config::AgentConfig;
@@ -125,7 +125,7 @@
             self.log.clone(),
             node.node_port,
             &node.keepers,
-            WatchTakers {
+            WatchCallbacks {
                 document: Box::new(move |document, _| {
                     for_documents.feed(Event::Document(document));
                 }),
--- a/daemon/src/room/entry.rs
+++ b/daemon/src/room/entry.rs
@@ -23,7 +23,7 @@
 use super::messages::Messages;
 use super::metrics::{self, Page};
 use super::session::{self, Outgoing};
-use super::watch::{AgentTells, Watch, WatchTakers};
+use super::watch::{AgentEvent, Watch, WatchCallbacks};
 use super::{RoomError, Started, entry_http, io_error, until_stopped};
 use crate::clock::Clock;
 use crate::config::EntryConfig;
@@ -156,7 +156,7 @@
             session::run(stream, waiting, take).await;
             entry.agents.borrow_mut().remove(&id);
             entry.feed(Event::AgentClosed(id));
-            entry.tell_watch(id, AgentTells::Gone);
+            entry.tell_watch(id, AgentEvent::Gone);
         });
     }
 }
@@ -209,7 +209,7 @@
             self.log.clone(),
             node.node_port,
             &node.keepers,
-            WatchTakers {
+            WatchCallbacks {
                 document: take,
                 nodes: Box::new(move |entries, _| peers.listed(entries)),
                 ask_agent,
@@ -236,12 +236,12 @@
         }
     }
 
-    /// Tells the watch of a document that an agent has or sends.
-    fn tell_watch(&self, id: SessionId, told: AgentTells) {
+    /// Tells the watch what happens to an agent as a source of documents.
+    fn tell_watch(&self, id: SessionId, event: AgentEvent) {
         // There is one before any agent can connect.
         let watch = self.watch.borrow().clone();
         if let Some(watch) = watch {
-            watch.agent_tells(id.0, told);
+            watch.handle_agent(id.0, event);
         }
     }
 
@@ -253,9 +253,9 @@
             }
             Action::TellEntries(job) => self.peers.cancel(&job),
             Action::DocumentOffered(id, version) => {
-                self.tell_watch(id, AgentTells::Version(version));
+                self.tell_watch(id, AgentEvent::Offered(version));
             }
-            Action::DocumentPart(id, part) => self.tell_watch(id, AgentTells::Part(part)),
+            Action::DocumentPart(id, part) => self.tell_watch(id, AgentEvent::Answered(part)),
             Action::Answer(ticket, outcome) => {
                 if let Some(waiting) = self.waiting.borrow_mut().remove(&ticket) {
                     // The client may be gone.
--- a/daemon/src/room/watch.rs
+++ b/daemon/src/room/watch.rs
@@ -37,20 +37,20 @@
 /// Asks the agent of a session for a part of a document.
 type AskAgent = Box<dyn Fn(u64, PartRequest)>;
 
-/// What a node does with what the watch learns and needs.
-pub(crate) struct WatchTakers {
+/// What a node does with what the watch learns, and how it asks agents.
+pub(crate) struct WatchCallbacks {
     pub document: TakeDocument,
     pub nodes: TakeNodes,
     pub ask_agent: AskAgent,
 }
 
-/// What an agent says of documents over its session.
-pub(crate) enum AgentTells {
-    /// The version that it has.
-    Version(u64),
-    /// The part that it was asked for.
-    Part(Option<DocumentPart>),
-    /// Nothing more: its session is over.
+/// What happens to an agent as a source of documents.
+pub(crate) enum AgentEvent {
+    /// It tells the version that it has.
+    Offered(u64),
+    /// It answers a question for a part; with none where it has not that version.
+    Answered(Option<DocumentPart>),
+    /// Its session is over.
     Gone,
 }
 
@@ -60,7 +60,7 @@
     tasks: Tasks,
     log: EventLog,
     node_port: u16,
-    takers: WatchTakers,
+    callbacks: WatchCallbacks,
     /// Keepers that are named by the configuration.
     seeds: RefCell<BTreeSet<SocketAddr>>,
     /// Keepers that other keepers name.
@@ -88,14 +88,14 @@
         log: EventLog,
         node_port: u16,
         seeds: &[SocketAddr],
-        takers: WatchTakers,
+        callbacks: WatchCallbacks,
     ) -> Rc<Self> {
         let watch = Rc::new(Self {
             own,
             tasks,
             log,
             node_port,
-            takers,
+            callbacks,
             seeds: RefCell::default(),
             named: RefCell::default(),
             watched: RefCell::default(),
@@ -151,7 +151,7 @@
                     failures = 0;
                 }
                 self.clients.borrow_mut().remove(&keeper);
-                self.fetch_goes_on(|fetch, now| fetch.gone(now, DocumentSource::Keeper(keeper)));
+                self.drive_fetch(|fetch, now| fetch.gone(now, DocumentSource::Keeper(keeper)));
             }
             failures += 1;
             Timer::after(RETRY_PAUSE).await;
@@ -195,7 +195,7 @@
     }
 
     /// Tells the fetch of what has happened, and does what follows.
-    fn fetch_goes_on(
+    fn drive_fetch(
         self: &Rc<Self>,
         happened: impl FnOnce(&mut DocumentFetch, Time) -> Option<FetchStep>,
     ) {
@@ -204,7 +204,7 @@
             match step {
                 FetchStep::Ask(source, request) => self.ask_part(source, request),
                 FetchStep::Whole(document, source) => {
-                    (self.takers.document)(document, source);
+                    (self.callbacks.document)(document, source);
                     next = self.fetch.borrow_mut().next(self.clock.now());
                 }
             }
@@ -216,11 +216,11 @@
         let watch = self.clone();
         self.tasks.spawn(async move {
             Timer::after(PART_WITHIN).await;
-            watch.fetch_goes_on(DocumentFetch::next);
+            watch.drive_fetch(DocumentFetch::next);
         });
         match source {
             DocumentSource::Keeper(keeper) => self.ask_keeper_part(keeper, request),
-            DocumentSource::Agent(session) => (self.takers.ask_agent)(session, request),
+            DocumentSource::Agent(session) => (self.callbacks.ask_agent)(session, request),
         }
     }
 
@@ -229,13 +229,13 @@
         self.fetch.borrow().is_behind()
     }
 
-    /// An agent says something of documents.
-    pub fn agent_tells(self: &Rc<Self>, session: u64, told: AgentTells) {
+    /// Takes what happens to an agent as a source of documents.
+    pub fn handle_agent(self: &Rc<Self>, session: u64, event: AgentEvent) {
         let source = DocumentSource::Agent(session);
-        self.fetch_goes_on(|fetch, now| match told {
-            AgentTells::Version(version) => fetch.offered(now, source, version),
-            AgentTells::Part(part) => fetch.answered(now, source, part),
-            AgentTells::Gone => fetch.gone(now, source),
+        self.drive_fetch(|fetch, now| match event {
+            AgentEvent::Offered(version) => fetch.offered(now, source, version),
+            AgentEvent::Answered(part) => fetch.answered(now, source, part),
+            AgentEvent::Gone => fetch.gone(now, source),
         });
     }
 
@@ -248,7 +248,7 @@
                 Some(client) => client.document(net::call_context(), request).await.ok(),
                 None => None,
             };
-            watch.fetch_goes_on(|fetch, now| match answer {
+            watch.drive_fetch(|fetch, now| match answer {
                 Some(part) => fetch.answered(now, source, part),
                 None => fetch.gone(now, source),
             });
@@ -257,7 +257,7 @@
 
     fn take(self: &Rc<Self>, keeper: SocketAddr, reply: WatchReply) {
         let source = DocumentSource::Keeper(keeper);
-        self.fetch_goes_on(|fetch, now| fetch.offered(now, source, reply.version));
+        self.drive_fetch(|fetch, now| fetch.offered(now, source, reply.version));
         let named: Vec<SocketAddr> =
             reply.keepers.iter().filter_map(|name| name.as_str().parse().ok()).collect();
         self.named.borrow_mut().insert(keeper, named.clone());
@@ -295,6 +295,6 @@
         let nodes: Vec<NodeInfo> = nodes.into_iter().collect();
         let peers = lists.values().map(|listing| listing.peers).max().unwrap_or(0);
         drop(lists);
-        (self.takers.nodes)(&nodes, peers);
+        (self.callbacks.nodes)(&nodes, peers);
     }
 }
