--- a/daemon/tests/large_documents.rs
+++ b/daemon/tests/large_documents.rs
@@ -101,7 +101,7 @@
     let keeper = start_keeper(Telling::new(1, document(1) + &" ".repeat(LARGE)));
     let _link = slow_link(&fleet, keeper);
     let _entry = fleet.start("entry");
-    until_version(&fleet, 1);
+    fleet.until_version(1);
 }
 
 /// Between a keeper and the nodes of a fleet.
@@ -112,14 +112,6 @@
     link
 }
 
-fn until_version(fleet: &Fleet, version: u64) {
-    let line = format!("dockpass_configuration_version {version}\n");
-    eventually("the entry has the configuration", || {
-        let page = call(fleet.metrics(), "GET", "/metrics", "", Duration::from_secs(1));
-        page.is_some_and(|page| page.body.contains(&line))
-    });
-}
-
 /// Users saw requests for a new route answered with 404 while the configuration that has it was on its way to the entry,
 /// which knew that: clients take that answer for final. They are told to come back; once the entry has the newest, what
 /// is not in it is unknown.
@@ -129,7 +121,7 @@
     let keeper = Telling::new(1, document(1));
     let _link = slow_link(&fleet, start_keeper(keeper.clone()));
     let _entry = fleet.start("entry");
-    until_version(&fleet, 1);
+    fleet.until_version(1);
     let unknown = || call(fleet.entry(), "GET", "/new/", "", Duration::from_secs(1));
     eventually("it listens", || unknown().is_some());
     assert_eq!(unknown().map(|answer| answer.status), Some(404), "it has the newest");
@@ -138,6 +130,6 @@
     let answer = unknown().expect("an answer");
     assert_eq!(answer.status, 503);
     assert!(answer.head.contains("retry-after: 1"), "{}", answer.head);
-    until_version(&fleet, 2);
+    fleet.until_version(2);
     assert_eq!(unknown().map(|answer| answer.status), Some(404));
 }
--- a/daemon/tests/room_faults.rs
+++ b/daemon/tests/room_faults.rs
@@ -1,10 +1,12 @@
 //! Short seeded runs of real processes under faults from outside, in series that overlap, while
 //! clients hand in jobs and send again what broke. Processes are killed, stopped by plan, paused and
 //! started again by signals; links between them are delayed, held back one way or both, and reset by
-//! a proxy, or single connections between agents and entries, agents and targets go silent for good.
+//! a proxy, or single connections between agents and entries, agents and targets go silent for good,
+//! or configurations of megabytes follow each other while links are slow.
 //!
 //! `DOCKPASS_FAULT_SEEDS=FIRST..END` (signals alone), `DOCKPASS_LINK_SEEDS=FIRST..END` (signals and
-//! links) and `DOCKPASS_SILENT_SEEDS=FIRST..END` (signals and silent connections) run other seeds by
+//! links), `DOCKPASS_SILENT_SEEDS=FIRST..END` (signals and silent connections) and
+//! `DOCKPASS_LARGE_SEEDS=FIRST..END` (signals and large configurations) run other seeds by
 //! hand; `DOCKPASS_LINK_ENTRIES`, `DOCKPASS_LINK_AGENTS` and `DOCKPASS_LINK_CLIENTS` larger fleets
 //! with links.
 
@@ -43,6 +45,8 @@
 const LINK_REGRESSIONS: [u64; 0] = [];
 /// Seeds that failed once with silent connections.
 const SILENT_REGRESSIONS: [u64; 0] = [];
+/// Seeds that failed once with large configurations.
+const LARGE_REGRESSIONS: [u64; 0] = [];
 
 /// What happens to the links of a fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,7 +55,10 @@
     Bad,
     /// Connections go silent for good.
     Silent,
+    /// They are slow, and large configurations come.
+    Slow,
 }
+
 #[test]
 fn jobs_are_answered_truly_under_signals() {
     for seed in seeds("DOCKPASS_FAULT_SEEDS", &REGRESSIONS) {
@@ -73,6 +80,13 @@
     }
 }
 
+#[test]
+fn jobs_are_answered_truly_under_signals_and_large_configurations() {
+    for seed in seeds("DOCKPASS_LARGE_SEEDS", &LARGE_REGRESSIONS) {
+        run_with_links(seed, Links::Slow);
+    }
+}
+
 fn run_with_links(seed: u64, links: Links) {
     let entries = number("DOCKPASS_LINK_ENTRIES", ENTRIES);
     let agents = number("DOCKPASS_LINK_AGENTS", AGENTS);
@@ -89,7 +103,8 @@
         .collect();
     let begin = |name| Struck::start(fleet, name);
     let mut struck: Vec<Struck> = fleet.names().into_iter().map(begin).collect();
-    fleet.configure(7);
+    let mut configurations = Configurations { sent: FIRST_VERSION, acknowledged: FIRST_VERSION };
+    fleet.configure(FIRST_VERSION);
     fleet.until_ready();
     let stop = AtomicBool::new(false);
     let tally = Tally::default();
@@ -98,11 +113,12 @@
             let (stop, tally) = (&stop, &tally);
             scope.spawn(move || hand_in(fleet, seed, client, stop, tally));
         }
-        strike(fleet, &mut struck, seed, links);
+        strike(fleet, &mut struck, seed, links, &mut configurations);
         stop.store(true, Ordering::Relaxed);
     });
     bring_back(fleet, &mut struck);
     fleet.until_ready();
+    fleet.until_version(configurations.acknowledged);
     let mut id = 0xcafe_0000;
     eventually("jobs are served after the faults", || {
         id += 1;
@@ -166,7 +182,13 @@
 }
 
 /// Strikes one process after the other, without waiting for the last to be back.
-fn strike(fleet: &Fleet, struck: &mut [Struck], seed: u64, links: Links) {
+fn strike(
+    fleet: &Fleet,
+    struck: &mut [Struck],
+    seed: u64,
+    links: Links,
+    configurations: &mut Configurations,
+) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let began = Instant::now();
     while began.elapsed() < TROUBLED {
@@ -178,6 +200,10 @@
         if links != Links::Sound && rng.random_bool(LINKS_STRUCK) {
             match links {
                 Links::Silent => silence(fleet, &mut rng),
+                Links::Slow if rng.random_bool(0.5) => {
+                    configurations.send_large(fleet, rng.random_range(100_000..3_000_000));
+                }
+                Links::Slow => slow_down(fleet, &mut rng, Instant::now() + 2 * away),
                 _ => strike_link(fleet, &mut rng, Instant::now() + away),
             }
             continue;
@@ -187,6 +213,36 @@
     }
 }
 
+/// The version that a fleet begins with.
+const FIRST_VERSION: u64 = 7;
+
+/// The configurations that operators have sent.
+struct Configurations {
+    sent: u64,
+    /// The highest version that was acknowledged: it is to be in force everywhere.
+    acknowledged: u64,
+}
+
+impl Configurations {
+    /// Sends the next version, so many bytes longer than it need be.
+    fn send_large(&mut self, fleet: &Fleet, padding: usize) {
+        self.sent += 1;
+        let acknowledged = fleet.try_configure(self.sent, padding);
+        println!("{:.3}: version {}, {acknowledged}", unix_seconds(), self.sent);
+        if acknowledged {
+            self.acknowledged = self.sent;
+        }
+    }
+}
+
+/// A link carries so little for a while that a configuration takes a second and more.
+fn slow_down(fleet: &Fleet, rng: &mut ChaCha8Rng, until: Instant) {
+    let number = rng.random_range(0..fleet.links().len());
+    let per_s = rng.random_range(250_000..4_000_000);
+    println!("{:.3}: link {number}: {per_s} bytes a second", unix_seconds());
+    fleet.links()[number].strike(Fault::Slow(per_s), Direction::Both, until);
+}
+
 /// How many of the faults strike links, where there are any.
 const LINKS_STRUCK: f64 = 0.6;
 
--- a/daemon/tests/room_support/mod.rs
+++ b/daemon/tests/room_support/mod.rs
@@ -34,6 +34,8 @@
 const TARGET_HOST: usize = 10;
 /// Where the first agent finds its target by way of a proxy; up to 100 agents fit below it.
 const ORDERS_HOST: usize = 110;
+/// What comes before the version on a page of figures.
+const VERSION_LINE: &str = "dockpass_configuration_version ";
 /// Names a folder for what a keeper keeps.
 const KEEPER_FOLDER_VARIABLE: &str = "DOCKPASS_KEEPER_FOLDER";
 /// A folder in memory.
@@ -357,6 +359,28 @@
         });
     }
 
+    /// Sends a configuration once, with so many blanks after it; returns whether it was acknowledged.
+    pub fn try_configure(&self, version: u64, padding: usize) -> bool {
+        let body = document(version) + &" ".repeat(padding);
+        let time = Duration::from_secs(1);
+        call(self.keeper(), "POST", "/configuration/replace", &body, time)
+            .is_some_and(|answer| answer.status == 200)
+    }
+
+    /// Waits until every entry has a version of the configuration or a later one.
+    pub fn until_version(&self, version: u64) {
+        let in_force = |page: &Answer| {
+            let line = page.body.lines().find_map(|line| line.strip_prefix(VERSION_LINE));
+            line.and_then(|text| text.parse::<u64>().ok())
+        };
+        for number in 0..self.entries {
+            eventually("the entry has the configuration", || {
+                call(self.metrics_of(number), "GET", "/metrics", "", Duration::from_secs(1))
+                    .is_some_and(|page| in_force(&page) >= Some(version))
+            });
+        }
+    }
+
     /// Waits until every entry says that it is ready.
     pub fn until_ready(&self) {
         for number in 0..self.entries {
