--- a/components/client/src/lib.rs
+++ b/components/client/src/lib.rs
@@ -6,4 +6,4 @@
 
 pub use caller::{Caller, CallerError, Outcome};
 pub use id::{new_submission, submission_at};
-pub use operator::{ChangeOutcome, Operator, OperatorError, TreeVersion};
+pub use operator::{ChangeOutcome, HallOutcome, Operator, OperatorError, TreeVersion};
--- a/components/client/src/operator.rs
+++ b/components/client/src/operator.rs
@@ -10,7 +10,7 @@
 use settings::{Edit, SettingsError, Tree};
 use thiserror::Error;
 use uuid::Uuid;
-use wire::{ChangeRequest, ChangeResult};
+use wire::{ChangeRequest, ChangeResult, EmptiedHalls, HallOrder};
 
 use crate::CallerError;
 use crate::caller::parse;
@@ -40,6 +40,23 @@
     Unknown,
 }
 
+/// What became of an order for a hall, as far as the operator can know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HallOutcome {
+    /// It lasts; the halls that are emptied after it.
+    Taken(EmptiedHalls),
+    /// It was not taken, and why.
+    Refused(String),
+    /// No keeper could tell, after several tries. It may be taken yet.
+    Unknown,
+}
+
+/// A problem that a keeper tells.
+#[derive(Deserialize)]
+struct Problem {
+    message: String,
+}
+
 /// Why the tree can't be read.
 #[derive(Debug, Error)]
 pub enum OperatorError {
@@ -114,6 +131,40 @@
         }
         ChangeOutcome::Unknown
     }
+
+    /// Sends an order for a hall, again and again until a keeper says what became of it. One that is carried out
+    /// twice is as one that is carried out once.
+    pub async fn order_hall(&self, order: &HallOrder) -> HallOutcome {
+        let action = if order.takes_work { "refill" } else { "empty" };
+        let path = format!("/v1/halls/{}/{action}", order.hall);
+        for round in 0..ROUNDS {
+            if round > 0 {
+                net::pause(ROUND_PAUSE).await;
+            }
+            for keeper in &self.keepers {
+                let Ok(reply) = exchange(keeper, Method::POST, &path, Vec::new()).await else {
+                    continue;
+                };
+                if let Some(outcome) = hall_outcome(&reply) {
+                    return outcome;
+                }
+            }
+        }
+        HallOutcome::Unknown
+    }
+}
+
+/// What a keeper's answer to an order for a hall says; `None` where another keeper has to be asked.
+fn hall_outcome(reply: &Reply) -> Option<HallOutcome> {
+    match reply.status {
+        200 => parse(reply).ok().map(HallOutcome::Taken),
+        400..=499 => {
+            let problem = parse::<Problem>(reply).ok();
+            let message = problem.map_or_else(|| "no reason given".to_owned(), |told| told.message);
+            Some(HallOutcome::Refused(message))
+        }
+        _ => None,
+    }
 }
 
 async fn exchange(
--- a/components/dispatch/src/agents.rs
+++ b/components/dispatch/src/agents.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use model::{NodeName, Resources, Time};
-use wire::{AgentProfile, Load, ToAgent};
+use wire::{AgentProfile, EmptiedHalls, Load, ToAgent};
 
 use crate::dispatcher::{Dispatcher, Timing};
 use crate::event::{Action, News, SessionId};
@@ -27,6 +27,8 @@
     unseen: VecDeque<(u64, Resources)>,
     /// Tasks of this entry that are there.
     pub tasks: usize,
+    /// Its target stands in a hall that operators have emptied.
+    pub hall_is_emptied: bool,
 }
 
 impl Agent {
@@ -39,6 +41,7 @@
             next_sequence: 1,
             unseen: VecDeque::new(),
             tasks: 0,
+            hall_is_emptied: false,
         }
     }
 
@@ -81,7 +84,7 @@
 
     /// Whether it takes new work.
     pub fn takes_work(&self, now: Time, silence: Duration) -> bool {
-        self.load.open && now.since(self.heard) < silence
+        self.load.open && !self.hall_is_emptied && now.since(self.heard) < silence
     }
 
     /// Whether it is of a service and takes new work.
@@ -90,6 +93,11 @@
             && self.profile.as_ref().is_some_and(|profile| *profile.service == *service)
     }
 
+    /// Whether its target stands in one of these halls.
+    pub fn stands_in(&self, halls: &EmptiedHalls) -> bool {
+        self.profile.as_ref().is_some_and(|profile| halls.contains(&profile.hall))
+    }
+
     pub fn has_label(&self, label: &Arc<str>) -> bool {
         self.profile.as_ref().is_some_and(|profile| profile.labels.contains(label))
     }
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use model::{JobId, Time};
-use wire::{TaskEnd, ToEntry};
+use wire::{EmptiedHalls, TaskEnd, ToEntry};
 
 use crate::agents::Agent;
 use crate::cancels::Cancelled;
-use crate::event::{Action, Event, SessionId, Ticket};
+use crate::event::{Action, Event, HallsSource, SessionId, Ticket};
 use crate::job::Job;
 use crate::place::ChangedRoom;
 use crate::policy::Policy;
@@ -131,6 +131,8 @@
     /// When an agent came or went last.
     pub(crate) agents_changed: Time,
     pub(crate) cancelled: Cancelled,
+    /// The halls that get no new work.
+    pub(crate) halls: EmptiedHalls,
     pub(crate) reserve: Reserve,
     /// When rejected clients come back.
     pub(crate) returns: Returns,
@@ -160,6 +162,7 @@
             stale_until: now,
             agents_changed: now,
             cancelled: Cancelled::default(),
+            halls: EmptiedHalls::default(),
             reserve: Reserve::default(),
             returns: Returns::default(),
             stops_at: None,
@@ -188,6 +191,7 @@
             Event::Abandon(ticket) => self.abandon(now, ticket, out),
             Event::Cancel(job) => self.cancel(now, &job, out),
             Event::CancelledElsewhere(job) => self.cancel_own(now, &job, out),
+            Event::Halls(halls) => self.take_halls(now, &halls, HallsSource::Keeper, out),
             Event::TakeOnlyWhatEndsBy(end) => self.stops_at = Some(end),
             Event::AnswerAll => self.answer_all(now, out),
             Event::Tick => {}
@@ -233,6 +237,11 @@
         self.agents.values().filter(|agent| agent.profile.is_some()).count()
     }
 
+    /// The halls that it knows to be emptied.
+    pub fn halls(&self) -> &EmptiedHalls {
+        &self.halls
+    }
+
     /// Tasks that wait for room.
     pub fn queued(&self) -> usize {
         self.queue.len()
@@ -245,8 +254,9 @@
 
     fn hear_agent(&mut self, now: Time, id: SessionId, message: ToEntry, out: &mut Vec<Action>) {
         match message {
-            ToEntry::Hello { profile, document } => {
+            ToEntry::Hello { profile, document, halls } => {
                 self.agent_says_hello(id, profile, out);
+                self.compare_halls(now, id, &halls, out);
                 out.push(Action::DocumentOffered(id, document));
             }
             ToEntry::Load(load) => self.agent_load(now, id, load, out),
@@ -258,6 +268,7 @@
             }
             ToEntry::Cancelled(job) => self.cancel_own(now, &job, out),
             ToEntry::DocumentPart(part) => out.push(Action::DocumentPart(id, part)),
+            ToEntry::Halls(halls) => self.take_halls(now, &halls, HallsSource::Agent(id), out),
         }
     }
 }
--- a/components/dispatch/src/event.rs
+++ b/components/dispatch/src/event.rs
@@ -6,7 +6,7 @@
 
 use model::{JobId, NodeName, Resources, TaskId, Time};
 use telemetry::Breach;
-use wire::{DocumentPart, TaskEnd, ToAgent, ToEntry};
+use wire::{DocumentPart, EmptiedHalls, TaskEnd, ToAgent, ToEntry};
 
 /// A client that waits for an answer, numbered by the daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -82,6 +82,8 @@
     NoRoom,
     /// No target of the service is known.
     NoTarget,
+    /// Every target that could run it stands in a hall that operators have emptied.
+    HallsEmptied,
     /// The entry is stopping.
     Draining,
     /// A task failed as often as it may.
@@ -108,6 +110,7 @@
         match self {
             Self::NoRoom => "no-room",
             Self::NoTarget => "no-target",
+            Self::HallsEmptied => "halls-emptied",
             Self::Draining => "draining",
             Self::Attempts => "attempts",
             Self::Losses => "losses",
@@ -147,6 +150,15 @@
     MayHaveRun(Reason),
 }
 
+/// Who told an entry which halls are emptied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HallsSource {
+    /// A keeper.
+    Keeper,
+    /// The agent of a session.
+    Agent(SessionId),
+}
+
 /// What reaches an entry.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -164,6 +176,8 @@
     Cancel(JobId),
     /// Another entry tells that a client has cancelled a job there.
     CancelledElsewhere(JobId),
+    /// A keeper tells which halls are emptied.
+    Halls(EmptiedHalls),
     /// The entry stops: from now on it takes only jobs that surely end by then.
     TakeOnlyWhatEndsBy(Time),
     /// The entry ends in a moment: every open job gets its final answer, and no more are taken.
@@ -234,6 +248,13 @@
         /// Whether it does.
         open: bool,
     },
+    /// Other halls are emptied than before.
+    Halls {
+        /// Those that are, and the revision of the order.
+        halls: EmptiedHalls,
+        /// Who told of it.
+        source: HallsSource,
+    },
     /// The process stood still.
     Paused {
         /// How long, in ms.
--- /dev/null
+++ b/components/dispatch/src/halls.rs
@@ -0,0 +1,71 @@
+//! Data halls that operators have emptied: no task goes to an agent there.
+//!
+//! Agents refuse starts by themselves once they know. An entry that knows first spares its jobs a refused start, and
+//! tells the agents of it that have not heard, as they may be cut off from every keeper.
+
+use model::{JobId, Time};
+use wire::{EmptiedHalls, ToAgent};
+
+use crate::dispatcher::Dispatcher;
+use crate::event::{Action, HallsSource, JobRequest, News, Reason, SessionId};
+use crate::intake::not_run;
+use crate::servable::could_run;
+
+impl Dispatcher {
+    /// Takes note of the halls that are emptied, and refuses what only their targets could run.
+    pub(crate) fn take_halls(
+        &mut self,
+        now: Time,
+        halls: &EmptiedHalls,
+        source: HallsSource,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.halls.update(halls) {
+            return;
+        }
+        out.push(Action::News(News::Halls { halls: halls.clone(), source }));
+        for (id, agent) in &mut self.agents {
+            agent.hall_is_emptied = agent.stands_in(halls);
+            if agent.profile.is_some() && source != HallsSource::Agent(*id) {
+                out.push(Action::Send(*id, ToAgent::Halls(halls.clone())));
+            }
+        }
+        let stranded = self.jobs.values().filter(|job| {
+            let waits = job.outcome.is_none() && job.is_untouched();
+            waits && self.only_emptied_could_run(now, &job.request)
+        });
+        let stranded: Vec<JobId> = stranded.map(|job| job.request.id.clone()).collect();
+        for id in stranded {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let outcome = not_run(Reason::HallsEmptied, &job.request);
+            self.finish(now, &id, outcome, out);
+        }
+    }
+
+    /// An agent has told in its greeting which halls it knows to be emptied: whoever knows the newer order tells
+    /// the other.
+    pub(crate) fn compare_halls(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        halls: &EmptiedHalls,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(agent) = self.agents.get_mut(&id) {
+            agent.hall_is_emptied = agent.stands_in(&self.halls);
+        }
+        if halls.revision < self.halls.revision {
+            out.push(Action::Send(id, ToAgent::Halls(self.halls.clone())));
+        }
+        self.take_halls(now, halls, HallsSource::Agent(id), out);
+    }
+
+    /// Whether every target that could run a job stands in an emptied hall, and there is one.
+    pub(crate) fn only_emptied_could_run(&self, now: Time, request: &JobRequest) -> bool {
+        if self.halls.halls.is_empty() || !self.is_settled(now) {
+            return false;
+        }
+        let mut able = self.agents.values().filter(|agent| could_run(agent, request)).peekable();
+        able.peek().is_some() && able.all(|agent| agent.hall_is_emptied)
+    }
+}
--- a/components/dispatch/src/intake.rs
+++ b/components/dispatch/src/intake.rs
@@ -11,6 +11,9 @@
 /// When to come back to another entry: at once would do, but where all of them stop, clients would send
 /// again and again. A second is the least that a client can be told besides.
 const ELSEWHERE_PAUSE: Duration = Duration::from_secs(1);
+/// When to come back where every hall with a target for the job is emptied: operators refill one after minutes
+/// rather than seconds, and a client is told the latest second that any rejected one is.
+const HALLS_EMPTIED_PAUSE: Duration = crate::returns::LATEST_RETURN;
 /// When to come back where no target can run the job: one has to start first, which takes seconds.
 const NO_TARGET_PAUSE: Duration = Duration::from_secs(3);
 
@@ -39,6 +42,9 @@
         if self.stops_at.is_some_and(ends_first) {
             return self.refuse(ticket, &request, Reason::Draining, out);
         }
+        if self.only_emptied_could_run(now, &request) {
+            return self.refuse(ticket, &request, Reason::HallsEmptied, out);
+        }
         if self.is_unservable(now, &request) {
             return self.refuse(ticket, &request, Reason::NoTarget, out);
         }
@@ -130,6 +136,7 @@
     let retry_after = match reason {
         Reason::Draining => ELSEWHERE_PAUSE,
         Reason::NoTarget => NO_TARGET_PAUSE,
+        Reason::HallsEmptied => HALLS_EMPTIED_PAUSE,
         _ => request.objective,
     };
     Outcome::NotRun { reason, retry_after }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod dispatcher;
 mod ends;
 mod event;
+mod halls;
 mod intake;
 mod job;
 mod place;
@@ -26,7 +27,8 @@
 
 pub use dispatcher::{Dispatcher, DispatcherCounters, Timing};
 pub use event::{
-    Action, Event, JobRequest, News, Outcome, Reason, SessionId, TargetsSeen, TaskShape, Ticket,
+    Action, Event, HallsSource, JobRequest, News, Outcome, Reason, SessionId, TargetsSeen,
+    TaskShape, Ticket,
 };
 pub use policy::Policy;
 pub use stop::{PlannedStop, StopStep, StopTiming, StopView};
--- a/components/dispatch/src/returns.rs
+++ b/components/dispatch/src/returns.rs
@@ -21,6 +21,8 @@
 /// Latest second that a client is told: a rejected client would rather give up than wait longer, and what is
 /// known now of the load says little about later.
 const SECONDS: usize = 8;
+/// The longest that a rejected client is told to wait.
+pub(crate) const LATEST_RETURN: Duration = Duration::from_secs(SECONDS as u64);
 /// What part of the work that an entry gets done in a second may come back in one.
 const RETURN_PART: f64 = 0.8;
 /// What part of that is for clients of any priority; the rest is for the most urgent.
--- a/components/dispatch/src/servable.rs
+++ b/components/dispatch/src/servable.rs
@@ -13,17 +13,20 @@
 const SETTLED: Duration = Duration::from_secs(2);
 
 impl Dispatcher {
+    /// Whether the agents that are known are all there are.
+    pub(crate) fn is_settled(&self, now: Time) -> bool {
+        now.since(self.agents_changed) >= SETTLED
+    }
+
     /// Whether it is known that no target can run a job, however long it waits: none of its service is
     /// there, or each lacks a label that its tasks need, or is smaller than one of its tasks.
     pub(crate) fn is_unservable(&self, now: Time, request: &JobRequest) -> bool {
-        if now.since(self.agents_changed) < SETTLED {
-            return false;
-        }
-        !self.agents.values().any(|agent| could_run(agent, request))
+        self.is_settled(now) && !self.agents.values().any(|agent| could_run(agent, request))
     }
 }
 
-fn could_run(agent: &Agent, request: &JobRequest) -> bool {
+/// Whether an agent's target could run a job; whoever has not said what it is may.
+pub(crate) fn could_run(agent: &Agent, request: &JobRequest) -> bool {
     let Some(profile) = &agent.profile else { return true };
     let shape = &request.shape;
     profile.service == request.service
--- a/components/dispatch/tests/dispatcher.rs
+++ b/components/dispatch/tests/dispatcher.rs
@@ -7,7 +7,7 @@
 
 use dispatch::{Event, Outcome, Reason, SessionId};
 use model::{JobId, NodeName, Resources};
-use wire::{AgentProfile, Load, Refusal, TaskEnd, ToAgent, ToEntry};
+use wire::{AgentProfile, EmptiedHalls, Load, Refusal, TaskEnd, ToAgent, ToEntry};
 
 use support::{Entry, job};
 
@@ -398,7 +398,7 @@
         labels: Vec::new(),
         capacity: Resources { cpu_milli: 16_000, memory_mb: 32_768, gpu: 0 },
     };
-    let hello = ToEntry::Hello { profile, document: 0 };
+    let hello = ToEntry::Hello { profile, document: 0, halls: EmptiedHalls::default() };
     entry.handle(Event::FromAgent(SessionId(1), hello));
     assert_eq!(entry.closed, [SessionId(1)], "the older session");
     assert!(entry.stops().is_empty());
--- a/components/dispatch/tests/support/mod.rs
+++ b/components/dispatch/tests/support/mod.rs
@@ -10,7 +10,7 @@
     Action, Dispatcher, Event, JobRequest, News, Outcome, SessionId, TaskShape, Ticket, Timing,
 };
 use model::{JobId, NodeName, Resources, TaskId, Time};
-use wire::{AgentProfile, Load, StartTask, TaskEnd, TaskReport, ToAgent, ToEntry};
+use wire::{AgentProfile, EmptiedHalls, Load, StartTask, TaskEnd, TaskReport, ToAgent, ToEntry};
 
 pub const START: Time = Time::from_millis(1_000_000);
 
@@ -67,16 +67,21 @@
     }
 
     pub fn agent(&mut self, id: u64, cpu: u64, labels: &[&str]) {
+        let labels = labels.iter().copied().map(Arc::from).collect();
+        self.agent_is(id, cpu, AgentProfile { labels, ..profile(id, "hall") });
+    }
+
+    pub fn agent_in(&mut self, id: u64, hall: &str, cpu: u64) {
+        self.agent_is(id, cpu, profile(id, hall));
+    }
+
+    fn agent_is(&mut self, id: u64, cpu: u64, profile: AgentProfile) {
         let session = SessionId(id);
         self.handle(Event::AgentOpened(session));
-        let profile = AgentProfile {
-            node: NodeName::new(&format!("a{id}")),
-            service: Arc::from("work"),
-            hall: Arc::from("hall"),
-            labels: labels.iter().copied().map(Arc::from).collect(),
-            capacity: Resources { cpu_milli: 16_000, memory_mb: 32_768, gpu: 0 },
-        };
-        self.handle(Event::FromAgent(session, ToEntry::Hello { profile, document: 0 }));
+        self.handle(Event::FromAgent(
+            session,
+            ToEntry::Hello { profile, document: 0, halls: EmptiedHalls::default() },
+        ));
         self.load(id, cpu);
     }
 
@@ -144,6 +149,16 @@
     }
 }
 
+fn profile(id: u64, hall: &str) -> AgentProfile {
+    AgentProfile {
+        node: NodeName::new(&format!("a{id}")),
+        service: Arc::from("work"),
+        hall: Arc::from(hall),
+        labels: Vec::new(),
+        capacity: Resources { cpu_milli: 16_000, memory_mb: 32_768, gpu: 0 },
+    }
+}
+
 /// A job of the service "work", whose tasks take 1.6 cores and 64 MB each.
 pub fn job(count: u32, estimated_ms: u32) -> JobRequest {
     let objective = Duration::from_millis(u64::from(estimated_ms) * 16 / 10 + 60);
--- a/components/keeper/src/event.rs
+++ b/components/keeper/src/event.rs
@@ -4,8 +4,8 @@
 use model::NodeName;
 use serde::{Deserialize, Serialize};
 use wire::{
-    ChangeRequest, ChangeResult, Document, DocumentPart, PartRequest, PullReply, PullRequest,
-    WatchReply, WatchRequest,
+    ChangeRequest, ChangeResult, Document, DocumentPart, EmptiedHalls, HallOrder, PartRequest,
+    PullReply, PullRequest, WatchReply, WatchRequest,
 };
 
 use crate::Version;
@@ -27,6 +27,10 @@
     Replace(Ticket, Document),
     /// An operator reads the document.
     Fetch(Ticket),
+    /// An operator has a hall emptied or refilled.
+    OrderHall(Ticket, HallOrder),
+    /// An operator reads which halls are emptied.
+    ReadHalls(Ticket),
     /// A node registers and waits for news.
     Watch(Ticket, WatchRequest),
     /// A node asks for a part of a document.
@@ -63,6 +67,8 @@
     Replaced,
     /// To a read of the document; none where there never was one.
     Document(Option<Document>),
+    /// To an order for a hall, which lasts, and to a read of the halls that are emptied.
+    Halls(EmptiedHalls),
     /// To a node that is registered.
     Watch(WatchReply),
     /// To a node that asks for a part; none where this keeper has not that version.
@@ -98,6 +104,8 @@
     Version(u64),
     /// A document came into force.
     Document(u64),
+    /// Other halls are emptied than before.
+    Halls(EmptiedHalls),
     /// The list of registered nodes is another one.
     Nodes(usize),
     /// An entry of the log can't be read: written by a newer program, or a bug.
--- a/components/keeper/src/full_disk.rs
+++ b/components/keeper/src/full_disk.rs
@@ -48,6 +48,8 @@
             | Event::History(ticket)
             | Event::Replace(ticket, _)
             | Event::Fetch(ticket)
+            | Event::OrderHall(ticket, _)
+            | Event::ReadHalls(ticket)
             | Event::Pull(ticket, _) => self.unsure(ticket, out),
             // A message that is not taken is as one that is lost.
             Event::Resign | Event::Peer(..) | Event::Tick => {}
--- a/components/keeper/src/keeper.rs
+++ b/components/keeper/src/keeper.rs
@@ -10,7 +10,8 @@
 use settings::Tree;
 use thiserror::Error;
 use wire::{
-    ChangeRequest, Document, PartRequest, PullReply, PullRequest, WatchReply, WatchRequest,
+    ChangeRequest, Document, EmptiedHalls, HallOrder, PartRequest, PullReply, PullRequest,
+    WatchReply, WatchRequest,
 };
 
 use crate::registry::Registry;
@@ -122,6 +123,7 @@
     /// the actions that follow are dropped.
     fn apply_recovered(&mut self, now: Time) {
         self.registry.document_is(self.state.document_version());
+        self.registry.halls_are(self.state.halls().revision);
         let mut dropped = Vec::new();
         for entry in self.replica.recovered_entries() {
             self.commit(now, &entry, &mut dropped);
@@ -151,6 +153,11 @@
                 let reply = Reply::Document(self.state.document().cloned());
                 self.if_sure(now, ticket, reply, out);
             }
+            Event::OrderHall(ticket, order) => self.order_hall(now, ticket, order, out),
+            Event::ReadHalls(ticket) => {
+                let halls = Reply::Halls(self.state.halls().clone());
+                self.if_sure(now, ticket, halls, out);
+            }
             Event::Watch(ticket, request) => self.watch(now, ticket, request, out),
             Event::Part(ticket, request) => self.part(ticket, request, out),
             Event::Resign => self.drive(now, consensus::Event::Resign, out),
@@ -242,6 +249,15 @@
         self.propose(now, ticket, &LogCommand::Replace(document), out);
     }
 
+    /// Orders have no version: the log's order is theirs. Each goes through the log, also one that what is
+    /// committed fulfils already, as the opposite order may be under way before it.
+    fn order_hall(&mut self, now: Time, ticket: Ticket, order: HallOrder, out: &mut Vec<Action>) {
+        if !self.is_sure(now) {
+            return self.unsure(ticket, out);
+        }
+        self.propose(now, ticket, &LogCommand::Hall(order), out);
+    }
+
     fn propose(&mut self, now: Time, ticket: Ticket, command: &LogCommand, out: &mut Vec<Action>) {
         let command = serde_json::to_vec(command).expect("plain structs become JSON");
         self.next_proposal += 1;
@@ -333,6 +349,12 @@
                 self.take_document(document, out);
                 Reply::Replaced
             }
+            Ok(LogCommand::Hall(order)) => {
+                if self.state.order_hall(order) {
+                    self.halls_changed(out);
+                }
+                Reply::Halls(self.state.halls().clone())
+            }
             Err(_) => return out.push(Action::News(News::Unreadable(entry.index))),
         };
         if let Some(waiter) = self.waiters.remove(&entry.index) {
@@ -354,6 +376,13 @@
         }
     }
 
+    fn halls_changed(&mut self, out: &mut Vec<Action>) {
+        let halls = self.state.halls();
+        out.push(Action::News(News::Halls(halls.clone())));
+        let ended = self.registry.halls_are(halls.revision);
+        self.answer_watchers(ended, out);
+    }
+
     /// Keeps a document for nodes that are in the middle of fetching it.
     fn remember_replaced(&mut self, document: Option<Document>) {
         self.replaced.extend(document);
@@ -374,6 +403,7 @@
             let reply = WatchReply {
                 version: self.state.document_version(),
                 nodes: self.registry.list_news(watcher.revision),
+                halls: self.halls_news(watcher.halls),
                 peers: self.registry.peers(&watcher),
                 keepers: self.replica.voters().to_vec(),
             };
@@ -381,12 +411,21 @@
         }
     }
 
+    /// The halls that are emptied, for a node that was told of a revision here.
+    fn halls_news(&self, told: u64) -> Option<EmptiedHalls> {
+        let halls = self.state.halls();
+        (halls.revision > told).then(|| halls.clone())
+    }
+
     fn install(&mut self, snapshot: &Snapshot, out: &mut Vec<Action>) {
         match decode(snapshot) {
             Ok(state) => {
                 let before = std::mem::replace(&mut self.state, state);
                 self.remember_replaced(before.document().cloned());
                 self.tell_watchers(out);
+                if before.halls() != self.state.halls() {
+                    self.halls_changed(out);
+                }
             }
             Err(_) => out.push(Action::News(News::Unreadable(snapshot.index))),
         }
--- a/components/keeper/src/registry.rs
+++ b/components/keeper/src/registry.rs
@@ -41,6 +41,8 @@
     pub group: Group,
     /// The document that it was told of.
     document: u64,
+    /// The emptied halls that it was told of.
+    pub halls: u64,
     /// The list that it has.
     pub revision: u64,
     until: Time,
@@ -57,6 +59,8 @@
     changes: VecDeque<NodeName>,
     /// The document in force.
     document: u64,
+    /// The revision of the emptied halls.
+    halls: u64,
     watchers: Vec<Watcher>,
     /// When a changed list is told.
     tell_at: Option<Time>,
@@ -71,6 +75,7 @@
             revision,
             changes: VecDeque::new(),
             document: 0,
+            halls: 0,
             watchers: Vec::new(),
             tell_at: None,
         }
@@ -82,7 +87,7 @@
 
     /// Registers a node; returns it as one to answer where there is news already.
     pub fn watch(&mut self, now: Time, ticket: Ticket, request: WatchRequest) -> Vec<Watcher> {
-        let WatchRequest { node, document, revision } = request;
+        let WatchRequest { node, document, revision, halls } = request;
         let group = group_of(&node);
         let known = self.nodes.insert(node.name.clone(), (node.clone(), now)).map(|(node, _)| node);
         if known.as_ref() != Some(&node) {
@@ -93,9 +98,9 @@
             }
         }
         let until = now + WATCH_TIME;
-        let watcher = Watcher { ticket, group, document, revision, until };
+        let watcher = Watcher { ticket, group, document, halls, revision, until };
         let settled = self.tell_at.is_none() && revision != self.revision;
-        if document < self.document || settled {
+        if document < self.document || halls < self.halls || settled {
             return vec![watcher];
         }
         self.watchers.push(watcher);
@@ -108,6 +113,12 @@
         self.take(|watcher| watcher.document < version)
     }
 
+    /// Other halls are emptied; returns who has to be told.
+    pub fn halls_are(&mut self, revision: u64) -> Vec<Watcher> {
+        self.halls = revision;
+        self.take(|watcher| watcher.halls < revision)
+    }
+
     /// Lets time pass; returns who has to be answered.
     pub fn tick(&mut self, now: Time) -> Vec<Watcher> {
         let over: Vec<NodeInfo> = self
--- a/components/keeper/src/state.rs
+++ b/components/keeper/src/state.rs
@@ -6,7 +6,7 @@
 use model::Time;
 use serde::{Deserialize, Serialize};
 use settings::{Catalog, Edit, SectionPath, Tree};
-use wire::{ChangeRequest, ChangeResult, Document, PullReply};
+use wire::{ChangeRequest, ChangeResult, Document, EmptiedHalls, HallOrder, PullReply};
 
 /// Changes whose first answers are remembered: over a week at 1,200 a day.
 const RESULTS_KEPT: usize = 10_000;
@@ -21,6 +21,8 @@
     Change(Command),
     /// A whole document.
     Replace(Document),
+    /// A hall is to be emptied or refilled.
+    Hall(HallOrder),
 }
 
 /// A change as it stands in the log, with the leader's time when it took it.
@@ -55,6 +57,9 @@
     /// The operators' document of the highest version.
     #[serde(default)]
     document: Option<Document>,
+    /// The halls that get no new work.
+    #[serde(default)]
+    halls: EmptiedHalls,
 }
 
 impl State {
@@ -87,6 +92,16 @@
         higher
     }
 
+    /// The halls that get no new work.
+    pub fn halls(&self) -> &EmptiedHalls {
+        &self.halls
+    }
+
+    /// Carries an order for a hall out; returns whether it changes anything.
+    pub fn order_hall(&mut self, order: HallOrder) -> bool {
+        self.halls.apply(order)
+    }
+
     /// The tree in force.
     pub fn tree(&self) -> &Tree {
         &self.tree
--- /dev/null
+++ b/components/keeper/tests/halls.rs
@@ -0,0 +1,235 @@
+//! Halls that operators empty and refill: at one keeper that leads alone, by its journal.
+
+use std::time::Duration;
+
+use consensus::{Record, Timing};
+use keeper::{Action, Event, Keeper, Reply, State, Ticket, initial_records};
+use model::{Incarnation, NodeName, Time};
+use settings::Tree;
+use wire::{EmptiedHalls, HallOrder, NodeInfo, NodeRole, WatchReply, WatchRequest};
+
+const START: Time = Time::from_millis(1_000_000);
+
+/// A keeper with the records that it stored.
+struct One {
+    keeper: Keeper,
+    records: Vec<Record>,
+    now: Time,
+    tickets: u64,
+}
+
+impl One {
+    fn new() -> Self {
+        Self::from_records(initial_records(vec![NodeName::new("k1")], Tree::default()))
+    }
+
+    fn from_records(records: Vec<Record>) -> Self {
+        let name = NodeName::new("k1");
+        let keeper = Keeper::recover(name, records.clone(), Timing::default(), 1, START);
+        let keeper = keeper.expect("the records are sound");
+        let mut one = Self { keeper, records, now: START, tickets: 0 };
+        one.run_for(Duration::from_secs(2));
+        one
+    }
+
+    /// Its next life, by what its disk holds.
+    fn restart(&self) -> Self {
+        Self::from_records(self.records.clone())
+    }
+
+    fn handle(&mut self, event: Event) -> Vec<(Ticket, Reply)> {
+        let mut actions = Vec::new();
+        self.keeper.handle(self.now, event, &mut actions);
+        let mut replies = Vec::new();
+        for action in actions {
+            match action {
+                Action::Store(records) => self.records.extend(records),
+                Action::Rewrite(records) => self.records = records,
+                Action::Respond(ticket, reply) => replies.push((ticket, reply)),
+                _ => {}
+            }
+        }
+        replies
+    }
+
+    fn run_for(&mut self, time: Duration) -> Vec<(Ticket, Reply)> {
+        let end = self.now + time;
+        let mut replies = Vec::new();
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(10);
+            replies.extend(self.handle(Event::Tick));
+        }
+        replies
+    }
+
+    fn ticket(&mut self) -> Ticket {
+        self.tickets += 1;
+        Ticket(self.tickets)
+    }
+
+    fn ask(&mut self, event: impl FnOnce(Ticket) -> Event) -> Option<Reply> {
+        let ticket = self.ticket();
+        let mut replies = self.handle(event(ticket));
+        replies.extend(self.run_for(Duration::from_millis(50)));
+        replies.into_iter().find(|(to, _)| *to == ticket).map(|(_, reply)| reply)
+    }
+
+    /// Orders, and returns the halls that are emptied then.
+    fn order(&mut self, hall: &str, takes_work: bool) -> EmptiedHalls {
+        match self.ask(|ticket| Event::OrderHall(ticket, order(hall, takes_work))) {
+            Some(Reply::Halls(halls)) => halls,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn empty(&mut self, hall: &str) -> EmptiedHalls {
+        self.order(hall, false)
+    }
+
+    fn refill(&mut self, hall: &str) -> EmptiedHalls {
+        self.order(hall, true)
+    }
+
+    fn read(&mut self) -> EmptiedHalls {
+        match self.ask(Event::ReadHalls) {
+            Some(Reply::Halls(halls)) => halls,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn watch(&mut self, halls: u64) -> (Ticket, Vec<(Ticket, Reply)>) {
+        let ticket = self.ticket();
+        let revision = match self.list_revision() {
+            0 => panic!("a keeper has a list"),
+            revision => revision,
+        };
+        let request = WatchRequest { node: node(), document: 0, revision, halls };
+        let replies = self.handle(Event::Watch(ticket, request));
+        (ticket, replies)
+    }
+
+    /// The revision of the list of nodes, once the node is on it.
+    fn list_revision(&mut self) -> u64 {
+        let request = WatchRequest { node: node(), document: 0, revision: 0, halls: u64::MAX };
+        match self.ask(|ticket| Event::Watch(ticket, request)) {
+            Some(Reply::Watch(WatchReply { nodes: Some(news), .. })) => news.revision(),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+fn order(hall: &str, takes_work: bool) -> HallOrder {
+    HallOrder { hall: hall.parse().expect("a name"), takes_work }
+}
+
+fn node() -> NodeInfo {
+    NodeInfo {
+        name: NodeName::new("n1"),
+        role: NodeRole::Entry,
+        address: ([127, 0, 0, 1], 1).into(),
+        incarnation: Incarnation(1),
+        service: "".into(),
+    }
+}
+
+fn names(halls: &EmptiedHalls) -> Vec<&str> {
+    halls.halls.iter().map(wire::HallName::as_str).collect()
+}
+
+#[test]
+fn the_last_order_of_each_hall_holds() {
+    let mut one = One::new();
+    assert_eq!(one.read(), EmptiedHalls::default());
+    assert_eq!(names(&one.empty("north")), ["north"]);
+    assert_eq!(names(&one.empty("south")), ["north", "south"]);
+    assert_eq!(names(&one.refill("north")), ["south"]);
+    assert_eq!(names(&one.read()), ["south"]);
+}
+
+#[test]
+fn an_order_sent_again_is_acknowledged_and_changes_nothing() {
+    let mut one = One::new();
+    let first = one.empty("north");
+    assert_eq!(one.empty("north"), first, "the same revision, so that no node is told again");
+    let refilled = one.refill("north");
+    assert!(refilled.revision > first.revision);
+    assert_eq!(one.refill("north"), refilled);
+    assert_eq!(one.refill("never-emptied"), refilled, "a hall that nobody emptied takes work");
+}
+
+/// An operator's call gets no answer in time, and it sends the order again while the first copy waits for the disk
+/// or the other keepers; then it orders the opposite. Whatever copies wait together, the order in which the leader took
+/// them is the order in which they are carried out, so that the last one that an operator sent holds.
+#[test]
+fn copies_that_wait_together_are_carried_out_in_the_order_in_which_they_came() {
+    for kinds in 0..16u32 {
+        let mut one = One::new();
+        let orders: Vec<bool> = (0..4).map(|bit| kinds & (1 << bit) != 0).collect();
+        for takes_work in &orders {
+            let ticket = one.ticket();
+            one.handle(Event::OrderHall(ticket, order("north", *takes_work)));
+        }
+        one.run_for(Duration::from_millis(50));
+        let emptied = one.read().contains("north");
+        assert_eq!(emptied, !orders[3], "{orders:?}");
+    }
+}
+
+#[test]
+fn orders_outlive_a_restart_and_a_snapshot() {
+    let mut one = One::new();
+    one.empty("north");
+    assert_eq!(names(&one.restart().read()), ["north"]);
+    for _ in 0..600 {
+        one.refill("south");
+        one.empty("south");
+    }
+    let snapshots = one.records.iter().filter(|record| matches!(record, Record::Snapshot(_)));
+    assert!(snapshots.count() > 0, "the log was replaced by a snapshot");
+    let (before, mut again) = (one.read(), one.restart());
+    assert_eq!(again.read(), before);
+    assert!(again.refill("north").revision > before.revision, "revisions never begin anew");
+}
+
+#[test]
+fn a_snapshot_of_the_version_before_opens_with_no_hall_emptied() {
+    let mut state = serde_json::to_value(State::new(Tree::default())).expect("it is JSON");
+    let fields = state.as_object_mut().expect("a state has fields");
+    assert!(fields.remove("halls").is_some(), "the version before had no such field");
+    let state: State = serde_json::from_value(state).expect("it opens");
+    assert_eq!(*state.halls(), EmptiedHalls::default());
+    assert_eq!(state.version(), 1);
+}
+
+#[test]
+fn a_keeper_that_is_not_sure_to_lead_takes_no_order_and_tells_nothing() {
+    let names = ["k1", "k2", "k3"].map(NodeName::new);
+    let mut alone = One::from_records(initial_records(names.to_vec(), Tree::default()));
+    alone.run_for(Duration::from_secs(5));
+    let ordered = alone.ask(|ticket| Event::OrderHall(ticket, order("north", false)));
+    assert_eq!(ordered, Some(Reply::Unsure(None)));
+    assert_eq!(alone.ask(Event::ReadHalls), Some(Reply::Unsure(None)));
+}
+
+#[test]
+fn a_watching_node_is_told_at_once_and_only_what_is_new() {
+    let mut one = One::new();
+    let (waiting, at_once) = one.watch(0);
+    assert_eq!(at_once, [], "there is no order yet");
+    let ticket = one.ticket();
+    let mut replies = one.handle(Event::OrderHall(ticket, order("north", false)));
+    replies.extend(one.run_for(Duration::from_millis(10)));
+    let told = told(&replies, waiting).expect("it is told with the order's acknowledgement");
+    assert_eq!(names(&told), ["north"]);
+    let (_, at_once) = one.watch(told.revision);
+    assert_eq!(at_once, [], "it has that already");
+    let (behind, at_once) = one.watch(0);
+    assert_eq!(self::told(&at_once, behind), Some(told), "a node that has just started");
+}
+
+fn told(replies: &[(Ticket, Reply)], to: Ticket) -> Option<EmptiedHalls> {
+    replies.iter().find_map(|(ticket, reply)| match reply {
+        Reply::Watch(reply) if *ticket == to => reply.halls.clone(),
+        _ => None,
+    })
+}
--- a/components/runner/src/event.rs
+++ b/components/runner/src/event.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use model::{Resources, TaskId};
-use wire::{Document, TaskEnd, ToAgent, ToEntry};
+use wire::{Document, EmptiedHalls, TaskEnd, ToAgent, ToEntry};
 
 /// A connection of an entry, numbered by the daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -201,6 +201,15 @@
     Silent,
 }
 
+/// Who told an agent which halls are emptied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HallsSource {
+    /// A keeper.
+    Keeper,
+    /// The entry of a session.
+    Entry(SessionId),
+}
+
 /// What reaches an agent.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -224,6 +233,8 @@
     Held(TargetId, HoldReply),
     /// A newer document.
     Document(Document),
+    /// A keeper tells which halls are emptied.
+    Halls(EmptiedHalls),
     /// A planned stop: takes no new work.
     Drain,
     /// Time has passed.
@@ -282,6 +293,15 @@
     TargetSilent(TargetId),
     /// The target answers again.
     TargetHeard(TargetId),
+    /// Other halls are emptied than before.
+    Halls {
+        /// Those that are, and the revision of the order.
+        halls: EmptiedHalls,
+        /// Whether the target's is one of them.
+        emptied: bool,
+        /// Who told of it.
+        source: HallsSource,
+    },
     /// The target is about to leave: no new work.
     TargetDrains(TargetId),
     /// The target fails what it runs: left out for a while.
--- a/components/runner/src/lib.rs
+++ b/components/runner/src/lib.rs
@@ -8,6 +8,7 @@
 //! actions that follow.
 
 mod event;
+mod halls;
 mod health;
 mod hold;
 mod lives;
@@ -21,7 +22,8 @@
 mod turns;
 
 pub use event::{
-    Action, EndReason, Event, HoldOrder, HoldReply, News, RunKey, SessionId, StartOrder,
-    StartRefusal, StartReply, StopOrder, StopReply, TargetEnd, TargetId, TargetReport, TargetRun,
+    Action, EndReason, Event, HallsSource, HoldOrder, HoldReply, News, RunKey, SessionId,
+    StartOrder, StartRefusal, StartReply, StopOrder, StopReply, TargetEnd, TargetId, TargetReport,
+    TargetRun,
 };
 pub use runner::{Runner, RunnerCounters, Timing};
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use model::{JobId, NodeName, Resources, TaskId, Time};
-use wire::{Document, Refusal, TaskEnd, TaskReport};
+use wire::{Document, EmptiedHalls, Refusal, TaskEnd, TaskReport};
 
-use crate::event::{Action, Event, News, SessionId, TargetId};
+use crate::event::{Action, Event, HallsSource, News, SessionId, TargetId};
 use crate::health::Change;
 use crate::run::{Run, RunState, Stopping};
 use crate::sessions::Session;
@@ -122,6 +122,8 @@
     pub(crate) sessions: BTreeMap<SessionId, Session>,
     pub(crate) runs: BTreeMap<TaskId, Run>,
     pub(crate) document: Option<Document>,
+    /// The halls that get no new work.
+    pub(crate) halls: EmptiedHalls,
     /// Runs that were lost before the target listed their ends, and when that is forgotten: a later
     /// run of the same task gets a higher number, so that a late end is not taken for its own.
     pub(crate) lost: BTreeMap<TaskId, (u64, Time)>,
@@ -153,6 +155,7 @@
             sessions: BTreeMap::new(),
             runs: BTreeMap::new(),
             document: None,
+            halls: EmptiedHalls::default(),
             lost: BTreeMap::new(),
             cancelled: BTreeMap::new(),
             turns: Turns::default(),
@@ -181,6 +184,7 @@
             Event::Stopped(key, reply) => self.stop_answered(now, &key, reply, out),
             Event::Held(id, reply) => self.held(now, &id, reply, out),
             Event::Document(document) => self.take_document(document),
+            Event::Halls(halls) => self.take_halls(now, &halls, HallsSource::Keeper, out),
             Event::Drain => self.drain(now, out),
             Event::Tick => {}
         }
@@ -225,6 +229,11 @@
         self.document.as_ref().map_or(0, |document| document.version)
     }
 
+    /// The halls that it knows to be emptied.
+    pub fn halls(&self) -> &EmptiedHalls {
+        &self.halls
+    }
+
     /// What no run takes, waiting ones aside.
     pub(crate) fn free(&self) -> Resources {
         let Some(target) = &self.target else { return Resources::default() };
@@ -243,7 +252,9 @@
                 || orphans_only
                 || target.is_report_dated(self.began)
         };
-        !self.draining && self.target.as_ref().is_some_and(|target| !closed(target))
+        !self.draining
+            && !self.is_hall_emptied()
+            && self.target.as_ref().is_some_and(|target| !closed(target))
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
--- a/components/runner/src/sessions.rs
+++ b/components/runner/src/sessions.rs
@@ -5,7 +5,7 @@
 use model::{JobId, TaskId, Time};
 use wire::{AgentProfile, Load, Refusal, StartTask, TaskEnd, TaskReport, ToAgent, ToEntry};
 
-use crate::event::{Action, News, SessionId};
+use crate::event::{Action, HallsSource, News, SessionId};
 use crate::rate::StartRate;
 use crate::run::{Run, RunState};
 use crate::runner::Runner;
@@ -77,7 +77,7 @@
             labels: report.map_or_else(Vec::new, |report| report.labels.clone()),
             capacity: report.map(|report| report.capacity).unwrap_or_default(),
         };
-        ToEntry::Hello { profile, document: self.document_version() }
+        ToEntry::Hello { profile, document: self.document_version(), halls: self.halls.clone() }
     }
 
     pub(crate) fn hear_entry(
@@ -105,6 +105,9 @@
                 }
             }
             ToAgent::Cancel(job) => self.cancel(now, id, &job, out),
+            ToAgent::Halls(halls) => {
+                self.take_halls(now, &halls, HallsSource::Entry(id), out);
+            }
             ToAgent::SendPart(request) => {
                 let part = self.document.as_ref().and_then(|document| document.part(request));
                 out.push(Action::Send(id, ToEntry::DocumentPart(part)));
--- a/components/runner/tests/support/mod.rs
+++ b/components/runner/tests/support/mod.rs
@@ -11,7 +11,7 @@
     Action, EndReason, Event, HoldOrder, HoldReply, RunKey, Runner, SessionId, StartOrder,
     StartReply, StopOrder, TargetEnd, TargetId, TargetReport, TargetRun, Timing,
 };
-use wire::{StartTask, TaskEnd, TaskReport, ToAgent, ToEntry};
+use wire::{EmptiedHalls, StartTask, TaskEnd, TaskReport, ToAgent, ToEntry};
 
 pub const START: Time = Time::from_millis(1_000_000);
 pub const SESSION: SessionId = SessionId(1);
@@ -31,6 +31,8 @@
     /// How often the load was told without an end.
     pub loads: u32,
     pub sequence: u64,
+    /// The emptied halls that entries were told of.
+    pub halls_told: Vec<(SessionId, EmptiedHalls)>,
 }
 
 impl Agent {
@@ -54,6 +56,7 @@
             open: false,
             loads: 0,
             sequence: 0,
+            halls_told: Vec::new(),
         };
         agent.handle(Event::Target(report(id, clock_ms)));
         agent
@@ -76,6 +79,7 @@
                     self.open = load.open;
                     self.loads += 1;
                 }
+                Action::Send(id, ToEntry::Halls(halls)) => self.halls_told.push((id, halls)),
                 Action::Send(..) | Action::News(_) => {}
             }
         }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod agent;
 mod document;
 mod entry;
+mod halls;
 mod keeper;
 mod registry;
 mod session;
@@ -18,6 +19,7 @@
 };
 pub use document::{Document, DocumentPart, PART_BYTES_MAX, PartRequest};
 pub use entry::{EntryService, EntryServiceClient, RelayReply, RelayRequest};
+pub use halls::{BadHallName, EmptiedHalls, HallName, HallOrder};
 pub use keeper::{
     ChangeRequest, ChangeResult, KeeperService, KeeperServiceClient, PeerMessage, PullReply,
     PullRequest,
--- a/components/wire/src/registry.rs
+++ b/components/wire/src/registry.rs
@@ -6,6 +6,8 @@
 use model::{Incarnation, NodeName};
 use serde::{Deserialize, Serialize};
 
+use crate::EmptiedHalls;
+
 /// What a registered node does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum NodeRole {
@@ -39,6 +41,8 @@
     pub document: u64,
     /// The revision of this keeper's list of nodes that it has; 0 for none.
     pub revision: u64,
+    /// The revision of the emptied halls that this keeper has told it of; 0 for none.
+    pub halls: u64,
 }
 
 /// The entries that are registered at one keeper. Agents are not listed: whoever looks for a node
@@ -100,6 +104,8 @@
     pub version: u64,
     /// The entries, where the list is another than the node's.
     pub nodes: Option<ListNews>,
+    /// The halls that are emptied, where this is newer than what the node has from this keeper.
+    pub halls: Option<EmptiedHalls>,
     /// Nodes of the same role and service as the node that asks, itself included.
     pub peers: u32,
     /// The keepers that vote, by the addresses that they are named by.
--- a/components/wire/src/session.rs
+++ b/components/wire/src/session.rs
@@ -10,7 +10,7 @@
 use model::{JobId, NodeName, Resources, TaskId, Time};
 use serde::{Deserialize, Serialize};
 
-use crate::{DocumentPart, PartRequest};
+use crate::{DocumentPart, EmptiedHalls, PartRequest};
 
 /// Who an agent is and what its target is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -90,6 +90,8 @@
     Cancel(JobId),
     /// Asks for a part of a document.
     SendPart(PartRequest),
+    /// The halls that are emptied: what the entry knows is newer than what the agent has told it.
+    Halls(EmptiedHalls),
 }
 
 /// Why an agent did not start a task.
@@ -145,6 +147,8 @@
         /// The version of the newest document that it knows; 0 for none. Its text is sent only to who asks for
         /// it: with 70 agents and 640 kB it was 14 s of an entry's link at each return of all.
         document: u64,
+        /// The halls that it knows to be emptied.
+        halls: EmptiedHalls,
     },
     /// How much it can take. Also a sign of life.
     Load(Load),
@@ -159,6 +163,8 @@
     Cancelled(JobId),
     /// A part of a document that was asked for; `None` where the agent has not that version.
     DocumentPart(Option<DocumentPart>),
+    /// Other halls are emptied than before.
+    Halls(EmptiedHalls),
 }
 
 impl ToAgent {
@@ -170,6 +176,7 @@
             Self::Stop(_) => "stop",
             Self::Cancel(_) => "cancel",
             Self::SendPart(_) => "send-part",
+            Self::Halls(_) => "halls",
         }
     }
 }
@@ -183,6 +190,7 @@
             Self::Ended { .. } => "ended",
             Self::Cancelled(_) => "cancelled",
             Self::DocumentPart(_) => "document-part",
+            Self::Halls(_) => "halls",
         }
     }
 }
--- a/daemon/src/keeper_role/decide.rs
+++ b/daemon/src/keeper_role/decide.rs
@@ -48,6 +48,10 @@
     Replace(wire::Document),
     /// The document in force.
     Fetch,
+    /// An order for a hall.
+    OrderHall(wire::HallOrder),
+    /// Which halls are emptied.
+    ReadHalls,
     /// News for a node that registers.
     Watch(wire::WatchRequest),
     /// A part of a document for a node.
@@ -71,6 +75,10 @@
     pub version: u64,
     /// The version of the document here.
     pub document: u64,
+    /// The halls that are emptied, as committed here.
+    pub emptied_halls: Vec<String>,
+    /// The revision of the last order that changed them.
+    pub halls_revision: u64,
     /// Nodes that are registered here.
     pub nodes: usize,
     /// The keepers that vote.
@@ -137,6 +145,8 @@
             Ask::Pull(request) => Event::Pull(ticket, request),
             Ask::Replace(document) => Event::Replace(ticket, document),
             Ask::Fetch => Event::Fetch(ticket),
+            Ask::OrderHall(order) => Event::OrderHall(ticket, order),
+            Ask::ReadHalls => Event::ReadHalls(ticket),
             Ask::Watch(request) => Event::Watch(ticket, request),
             Ask::Part(request) => Event::Part(ticket, request),
         };
@@ -145,6 +155,7 @@
 
     fn status(&self, now: Time) -> KeeperStatus {
         let replica = self.keeper.replica();
+        let halls = self.keeper.state().halls();
         KeeperStatus {
             name: self.name.to_string(),
             leads: self.keeper.is_sure(now),
@@ -153,6 +164,8 @@
             committed: replica.committed(),
             version: self.keeper.version(),
             document: self.keeper.state().document_version(),
+            emptied_halls: halls.halls.iter().map(ToString::to_string).collect(),
+            halls_revision: halls.revision,
             nodes: self.keeper.registered(),
             voters: replica.voters().iter().map(ToString::to_string).collect(),
             blank: replica.is_blank(),
--- a/daemon/src/keeper_role/listen.rs
+++ b/daemon/src/keeper_role/listen.rs
@@ -20,8 +20,8 @@
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use wire::{
-    ChangeRequest, ChangeResult, DocumentPart, KeeperService, PartRequest, PeerMessage, PullReply,
-    PullRequest, WatchReply, WatchRequest,
+    BadHallName, ChangeRequest, ChangeResult, DocumentPart, HallOrder, KeeperService, PartRequest,
+    PeerMessage, PullReply, PullRequest, WatchReply, WatchRequest,
 };
 
 use super::decide::{Ask, Input};
@@ -44,6 +44,8 @@
 const HELD_UP: Duration = Duration::from_millis(200);
 /// How long the last answers to operators may take: a thread that has just ended leaves little to do.
 const LAST_ANSWERS: Duration = Duration::from_millis(400);
+/// Where orders for halls are sent: the hall and what becomes of it follow.
+const HALLS_PATH: &str = "/v1/halls/";
 /// How often it is looked whether they have left.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -146,7 +148,7 @@
         match ask(&self.ring, Ask::Watch(request)).await {
             Some(Reply::Watch(reply)) => reply,
             // The keeper is ending; the connection ends with it.
-            _ => WatchReply { version: 0, nodes: None, peers: 0, keepers: Vec::new() },
+            _ => WatchReply { version: 0, nodes: None, halls: None, peers: 0, keepers: Vec::new() },
         }
     }
 
@@ -183,12 +185,14 @@
     if operators.room
         && let Some(call) = OperatorCall::read(&head.method, head.uri.path())
     {
-        return document_call(operators, call, head.uri.path(), body).await;
+        return platform_call(operators, call, head.uri.path(), body).await;
     }
     match (head.method.as_str(), head.uri.path()) {
         ("GET", "/v1/settings") => respond(ask(ring, Ask::Read).await),
         ("GET", "/v1/history") => respond(ask(ring, Ask::History).await),
         ("GET", "/v1/status") => own_status(ring).await,
+        ("GET", "/v1/halls") => respond(ask(ring, Ask::ReadHalls).await),
+        ("POST", path) if path.starts_with(HALLS_PATH) => order_hall(operators, path).await,
         ("POST", "/v1/changes") => match body {
             Ok(body) => change(ring, &body).await,
             Err(error) => problem(400, "bad-body", &error.to_string()),
@@ -197,8 +201,35 @@
     }
 }
 
-/// A call for the document; one that only the leader can answer is sent on to it.
-async fn document_call(
+/// An order of the product's own interface for a hall.
+async fn order_hall(operators: &Operators, path: &str) -> Response<Body> {
+    let Some((hall, what)) = path.strip_prefix(HALLS_PATH).and_then(|rest| rest.split_once('/'))
+    else {
+        return problem(404, "no-such-path", "see the operators' pages");
+    };
+    let takes_work = match what {
+        "empty" => false,
+        "refill" => true,
+        _ => return problem(404, "no-such-path", "a hall is emptied or refilled"),
+    };
+    if !operators.room {
+        let message = "halls are emptied by order only where nodes schedule by room";
+        return problem(409, "not-supported", message);
+    }
+    match hall.parse() {
+        Ok(hall) => {
+            respond(ask(&operators.ring, Ask::OrderHall(HallOrder { hall, takes_work })).await)
+        }
+        Err(error) => bad_hall(error),
+    }
+}
+
+fn bad_hall(error: BadHallName) -> Response<Body> {
+    problem(400, "bad-hall", &error.to_string())
+}
+
+/// A call of the platform's operators; one that only the leader can answer is sent on to it.
+async fn platform_call(
     operators: &Operators,
     call: OperatorCall,
     path: &str,
@@ -206,6 +237,8 @@
 ) -> Response<Body> {
     let asked = match (call, body) {
         (OperatorCall::Fetch, _) => Ask::Fetch,
+        (OperatorCall::OrderHall(Ok(order)), _) => Ask::OrderHall(order),
+        (OperatorCall::OrderHall(Err(error)), _) => return bad_hall(error),
         (OperatorCall::Replace, Ok(body)) => match platform::read_document(&body) {
             Ok(document) => Ask::Replace(document),
             Err(error) => return problem(400, "invalid", &error.to_string()),
@@ -216,7 +249,7 @@
         }
     };
     match ask(&operators.ring, asked).await {
-        Some(Reply::Replaced) => json(200, &serde_json::json!({})),
+        Some(Reply::Replaced | Reply::Halls(_)) => json(200, &serde_json::json!({})),
         Some(Reply::Document(Some(document))) => whole(&document.body),
         Some(Reply::Document(None)) => problem(503, "no-document", "there never was one"),
         Some(Reply::Unsure(Some(leader))) => send_on(operators.address, &leader, path),
@@ -253,6 +286,7 @@
         Some(Reply::Tree(tree)) => json(200, &tree),
         Some(Reply::History(versions)) => json(200, &versions),
         Some(Reply::Change(result)) => json(status(&result), &result),
+        Some(Reply::Halls(halls)) => json(200, &halls),
         Some(Reply::Unsure(leader)) => unsure(leader),
         Some(
             Reply::Pull(_)
--- a/daemon/src/keeper_role/news_lines.rs
+++ b/daemon/src/keeper_role/news_lines.rs
@@ -89,6 +89,11 @@
         News::Document(version) => {
             log.line("document", Budget::Full, || json!({"version": version}));
         }
+        News::Halls(halls) => log.line(
+            "halls",
+            Budget::Full,
+            || json!({"revision": halls.revision, "emptied": halls.to_string()}),
+        ),
         News::Nodes(count) => log.line("nodes", Budget::Full, || json!({"count": count})),
         News::Unreadable(index) => {
             log.line("entry-unreadable", Budget::Full, || json!({"index": index}));
@@ -116,6 +121,10 @@
             info!("keeper {}: {} keepers vote", name, members.len());
         }
         News::Document(version) => info!("keeper {}: document {} accepted", name, version),
+        News::Halls(halls) => {
+            let revision = halls.revision;
+            info!("keeper {}: emptied halls, revision {}: [{}]", name, revision, halls);
+        }
         News::Nodes(count) => info!("keeper {}: {} nodes are registered", name, count),
         News::Version(version) => info!("keeper {}: settings {} accepted", name, version),
         News::Unreadable(index) => {
--- a/daemon/src/room/agent.rs
+++ b/daemon/src/room/agent.rs
@@ -118,7 +118,7 @@
             incarnation: started.life,
             service: Arc::from(config.service.as_str()),
         };
-        let (for_documents, for_nodes) = (self.clone(), self.clone());
+        let (for_documents, for_nodes, for_halls) = (self.clone(), self.clone(), self.clone());
         Watch::start(
             own,
             self.tasks.clone(),
@@ -130,6 +130,7 @@
                     for_documents.feed(Event::Document(document));
                 }),
                 nodes: Box::new(move |entries, agents| for_nodes.entries_are(entries, agents)),
+                halls: Box::new(move |halls| for_halls.feed(Event::Halls(halls))),
                 // Agents have sessions with entries alone.
                 ask_agent: Box::new(|_, _| {}),
             },
@@ -239,6 +240,7 @@
         page.value("tasks", "{state=\"waiting\"}", waiting as u64);
         page.value("tasks", "{state=\"running\"}", running as u64);
         page.value("configuration_version", "", runner.document_version());
+        page.value("halls_revision", "", runner.halls().revision);
         page.value("log_lines_omitted_total", "", self.log.omitted());
     }
 }
--- a/daemon/src/room/agent_news.rs
+++ b/daemon/src/room/agent_news.rs
@@ -1,11 +1,18 @@
 //! The agent's decisions as lines of the log.
 
-use runner::News;
-use serde_json::json;
+use runner::{HallsSource, News};
+use serde_json::{Value, json};
 use wire::TaskEnd;
 
 use crate::event_log::{Budget, EventLog};
 
+fn halls_source(source: HallsSource) -> Value {
+    match source {
+        HallsSource::Keeper => json!("keeper"),
+        HallsSource::Entry(session) => json!({"entry_session": session.0}),
+    }
+}
+
 /// Writes a decision or a change of state.
 pub(super) fn write(log: &EventLog, news: &News) {
     match news {
@@ -33,6 +40,10 @@
         News::TargetHeard(id) => {
             log.line("target-heard", Budget::Full, || json!({"target": &*id.0}));
         }
+        News::Halls { halls, emptied, source } => log.line("halls", Budget::Full, || {
+            json!({"revision": halls.revision, "emptied": halls.to_string(), "own": emptied,
+                "from": halls_source(*source)})
+        }),
         News::TargetDrains(id) => {
             log.line("target-drains", Budget::Full, || json!({"target": &*id.0}));
         }
--- a/daemon/src/room/entry.rs
+++ b/daemon/src/room/entry.rs
@@ -199,7 +199,7 @@
             entry.take_document(&document, source.kind());
         });
         let peers = self.peers.clone();
-        let asker = self.clone();
+        let (asker, for_halls) = (self.clone(), self.clone());
         let ask_agent = Box::new(move |id, request| {
             asker.tell_agent(SessionId(id), ToAgent::SendPart(request));
         });
@@ -212,6 +212,7 @@
             WatchCallbacks {
                 document: take,
                 nodes: Box::new(move |entries, _| peers.listed(entries)),
+                halls: Box::new(move |halls| for_halls.feed(Event::Halls(halls))),
                 ask_agent,
             },
         );
@@ -392,6 +393,7 @@
         page.value("ready", "", u64::from(self.is_ready()));
         let version = self.table.borrow().as_ref().map_or(0, |table| table.version);
         page.value("configuration_version", "", version);
+        page.value("halls_revision", "", dispatcher.halls().revision);
         page.value("log_lines_omitted_total", "", self.log.omitted());
         for (status, count) in &*self.statuses.borrow() {
             page.value("answers_total", &format!("{{status=\"{status}\"}}"), *count);
--- a/daemon/src/room/entry_news.rs
+++ b/daemon/src/room/entry_news.rs
@@ -1,6 +1,6 @@
 //! The entry's decisions as lines of the log.
 
-use dispatch::{News, Outcome};
+use dispatch::{HallsSource, News, Outcome};
 use serde_json::{Value, json};
 use std::time::Duration;
 use telemetry::Latency;
@@ -31,6 +31,13 @@
     }
 }
 
+fn halls_source(source: HallsSource) -> Value {
+    match source {
+        HallsSource::Keeper => json!("keeper"),
+        HallsSource::Agent(session) => json!({"agent_session": session.0}),
+    }
+}
+
 /// Writes a decision or a change of state.
 pub(super) fn write(log: &EventLog, news: &News) {
     match news {
@@ -50,6 +57,10 @@
         News::AgentOpen { agent, open } => {
             log.line("agent-open", Budget::Full, || json!({"agent": agent.as_str(), "open": open}))
         }
+        News::Halls { halls, source } => log.line("halls", Budget::Full, || {
+            json!({"revision": halls.revision, "emptied": halls.to_string(),
+                "from": halls_source(*source)})
+        }),
         News::Paused { gap_ms } => {
             log.line("paused", Budget::Full, || json!({"gap_ms": gap_ms}));
         }
--- a/daemon/src/room/keeper.rs
+++ b/daemon/src/room/keeper.rs
@@ -26,6 +26,8 @@
                 page.value("keeper_committed", "", status.committed);
                 page.value("keeper_blank", "", u64::from(status.blank));
                 page.value("configuration_version", "", status.document);
+                page.value("halls_revision", "", status.halls_revision);
+                page.value("halls_emptied", "", status.emptied_halls.len() as u64);
                 page.value("journal_bytes", "", status.journal_bytes);
                 page.value("keeper_disk_full", "", u64::from(status.disk_full));
                 page.value("nodes", "", status.nodes as u64);
--- a/daemon/src/room/watch.rs
+++ b/daemon/src/room/watch.rs
@@ -15,8 +15,8 @@
 use serde_json::json;
 use tarpc::client::{Config, NewClient};
 use wire::{
-    Document, DocumentPart, KeeperServiceClient, ListNews, NodeInfo, NodeList, PartRequest,
-    WatchReply, WatchRequest,
+    Document, DocumentPart, EmptiedHalls, KeeperServiceClient, ListNews, NodeInfo, NodeList,
+    PartRequest, WatchReply, WatchRequest,
 };
 
 use crate::clock::Clock;
@@ -34,6 +34,8 @@
 /// Takes the entries that are listed, and how many nodes do the same as this one.
 type TakeNodes = Box<dyn Fn(&[NodeInfo], usize)>;
 
+/// Takes the halls that a keeper tells to be emptied.
+type TakeHalls = Box<dyn Fn(EmptiedHalls)>;
 /// Asks the agent of a session for a part of a document.
 type AskAgent = Box<dyn Fn(u64, PartRequest)>;
 
@@ -41,6 +43,7 @@
 pub(crate) struct WatchCallbacks {
     pub document: TakeDocument,
     pub nodes: TakeNodes,
+    pub halls: TakeHalls,
     pub ask_agent: AskAgent,
 }
 
@@ -165,9 +168,10 @@
     /// Asks one keeper again and again; returns whether it ever answered.
     async fn ask(self: &Rc<Self>, keeper: SocketAddr, client: &KeeperServiceClient) -> bool {
         let mut heard = false;
-        let (mut revision, mut version) = (0, 0);
+        let (mut revision, mut version, mut halls) = (0, 0, 0);
         loop {
-            let request = WatchRequest { node: self.own.clone(), document: version, revision };
+            let node = self.own.clone();
+            let request = WatchRequest { node, document: version, revision, halls };
             let answer = async { client.watch(net::call_context(), request).await.ok() };
             let late = async {
                 Timer::after(SILENCE).await;
@@ -186,6 +190,9 @@
             if let Some(news) = &reply.nodes {
                 revision = news.revision();
             }
+            if let Some(news) = &reply.halls {
+                halls = news.revision;
+            }
             self.take(keeper, reply);
         }
     }
@@ -258,6 +265,9 @@
     fn take(self: &Rc<Self>, keeper: SocketAddr, reply: WatchReply) {
         let source = DocumentSource::Keeper(keeper);
         self.drive_fetch(|fetch, now| fetch.offered(now, source, reply.version));
+        if let Some(halls) = reply.halls {
+            (self.callbacks.halls)(halls);
+        }
         let named: Vec<SocketAddr> =
             reply.keepers.iter().filter_map(|name| name.as_str().parse().ok()).collect();
         self.named.borrow_mut().insert(keeper, named.clone());
--- a/daemon/tests/large_documents.rs
+++ b/daemon/tests/large_documents.rs
@@ -54,7 +54,13 @@
         if request.document == self.has().version {
             net::pause(WATCH_TIME).await;
         }
-        WatchReply { version: self.has().version, nodes: None, peers: 1, keepers: Vec::new() }
+        WatchReply {
+            version: self.has().version,
+            nodes: None,
+            halls: None,
+            peers: 1,
+            keepers: Vec::new(),
+        }
     }
 
     async fn document(self, _: Context, request: PartRequest) -> Option<DocumentPart> {
--- a/daemon/tests/room_support/target.rs
+++ b/daemon/tests/room_support/target.rs
@@ -67,6 +67,7 @@
     pub seen: Arc<Mutex<Seen>>,
     address: SocketAddr,
     agent: SocketAddr,
+    hall: &'static str,
     began: Instant,
     stop: Option<async_channel::Sender<()>>,
     threads: Vec<JoinHandle<()>>,
@@ -92,9 +93,14 @@
 impl StandInTarget {
     /// Starts a target that reports to its agent.
     pub fn start(address: SocketAddr, agent: SocketAddr, id: &str) -> Self {
+        Self::start_in(address, agent, id, "hall")
+    }
+
+    /// Starts a target in a data hall.
+    pub fn start_in(address: SocketAddr, agent: SocketAddr, id: &str, hall: &'static str) -> Self {
         let seen = Arc::new(Mutex::new(Seen::default()));
         let mut target =
-            Self { seen, address, agent, began: Instant::now(), stop: None, threads: Vec::new() };
+            Self { seen, address, agent, hall, began: Instant::now(), stop: None, threads: vec![] };
         target.live(id);
         target
     }
@@ -108,11 +114,12 @@
         let life = Life { id: id.to_owned(), began, seen: self.seen.clone() };
         let serving = stopped.clone();
         let serve = std::thread::spawn(move || serve(address, life, serving));
-        let (agent, seen, id) = (self.agent, self.seen.clone(), id.to_owned());
+        let (agent, hall) = (self.agent, self.hall);
+        let (seen, id) = (self.seen.clone(), id.to_owned());
         let beats = std::thread::spawn(move || {
             while !stopped.is_closed() {
                 // An agent that is down hears of it later.
-                if beat(agent, &id, clock_ms(began)) {
+                if beat(agent, hall, &id, clock_ms(began)) {
                     let mut seen = seen.lock().expect("nobody panicked with it");
                     seen.acknowledged.get_or_insert_with(Instant::now);
                 }
@@ -134,7 +141,7 @@
 
     /// A heartbeat of an earlier life arrives now; returns whether it was acknowledged.
     pub fn late_beat(&self, id: &str, clock_ms: u64) -> bool {
-        beat(self.agent, id, clock_ms)
+        beat(self.agent, self.hall, id, clock_ms)
     }
 
     fn end(&mut self) {
@@ -165,8 +172,8 @@
 }
 
 /// Reports of a life to an agent; returns whether it was acknowledged.
-fn beat(agent: SocketAddr, id: &str, clock_ms: u64) -> bool {
-    let body = json!({"service": "work", "zone": "hall", "state": "ready",
+fn beat(agent: SocketAddr, hall: &str, id: &str, clock_ms: u64) -> bool {
+    let body = json!({"service": "work", "zone": hall, "state": "ready",
         "capacity": {"cpu": CPU_MILLI, "mem_mb": 32_768, "gpu": 0},
         "clock_ms": clock_ms, "sequence": clock_ms});
     let path = format!("/instances/{id}/heartbeat");
--- a/soak/src/keepers/checks.rs
+++ b/soak/src/keepers/checks.rs
@@ -30,6 +30,8 @@
     pub full_disks: u64,
     /// Faults that happened.
     pub faults: u64,
+    /// Orders for halls that were acknowledged.
+    pub hall_orders: u64,
 }
 
 impl KeeperSummary {
@@ -45,6 +47,7 @@
         self.power_losses += other.power_losses;
         self.full_disks += other.full_disks;
         self.faults += other.faults;
+        self.hall_orders += other.hall_orders;
     }
 }
 
--- a/soak/src/keepers/mod.rs
+++ b/soak/src/keepers/mod.rs
@@ -10,6 +10,7 @@
 mod checks;
 mod disks;
 mod faults;
+mod halls;
 mod nodes;
 mod operators;
 mod world;
--- a/soak/src/keepers/operators.rs
+++ b/soak/src/keepers/operators.rs
@@ -19,6 +19,10 @@
     Change { operator: usize, request: ChangeRequest, newest: u64, tries: u32 },
     /// An operator that reads.
     Read { operator: usize, newest: u64 },
+    /// The operator of a hall, with the number of its order.
+    Hall { hall: usize, order: u64 },
+    /// Someone who reads which halls are emptied; what their operators knew before, and the newest revision told.
+    ReadHalls { known: Vec<(u64, Option<bool>)>, newest: u64 },
     /// A node that pulls, in a life.
     Pull { node: usize, life: u64 },
 }
@@ -52,6 +56,10 @@
             (Some(Asker::Change { operator, request, newest, tries }), reply) => {
                 self.change_replied(operator, request, newest, tries, reply);
             }
+            (Some(Asker::Hall { hall, order }), reply) => self.hall_ordered(hall, order, reply),
+            (Some(Asker::ReadHalls { known, newest }), reply) => {
+                self.halls_read(&known, newest, reply);
+            }
             (Some(Asker::Pull { node, life }), reply) => {
                 self.pulled(node, life, reply);
             }
--- a/soak/src/keepers/world.rs
+++ b/soak/src/keepers/world.rs
@@ -13,6 +13,7 @@
 
 use super::checks::{KeeperChecks, KeeperSummary};
 use super::disks::Disked;
+use super::halls::HallOrders;
 use super::nodes::NodeState;
 use super::operators::Asker;
 use crate::{Options, Violation};
@@ -43,6 +44,10 @@
     Pull(usize),
     /// A node starts anew, without what it had.
     NodeStarts(usize),
+    /// The operator of a hall gives its next order.
+    NextHallOrder(usize),
+    /// An order for a hall may have got no answer.
+    HallOrderUnanswered(usize, u64),
     /// A fault begins.
     Fault,
     /// A dead keeper comes back.
@@ -93,6 +98,8 @@
     pub waiting: HashMap<Ticket, Asker>,
     pub changes: u64,
     pub arrangement: Arrangement,
+    /// None where nobody empties halls.
+    pub halls: Option<HallOrders>,
     /// No fault begins before: one has to lead first after a loss of power.
     pub faults_from: Time,
     loss: f64,
@@ -108,8 +115,12 @@
 pub fn run_keepers(options: &Options) -> Result<KeeperSummary, Vec<Violation>> {
     let mut world = KeeperWorld::new(options);
     world.start();
+    if options.halls {
+        world.set_up_halls(options.seed);
+    }
     world.go_on();
     world.check_end();
+    world.check_halls_end();
     match world.checks.violations.is_empty() {
         true => Ok(world.checks.summary),
         false => Err(world.checks.violations),
@@ -177,6 +188,7 @@
             waiting: HashMap::new(),
             changes: 0,
             arrangement,
+            halls: None,
             faults_from: START,
             loss,
             delay: Duration::from_micros(delay),
@@ -252,6 +264,8 @@
             Happening::Operator(operator) => self.operate(operator),
             Happening::Pull(node) => self.pull(node),
             Happening::NodeStarts(node) => self.node_starts(node),
+            Happening::NextHallOrder(hall) => self.next_hall_order(hall),
+            Happening::HallOrderUnanswered(hall, order) => self.hall_order_unanswered(hall, order),
             Happening::Fault => self.fault(),
             Happening::KeeperStarts(keeper) => self.start_keeper(keeper),
             Happening::Healed(keeper) => self.keepers[keeper].cut_off = false,
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -31,6 +31,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Run entries and agents whose targets have room"),
         )
+        .arg(
+            Arg::new("halls")
+                .long("halls")
+                .action(ArgAction::SetTrue)
+                .help("Let operators empty and refill halls in runs of keepers or of room"),
+        )
         .arg(
             Arg::new("load")
                 .long("load")
@@ -74,16 +80,17 @@
         println!("{:.1} s: {result:?}", started.elapsed().as_secs_f64());
         return ExitCode::SUCCESS;
     }
+    let common = Options { halls: arguments.get_flag("halls"), trace, ..Options::new(0) };
     let (text, failed) = if arguments.get_flag("keepers") {
         let runner = |options| run_keepers(&options);
-        let (total, failed) = run_all(first, seeds, trace, runner, KeeperSummary::add);
+        let (total, failed) = run_all(first, seeds, &common, runner, KeeperSummary::add);
         (format!("{total:?}"), failed)
     } else if arguments.get_flag("room") {
         let runner = |options| run_room(&options);
-        let (total, failed) = run_all(first, seeds, trace, runner, RoomSummary::add);
+        let (total, failed) = run_all(first, seeds, &common, runner, RoomSummary::add);
         (format!("{total:?}"), failed)
     } else {
-        let (total, failed) = run_all(first, seeds, trace, run, Summary::add);
+        let (total, failed) = run_all(first, seeds, &common, run, Summary::add);
         (format!("{total:?}"), failed)
     };
     println!("{seeds} seeds in {:.1} s: {text}; {failed} failed", started.elapsed().as_secs_f64());
@@ -115,17 +122,17 @@
 fn run_all<S: Default + Send + 'static>(
     first: u64,
     seeds: u64,
-    trace: Option<String>,
+    common: &Options,
     runner: fn(Options) -> Result<S, Vec<Violation>>,
     add: fn(&mut S, &S),
 ) -> (S, u64) {
     let threads = std::thread::available_parallelism().map_or(1, |count| count.get() as u64);
     let parts: Vec<_> = (0..threads)
         .map(|part| {
-            let trace = trace.clone();
+            let common = common.clone();
             std::thread::spawn(move || {
                 let numbers = (part..seeds).step_by(threads as usize);
-                run_part(first, numbers, &trace, runner, add)
+                run_part(first, numbers, &common, runner, add)
             })
         })
         .collect();
@@ -143,7 +150,7 @@
 fn run_part<S: Default>(
     first: u64,
     numbers: impl Iterator<Item = u64>,
-    trace: &Option<String>,
+    common: &Options,
     runner: fn(Options) -> Result<S, Vec<Violation>>,
     add: fn(&mut S, &S),
 ) -> (S, u64) {
@@ -151,7 +158,7 @@
     let mut failed = 0;
     for number in numbers {
         let seed = first + number;
-        match runner(Options { trace: trace.clone(), ..Options::new(seed) }) {
+        match runner(Options { seed, ..common.clone() }) {
             Ok(summary) => add(&mut total, &summary),
             Err(violations) => {
                 failed += 1;
--- a/soak/src/room/mod.rs
+++ b/soak/src/room/mod.rs
@@ -10,6 +10,7 @@
 mod documents;
 mod entry_link;
 mod faults;
+mod halls;
 mod link;
 mod load;
 mod orders;
--- a/soak/src/room/orders.rs
+++ b/soak/src/room/orders.rs
@@ -32,6 +32,7 @@
             let drains = self.agents[agent].drains;
             self.note(|| format!("target {agent} starts {task}"));
             self.checks.started(now, task, elsewhere, drains);
+            self.check_hall(agent, task, late);
             if let Some(client) = self.clients.get_mut(&task.job) {
                 self.tally.started(now, client);
             }
--- a/soak/src/room/strikes.rs
+++ b/soak/src/room/strikes.rs
@@ -13,6 +13,9 @@
     pub(super) fn strike(&mut self, fault: Fault) {
         self.checks.summary.faults += 1;
         self.note(|| format!("fault {fault:?}"));
+        if let Some(halls) = &mut self.halls {
+            halls.hit(self.now, fault);
+        }
         match fault {
             Fault::KillEntry { entry, down, silent } => self.kill_entry(entry, down, silent),
             Fault::KillAgent { agent, down } => self.kill_agent(agent, down),
--- a/soak/src/room/target.rs
+++ b/soak/src/room/target.rs
@@ -11,6 +11,8 @@
     TargetEnd, TargetId, TargetReport, TargetRun,
 };
 
+use super::world::ONE_HALL;
+
 /// How much slower than true time its clock may run, in thousandths.
 const SLOW_CLOCK: u64 = 20;
 /// How long a stop takes.
@@ -44,6 +46,8 @@
 #[derive(Debug)]
 pub(crate) struct Target {
     pub id: TargetId,
+    /// The hall that it stands in.
+    pub hall: &'static str,
     pub capacity: Resources,
     pub manner: Manner,
     pub draining: bool,
@@ -71,6 +75,7 @@
         Self {
             id: TargetId(Arc::from(format!("{name}#{life}"))),
             capacity,
+            hall: ONE_HALL,
             manner: Manner::Sound,
             draining: false,
             mute: false,
@@ -95,7 +100,7 @@
         TargetReport {
             id: self.id.clone(),
             service: Arc::from("work"),
-            hall: Arc::from("hall"),
+            hall: Arc::from(self.hall),
             labels: Vec::new(),
             capacity: self.capacity,
             draining: self.draining,
--- a/soak/src/room/world.rs
+++ b/soak/src/room/world.rs
@@ -12,13 +12,14 @@
     HoldOrder, HoldReply, RunKey, Runner, StartOrder, StartReply, StopOrder, StopReply,
     TargetReport,
 };
-use wire::Document;
+use wire::{Document, EmptiedHalls};
 
 use super::RoomTimes;
 use super::checks::{Checks, RoomSummary};
 use super::client::Client;
 use super::entry_link::EntryLink;
 use super::faults::Fault;
+use super::halls::Halls;
 use super::link::{Parcel, Session};
 use super::load::Tally;
 use super::sets::Sets;
@@ -37,6 +38,8 @@
 const END: Duration = Duration::from_secs(24);
 pub(super) const TARGET_TICK: Duration = Duration::from_millis(5);
 pub(super) const BEAT: Duration = Duration::from_millis(500);
+/// The hall of all targets where nobody empties halls.
+pub(super) const ONE_HALL: &str = "hall";
 pub(super) const DIAL: Duration = Duration::from_millis(120);
 
 /// What happens next.
@@ -64,6 +67,14 @@
     CutOff(usize, Duration),
     /// An agent is to serve other entries, or all.
     Choose(usize, bool),
+    /// An order for a hall is acknowledged: its targets take work, or none.
+    OrderHall(usize, bool),
+    /// A keeper tells an entry, or an agent, which halls are emptied.
+    HallsTold {
+        is_entry: bool,
+        number: usize,
+        emptied: EmptiedHalls,
+    },
     Cancel(JobId),
     /// One life of an entry is told that a job is cancelled.
     CancelTold(usize, u64, JobId),
@@ -133,6 +144,8 @@
     pub(super) tally: Tally,
     /// What agents know from their start.
     pub(super) document: Option<Document>,
+    /// None where nobody empties halls.
+    pub(super) halls: Option<Halls>,
 }
 
 impl World {
@@ -151,6 +164,9 @@
         }
         world.start_processes();
         world.set_up();
+        if options.halls {
+            world.set_up_halls(options.seed);
+        }
         world
     }
 
@@ -173,6 +189,7 @@
             sets,
             tally: Tally::default(),
             document: None,
+            halls: None,
         }
     }
 
@@ -271,6 +288,7 @@
     }
 
     fn check_end(&mut self) {
+        self.check_halls_end();
         let now = self.now;
         let mut wrong = Vec::new();
         for (index, entry) in self.entries.iter().enumerate() {
@@ -370,6 +388,10 @@
                     self.cuts.insert((entry, agent), until);
                 });
             }
+            Happening::OrderHall(hall, takes_work) => self.order_hall(hall, takes_work),
+            Happening::HallsTold { is_entry, number, emptied } => {
+                self.halls_told(is_entry, number, emptied);
+            }
             Happening::Choose(agent, all) => self.choose(agent, all),
             Happening::Cancel(id) => self.cancel(&id),
             Happening::CancelTold(entry, life, job) => self.cancel_told(entry, life, job),
@@ -400,6 +422,7 @@
                 process.dispatcher = Some(dispatcher.with_policy(self.times.policy));
                 let life = process.life;
                 self.at(Duration::ZERO, Happening::EntryTick(entry, life));
+                self.tell_halls_soon(true, entry);
             }
             Happening::AgentBack(agent) => {
                 let process = &mut self.agents[agent];
@@ -409,6 +432,7 @@
                 process.runner = Some(Runner::new(name, self.times.agent, self.now));
                 let life = process.life;
                 self.at(Duration::ZERO, Happening::AgentTick(agent, life));
+                self.tell_halls_soon(false, agent);
                 if let Some(document) = self.document.clone() {
                     self.feed_agent(agent, runner::Event::Document(document));
                 }
@@ -419,7 +443,9 @@
                 process.drains = None;
                 let name = format!("t{agent}");
                 let (life, capacity) = (process.target_lives, process.capacity);
-                let target = Target::new(&name, life, capacity, process.slow_clock, self.now);
+                let hall = self.halls.as_ref().map_or(ONE_HALL, |_| Halls::of_agent(agent));
+                let mut target = Target::new(&name, life, capacity, process.slow_clock, self.now);
+                target.hall = hall;
                 process.target = Some(target);
                 process.waiting = None;
             }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -35,6 +35,8 @@
     pub faulty: Duration,
     /// How long the run goes on without faults, until everything has to work again.
     pub calm: Duration,
+    /// Operators empty and refill halls; only runs of room and of keepers have that.
+    pub halls: bool,
     /// Prints everything that has this text in it, such as a submission's id.
     pub trace: Option<String>,
 }
@@ -42,7 +44,13 @@
 impl Options {
     /// A run of the usual length.
     pub fn new(seed: u64) -> Self {
-        Self { seed, faulty: Duration::from_secs(25), calm: Duration::from_secs(15), trace: None }
+        Self {
+            seed,
+            faulty: Duration::from_secs(25),
+            calm: Duration::from_secs(15),
+            halls: false,
+            trace: None,
+        }
     }
 }
 
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -62,6 +62,24 @@
     assert!(total.spread > 2_000 && total.reads > 2_000, "{total:?}");
 }
 
+#[test]
+fn two_hundred_seeds_of_keepers_with_orders_for_halls_hold() {
+    let runner = |options| run_keepers(&Options { halls: true, ..options });
+    let total = run_all(SEEDS, runner, KeeperSummary::add);
+    // The runs have to reach what they are for.
+    assert!(total.hall_orders > 1_500 && total.power_losses > 150, "{total:?}");
+    assert!(total.disks_lost > 100 && total.full_disks > 200, "{total:?}");
+}
+
+#[test]
+fn three_hundred_seeds_of_room_with_emptied_halls_hold() {
+    let runner = |options| run_room(&Options { halls: true, ..options });
+    let total = run_all(ROOM_SEEDS, runner, RoomSummary::add);
+    // The runs have to reach what they are for.
+    assert!(total.completed > 15_000 && total.calm > 2_000, "{total:?}");
+    assert!(total.faults > 1_000 && total.again > 2_000, "{total:?}");
+}
+
 #[test]
 fn a_seed_makes_the_same_run_again() {
     assert_eq!(run(Options::new(7)), run(Options::new(7)));
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -25,6 +25,7 @@
         .subcommand(status())
         .subcommand(settings())
         .subcommand(service())
+        .subcommand(halls())
         .subcommand(decisions())
         .subcommand(explain())
         .subcommand(
@@ -142,6 +143,21 @@
         .subcommand(Command::new("history").about("Show the last changes").arg(keeper_argument()))
 }
 
+fn halls() -> Command {
+    let action = |name: &'static str, about: &'static str| {
+        Command::new(name)
+            .about(about)
+            .arg(keeper_argument())
+            .arg(Arg::new("hall").required(true).value_name("HALL").help("The data hall's name"))
+    };
+    Command::new("halls")
+        .about("Empty data halls for work on them, and refill them")
+        .subcommand_required(true)
+        .subcommand(action("empty", "Start nothing more in a hall; what runs there ends by itself"))
+        .subcommand(action("refill", "Let a hall's targets take work again"))
+        .subcommand(Command::new("show").about("Show which are emptied").arg(keeper_argument()))
+}
+
 fn service() -> Command {
     let action = |name: &'static str, about: &'static str| {
         Command::new(name)
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -12,6 +12,7 @@
 mod decisions;
 mod demo;
 mod explain;
+mod halls;
 mod service;
 mod settings;
 mod status;
@@ -74,6 +75,7 @@
         Some(("status", own)) => status::run(own),
         Some(("settings", own)) => settings::run(own),
         Some(("service", own)) => service::run(own),
+        Some(("halls", own)) => halls::run(own),
         Some(("decisions", own)) => decisions::run(own),
         Some(("explain", own)) => explain::run(own),
         Some(("completions", own)) => completions::run(own),
