--- a/daemon/src/room/agent.rs
+++ b/daemon/src/room/agent.rs
@@ -10,10 +10,10 @@
 use async_io::{Async, Timer};
 use hyper::Method;
 use net::{Client, Tasks};
-use platform::HttpOrder;
+use platform::{BadBeat, HttpOrder};
 use runner::{
     Action, Event, HoldOrder, HoldReply, Runner, SessionId, StartOrder, StartReply, StopOrder,
-    StopReply, Timing,
+    StopReply, TargetReport, Timing,
 };
 use serde_json::json;
 use subset::Subset;
@@ -54,6 +54,10 @@
     pub(super) next: Cell<u64>,
     /// How long the platform waits for the end of a planned stop.
     stop_grace: Cell<Duration>,
+    /// The service of its target; empty for any.
+    service: String,
+    /// Reports that named no target to use, by what was wrong with them.
+    refused_reports: RefCell<BTreeMap<&'static str, u64>>,
 }
 
 /// Runs the agent until it is told to stop.
@@ -78,6 +82,8 @@
         entries: RefCell::default(),
         next: Cell::new(0),
         stop_grace: Cell::new(node.stop_grace),
+        service: config.service.clone(),
+        refused_reports: RefCell::default(),
     });
     let listener =
         Async::<TcpListener>::bind(config.listen).map_err(io_error(config.listen.to_string()))?;
@@ -137,6 +143,15 @@
         )
     }
 
+    /// Reads a report of the target, and counts those that name none to use.
+    pub fn read_report(&self, id: &str, body: &[u8]) -> Result<TargetReport, BadBeat> {
+        let report = platform::read_beat(id, &self.service, body);
+        if let Err(error) = &report {
+            *self.refused_reports.borrow_mut().entry(error.kind()).or_default() += 1;
+        }
+        report
+    }
+
     /// Hands an event to the runner and does what follows.
     pub fn feed(self: &Rc<Self>, event: Event) {
         let mut actions = Vec::new();
@@ -234,6 +249,10 @@
         page.value("starts_unanswered_total", "", counters.silent_starts);
         page.value("sessions_lost_total", "", counters.sessions_lost);
         page.value("target_reports_late_total", "", counters.late_reports);
+        for (kind, count) in &*self.refused_reports.borrow() {
+            let label = format!("{{why=\"{kind}\"}}");
+            page.value("target_reports_refused_total", &label, *count);
+        }
         self.messages.fill(page);
         page.value("sessions", "", self.sessions.borrow().len() as u64);
         let (waiting, running) = runner.sizes();
--- a/daemon/src/room/target_http.rs
+++ b/daemon/src/room/target_http.rs
@@ -36,7 +36,7 @@
 fn answer(agent: &Rc<Agent>, request: Request<Result<Bytes, BodyError>>) -> Response<Body> {
     let (head, body) = request.into_parts();
     match (TargetCall::read(&head.method, head.uri.path()), body) {
-        (Some(TargetCall::Beat(id)), Ok(body)) => match platform::read_beat(&id, &body) {
+        (Some(TargetCall::Beat(id)), Ok(body)) => match agent.read_report(&id, &body) {
             Ok(report) => {
                 // A late one is answered as well: a life that is over hears nothing, and one that
                 // is there would take a refusal for a failed report and for want of an
@@ -46,7 +46,11 @@
             }
             Err(error) => {
                 let reason = error.to_string();
-                agent.log.line("malformed", Budget::Full, || json!({"reason": reason}));
+                agent.log.line(
+                    "target-report-refused",
+                    Budget::Full,
+                    || json!({"target": id, "reason": reason}),
+                );
                 reply(400, json!({"error": reason}).to_string())
             }
         },
