Tests of one keeper share their set-up; entries of the version before open

One support module serves both; no assertion changed. A test reads log entries as the version before wrote them.

--- a/components/keeper/tests/document.rs
+++ b/components/keeper/tests/document.rs
@@ -1,78 +1,23 @@
 //! The operators' document and the registry of nodes, at one keeper that leads alone.
 
+mod support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use consensus::Timing;
-use keeper::{Action, Event, Keeper, Reply, Ticket, initial_records};
-use model::{Incarnation, NodeName, Time};
+use keeper::{Event, Reply, Ticket, initial_records};
+use model::{Incarnation, NodeName};
 use settings::Tree;
+use support::{One, node};
 use wire::{
     Document, ListChange, ListNews, NodeInfo, NodeList, NodeRole, PartRequest, WatchReply,
     WatchRequest,
 };
 
-const START: Time = Time::from_millis(1_000_000);
-
-/// A keeper with the records that it stored.
-struct One {
-    keeper: Keeper,
-    records: Vec<consensus::Record>,
-    now: Time,
-    tickets: u64,
-}
-
 impl One {
-    fn new() -> Self {
-        let name = NodeName::new("k1");
-        let records = initial_records(vec![name], Tree::default());
-        let mut one = Self::from_records(records);
-        one.run_for(Duration::from_secs(2));
-        one
-    }
-
-    fn from_records(records: Vec<consensus::Record>) -> Self {
-        let name = NodeName::new("k1");
-        let keeper = Keeper::recover(name, records.clone(), Timing::default(), 1, START);
-        Self { keeper: keeper.expect("the records are sound"), records, now: START, tickets: 0 }
-    }
-
-    fn handle(&mut self, event: Event) -> Vec<(Ticket, Reply)> {
-        let mut actions = Vec::new();
-        self.keeper.handle(self.now, event, &mut actions);
-        let mut replies = Vec::new();
-        for action in actions {
-            match action {
-                Action::Store(records) => self.records.extend(records),
-                Action::Rewrite(records) => self.records = records,
-                Action::Respond(ticket, reply) => replies.push((ticket, reply)),
-                _ => {}
-            }
-        }
-        replies
-    }
-
-    fn run_for(&mut self, time: Duration) -> Vec<(Ticket, Reply)> {
-        let end = self.now + time;
-        let mut replies = Vec::new();
-        while self.now < end {
-            self.now = self.now + Duration::from_millis(10);
-            replies.extend(self.handle(Event::Tick));
-        }
-        replies
-    }
-
-    fn ticket(&mut self) -> Ticket {
-        self.tickets += 1;
-        Ticket(self.tickets)
-    }
-
     fn replace(&mut self, version: u64, body: &str) -> Option<Reply> {
-        let ticket = self.ticket();
-        let event = Event::Replace(ticket, Document { version, body: Arc::from(body) });
-        let mut replies = self.handle(event);
-        replies.extend(self.run_for(Duration::from_millis(50)));
-        replies.into_iter().find(|(to, _)| *to == ticket).map(|(_, reply)| reply)
+        let document = Document { version, body: Arc::from(body) };
+        self.reply_to(|ticket| Event::Replace(ticket, document))
     }
 
     fn fetch(&mut self) -> Option<Document> {
@@ -120,16 +65,6 @@
     }
 }
 
-fn node(number: u16) -> NodeInfo {
-    NodeInfo {
-        name: NodeName::new(&format!("n{number}")),
-        role: NodeRole::Entry,
-        address: ([127, 0, 0, 1], number).into(),
-        incarnation: Incarnation(1),
-        service: "".into(),
-    }
-}
-
 fn agent(number: u16, service: &str) -> NodeInfo {
     NodeInfo { role: NodeRole::Agent, service: service.into(), ..node(number) }
 }
--- a/components/keeper/tests/halls.rs
+++ b/components/keeper/tests/halls.rs
@@ -1,82 +1,21 @@
 //! Halls that operators empty and refill: at one keeper that leads alone, by its journal.
 
+mod support;
+
 use std::time::Duration;
 
-use consensus::{Record, Timing};
-use keeper::{Action, Event, Keeper, Reply, State, Ticket, initial_records};
-use model::{Incarnation, NodeName, Time};
+use consensus::Record;
+use keeper::{Event, LogCommand, Reply, State, Ticket, initial_records};
+use model::NodeName;
 use settings::Tree;
-use wire::{EmptiedHalls, HallOrder, NodeInfo, NodeRole, WatchReply, WatchRequest};
-
-const START: Time = Time::from_millis(1_000_000);
+use wire::{EmptiedHalls, HallOrder, WatchReply, WatchRequest};
 
-/// A keeper with the records that it stored.
-struct One {
-    keeper: Keeper,
-    records: Vec<Record>,
-    now: Time,
-    tickets: u64,
-}
+use support::{One, node};
 
 impl One {
-    fn new() -> Self {
-        Self::from_records(initial_records(vec![NodeName::new("k1")], Tree::default()))
-    }
-
-    fn from_records(records: Vec<Record>) -> Self {
-        let name = NodeName::new("k1");
-        let keeper = Keeper::recover(name, records.clone(), Timing::default(), 1, START);
-        let keeper = keeper.expect("the records are sound");
-        let mut one = Self { keeper, records, now: START, tickets: 0 };
-        one.run_for(Duration::from_secs(2));
-        one
-    }
-
-    /// Its next life, by what its disk holds.
-    fn restart(&self) -> Self {
-        Self::from_records(self.records.clone())
-    }
-
-    fn handle(&mut self, event: Event) -> Vec<(Ticket, Reply)> {
-        let mut actions = Vec::new();
-        self.keeper.handle(self.now, event, &mut actions);
-        let mut replies = Vec::new();
-        for action in actions {
-            match action {
-                Action::Store(records) => self.records.extend(records),
-                Action::Rewrite(records) => self.records = records,
-                Action::Respond(ticket, reply) => replies.push((ticket, reply)),
-                _ => {}
-            }
-        }
-        replies
-    }
-
-    fn run_for(&mut self, time: Duration) -> Vec<(Ticket, Reply)> {
-        let end = self.now + time;
-        let mut replies = Vec::new();
-        while self.now < end {
-            self.now = self.now + Duration::from_millis(10);
-            replies.extend(self.handle(Event::Tick));
-        }
-        replies
-    }
-
-    fn ticket(&mut self) -> Ticket {
-        self.tickets += 1;
-        Ticket(self.tickets)
-    }
-
-    fn ask(&mut self, event: impl FnOnce(Ticket) -> Event) -> Option<Reply> {
-        let ticket = self.ticket();
-        let mut replies = self.handle(event(ticket));
-        replies.extend(self.run_for(Duration::from_millis(50)));
-        replies.into_iter().find(|(to, _)| *to == ticket).map(|(_, reply)| reply)
-    }
-
     /// Orders, and returns the halls that are emptied then.
     fn order(&mut self, hall: &str, takes_work: bool) -> EmptiedHalls {
-        match self.ask(|ticket| Event::OrderHall(ticket, order(hall, takes_work))) {
+        match self.reply_to(|ticket| Event::OrderHall(ticket, order(hall, takes_work))) {
             Some(Reply::Halls(halls)) => halls,
             other => panic!("{other:?}"),
         }
@@ -91,7 +30,7 @@
     }
 
     fn read(&mut self) -> EmptiedHalls {
-        match self.ask(Event::ReadHalls) {
+        match self.reply_to(Event::ReadHalls) {
             Some(Reply::Halls(halls)) => halls,
             other => panic!("{other:?}"),
         }
@@ -103,15 +42,15 @@
             0 => panic!("a keeper has a list"),
             revision => revision,
         };
-        let request = WatchRequest { node: node(), document: 0, revision, halls };
+        let request = WatchRequest { node: node(1), document: 0, revision, halls };
         let replies = self.handle(Event::Watch(ticket, request));
         (ticket, replies)
     }
 
     /// The revision of the list of nodes, once the node is on it.
     fn list_revision(&mut self) -> u64 {
-        let request = WatchRequest { node: node(), document: 0, revision: 0, halls: u64::MAX };
-        match self.ask(|ticket| Event::Watch(ticket, request)) {
+        let request = WatchRequest { node: node(1), document: 0, revision: 0, halls: u64::MAX };
+        match self.reply_to(|ticket| Event::Watch(ticket, request)) {
             Some(Reply::Watch(WatchReply { nodes: Some(news), .. })) => news.revision(),
             other => panic!("{other:?}"),
         }
@@ -122,16 +61,6 @@
     HallOrder { hall: hall.parse().expect("a name"), takes_work }
 }
 
-fn node() -> NodeInfo {
-    NodeInfo {
-        name: NodeName::new("n1"),
-        role: NodeRole::Entry,
-        address: ([127, 0, 0, 1], 1).into(),
-        incarnation: Incarnation(1),
-        service: "".into(),
-    }
-}
-
 fn names(halls: &EmptiedHalls) -> Vec<&str> {
     halls.halls.iter().map(wire::HallName::as_str).collect()
 }
@@ -206,9 +135,9 @@
     let names = ["k1", "k2", "k3"].map(NodeName::new);
     let mut alone = One::from_records(initial_records(names.to_vec(), Tree::default()));
     alone.run_for(Duration::from_secs(5));
-    let ordered = alone.ask(|ticket| Event::OrderHall(ticket, order("north", false)));
+    let ordered = alone.reply_to(|ticket| Event::OrderHall(ticket, order("north", false)));
     assert_eq!(ordered, Some(Reply::Unsure(None)));
-    assert_eq!(alone.ask(Event::ReadHalls), Some(Reply::Unsure(None)));
+    assert_eq!(alone.reply_to(Event::ReadHalls), Some(Reply::Unsure(None)));
 }
 
 #[test]
@@ -233,3 +162,16 @@
         _ => None,
     })
 }
+
+#[test]
+fn entries_of_the_version_before_are_read_as_before() {
+    let document = r#"{"version":7,"body":"seven"}"#;
+    let read: LogCommand = serde_json::from_str(document).expect("it is read");
+    assert!(matches!(read, LogCommand::Replace(document) if document.version == 7));
+    let change = r#"{"request":{"change":"c","base_version":1,"edits":[]},"taken":5}"#;
+    let read: LogCommand = serde_json::from_str(change).expect("it is read");
+    assert!(matches!(read, LogCommand::Change(command) if command.request.change == "c"));
+    let order = serde_json::to_string(&LogCommand::Hall(order("north", false))).expect("JSON");
+    let read: LogCommand = serde_json::from_str(&order).expect("it is read");
+    assert_eq!(read, LogCommand::Hall(self::order("north", false)));
+}
--- /dev/null
+++ b/components/keeper/tests/support/mod.rs
@@ -0,0 +1,96 @@
+//! One keeper that leads alone, with the records that it stored.
+
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use consensus::{Record, Timing};
+use keeper::{Action, Event, Keeper, Reply, Ticket, initial_records};
+use model::{Incarnation, NodeName, Time};
+use settings::Tree;
+use wire::{NodeInfo, NodeRole};
+
+pub const START: Time = Time::from_millis(1_000_000);
+
+/// A keeper with the records that it stored.
+pub struct One {
+    pub keeper: Keeper,
+    pub records: Vec<Record>,
+    pub now: Time,
+    tickets: u64,
+}
+
+impl One {
+    /// One that leads.
+    pub fn new() -> Self {
+        let name = NodeName::new("k1");
+        let records = initial_records(vec![name], Tree::default());
+        let mut one = Self::from_records(records);
+        one.run_for(Duration::from_secs(2));
+        one
+    }
+
+    /// One that has just started with what its disk holds.
+    pub fn from_records(records: Vec<Record>) -> Self {
+        let name = NodeName::new("k1");
+        let keeper = Keeper::recover(name, records.clone(), Timing::default(), 1, START);
+        Self { keeper: keeper.expect("the records are sound"), records, now: START, tickets: 0 }
+    }
+
+    /// Its next life, once it leads.
+    pub fn restart(&self) -> Self {
+        let mut again = Self::from_records(self.records.clone());
+        again.run_for(Duration::from_secs(2));
+        again
+    }
+
+    pub fn handle(&mut self, event: Event) -> Vec<(Ticket, Reply)> {
+        let mut actions = Vec::new();
+        self.keeper.handle(self.now, event, &mut actions);
+        let mut replies = Vec::new();
+        for action in actions {
+            match action {
+                Action::Store(records) => self.records.extend(records),
+                Action::Rewrite(records) => self.records = records,
+                Action::Respond(ticket, reply) => replies.push((ticket, reply)),
+                _ => {}
+            }
+        }
+        replies
+    }
+
+    pub fn run_for(&mut self, time: Duration) -> Vec<(Ticket, Reply)> {
+        let end = self.now + time;
+        let mut replies = Vec::new();
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(10);
+            replies.extend(self.handle(Event::Tick));
+        }
+        replies
+    }
+
+    pub fn ticket(&mut self) -> Ticket {
+        self.tickets += 1;
+        Ticket(self.tickets)
+    }
+
+    /// Asks, and returns the reply that comes at once or a moment later.
+    pub fn reply_to(&mut self, event: impl FnOnce(Ticket) -> Event) -> Option<Reply> {
+        let ticket = self.ticket();
+        let mut replies = self.handle(event(ticket));
+        replies.extend(self.run_for(Duration::from_millis(50)));
+        replies.into_iter().find(|(to, _)| *to == ticket).map(|(_, reply)| reply)
+    }
+}
+
+/// An entry.
+pub fn node(number: u16) -> NodeInfo {
+    NodeInfo {
+        name: NodeName::new(&format!("n{number}")),
+        role: NodeRole::Entry,
+        address: ([127, 0, 0, 1], number).into(),
+        incarnation: Incarnation(1),
+        service: "".into(),
+    }
+}
