An entry that is heard of just after a cancel is told of it

A cancel went only to the entries that were listed at its moment. Keepers gather changes of their list for 50 ms, while agents that register meanwhile serve the new entry already, so that its jobs run before other entries have heard of it.

Ruled out: a refused connection (no line cancel-untold), a pause of a process (none in the logs).

Change: cancels of the last two seconds are told to entries that are listed later, and an entry that could not be connected to is tried again meanwhile.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 mod halls;
 mod intake;
 mod job;
+mod notices;
 mod place;
 mod policy;
 mod reports;
@@ -30,5 +31,6 @@
     Action, Event, HallsSource, JobRequest, News, Outcome, Reason, SessionId, TargetsSeen,
     TaskShape, Ticket,
 };
+pub use notices::CancelNotices;
 pub use policy::Policy;
 pub use stop::{PlannedStop, StopStep, StopTiming, StopView};
--- a/daemon/src/room/entry.rs
+++ b/daemon/src/room/entry.rs
@@ -86,7 +86,7 @@
         listening: Cell::new(false),
         stop: StopProgress::new(started.config.node.stop_grace),
         messages: Messages::default(),
-        peers: EntryPeers::new(peer_address, tasks.clone(), started.log.clone()),
+        peers: EntryPeers::new(peer_address, tasks.clone(), started.log.clone(), clock),
         watch: RefCell::default(),
     });
     let bind = |address: SocketAddr| {
--- a/daemon/src/room/entry_peers.rs
+++ b/daemon/src/room/entry_peers.rs
@@ -5,12 +5,13 @@
 //! closed by the other side, which takes it for that of an agent that never says who it is.
 
 use std::cell::RefCell;
-use std::collections::{BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_io::Timer;
+use async_io::{Async, Timer};
+use dispatch::CancelNotices;
 use futures_lite::future;
 use model::JobId;
 use net::Tasks;
@@ -18,42 +19,58 @@
 use wire::{NodeInfo, NodeRole, ToAgent, ToEntry};
 
 use super::session::{self, Outgoing};
+use crate::clock::Clock;
 use crate::event_log::{Budget, EventLog};
 
 /// How long a connection is used for further cancels. The other side closes it after 700 ms: by then all
 /// that was sent has long arrived.
 const USED: Duration = Duration::from_millis(300);
+/// Pause before an entry that could not be reached is connected to again.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
 /// The other entries.
 pub(super) struct EntryPeers {
     own: SocketAddr,
     tasks: Tasks,
     log: EventLog,
-    known: RefCell<BTreeSet<SocketAddr>>,
+    clock: Clock,
+    notices: RefCell<CancelNotices>,
     links: RefCell<HashMap<SocketAddr, Rc<Outgoing<ToEntry>>>>,
 }
 
 impl EntryPeers {
     /// Those of an entry that others reach at an address; it knows none yet.
-    pub fn new(own: SocketAddr, tasks: Tasks, log: EventLog) -> Rc<Self> {
-        Rc::new(Self { own, tasks, log, known: RefCell::default(), links: RefCell::default() })
+    pub fn new(own: SocketAddr, tasks: Tasks, log: EventLog, clock: Clock) -> Rc<Self> {
+        let (notices, links) = (RefCell::default(), RefCell::default());
+        Rc::new(Self { own, tasks, log, clock, notices, links })
     }
 
-    /// Keepers list these entries.
-    pub fn listed(&self, nodes: &[NodeInfo]) {
+    /// Keepers list these entries. Those that are new among them are told of the last cancels.
+    pub fn listed(self: &Rc<Self>, nodes: &[NodeInfo]) {
         let others = nodes.iter().filter(|node| node.role == NodeRole::Entry);
         let addresses = others.map(|node| node.address).filter(|address| *address != self.own);
-        *self.known.borrow_mut() = addresses.collect();
+        let owed = self.notices.borrow_mut().listed(self.clock.now(), addresses.collect());
+        for (entry, job) in owed {
+            self.log.line(
+                "cancel-told-later",
+                Budget::Full,
+                || json!({"job": job.as_str(), "entry": entry.to_string()}),
+            );
+            self.tell(entry, job);
+        }
     }
 
     /// Tells every other entry that a job is cancelled.
     pub fn cancel(self: &Rc<Self>, job: &JobId) {
-        let known: Vec<SocketAddr> = self.known.borrow().iter().copied().collect();
-        for address in known {
-            let link = self.link(address);
-            if !link.send(ToEntry::Cancelled(job.clone())) {
-                self.note_untold(address, "its connection takes no more");
-            }
+        let told = self.notices.borrow_mut().cancelled(self.clock.now(), job);
+        for entry in told {
+            self.tell(entry, job.clone());
+        }
+    }
+
+    fn tell(self: &Rc<Self>, entry: SocketAddr, job: JobId) {
+        if !self.link(entry).send(ToEntry::Cancelled(job)) {
+            self.note_untold(entry, "its connection takes no more");
         }
     }
 
@@ -66,17 +83,14 @@
         self.links.borrow_mut().insert(address, link.clone());
         let (peers, held) = (self.clone(), link.clone());
         self.tasks.spawn(async move {
-            match net::connect(address).await {
-                Ok(stream) => {
-                    let unused = async {
-                        Timer::after(USED).await;
-                        peers.links.borrow_mut().remove(&address);
-                    };
-                    // Of an entry's heartbeats nothing is needed.
-                    let run = session::run(stream, waiting, |_: ToAgent| {});
-                    future::zip(unused, run).await;
-                }
-                Err(error) => peers.note_untold(address, &error.to_string()),
+            if let Some(stream) = peers.reach(address).await {
+                let unused = async {
+                    Timer::after(USED).await;
+                    peers.links.borrow_mut().remove(&address);
+                };
+                // Of an entry's heartbeats nothing is needed.
+                let run = session::run(stream, waiting, |_: ToAgent| {});
+                future::zip(unused, run).await;
             }
             peers.links.borrow_mut().remove(&address);
             drop(held);
@@ -84,6 +98,20 @@
         link
     }
 
+    /// Connects to an entry, again for as long as it is owed a cancel.
+    async fn reach(&self, entry: SocketAddr) -> Option<Async<TcpStream>> {
+        loop {
+            match net::connect(entry).await {
+                Ok(stream) => return Some(stream),
+                Err(error) => self.note_untold(entry, &error.to_string()),
+            }
+            Timer::after(RETRY_PAUSE).await;
+            if !self.notices.borrow_mut().is_owed(self.clock.now(), entry) {
+                return None;
+            }
+        }
+    }
+
     /// Agents that serve both entries may still tell it; where none does, the job runs to its end.
     fn note_untold(&self, entry: SocketAddr, reason: &str) {
         self.log.line(
