A keeper that starts calls the nodes that it knew before

Change: keepers remember the hosts of the nodes that ask them, in a file of its own (written when it changes, at most once a second, by a thread of its own), and call those that have not asked since their start, by a datagram each 60 ms for 5 s at most; a called node asks that keeper. A call or a file that is lost costs what it cost before.

Weighed: nodes that keep addresses themselves (no disk); keepers that connect to all nodes (connections grow with the fleet where a datagram does).

--- a/components/keeper/src/lib.rs
+++ b/components/keeper/src/lib.rs
@@ -11,9 +11,11 @@
 mod full_disk;
 mod keeper;
 mod registry;
+mod roster;
 mod state;
 
 pub use event::{Action, Event, News, Reply, Ticket, TreeReply};
 pub use fetch::{DocumentFetch, DocumentSource, FetchStep, PART_WITHIN};
 pub use keeper::{Keeper, KeeperError, initial_records};
+pub use roster::{RememberedNode, Roster, RosterWork};
 pub use state::{Command, LogCommand, State, Version};
--- /dev/null
+++ b/components/keeper/tests/roster.rs
@@ -0,0 +1,101 @@
+//! The nodes that a keeper remembers across its lives, and calls when it is back.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use keeper::{RememberedNode, Roster, RosterWork};
+use model::{Incarnation, NodeName, Time};
+use wire::{NodeInfo, NodeRole};
+
+const START: Time = Time::from_millis(1_000_000);
+
+fn host(number: u8) -> IpAddr {
+    IpAddr::from([10, 0, 0, number])
+}
+
+fn remembered(number: u8) -> RememberedNode {
+    RememberedNode { name: NodeName::new(&format!("n{number}")), host: host(number) }
+}
+
+fn node(number: u8) -> NodeInfo {
+    NodeInfo {
+        name: NodeName::new(&format!("n{number}")),
+        role: NodeRole::Agent,
+        address: SocketAddr::new(host(number), 7_400),
+        incarnation: Incarnation(1),
+        service: Arc::from("work"),
+    }
+}
+
+fn after(millis: u64) -> Time {
+    START + Duration::from_millis(millis)
+}
+
+/// Lets time pass in steps of 10 ms; returns what was due, with its time in ms.
+fn run(roster: &mut Roster, from: u64, to: u64) -> Vec<(u64, RosterWork)> {
+    let due = |millis| (millis, roster.tick(after(millis)));
+    let all = (from..to).step_by(10).map(due);
+    all.filter(|(_, work)| *work != RosterWork::default()).collect()
+}
+
+/// After a loss of all power a keeper that no settings name was up first, and nobody asked it.
+#[test]
+fn a_keeper_that_starts_calls_the_nodes_it_knew_until_they_ask() {
+    let mut roster = Roster::new(START, vec![remembered(1), remembered(2)]);
+    let due = run(&mut roster, 0, 60);
+    let call = vec![host(1), host(2)];
+    assert_eq!(due, [(0, RosterWork { call, store: None })], "at once");
+    roster.heard(after(60), &node(1));
+    let due = run(&mut roster, 60, 200);
+    assert!(due.len() >= 2, "again and again");
+    assert!(due.iter().all(|(_, work)| work.call == [host(2)]), "{due:?}");
+    roster.heard(after(200), &node(2));
+    assert_eq!(run(&mut roster, 200, 1_900), [], "all ask");
+    assert_eq!(roster.next_timer(), None);
+}
+
+#[test]
+fn a_node_that_never_asks_is_called_no_more_after_some_seconds() {
+    let mut roster = Roster::new(START, vec![remembered(1)]);
+    let due = run(&mut roster, 0, 20_000);
+    let (last, _) = due.last().expect("it was called");
+    assert!((4_500..5_000).contains(last), "{last}");
+    assert_eq!(roster.next_timer(), None);
+}
+
+#[test]
+fn nodes_are_remembered_once_all_have_asked() {
+    let mut roster = Roster::new(START, Vec::new());
+    assert_eq!(roster.next_timer(), None);
+    roster.heard(after(100), &node(1));
+    roster.heard(after(900), &node(2));
+    let stored = Some(vec![remembered(1), remembered(2)]);
+    let due = run(&mut roster, 900, 10_000);
+    assert_eq!(due, [(2_000, RosterWork { call: Vec::new(), store: stored })], "once");
+    roster.heard(after(10_000), &node(2));
+    assert_eq!(run(&mut roster, 10_000, 12_000), [], "nothing else than before");
+}
+
+/// What a keeper knew in its last life is not lost where it starts again and is lost at once.
+#[test]
+fn nodes_that_have_not_asked_again_yet_stay_remembered() {
+    let mut roster = Roster::new(START, vec![remembered(1)]);
+    roster.heard(after(50), &node(2));
+    let due = run(&mut roster, 1_990, 2_100);
+    let stored = due.iter().find_map(|(_, work)| work.store.clone());
+    assert_eq!(stored, Some(vec![remembered(1), remembered(2)]));
+}
+
+#[test]
+fn a_node_at_another_host_is_remembered_there_and_one_that_is_gone_forgotten() {
+    let mut roster = Roster::new(START, Vec::new());
+    roster.heard(after(0), &node(1));
+    roster.heard(after(0), &node(2));
+    run(&mut roster, 0, 3_000);
+    let moved = NodeInfo { address: SocketAddr::new(host(9), 7_400), ..node(1) };
+    roster.heard(after(70_000), &moved);
+    let due = run(&mut roster, 70_000, 71_000);
+    let stored = vec![RememberedNode { host: host(9), ..remembered(1) }];
+    assert_eq!(due, [(70_000, RosterWork { call: Vec::new(), store: Some(stored) })]);
+}
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -24,5 +24,7 @@
     ChangeRequest, ChangeResult, KeeperService, KeeperServiceClient, PeerMessage, PullReply,
     PullRequest,
 };
-pub use registry::{ListChange, ListNews, NodeInfo, NodeList, NodeRole, WatchReply, WatchRequest};
+pub use registry::{
+    KeeperIsUp, ListChange, ListNews, NodeInfo, NodeList, NodeRole, WatchReply, WatchRequest,
+};
 pub use session::{AgentProfile, Load, Refusal, StartTask, TaskEnd, TaskReport, ToAgent, ToEntry};
--- a/components/wire/src/registry.rs
+++ b/components/wire/src/registry.rs
@@ -32,6 +32,13 @@
     pub service: Arc<str>,
 }
 
+/// A keeper has started and calls a node that it knew before, in a datagram of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeeperIsUp {
+    /// Where nodes reach it.
+    pub keeper: SocketAddr,
+}
+
 /// Asks a keeper for news, and registers the node there for a few seconds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WatchRequest {
--- a/daemon/src/keeper_role/decide.rs
+++ b/daemon/src/keeper_role/decide.rs
@@ -8,7 +8,7 @@
 use async_channel::Sender;
 use consensus::Message;
 use journal::{Journal, JournalError};
-use keeper::{Action, Event, Keeper, Reply, Ticket};
+use keeper::{Action, Event, Keeper, Reply, Roster, RosterWork, Ticket};
 use model::{NodeName, Time};
 use spdlog::error;
 
@@ -91,6 +91,12 @@
     pub disk_full: bool,
 }
 
+/// The nodes that are remembered, and where what follows from them is done.
+pub(super) struct RosterLink {
+    pub roster: Roster,
+    pub work: Sender<RosterWork>,
+}
+
 /// The deciding thread's state.
 pub(crate) struct KeeperDecider {
     name: NodeName,
@@ -104,6 +110,8 @@
     now: Time,
     broken: bool,
     log: Option<EventLog>,
+    /// None where nodes are found in another way.
+    roster: Option<RosterLink>,
 }
 
 impl KeeperDecider {
@@ -127,6 +135,7 @@
             now,
             broken: false,
             log,
+            roster: None,
         };
         if decider.storage.is_full() {
             decider.disk_is_full(Vec::new());
@@ -134,7 +143,25 @@
         decider
     }
 
+    /// With a roster of nodes.
+    pub(super) fn with_roster(self, roster: Option<RosterLink>) -> Self {
+        Self { roster, ..self }
+    }
+
+    /// Does what is due for the nodes that are remembered.
+    fn drive_roster(&mut self) {
+        let Some(RosterLink { roster, work }) = &mut self.roster else { return };
+        let due = roster.tick(self.now);
+        if due != RosterWork::default() {
+            // It holds up no decision; what finds no room is a hint that is lost.
+            let _ = work.try_send(due);
+        }
+    }
+
     fn ask(&mut self, now: Time, ask: Ask, reply: Sender<Reply>) {
+        if let (Ask::Watch(request), Some(link)) = (&ask, &mut self.roster) {
+            link.roster.heard(now, &request.node);
+        }
         self.next_ticket += 1;
         let ticket = Ticket(self.next_ticket);
         self.waiting.insert(ticket, reply);
@@ -261,11 +288,14 @@
     }
 
     fn next_timer(&self) -> Option<Time> {
-        self.keeper.next_timer().into_iter().chain(self.storage.again_at()).min()
+        let roster = self.roster.as_ref().and_then(|link| link.roster.next_timer());
+        let keeper = self.keeper.next_timer();
+        keeper.into_iter().chain(self.storage.again_at()).chain(roster).min()
     }
 
     fn goes_on(&mut self) -> bool {
         self.flush();
+        self.drive_roster();
         !self.broken
     }
 }
--- a/daemon/src/keeper_role/mod.rs
+++ b/daemon/src/keeper_role/mod.rs
@@ -5,6 +5,7 @@
 mod listen;
 mod news_lines;
 mod peers;
+mod roster;
 mod storage;
 
 use std::collections::HashMap;
@@ -16,9 +17,9 @@
 use async_io::Async;
 use consensus::{Record, Replica, Timing};
 use journal::{Disk, Journal, JournalError};
-use keeper::Keeper;
+use keeper::{Keeper, Roster};
 use membership::HostList;
-use model::NodeName;
+use model::{NodeName, Time};
 use settings::Tree;
 use spdlog::warn;
 use thiserror::Error;
@@ -31,7 +32,7 @@
 use crate::threads::{Duty, join, spawn};
 
 pub use decide::KeeperStatus;
-use decide::{Input, KeeperDecider};
+use decide::{Input, KeeperDecider, RosterLink};
 use peers::ToPeers;
 use storage::{read_journal, write_record};
 
@@ -141,11 +142,16 @@
         let (ring, inputs) = async_channel::bounded(RING);
         let (peers, to_peers) = async_channel::bounded(RING);
         let notice = news_lines::of_peers(node.name.clone(), log.clone());
+        let room = node.scheduling == Scheduling::Room;
+        let (roster, remember) = match room {
+            true => Some(start_roster(now, &config, node_address, log.clone())?).unzip(),
+            false => (None, None),
+        };
         let decider =
-            KeeperDecider::new(node.name.clone(), keeper, journal, peers.clone(), log, now);
+            KeeperDecider::new(node.name.clone(), keeper, journal, peers.clone(), log, now)
+                .with_roster(roster);
         let decide = spawn("keeper-decide", move |_| crate::driver::drive(decider, inputs, clock))?;
         let calls = ring.clone();
-        let room = node.scheduling == Scheduling::Room;
         let operators = listen::Operators { ring: calls, address, room };
         let listen = spawn("keeper-listen", move |tasks| {
             listen::run(tasks, listener, node_listener, operators)
@@ -155,7 +161,7 @@
         let name = node.name;
         let talk =
             spawn("keeper-peers", move |tasks| peers::run(name, tasks, others, to_peers, notice))?;
-        let duties = vec![decide, listen, talk];
+        let duties = [decide, listen, talk].into_iter().chain(remember).collect();
         Ok(Self { address, node_address, ring, peers, duties })
     }
 
@@ -212,6 +218,20 @@
     }
 }
 
+/// The roster of nodes with what was remembered, and the thread that remembers and calls them.
+fn start_roster(
+    now: Time,
+    config: &KeeperConfig,
+    own: SocketAddr,
+    log: Option<EventLog>,
+) -> io::Result<(RosterLink, Duty)> {
+    let roster = Roster::new(now, roster::read(&config.data, log.as_ref()));
+    let (work, to_do) = async_channel::bounded(RING);
+    let data = config.data.clone();
+    let duty = spawn("keeper-roster", move |_| roster::run(data, own, log, to_do))?;
+    Ok((RosterLink { roster, work }, duty))
+}
+
 /// Asks a keeper for its status.
 pub(crate) struct StatusSource(Sender<Input>);
 
--- /dev/null
+++ b/daemon/src/keeper_role/roster.rs
@@ -0,0 +1,90 @@
+//! The keeper's thread that remembers nodes on the disk and calls them.
+//!
+//! Apart from the deciding thread, as its disk may be slow: no change waits for it.
+
+use std::fs::{self, File};
+use std::io::{self, ErrorKind, Write};
+use std::net::{IpAddr, SocketAddr, UdpSocket};
+use std::path::{Path, PathBuf};
+
+use async_channel::Receiver;
+use async_io::Async;
+use keeper::{RememberedNode, RosterWork};
+use serde_json::json;
+use spdlog::warn;
+use wire::KeeperIsUp;
+
+use crate::event_log::{Budget, EventLog};
+
+/// The file in the data folder.
+const FILE: &str = "nodes.json";
+/// What is written before it takes the file's place.
+const NEW_FILE: &str = "nodes.json.new";
+
+/// Reads the nodes that were remembered. They are a hint: none where they can't be read.
+pub(super) fn read(data: &Path, log: Option<&EventLog>) -> Vec<RememberedNode> {
+    let nodes = fs::read(data.join(FILE))
+        .and_then(|bytes| serde_json::from_slice(&bytes).map_err(io::Error::other));
+    match nodes {
+        Ok(nodes) => nodes,
+        Err(error) if error.kind() == ErrorKind::NotFound => Vec::new(),
+        Err(error) => {
+            note(log, "nodes-unreadable", &error);
+            Vec::new()
+        }
+    }
+}
+
+/// Stores and calls until the ring is closed.
+pub(super) async fn run(
+    data: PathBuf,
+    own: SocketAddr,
+    log: Option<EventLog>,
+    inputs: Receiver<RosterWork>,
+) {
+    let socket = match Async::<UdpSocket>::bind((own.ip(), 0)) {
+        Ok(socket) => Some(socket),
+        Err(error) => {
+            note(log.as_ref(), "nodes-not-called", &error);
+            None
+        }
+    };
+    while let Ok(work) = inputs.recv().await {
+        if let Some(socket) = &socket {
+            call(socket, own, &work.call).await;
+        }
+        if let Some(nodes) = &work.store
+            && let Err(error) = store(&data, nodes)
+        {
+            note(log.as_ref(), "nodes-not-stored", &error);
+        }
+    }
+}
+
+/// Tells hosts that this keeper is up. Who is not told is called again.
+async fn call(socket: &Async<UdpSocket>, own: SocketAddr, hosts: &[IpAddr]) {
+    let message = bincode::serialize(&KeeperIsUp { keeper: own }).expect("an address");
+    for host in hosts {
+        let address = SocketAddr::new(*host, own.port());
+        // The host may be down, its port without a listener yet.
+        let _ = socket.send_to(&message, address).await;
+    }
+}
+
+/// Replaces the file, so that after a loss of power it is whole, the old or the new one.
+fn store(data: &Path, nodes: &[RememberedNode]) -> io::Result<()> {
+    let new = data.join(NEW_FILE);
+    let mut file = File::create(&new)?;
+    file.write_all(&serde_json::to_vec(nodes)?)?;
+    file.sync_all()?;
+    fs::rename(&new, data.join(FILE))?;
+    File::open(data)?.sync_all()
+}
+
+fn note(log: Option<&EventLog>, what: &'static str, error: &io::Error) {
+    let reason = error.to_string();
+    match log {
+        Some(log) => log.line(what, Budget::Full, || json!({"reason": reason})),
+        None => warn!("keeper: {}: {}", what, reason),
+    }
+}
--- a/daemon/src/room/watch.rs
+++ b/daemon/src/room/watch.rs
@@ -3,11 +3,11 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_io::Timer;
+use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use keeper::{DocumentFetch, DocumentSource, FetchStep, PART_WITHIN};
 use model::Time;
@@ -15,8 +15,8 @@
 use serde_json::json;
 use tarpc::client::{Config, NewClient};
 use wire::{
-    Document, DocumentPart, EmptiedHalls, KeeperServiceClient, ListNews, NodeInfo, NodeList,
-    PartRequest, WatchReply, WatchRequest,
+    Document, DocumentPart, EmptiedHalls, KeeperIsUp, KeeperServiceClient, ListNews, NodeInfo,
+    NodeList, PartRequest, WatchReply, WatchRequest,
 };
 
 use crate::clock::Clock;
@@ -29,6 +29,11 @@
 /// Failures after which a keeper that nobody names any more is forgotten.
 const FAILURES: u32 = 20;
 
+/// Longest call of a keeper that is read: an address takes a fraction of it.
+const CALL_BYTES: usize = 64;
+/// Keepers beyond so many are not followed for their call alone: more than any cluster has.
+const MOST_KEEPERS: usize = 32;
+
 /// Takes a newer document, and who sent the last of it.
 type TakeDocument = Box<dyn Fn(Document, DocumentSource)>;
 /// Takes the entries that are listed, and how many nodes do the same as this one.
@@ -108,9 +113,46 @@
             clock: Clock::start(),
         });
         watch.set_seeds(seeds);
+        watch.listen_for_calls();
         watch
     }
 
+    /// Takes calls of keepers that have started and knew this node before. Without them only the keepers that the
+    /// configuration names are found.
+    fn listen_for_calls(self: &Rc<Self>) {
+        let address = SocketAddr::new(self.own.address.ip(), self.node_port);
+        let socket = match Async::<UdpSocket>::bind(address) {
+            Ok(socket) => socket,
+            Err(error) => {
+                let reason = error.to_string();
+                let fields = || json!({"address": address.to_string(), "reason": reason});
+                return self.log.line("calls-not-heard", Budget::Full, fields);
+            }
+        };
+        let watch = self.clone();
+        self.tasks.spawn(async move {
+            let mut bytes = [0; CALL_BYTES];
+            loop {
+                let Ok(length) = socket.recv(&mut bytes).await else {
+                    // What is lost is a hint, and the keeper calls again.
+                    Timer::after(RETRY_PAUSE).await;
+                    continue;
+                };
+                watch.take_call(&bytes[..length]);
+            }
+        });
+    }
+
+    fn take_call(self: &Rc<Self>, bytes: &[u8]) {
+        let Ok(KeeperIsUp { keeper }) = bincode::deserialize(bytes) else { return };
+        let is_new = !self.watched.borrow().contains(&keeper);
+        // Keepers of a cluster listen at one port.
+        if is_new && keeper.port() == self.node_port && self.watched.borrow().len() < MOST_KEEPERS {
+            self.keeper_is(keeper, "keeper-calls");
+            self.add(keeper);
+        }
+    }
+
     /// The configuration names other keepers.
     pub fn set_seeds(self: &Rc<Self>, seeds: &[SocketAddr]) {
         let port = self.node_port;
--- a/daemon/tests/room_support/mod.rs
+++ b/daemon/tests/room_support/mod.rs
@@ -321,6 +321,19 @@
         fs::rename(beside, self.file(name)).expect("the file is moved");
     }
 
+    /// Changes the file of a process so that it names only a keeper at which nobody listens.
+    pub fn name_absent_keeper(&self, name: &str) {
+        let one = format!("keepers = {}\n", self.keeper());
+        let absent = format!("keepers = {}\n", self.address(ABSENT_KEEPER, 7_100));
+        let text = fs::read_to_string(self.file(name)).expect("the file is there");
+        fs::write(self.file(name), text.replace(&one, &absent)).expect("the file is written");
+    }
+
+    /// What the keeper keeps in a file of its folder; none where there is no such file.
+    pub fn keeper_file(&self, name: &str) -> Option<String> {
+        fs::read_to_string(self.data.path().join(name)).ok()
+    }
+
     /// What the processes of a name have logged so far.
     pub fn log(&self, name: &str) -> String {
         fs::read_to_string(self.folder.path().join(format!("{name}.log"))).unwrap_or_default()
