Once each: jobs that were cancelled lately, an operator's rounds over all keepers

Cancelled jobs were remembered by two like pieces, in dispatch and in runner; orders for halls repeated the rounds of changes.

--- a/components/client/src/operator.rs
+++ b/components/client/src/operator.rs
@@ -117,19 +117,8 @@
     /// Sends a change under an id that may have been used before.
     pub async fn send(&self, request: &ChangeRequest) -> ChangeOutcome {
         let body = serde_json::to_vec(request).expect("plain structs become JSON");
-        for round in 0..ROUNDS {
-            if round > 0 {
-                net::pause(ROUND_PAUSE).await;
-            }
-            for keeper in &self.keepers {
-                let reply = exchange(keeper, Method::POST, "/v1/changes", body.clone()).await;
-                let known = reply.ok().filter(|reply| matches!(reply.status, 200 | 400 | 409));
-                if let Some(Ok(result)) = known.map(|reply| parse(&reply)) {
-                    return ChangeOutcome::Known(result);
-                }
-            }
-        }
-        ChangeOutcome::Unknown
+        let outcome = self.ask_until_told("/v1/changes", &body, change_outcome).await;
+        outcome.unwrap_or(ChangeOutcome::Unknown)
     }
 
     /// Sends an order for a hall, again and again until a keeper says what became of it. One that is carried out
@@ -137,21 +126,39 @@
     pub async fn order_hall(&self, order: &HallOrder) -> HallOutcome {
         let action = if order.takes_work { "refill" } else { "empty" };
         let path = format!("/v1/halls/{}/{action}", order.hall);
+        let outcome = self.ask_until_told(&path, &[], hall_outcome).await;
+        outcome.unwrap_or(HallOutcome::Unknown)
+    }
+
+    /// Asks all keepers, one after the other and in some rounds, until an answer says what became of it.
+    async fn ask_until_told<T>(
+        &self,
+        path: &str,
+        body: &[u8],
+        outcome: impl Fn(&Reply) -> Option<T>,
+    ) -> Option<T> {
         for round in 0..ROUNDS {
             if round > 0 {
                 net::pause(ROUND_PAUSE).await;
             }
             for keeper in &self.keepers {
-                let Ok(reply) = exchange(keeper, Method::POST, &path, Vec::new()).await else {
-                    continue;
-                };
-                if let Some(outcome) = hall_outcome(&reply) {
-                    return outcome;
+                let reply = exchange(keeper, Method::POST, path, body.to_vec()).await;
+                // One that does not answer may have taken it; the next one can tell.
+                if let Some(told) = reply.ok().and_then(|reply| outcome(&reply)) {
+                    return Some(told);
                 }
             }
         }
-        HallOutcome::Unknown
+        None
+    }
+}
+
+/// What a keeper's answer to a change says; `None` where another keeper has to be asked.
+fn change_outcome(reply: &Reply) -> Option<ChangeOutcome> {
+    if !matches!(reply.status, 200 | 400 | 409) {
+        return None;
     }
+    parse(reply).ok().map(ChangeOutcome::Known)
 }
 
 /// What a keeper's answer to an order for a hall says; `None` where another keeper has to be asked.
--- a/components/dispatch/src/cancels.rs
+++ b/components/dispatch/src/cancels.rs
@@ -1,37 +1,11 @@
 //! Cancels, of jobs that are here and of jobs that another entry has.
 
-use std::collections::BTreeMap;
-use std::time::Duration;
-
 use model::{JobId, Time};
 use wire::ToAgent;
 
 use crate::dispatcher::Dispatcher;
 use crate::event::{Action, Outcome};
 
-/// How long a cancelled job is remembered: its client may have sent it just before, on a connection that
-/// is slower. Many times as long as any client waits for a job.
-const CANCELLED_KEPT: Duration = Duration::from_secs(20);
-
-/// Jobs that were cancelled lately.
-#[derive(Debug, Default)]
-pub(crate) struct Cancelled(BTreeMap<JobId, Time>);
-
-impl Cancelled {
-    fn add(&mut self, now: Time, id: &JobId) {
-        self.0.insert(id.clone(), now + CANCELLED_KEPT);
-    }
-
-    pub fn contains(&self, id: &JobId) -> bool {
-        self.0.contains_key(id)
-    }
-
-    /// Forgets what was cancelled long ago.
-    pub fn forget(&mut self, now: Time) {
-        self.0.retain(|_, until| *until > now);
-    }
-}
-
 impl Dispatcher {
     /// A client cancels a job. One that is here ends here: by the time that its client may send it to a
     /// second entry, nothing of the first try runs any more, so that nobody else has to be told. One that
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -3,11 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use model::{JobId, Time};
+use model::{CancelledJobs, JobId, Time};
 use wire::{EmptiedHalls, TaskEnd, ToEntry};
 
 use crate::agents::Agent;
-use crate::cancels::Cancelled;
 use crate::event::{Action, Event, HallsSource, SessionId, Ticket};
 use crate::job::Job;
 use crate::place::ChangedRoom;
@@ -130,7 +129,7 @@
     pub(crate) stale_until: Time,
     /// When an agent came or went last.
     pub(crate) agents_changed: Time,
-    pub(crate) cancelled: Cancelled,
+    pub(crate) cancelled: CancelledJobs,
     /// The halls that get no new work.
     pub(crate) halls: EmptiedHalls,
     pub(crate) reserve: Reserve,
@@ -161,7 +160,7 @@
             agents_watched: now,
             stale_until: now,
             agents_changed: now,
-            cancelled: Cancelled::default(),
+            cancelled: CancelledJobs::default(),
             halls: EmptiedHalls::default(),
             reserve: Reserve::default(),
             returns: Returns::default(),
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -1,5 +1,6 @@
 //! Identifiers, time and the verdict shared by every role.
 
+mod cancelled;
 mod digest;
 mod expiry;
 mod failure;
@@ -11,6 +12,7 @@
 mod time;
 mod verdict;
 
+pub use cancelled::CancelledJobs;
 pub use digest::Digest;
 pub use expiry::Expiry;
 pub use failure::{Code, Failure};
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::{JobId, NodeName, Resources, TaskId, Time};
+use model::{CancelledJobs, JobId, NodeName, Resources, TaskId, Time};
 use wire::{Document, EmptiedHalls, Refusal, TaskEnd, TaskReport};
 
 use crate::event::{Action, Event, HallsSource, News, SessionId, TargetId};
@@ -140,8 +140,7 @@
     /// Runs that were lost before the target listed their ends, and when that is forgotten: a later
     /// run of the same task gets a higher number, so that a late end is not taken for its own.
     pub(crate) lost: BTreeMap<TaskId, (u64, Time)>,
-    /// Jobs that were cancelled, and when that is forgotten.
-    pub(crate) cancelled: BTreeMap<JobId, Time>,
+    pub(crate) cancelled: CancelledJobs,
     pub(crate) turns: Turns,
     pub(crate) draining: bool,
     /// When this life of the agent began.
@@ -170,7 +169,7 @@
             document: None,
             halls: EmptiedHalls::default(),
             lost: BTreeMap::new(),
-            cancelled: BTreeMap::new(),
+            cancelled: CancelledJobs::default(),
             turns: Turns::default(),
             draining: false,
             began: now,
@@ -273,7 +272,7 @@
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         self.end_silent_sessions(now, out);
         self.end_retired_sessions(now, out);
-        self.cancelled.retain(|_, until| *until > now);
+        self.cancelled.forget(now);
         self.lost.retain(|_, (_, until)| *until > now);
         if let Some(target) = &mut self.target {
             target.forget(now);
--- a/components/runner/src/sessions.rs
+++ b/components/runner/src/sessions.rs
@@ -10,9 +10,6 @@
 use crate::run::{Run, RunState};
 use crate::runner::Runner;
 
-/// How long a cancelled job is remembered.
-const CANCELLED_KEPT: Duration = Duration::from_secs(20);
-
 /// One session.
 #[derive(Debug)]
 pub(crate) struct Session {
@@ -129,7 +126,7 @@
         let task = TaskId { job: job.clone(), index: start.index };
         let refusal = if late {
             Some(Refusal::Late)
-        } else if self.cancelled.contains_key(job) {
+        } else if self.cancelled.contains(job) {
             Some(Refusal::Cancelled)
         } else if !self.is_open(now) {
             Some(Refusal::Closed)
@@ -175,7 +172,7 @@
 
     /// A job is cancelled at an entry: its tasks end here, and the entry that owns it is told.
     fn cancel(&mut self, now: Time, from: SessionId, job: &JobId, out: &mut Vec<Action>) {
-        self.cancelled.insert(job.clone(), now + CANCELLED_KEPT);
+        self.cancelled.add(now, job);
         for task in self.tasks_of(job) {
             self.stop(now, &task, out);
         }
