The times of a hold are worked out when one is sent, not at every event

Cause, found by reading the change again: an agent summed up its runs, with a list of its own, at each event it took, though holds are sent for some of them only; and the hold to a life that is asked first added its slack by itself.

Change: sending a hold is a function of its own, which asks for the times; the sum needs no list; both kinds of holds take their times from HoldTimes.

--- a/components/runner/src/hold.rs
+++ b/components/runner/src/hold.rs
@@ -12,6 +12,7 @@
 };
 use crate::run::{Run, RunState};
 use crate::runner::Runner;
+use crate::target::Target;
 
 /// Silence, besides the wait of a hold, after which the lease is not renewed any more.
 const RENEW_SILENCE: Duration = Duration::from_millis(450);
@@ -28,29 +29,11 @@
     /// Sends the next hold where none is under way, and takes note of a silent target.
     pub(crate) fn watch_target(&mut self, now: Time, out: &mut Vec<Action>) {
         let timing = self.timing;
-        let unheeded = self.has_unheeded_stop(now);
-        let Some(times) = self.target.as_ref().map(|target| self.hold_times(now, target)) else {
-            return;
-        };
-        let Some(target) = &mut self.target else { return };
-        if target.holding.is_none() && target.hold_from <= now {
-            target.holding = Some(now);
-            // A target that does not answer is no longer renewed, so that its lease surely ends.
-            let heard = now.since(target.heard) <= timing.hold_wait + RENEW_SILENCE;
-            let orphans_only = target.has_orphans && self.runs.is_empty();
-            let renews = heard && !orphans_only && !unheeded;
-            if renews {
-                target.renew(now, timing.lease);
-            }
-            out.push(Action::Hold(HoldOrder {
-                target: target.id().clone(),
-                deadline_ms: renews.then(|| target.deadline_ms(now, timing.lease)),
-                fencing_token: target.fencing_token,
-                last_seen: target.last_seen,
-                wait: times.wait,
-                answer_within: times.answer,
-            }));
+        let is_due = |target: &Target| target.holding.is_none() && target.hold_from <= now;
+        if self.target.as_ref().is_some_and(is_due) {
+            self.send_hold(now, out);
         }
+        let Some(target) = &mut self.target else { return };
         let silent = now.since(target.heard) > timing.hold_wait + timing.hold_silence;
         if silent && !target.silent {
             target.silent = true;
@@ -60,6 +43,29 @@
         self.end_lapsed(now, out);
     }
 
+    fn send_hold(&mut self, now: Time, out: &mut Vec<Action>) {
+        let timing = self.timing;
+        let unheeded = self.has_unheeded_stop(now);
+        let times = self.hold_times(now);
+        let Some(target) = &mut self.target else { return };
+        target.holding = Some(now);
+        // A target that does not answer is no longer renewed, so that its lease surely ends.
+        let heard = now.since(target.heard) <= timing.hold_wait + RENEW_SILENCE;
+        let orphans_only = target.has_orphans && self.runs.is_empty();
+        let renews = heard && !orphans_only && !unheeded;
+        if renews {
+            target.renew(now, timing.lease);
+        }
+        out.push(Action::Hold(HoldOrder {
+            target: target.id().clone(),
+            deadline_ms: renews.then(|| target.deadline_ms(now, timing.lease)),
+            fencing_token: target.fencing_token,
+            last_seen: target.last_seen,
+            wait: times.wait,
+            answer_within: times.answer,
+        }));
+    }
+
     /// Whether a stop was not answered, so that only the end of the lease surely stops its run.
     fn has_unheeded_stop(&self, now: Time) -> bool {
         let unheeded = |run: &Run| match run.state {
--- a/components/runner/src/hold_times.rs
+++ b/components/runner/src/hold_times.rs
@@ -16,7 +16,6 @@
 
 use crate::run::Run;
 use crate::runner::{Runner, Timing};
-use crate::target::Target;
 
 /// How long a hold waits while orphans are stopped.
 const ORPHAN_WAIT: Duration = Duration::from_millis(30);
@@ -39,12 +38,13 @@
 
 impl Runner {
     /// The times of a hold that is sent now.
-    pub(crate) fn hold_times(&self, now: Time, target: &Target) -> HoldTimes {
+    pub(crate) fn hold_times(&self, now: Time) -> HoldTimes {
         let timing = &self.timing;
-        if target.has_orphans {
+        if self.target.as_ref().is_some_and(|target| target.has_orphans) {
             return HoldTimes::waiting(ORPHAN_WAIT, timing);
         }
-        if !target.leaves_unanswered(now, timing.unanswered_kept) {
+        let kept = timing.unanswered_kept;
+        if !self.target.as_ref().is_some_and(|target| target.leaves_unanswered(now, kept)) {
             return HoldTimes::waiting(timing.hold_wait, timing);
         }
         let wait = self.mean_gap_of_ends().unwrap_or(timing.short_hold_wait_most);
@@ -54,12 +54,10 @@
 
     /// The mean time from one end to the next, by what tasks are thought to take; none where nothing runs.
     fn mean_gap_of_ends(&self) -> Option<Duration> {
-        let running: Vec<&Run> = self.runs.values().filter(|run| run.takes_room()).collect();
-        if running.is_empty() {
-            return None;
-        }
-        let ends_per_s: f64 = running.into_iter().map(ends_per_s).sum();
-        Some(Duration::from_secs_f64(1.0 / ends_per_s))
+        let running = self.runs.values().filter(|run| run.takes_room());
+        let ends_per_s: f64 = running.map(ends_per_s).sum();
+        // The sum of nothing is a negative zero, whose inverse is no time.
+        (ends_per_s > 0.0).then(|| Duration::from_secs_f64(1.0 / ends_per_s))
     }
 }
 
--- a/components/runner/src/target.rs
+++ b/components/runner/src/target.rs
@@ -7,6 +7,7 @@
 use crate::event::{HoldOrder, TargetId, TargetReport};
 use crate::health::Health;
 use crate::hold::RETRY;
+use crate::hold_times::HoldTimes;
 use crate::runner::Timing;
 
 /// One life of the target.
@@ -28,7 +29,7 @@
     /// The next hold is not sent before.
     pub hold_from: Time,
     pub silent: bool,
-    /// When it last left an order unanswered.
+    /// When it last left a hold or a start unanswered.
     unanswered: Option<Time>,
     /// It may run what an earlier life of the agent started: its lease is left to run out, and
     /// nothing is started there.
@@ -123,13 +124,14 @@
             return None;
         }
         self.holding = Some(now);
+        let times = HoldTimes::waiting(SIGN_WAIT, timing);
         Some(HoldOrder {
             target: self.id().clone(),
             deadline_ms: None,
             fencing_token: self.fencing_token,
             last_seen: self.last_seen,
-            wait: SIGN_WAIT,
-            answer_within: SIGN_WAIT + timing.hold_slack,
+            wait: times.wait,
+            answer_within: times.answer,
         })
     }
 
