--- a/components/journal/src/file.rs
+++ b/components/journal/src/file.rs
@@ -5,11 +5,9 @@
 use std::path::{Path, PathBuf};
 
 use crate::format::{self, MAGIC, Parsed};
+use crate::replace::{aside, replace_file};
 use crate::{Disk, JournalError};
 
-/// Ending of the file that a rewrite is prepared in.
-const ASIDE: &str = "new";
-
 /// A journal that was opened, and what it held.
 #[derive(Debug)]
 pub struct Opened {
@@ -120,7 +118,7 @@
     pub fn sync(&mut self) -> Result<(), JournalError> {
         self.check()?;
         if let Some(records) = self.replacement.take() {
-            let replaced = write_aside(&self.path, &records, &self.disk);
+            let replaced = replace_records(&self.path, &records, &self.disk);
             if replaced.is_err() {
                 self.replacement = Some(records);
             }
@@ -299,10 +297,6 @@
     bytes
 }
 
-fn aside(path: &Path) -> PathBuf {
-    path.with_extension(ASIDE)
-}
-
 fn remove_if_there(path: &Path) -> io::Result<()> {
     match fs::remove_file(path) {
         Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
@@ -310,26 +304,12 @@
     }
 }
 
-/// Writes a whole file in the place of another, or in none's, so that a crash leaves one of them.
-/// It may end in a mark: it comes in its place only after it was synced. One that found no room is removed,
-/// since it takes what room there is.
-fn write_aside(path: &Path, records: &[u8], disk: &Disk) -> io::Result<()> {
-    let aside = aside(path);
-    let written = write_whole(&aside, records, disk);
-    if written.is_err() {
-        // What can't be removed is written over by the next try.
-        let _ = fs::remove_file(&aside);
-    }
-    written?;
-    fs::rename(&aside, path)?;
-    let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty());
-    File::open(folder.unwrap_or(Path::new(".")))?.sync_all()
-}
-
-fn write_whole(path: &Path, records: &[u8], disk: &Disk) -> io::Result<()> {
-    let mut file = File::create(path)?;
-    disk.write(&mut file, MAGIC)?;
-    disk.write(&mut file, records)?;
-    disk.write(&mut file, &format::mark((MAGIC.len() + records.len()) as u64))?;
-    file.sync_all()
+/// Puts a journal of these records in the place of another. It may end in a mark: it comes in its place only
+/// after it was synced.
+fn replace_records(path: &Path, records: &[u8], disk: &Disk) -> io::Result<()> {
+    replace_file(path, |file| {
+        disk.write(file, MAGIC)?;
+        disk.write(file, records)?;
+        disk.write(file, &format::mark((MAGIC.len() + records.len()) as u64))
+    })
 }
--- a/components/journal/src/lib.rs
+++ b/components/journal/src/lib.rs
@@ -9,7 +9,9 @@
 mod error;
 mod file;
 mod format;
+mod replace;
 
 pub use disk::Disk;
 pub use error::JournalError;
 pub use file::{Journal, Opened};
+pub use replace::replace_file;
--- a/daemon/src/keeper_role/roster.rs
+++ b/daemon/src/keeper_role/roster.rs
@@ -2,7 +2,7 @@
 //!
 //! Apart from the deciding thread, as its disk may be slow: no change waits for it.
 
-use std::fs::{self, File};
+use std::fs;
 use std::io::{self, ErrorKind, Write};
 use std::net::{IpAddr, SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
@@ -18,8 +18,6 @@
 
 /// The file in the data folder.
 const FILE: &str = "nodes.json";
-/// What is written before it takes the file's place.
-const NEW_FILE: &str = "nodes.json.new";
 
 /// Reads the nodes that were remembered. They are a hint: none where they can't be read.
 pub(super) fn read(data: &Path, log: Option<&EventLog>) -> Vec<RememberedNode> {
@@ -71,14 +69,9 @@
     }
 }
 
-/// Replaces the file, so that after a loss of power it is whole, the old or the new one.
 fn store(data: &Path, nodes: &[RememberedNode]) -> io::Result<()> {
-    let new = data.join(NEW_FILE);
-    let mut file = File::create(&new)?;
-    file.write_all(&serde_json::to_vec(nodes)?)?;
-    file.sync_all()?;
-    fs::rename(&new, data.join(FILE))?;
-    File::open(data)?.sync_all()
+    let bytes = serde_json::to_vec(nodes)?;
+    journal::replace_file(&data.join(FILE), |file| file.write_all(&bytes))
 }
 
 fn note(log: Option<&EventLog>, what: &'static str, error: &io::Error) {
