--- a/components/dispatch/src/halls.rs
+++ b/components/dispatch/src/halls.rs
@@ -7,8 +7,9 @@
 use wire::{EmptiedHalls, ToAgent};
 
 use crate::dispatcher::Dispatcher;
-use crate::event::{Action, HallsSource, JobRequest, News, Reason, SessionId};
+use crate::event::{Action, HallsSource, JobRequest, News, Outcome, Reason, SessionId};
 use crate::intake::not_run;
+use crate::job::Job;
 use crate::servable::could_run;
 
 impl Dispatcher {
@@ -34,10 +35,10 @@
             let waits = job.outcome.is_none() && job.is_untouched();
             waits && self.only_emptied_could_run(now, &job.request)
         });
-        let stranded: Vec<JobId> = stranded.map(|job| job.request.id.clone()).collect();
-        for id in stranded {
-            let Some(job) = self.jobs.get(&id) else { continue };
-            let outcome = not_run(Reason::HallsEmptied, &job.request);
+        let refusal = |job: &Job| not_run(Reason::HallsEmptied, &job.request);
+        let stranded = stranded.map(|job| (job.request.id.clone(), refusal(job)));
+        let stranded: Vec<(JobId, Outcome)> = stranded.collect();
+        for (id, outcome) in stranded {
             self.finish(now, &id, outcome, out);
         }
     }
--- a/daemon/src/keeper_role/mod.rs
+++ b/daemon/src/keeper_role/mod.rs
@@ -118,7 +118,8 @@
     /// Recovers the state and starts the threads.
     pub fn start(options: KeeperOptions) -> Result<Self, KeeperError> {
         let KeeperOptions { mut node, keeper: config, log, disk } = options;
-        if node.scheduling == Scheduling::Room {
+        let room = node.scheduling == Scheduling::Room;
+        if room {
             // Keepers find each other by address, so that is what they are named by.
             node.name = NodeName::new(&config.node_listen.to_string());
         }
@@ -130,7 +131,7 @@
         let node_address = node_listener.get_ref().local_addr()?;
         let (mut journal, records) = journal_or_blank(&node.name, &config, &contacts, disk)?;
         let seed = uuid::Uuid::new_v4().as_u128() as u64;
-        let voters = (node.scheduling == Scheduling::Room).then(|| config.tolerated_losses * 2 + 1);
+        let voters = room.then(|| config.tolerated_losses * 2 + 1);
         let timing = Timing { voters, ..Timing::default() };
         let now = clock.now();
         let mut keeper = Keeper::recover(node.name.clone(), records, timing, seed, now)?;
@@ -142,11 +143,8 @@
         let (ring, inputs) = async_channel::bounded(RING);
         let (peers, to_peers) = async_channel::bounded(RING);
         let notice = news_lines::of_peers(node.name.clone(), log.clone());
-        let room = node.scheduling == Scheduling::Room;
-        let (roster, remember) = match room {
-            true => Some(start_roster(now, &config, node_address, log.clone())?).unzip(),
-            false => (None, None),
-        };
+        let roster = room.then(|| start_roster(now, &config, node_address, log.clone()));
+        let (roster, remember) = roster.transpose()?.unzip();
         let decider =
             KeeperDecider::new(node.name.clone(), keeper, journal, peers.clone(), log, now)
                 .with_roster(roster);
--- a/daemon/src/keeper_role/news_lines.rs
+++ b/daemon/src/keeper_role/news_lines.rs
@@ -1,5 +1,6 @@
 //! The keeper's changes of state as lines of the log.
 
+use std::io;
 use std::time::Duration;
 
 use keeper::{Keeper, News};
@@ -41,6 +42,15 @@
     }
 }
 
+/// Writes that the nodes which a keeper remembers can't be read, stored or called.
+pub(super) fn nodes_problem(log: Option<&EventLog>, what: &'static str, error: &io::Error) {
+    let reason = error.to_string();
+    match log {
+        Some(log) => log.line(what, Budget::Full, || json!({"reason": reason})),
+        None => warn!("keeper: {}: {}", what, reason),
+    }
+}
+
 /// Writes what a keeper begins with.
 pub(super) fn recovered(log: Option<&EventLog>, own: &NodeName, keeper: &Keeper, bytes: u64) {
     match log {
--- a/daemon/src/keeper_role/roster.rs
+++ b/daemon/src/keeper_role/roster.rs
@@ -10,11 +10,10 @@
 use async_channel::Receiver;
 use async_io::Async;
 use keeper::{RememberedNode, RosterWork};
-use serde_json::json;
-use spdlog::warn;
 use wire::KeeperIsUp;
 
-use crate::event_log::{Budget, EventLog};
+use super::news_lines;
+use crate::event_log::EventLog;
 
 /// The file in the data folder.
 const FILE: &str = "nodes.json";
@@ -27,7 +26,7 @@
         Ok(nodes) => nodes,
         Err(error) if error.kind() == ErrorKind::NotFound => Vec::new(),
         Err(error) => {
-            note(log, "nodes-unreadable", &error);
+            news_lines::nodes_problem(log, "nodes-unreadable", &error);
             Vec::new()
         }
     }
@@ -43,7 +42,7 @@
     let socket = match Async::<UdpSocket>::bind((own.ip(), 0)) {
         Ok(socket) => Some(socket),
         Err(error) => {
-            note(log.as_ref(), "nodes-not-called", &error);
+            news_lines::nodes_problem(log.as_ref(), "nodes-not-called", &error);
             None
         }
     };
@@ -54,7 +53,7 @@
         if let Some(nodes) = &work.store
             && let Err(error) = store(&data, nodes)
         {
-            note(log.as_ref(), "nodes-not-stored", &error);
+            news_lines::nodes_problem(log.as_ref(), "nodes-not-stored", &error);
         }
     }
 }
@@ -73,11 +72,3 @@
     let bytes = serde_json::to_vec(nodes)?;
     journal::replace_file(&data.join(FILE), |file| file.write_all(&bytes))
 }
-
-fn note(log: Option<&EventLog>, what: &'static str, error: &io::Error) {
-    let reason = error.to_string();
-    match log {
-        Some(log) => log.line(what, Budget::Full, || json!({"reason": reason})),
-        None => warn!("keeper: {}: {}", what, reason),
-    }
-}
--- a/daemon/src/room/watch.rs
+++ b/daemon/src/room/watch.rs
@@ -28,7 +28,6 @@
 const SILENCE: Duration = Duration::from_millis(1_700);
 /// Failures after which a keeper that nobody names any more is forgotten.
 const FAILURES: u32 = 20;
-
 /// Longest call of a keeper that is read: an address takes a fraction of it.
 const CALL_BYTES: usize = 64;
 /// Keepers beyond so many are not followed for their call alone: more than any cluster has.
@@ -38,7 +37,6 @@
 type TakeDocument = Box<dyn Fn(Document, DocumentSource)>;
 /// Takes the entries that are listed, and how many nodes do the same as this one.
 type TakeNodes = Box<dyn Fn(&[NodeInfo], usize)>;
-
 /// Takes the halls that a keeper tells to be emptied.
 type TakeHalls = Box<dyn Fn(EmptiedHalls)>;
 /// Asks the agent of a session for a part of a document.
@@ -144,6 +142,7 @@
     }
 
     fn take_call(self: &Rc<Self>, bytes: &[u8]) {
+        // Whatever else comes to the port names no keeper, and a call that is torn comes again.
         let Ok(KeeperIsUp { keeper }) = bincode::deserialize(bytes) else { return };
         let is_new = !self.watched.borrow().contains(&keeper);
         // Keepers of a cluster listen at one port.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -145,25 +145,21 @@
 
 fn halls() -> Command {
     let action = |name: &'static str, about: &'static str| {
-        Command::new(name)
-            .about(about)
-            .arg(keeper_argument())
-            .arg(Arg::new("hall").required(true).value_name("HALL").help("The data hall's name"))
+        let hall = Arg::new("hall").value_name("HALL").help("The data hall's name");
+        keeper_action(name, about).arg(hall.required(true))
     };
     Command::new("halls")
         .about("Empty data halls for work on them, and refill them")
         .subcommand_required(true)
         .subcommand(action("empty", "Start nothing more in a hall; what runs there ends by itself"))
         .subcommand(action("refill", "Let a hall's targets take work again"))
-        .subcommand(Command::new("show").about("Show which are emptied").arg(keeper_argument()))
+        .subcommand(keeper_action("show", "Show which are emptied"))
 }
 
 fn service() -> Command {
     let action = |name: &'static str, about: &'static str| {
-        Command::new(name)
-            .about(about)
-            .arg(keeper_argument())
-            .arg(Arg::new("service").required(true).help("A service, or a kind of it"))
+        let service = Arg::new("service").help("A service, or a kind of it");
+        keeper_action(name, about).arg(service.required(true))
     };
     Command::new("service")
         .about("Start and stop services")
@@ -172,6 +168,11 @@
         .subcommand(action("stop", "Let a service take no new work; what runs goes on"))
 }
 
+/// An action that asks keepers.
+fn keeper_action(name: &'static str, about: &'static str) -> Command {
+    Command::new(name).about(about).arg(keeper_argument())
+}
+
 fn decisions() -> Command {
     Command::new("decisions")
         .about("Show lines of a decision log")
--- a/src/cmd/halls.rs
+++ b/src/cmd/halls.rs
@@ -1,6 +1,5 @@
 //! `dockpass halls`: empties data halls for work on them, refills them, and shows which are emptied.
 
-use std::net::SocketAddr;
 use std::process::ExitCode;
 
 use clap::ArgMatches;
@@ -25,10 +24,10 @@
     let hall: HallName = name.parse().map_err(bad)?;
     let keepers = addresses(arguments, "keeper")?;
     let order = HallOrder { hall, takes_work };
-    let outcome = net::block_on(|tasks| async move {
-        let keepers: Vec<SocketAddr> = keepers;
-        Operator::new(&keepers, &tasks).order_hall(&order).await
-    });
+    let outcome =
+        net::block_on(
+            |tasks| async move { Operator::new(&keepers, &tasks).order_hall(&order).await },
+        );
     let json = arguments.get_flag("json");
     Ok(match outcome {
         HallOutcome::Taken(halls) => {
