Tests: the client of one request has a file of its own, the line that names keepers and four runs of a load stand once

Two methods and the files of a fleet wrote the line of keepers by themselves, two tests drew four runs of a load each.

--- /dev/null
+++ b/daemon/tests/room_support/http.rs
@@ -0,0 +1,36 @@
+//! A client of one request a connection.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// An answer.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+/// Sends one request over a connection of its own; `None` without a whole answer.
+pub fn call(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    time: Duration,
+) -> Option<Answer> {
+    let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
+    stream.set_read_timeout(Some(time)).ok()?;
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nHost: queue.example\r\nConnection: close\r\n\
+         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let status = head.split_whitespace().nth(1)?.parse().ok()?;
+    Some(Answer { status, head: head.to_lowercase(), body: body.to_owned() })
+}
--- a/daemon/tests/room_support/mod.rs
+++ b/daemon/tests/room_support/mod.rs
@@ -7,20 +7,21 @@
 pub mod balancer;
 pub mod callers;
 pub mod checks;
+mod http;
 pub mod kept;
 pub mod process;
 pub mod proxy;
 mod target;
 
 use std::fs;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use tempfile::TempDir;
 
+pub use http::{Answer, call};
 pub use process::Process;
 use proxy::Proxy;
 pub use target::StandInTarget;
@@ -58,12 +59,10 @@
 /// Tells the fleets of one test run apart.
 static FLEETS: AtomicU32 = AtomicU32::new(0);
 
-/// An answer.
-#[derive(Debug)]
-pub struct Answer {
-    pub status: u16,
-    pub head: String,
-    pub body: String,
+/// The line of a process's file that names keepers.
+fn keepers_line(keepers: &[SocketAddr]) -> String {
+    let keepers: Vec<String> = keepers.iter().map(SocketAddr::to_string).collect();
+    format!("keepers = {}\n", keepers.join(" "))
 }
 
 /// What agents' files say of sets: nothing, unless a variable asks for sets.
@@ -187,6 +186,11 @@
         self.address(1, 7_100)
     }
 
+    /// Where a keeper would be at which nobody listens.
+    fn absent_keeper(&self) -> SocketAddr {
+        self.address(ABSENT_KEEPER, 7_100)
+    }
+
     /// The names of all its processes.
     pub fn names(&self) -> Vec<String> {
         let entries = (0..self.entries).map(entry_name);
@@ -244,8 +248,8 @@
         let common = |name: &str, role: &str| {
             format!(
                 "[node]\nname = {name}\nroles = {role}\nscheduling = room\n\
-                 node_port = {NODE_PORT}\nkeepers = {}\n",
-                self.keeper()
+                 node_port = {NODE_PORT}\n{}",
+                keepers_line(&[self.keeper()])
             )
         };
         let keeper = format!(
@@ -308,8 +312,8 @@
     /// Changes the file of a process so that it names a further keeper, at which nobody listens, or
     /// no longer names it; the process is not told.
     pub fn change_file(&self, name: &str) {
-        let one = format!("keepers = {}\n", self.keeper());
-        let two = format!("keepers = {} {}\n", self.keeper(), self.address(ABSENT_KEEPER, 7_100));
+        let one = keepers_line(&[self.keeper()]);
+        let two = keepers_line(&[self.keeper(), self.absent_keeper()]);
         let text = fs::read_to_string(self.file(name)).expect("the file is there");
         let changed = match text.contains(&two) {
             true => text.replace(&two, &one),
@@ -323,8 +327,8 @@
 
     /// Changes the file of a process so that it names only a keeper at which nobody listens.
     pub fn name_absent_keeper(&self, name: &str) {
-        let one = format!("keepers = {}\n", self.keeper());
-        let absent = format!("keepers = {}\n", self.address(ABSENT_KEEPER, 7_100));
+        let one = keepers_line(&[self.keeper()]);
+        let absent = keepers_line(&[self.absent_keeper()]);
         let text = fs::read_to_string(self.file(name)).expect("the file is there");
         fs::write(self.file(name), text.replace(&one, &absent)).expect("the file is written");
     }
@@ -481,26 +485,3 @@
         std::thread::sleep(Duration::from_millis(20));
     }
 }
-
-/// Sends one request over a connection of its own; `None` without a whole answer.
-pub fn call(
-    to: SocketAddr,
-    method: &str,
-    path: &str,
-    body: &str,
-    time: Duration,
-) -> Option<Answer> {
-    let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
-    stream.set_read_timeout(Some(time)).ok()?;
-    let request = format!(
-        "{method} {path} HTTP/1.1\r\nHost: queue.example\r\nConnection: close\r\n\
-         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    stream.write_all(request.as_bytes()).ok()?;
-    let mut text = String::new();
-    stream.read_to_string(&mut text).ok()?;
-    let (head, body) = text.split_once("\r\n\r\n")?;
-    let status = head.split_whitespace().nth(1)?.parse().ok()?;
-    Some(Answer { status, head: head.to_lowercase(), body: body.to_owned() })
-}
--- a/soak/tests/load.rs
+++ b/soak/tests/load.rs
@@ -51,9 +51,13 @@
     all: f64,
 }
 
+fn four_runs(play: impl Fn(Load) -> LoadResult, load: &Load) -> Vec<LoadResult> {
+    (1..5).map(|seed| play(Load { seed, ..load.clone() })).collect()
+}
+
 /// One run of a burst says little: by its seed alone a figure moves by 0.01 to 0.02.
 fn mean_of_four(play: impl Fn(Load) -> LoadResult, load: &Load) -> Worth {
-    let results: Vec<LoadResult> = (1..5).map(|seed| play(Load { seed, ..load.clone() })).collect();
+    let results = four_runs(play, load);
     let mean = |of: fn(&LoadResult) -> f64| results.iter().map(of).sum::<f64>() / 4.0;
     Worth { urgent: mean(|result| result.worth_by_priority[0]), all: mean(|result| result.worth) }
 }
@@ -185,8 +189,7 @@
         surge: Some(Surge { from, span, times: 1.3 }),
         ..usual()
     };
-    let results: Vec<LoadResult> =
-        (1..5).map(|seed| play_load(&Load { seed, ..load.clone() })).collect();
+    let results = four_runs(|load| play_load(&load), &load);
     let mean = |of: fn(&LoadResult) -> f64| results.iter().map(of).sum::<f64>() / 4.0;
     let late = mean(|result| result.late as f64 / result.jobs as f64);
     let (starts, worth) = (mean(|result| result.starts_per_task), mean(|result| result.worth));
