Tests: a caller whose process is suspended for a moment is not told that its connection has ended

Shown: planned_stop with its process suspended for 50 ms after 1.2, 1.6 and 2.0 s failed each time, at the same lines with the same words (3, 5 and 5 tests); three undisturbed runs passed. Ruled out: a fault of the entry (suspending the test process alone is enough).

Change: the client reads on. The other reads with a time limit in tests (of keepers that stop, silent connections, closing forms, leaving) go by calls of the library that read on by themselves; what they ask for is as strict as before.

--- a/components/net/tests/closing_forms.rs
+++ b/components/net/tests/closing_forms.rs
@@ -202,9 +202,7 @@
         let mut kept = TcpStream::connect(asked.recv().unwrap()).unwrap();
         kept.set_read_timeout(Some(LONG)).unwrap();
         kept.write_all(REQUEST).unwrap();
-        let mut bytes = [0; 1_000];
-        let count = kept.read(&mut bytes).unwrap();
-        assert!(count > 0);
+        kept.read_exact(&mut [0]).unwrap();
         (kept, ())
     });
     let kept = net::block_on(|tasks| async move {
--- a/daemon/tests/keeper_stops.rs
+++ b/daemon/tests/keeper_stops.rs
@@ -1,7 +1,7 @@
 //! A planned stop of a keeper while an operator's call is under way.
 
 use std::fs;
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::TcpStream;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -37,11 +37,11 @@
     }
 }
 
-fn read(mut stream: TcpStream) -> Option<u16> {
-    let mut bytes = [0; 2_048];
-    let count = stream.read(&mut bytes).ok()?;
-    let text = String::from_utf8_lossy(&bytes[..count]).into_owned();
-    text.split_whitespace().nth(1)?.parse().ok()
+fn read(stream: TcpStream) -> Option<u16> {
+    let mut line = String::new();
+    // Unlike a single read it goes on where this process was suspended meanwhile.
+    BufReader::new(stream).read_line(&mut line).ok()?;
+    line.split_whitespace().nth(1)?.parse().ok()
 }
 
 impl Drop for Keeper {
--- a/daemon/tests/room_support/kept.rs
+++ b/daemon/tests/room_support/kept.rs
@@ -1,6 +1,6 @@
 //! A client's connection that stays open between requests.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -56,9 +56,9 @@
                 Ok(0) if bytes.is_empty() => return Err(NoAnswer::Closed),
                 Ok(0) => return Err(NoAnswer::Partial),
                 Ok(count) => bytes.extend_from_slice(&buffer[..count]),
-                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
-                    return Err(NoAnswer::Late);
-                }
+                // This process was suspended for a moment: that says nothing of the connection.
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Err(NoAnswer::Late),
                 Err(_) if bytes.is_empty() => return Err(NoAnswer::Closed),
                 Err(_) => return Err(NoAnswer::Partial),
             }
--- a/daemon/tests/silent_connections.rs
+++ b/daemon/tests/silent_connections.rs
@@ -275,7 +275,7 @@
     let keeper = KeeperHandle::start(KeeperOptions::new(node, config)).expect("it starts");
     let mut silent = TcpStream::connect(keeper.node_address()).expect("it listens");
     silent.set_read_timeout(Some(PATIENCE)).expect("a time above none");
-    let read = silent.read(&mut [0]);
+    let read = silent.read_to_end(&mut Vec::new());
     assert!(read.is_ok_and(|read| read == 0), "it is still open after {PATIENCE:?}");
     keeper.stop();
 }
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -144,9 +144,8 @@
         let _ = rest.write_all(&late);
     });
     cluster.drain_entry(0);
-    let mut bytes = [0; 4_096];
-    let read = stream.read(&mut bytes);
+    let read = stream.read_exact(&mut [0]);
     sender.join().unwrap();
-    assert!(matches!(read, Ok(count) if count > 0), "{read:?}");
+    assert!(read.is_ok(), "{read:?}");
     finish(cluster);
 }
