--- a/components/consensus/src/election.rs
+++ b/components/consensus/src/election.rs
@@ -33,11 +33,12 @@
         self.leader = None;
         self.role = Role::PreCandidate(Ballot::of(&self.name));
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
-        for other in self.others() {
-            let message = Message::PreVote { term: self.term + 1, last_index, last_term };
-            out.push(Action::Send(other, message));
-        }
-        self.count_pre_votes(now, out);
+        self.ask_others(&Message::PreVote { term: self.term + 1, last_index, last_term }, out);
+        self.count_votes(now, out);
+    }
+
+    fn ask_others(&self, message: &Message, out: &mut Vec<Action>) {
+        out.extend(self.others().into_iter().map(|other| Action::Send(other, message.clone())));
     }
 
     pub(crate) fn pre_vote(
@@ -85,17 +86,20 @@
         }
         if let Role::PreCandidate(ballot) = &mut self.role {
             ballot.granted.insert(from.clone());
-            self.count_pre_votes(now, out);
+            self.count_votes(now, out);
         }
     }
 
-    fn count_pre_votes(&mut self, now: Time, out: &mut Vec<Action>) {
-        let enough = self.quorum();
-        let Role::PreCandidate(ballot) = &self.role else { return };
-        if ballot.granted.len() < enough {
-            return;
+    /// Goes on to the vote, or leads, once a majority has granted the pre-vote or the vote that is under way.
+    fn count_votes(&mut self, now: Time, out: &mut Vec<Action>) {
+        let has_majority = |ballot: &Ballot| ballot.granted.len() >= self.quorum();
+        match &self.role {
+            Role::PreCandidate(ballot) if has_majority(ballot) => {
+                self.ask_for_votes(now, false, out);
+            }
+            Role::Candidate(ballot) if has_majority(ballot) => self.lead(now, out),
+            _ => {}
         }
-        self.ask_for_votes(now, false, out);
     }
 
     /// The leader has resigned in favour of this replica.
@@ -133,10 +137,8 @@
         let record = Record::Vote { term: self.term, voted_for: self.voted_for.clone() };
         out.push(Action::Store(vec![record]));
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
-        for other in self.others() {
-            let message = Message::Vote { term: self.term, last_index, last_term, transfer };
-            out.push(Action::Send(other, message));
-        }
+        let message = Message::Vote { term: self.term, last_index, last_term, transfer };
+        self.ask_others(&message, out);
         self.count_votes(now, out);
     }
 
@@ -181,12 +183,4 @@
             self.count_votes(now, out);
         }
     }
-
-    fn count_votes(&mut self, now: Time, out: &mut Vec<Action>) {
-        let enough = self.quorum();
-        let Role::Candidate(ballot) = &self.role else { return };
-        if ballot.granted.len() >= enough {
-            self.lead(now, out);
-        }
-    }
 }
