Figures tell refusals by their reason, how long refused jobs were held and how long tasks waited for room

Cause: the figures had refusals in one count and only the time of completed jobs, so that an operator had to go through ids with 'dockpass explain' to learn whether jobs wait for room or targets are slow, and whether what is refused is refused early.

Change: dockpass_outcomes_total by outcome and reason, dockpass_job_phase_seconds for the longest wait of a task and for the time that a refused job was held.

--- a/daemon/src/room/entry.rs
+++ b/daemon/src/room/entry.rs
@@ -11,17 +11,17 @@
 use async_io::{Async, Timer};
 use dispatch::{Action, Dispatcher, Event, Outcome, SessionId, Ticket, Timing};
 use keeper::DocumentSource;
-use net::{Phase, Tasks};
+use net::Tasks;
 use routing::RouteTable;
 use serde_json::json;
-use telemetry::Latency;
 use wire::{Document, NodeInfo, NodeRole, ToAgent, ToEntry};
 
+use super::entry_figures::Figures;
 use super::entry_news;
 use super::entry_peers::EntryPeers;
 use super::entry_stop::StopProgress;
 use super::messages::Messages;
-use super::metrics::{self, Page};
+use super::metrics;
 use super::session::{self, Outgoing};
 use super::watch::{AgentEvent, Watch, WatchCallbacks};
 use super::{RoomError, Started, entry_http, io_error, until_stopped};
@@ -38,26 +38,21 @@
 /// Pause before a failed accept is tried again.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// The latencies of the jobs of one queue.
-pub(super) type Latencies = HashMap<String, Latency>;
-
 /// An entry's state, shared by the tasks of its thread.
 pub(super) struct Entry {
     pub log: EventLog,
     clock: Clock,
-    dispatcher: RefCell<Dispatcher>,
+    pub(super) dispatcher: RefCell<Dispatcher>,
     /// The routes in force; none before the first configuration.
     table: RefCell<Option<Rc<RouteTable>>>,
     agents: RefCell<HashMap<SessionId, Outgoing<ToAgent>>>,
     waiting: RefCell<HashMap<Ticket, Sender<Outcome>>>,
-    latencies: RefCell<Latencies>,
-    /// Answers by their status.
-    statuses: RefCell<HashMap<u16, u64>>,
+    pub(super) figures: RefCell<Figures>,
     next: Cell<u64>,
     /// Callers find it.
     listening: Cell<bool>,
     pub stop: StopProgress,
-    messages: Messages,
+    pub(super) messages: Messages,
     peers: Rc<EntryPeers>,
     watch: RefCell<Option<Rc<Watch>>>,
 }
@@ -80,8 +75,7 @@
         table: RefCell::default(),
         agents: RefCell::default(),
         waiting: RefCell::default(),
-        latencies: RefCell::default(),
-        statuses: RefCell::default(),
+        figures: RefCell::default(),
         next: Cell::new(0),
         listening: Cell::new(false),
         stop: StopProgress::new(started.config.node.stop_grace),
@@ -264,7 +258,7 @@
                 }
             }
             Action::News(news) => {
-                entry_news::note_latency(&news, &mut self.latencies.borrow_mut());
+                self.figures.borrow_mut().note(&news);
                 entry_news::write(&self.log, &news);
             }
         }
@@ -334,7 +328,7 @@
 
     /// Takes note of an answer.
     pub fn answered(&self, status: u16) {
-        *self.statuses.borrow_mut().entry(status).or_default() += 1;
+        self.figures.borrow_mut().answered(status);
     }
 
     /// Hands in a job; the answer comes over the returned channel. Dropping the guard before tells
@@ -358,50 +352,6 @@
     pub fn waiting(&self, queue: &str) -> usize {
         self.dispatcher.borrow().waiting(queue)
     }
-
-    fn fill(&self, page: &mut Page) {
-        let dispatcher = self.dispatcher.borrow();
-        let counters = dispatcher.counters();
-        let outcomes = [
-            ("completed", counters.completed),
-            ("failed", counters.failed),
-            ("not_run", counters.not_run),
-            ("may_have_run", counters.may_have_run),
-            ("cancelled", counters.cancelled),
-        ];
-        page.value("jobs_submitted_total", "", counters.submitted);
-        for (outcome, count) in outcomes {
-            page.value("jobs_total", &format!("{{outcome=\"{outcome}\"}}"), count);
-        }
-        page.value("starts_total", "", counters.starts);
-        page.value("starts_refused_total", "", counters.refused_starts);
-        page.value("task_failures_total", "", counters.failures);
-        page.value("task_losses_total", "", counters.losses);
-        page.value("breaches_total", "", counters.breaches);
-        page.value("agents_lost_total", "", counters.agents_lost);
-        page.value("agents", "{state=\"known\"}", dispatcher.known_agents() as u64);
-        page.value("agents", "{state=\"open\"}", dispatcher.open_agents() as u64);
-        page.value("jobs_active", "", dispatcher.active() as u64);
-        page.value("tasks_queued", "", dispatcher.queued() as u64);
-        let callers = &self.stop.callers;
-        page.value("connections_accepted_total", "", callers.accepted());
-        for phase in Phase::ALL {
-            let label = format!("{{phase=\"{}\"}}", phase.as_str());
-            page.value("connections", &label, callers.count(phase) as u64);
-        }
-        self.messages.fill(page);
-        page.value("ready", "", u64::from(self.is_ready()));
-        let version = self.table.borrow().as_ref().map_or(0, |table| table.version);
-        page.value("configuration_version", "", version);
-        page.value("halls_revision", "", dispatcher.halls().revision);
-        page.value("log_lines_omitted_total", "", self.log.omitted());
-        for (status, count) in &*self.statuses.borrow() {
-            page.value("answers_total", &format!("{{status=\"{status}\"}}"), *count);
-        }
-        for (queue, latency) in &*self.latencies.borrow() {
-            page.latency("job", "queue", queue, latency);
-        }
-    }
 }
 
 /// A client that waits; dropped before the answer when the client goes away.
--- a/daemon/src/room/entry_news.rs
+++ b/daemon/src/room/entry_news.rs
@@ -2,26 +2,11 @@
 
 use dispatch::{HallsSource, News, Outcome};
 use serde_json::{Value, json};
-use std::time::Duration;
-use telemetry::Latency;
 
-use super::entry::Latencies;
 use crate::event_log::{Budget, EventLog};
 
-/// Adds a completed job to the latencies of its queue.
-pub(super) fn note_latency(news: &News, latencies: &mut Latencies) {
-    let News::Answered { queue, outcome: Outcome::Completed, took_ms, .. } = news else { return };
-    let took = Duration::from_secs_f64(took_ms / 1e3);
-    if !latencies.contains_key(&**queue) {
-        latencies.insert(queue.to_string(), Latency::default());
-    }
-    if let Some(latency) = latencies.get_mut(&**queue) {
-        latency.record(took);
-    }
-}
-
 /// The answer as a word, and its reason.
-fn outcome_fields(outcome: Outcome) -> (&'static str, &'static str) {
+pub(super) fn outcome_fields(outcome: Outcome) -> (&'static str, &'static str) {
     match outcome {
         Outcome::Completed => ("completed", ""),
         Outcome::Failed(reason) => ("failed", reason.as_str()),
--- a/daemon/src/room/mod.rs
+++ b/daemon/src/room/mod.rs
@@ -8,6 +8,7 @@
 mod agent_entries;
 mod agent_news;
 mod entry;
+mod entry_figures;
 mod entry_http;
 mod entry_news;
 mod entry_peers;
--- a/daemon/tests/room.rs
+++ b/daemon/tests/room.rs
@@ -53,6 +53,39 @@
     assert!(page.contains("dockpass_jobs_total{outcome=\"completed\"} 1\n"), "{page}");
     assert!(page.contains("dockpass_configuration_version 7\n"), "{page}");
     assert!(page.contains("dockpass_job_seconds_count{queue=\"q\"} 1\n"), "{page}");
+    assert!(page.contains("dockpass_job_phase_seconds_count{phase=\"wait\"} 1\n"), "{page}");
+    assert!(page.contains("dockpass_job_phase_seconds_count{phase=\"refused\"} 0\n"), "{page}");
+}
+
+/// An operator sees from the figures alone why jobs were refused, and that they were not kept waiting for it.
+#[test]
+fn the_figures_tell_refusals_by_their_reason_and_how_long_jobs_were_held() {
+    let fleet = Fleet::new(1);
+    let _target = target(&fleet, 0);
+    let _processes = ["keeper", "entry", "agent0"].map(|name| fleet.start(name));
+    fleet.configure(7);
+    fleet.until_ready();
+    // The target has 8 cores, and each task asks for one: three jobs at once find no room.
+    thread::scope(|scope| {
+        let busy = scope.spawn(|| fleet.job(1, 8, 1_500));
+        eventually("it is full", || {
+            let page = call(fleet.metrics(), "GET", "/metrics", "", SHORT);
+            page.is_some_and(|page| page.body.contains("dockpass_starts_total 8\n"))
+        });
+        for id in 2..5 {
+            assert_eq!(fleet.job(id, 4, 50).expect("it is answered").status, 503);
+        }
+        assert_eq!(busy.join().expect("no panic").expect("it is answered").body, COMPLETED);
+    });
+    let page = call(fleet.metrics(), "GET", "/metrics", "", SHORT).expect("a page").body;
+    for line in [
+        "dockpass_outcomes_total{outcome=\"not-run\",reason=\"no-room\"} 3",
+        "dockpass_outcomes_total{outcome=\"completed\",reason=\"\"} 1",
+        "dockpass_job_phase_seconds_count{phase=\"refused\"} 3",
+        "dockpass_job_phase_seconds_count{phase=\"wait\"} 1",
+    ] {
+        assert!(page.lines().any(|found| found == line), "{line}: {page}");
+    }
 }
 
 #[test]
