Fleets of tests hold up to 13 entries and 100 agents

Cause: entries had every third host from 2 on and agents those from 10 on, so that a fourth entry stood at an agent's host (the two wanted one UDP port), and soaks over proxies could have two entries at most.

--- a/daemon/tests/room_support/mod.rs
+++ b/daemon/tests/room_support/mod.rs
@@ -35,6 +35,8 @@
 const TARGET_HOST: usize = 10;
 /// Where the first agent finds its target by way of a proxy; up to 100 agents fit below it.
 const ORDERS_HOST: usize = 110;
+/// The host of the first entry, with two proxies after it; 13 entries fit below the absent keeper.
+const ENTRY_HOST: usize = 211;
 /// What comes before the version on a page of figures.
 const VERSION_LINE: &str = "dockpass_configuration_version ";
 /// Names a folder for what a keeper keeps.
@@ -48,7 +50,7 @@
 
 /// The host of an entry; its proxies, if any, are the two after it.
 fn entry_host(number: usize) -> usize {
-    2 + 3 * number
+    ENTRY_HOST + 3 * number
 }
 
 /// The name of an entry's process.
