Tests of dispatch: an entry with agents is set up by one call

Cause: 36 tests began with the same two to four lines, an entry and its agents by number and room.

Entry::with_agents takes the amounts.

--- a/components/dispatch/tests/dispatcher.rs
+++ b/components/dispatch/tests/dispatcher.rs
@@ -13,9 +13,7 @@
 
 #[test]
 fn a_job_is_spread_over_the_freest_agents_and_answered_whole() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
-    entry.agent(2, 12_000, &[]);
+    let mut entry = Entry::with_agents([16_000, 12_000]);
     let ticket = entry.submit(job(6, 200));
     let starts = entry.starts();
     assert_eq!(starts.len(), 6);
@@ -50,9 +48,7 @@
 
 #[test]
 fn a_refused_start_is_placed_elsewhere_without_an_attempt() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
-    entry.agent(2, 8_000, &[]);
+    let mut entry = Entry::with_agents([16_000, 8_000]);
     let ticket = entry.submit(job(1, 200));
     for _ in 0..3 {
         let starts = entry.starts();
@@ -67,9 +63,7 @@
 
 #[test]
 fn a_failed_task_runs_elsewhere_and_fails_its_job_after_its_attempts() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
-    entry.agent(2, 8_000, &[]);
+    let mut entry = Entry::with_agents([16_000, 8_000]);
     let ticket = entry.submit(job(1, 200));
     let first = entry.starts();
     assert_eq!(first[0].0, 1);
@@ -83,9 +77,7 @@
 
 #[test]
 fn a_job_that_was_lost_too_often_may_have_run_but_has_not_failed() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
-    entry.agent(2, 8_000, &[]);
+    let mut entry = Entry::with_agents([16_000, 8_000]);
     let ticket = entry.submit(job(1, 200));
     while entry.answer(ticket).is_none() {
         let starts = entry.starts();
@@ -97,8 +89,7 @@
 
 #[test]
 fn a_client_that_leaves_has_its_tasks_stopped() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
+    let mut entry = Entry::with_agents([16_000]);
     let ticket = entry.submit(job(3, 200));
     entry.starts();
     entry.handle(Event::Abandon(ticket));
@@ -109,8 +100,7 @@
 
 #[test]
 fn a_job_that_comes_again_waits_for_the_end_of_its_first_try() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
+    let mut entry = Entry::with_agents([16_000]);
     let first = entry.submit(job(1, 200));
     let starts = entry.starts();
     entry.handle(Event::Abandon(first));
@@ -127,8 +117,7 @@
 
 #[test]
 fn a_job_that_comes_again_while_it_runs_gets_the_one_answer() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
+    let mut entry = Entry::with_agents([16_000]);
     let first = entry.submit(job(1, 200));
     let starts = entry.starts();
     let second = entry.submit(job(1, 200));
@@ -140,9 +129,7 @@
 
 #[test]
 fn a_cancel_stops_what_runs_and_answers_the_one_who_waits() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
-    entry.agent(2, 8_000, &[]);
+    let mut entry = Entry::with_agents([16_000, 8_000]);
     let ticket = entry.submit(job(6, 200));
     let starts = entry.starts().len();
     assert_eq!(starts, 6);
@@ -156,9 +143,7 @@
 /// agent need have sessions with both.
 #[test]
 fn a_cancel_of_another_entrys_job_tells_every_agent_and_every_entry() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
-    entry.agent(2, 8_000, &[]);
+    let mut entry = Entry::with_agents([16_000, 8_000]);
     let id = JobId::new("5c0e7a21d94b36f8");
     entry.handle(Event::Cancel(id.clone()));
     let told = entry.sent.iter().filter(|(_, message)| matches!(message, ToAgent::Cancel(_)));
@@ -171,8 +156,7 @@
 fn a_job_that_comes_after_its_cancel_is_cancelled_and_starts_nothing() {
     let id = || JobId::new("5c0e7a21d94b36f8");
     for cancel in [Event::Cancel(id()), Event::CancelledElsewhere(id())] {
-        let mut entry = Entry::new();
-        entry.agent(1, 16_000, &[]);
+        let mut entry = Entry::with_agents([16_000]);
         entry.handle(cancel);
         let ticket = entry.submit(job(1, 200));
         assert_eq!(entry.answer(ticket), Some(Outcome::Cancelled));
@@ -184,9 +168,7 @@
 /// end the entry sent starts on and on, one each 2 ms for as long as the client waits.
 #[test]
 fn a_start_that_is_refused_as_cancelled_ends_its_job() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
-    entry.agent(2, 8_000, &[]);
+    let mut entry = Entry::with_agents([16_000, 8_000]);
     let ticket = entry.submit(job(4, 200));
     let starts = entry.starts();
     entry.report(&starts[0], TaskEnd::NotRun(Refusal::Cancelled));
@@ -200,8 +182,7 @@
 /// The second try waits for the end of the first; it must not begin after the job was cancelled.
 #[test]
 fn a_cancel_ends_a_second_try_that_waits_for_the_first() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
+    let mut entry = Entry::with_agents([16_000]);
     let first = entry.submit(job(1, 200));
     let starts = entry.starts();
     entry.handle(Event::Abandon(first));
@@ -217,9 +198,7 @@
 /// 450 ms after which they would stop it; of the others it says little.
 #[test]
 fn an_agent_with_nothing_to_do_is_shown_seldom_that_the_entry_lives() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
-    entry.agent(2, 8_000, &[]);
+    let mut entry = Entry::with_agents([16_000, 8_000]);
     entry.submit(job(1, 2_000));
     entry.sent.clear();
     entry.run_for(1_050, &[(1, 16_000), (2, 8_000)]);
@@ -234,8 +213,7 @@
 
 #[test]
 fn a_job_cancelled_at_another_entry_ends_here() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
+    let mut entry = Entry::with_agents([16_000]);
     let ticket = entry.submit(job(1, 200));
     let cancelled = ToEntry::Cancelled(JobId::new("5c0e7a21d94b36f8"));
     entry.handle(Event::FromAgent(SessionId(1), cancelled));
@@ -244,9 +222,7 @@
 
 #[test]
 fn a_short_job_ends_at_once_with_its_agent() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
-    entry.agent(2, 8_000, &[]);
+    let mut entry = Entry::with_agents([16_000, 8_000]);
     let ticket = entry.submit(job(2, 200));
     entry.starts();
     entry.handle(Event::AgentClosed(SessionId(1)));
@@ -255,9 +231,7 @@
 
 #[test]
 fn a_long_job_waits_for_the_lease_of_a_lost_agent_and_runs_elsewhere() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
-    entry.agent(2, 3_500, &[]);
+    let mut entry = Entry::with_agents([16_000, 3_500]);
     let ticket = entry.submit(job(1, 900));
     assert_eq!(entry.starts()[0].0, 1);
     entry.handle(Event::AgentClosed(SessionId(1)));
@@ -272,9 +246,7 @@
 
 #[test]
 fn a_silent_agent_gets_no_new_work_and_then_is_given_up() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
-    entry.agent(2, 4_000, &[]);
+    let mut entry = Entry::with_agents([16_000, 4_000]);
     entry.run_for(400, &[(2, 4_000)]);
     entry.submit(job(1, 200));
     assert_eq!(entry.starts()[0].0, 2, "though the silent one had more room");
@@ -284,8 +256,7 @@
 
 #[test]
 fn a_pause_ends_everything_and_what_lay_unread_is_refused() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
+    let mut entry = Entry::with_agents([16_000]);
     let ticket = entry.submit(job(1, 200));
     entry.now = entry.now + Duration::from_secs(2);
     entry.handle(Event::Tick);
@@ -300,8 +271,7 @@
 
 #[test]
 fn an_urgent_job_goes_first_and_a_begun_one_before_it() {
-    let mut entry = Entry::new();
-    entry.agent(1, 1_700, &[]);
+    let mut entry = Entry::with_agents([1_700]);
     let mut begun = job(2, 900);
     begun.priority = 2;
     entry.submit(begun);
@@ -336,10 +306,7 @@
 
 #[test]
 fn a_task_that_has_failed_is_not_given_to_a_target_on_trial() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
-    entry.agent(2, 8_000, &[]);
-    entry.agent(3, 4_000, &[]);
+    let mut entry = Entry::with_agents([16_000, 8_000, 4_000]);
     let load = Load { on_trial: true, ..entry.load_of(8_000) };
     entry.handle(Event::FromAgent(SessionId(2), ToEntry::Load(load)));
     entry.submit(job(1, 200));
@@ -351,8 +318,7 @@
 
 #[test]
 fn a_second_try_whose_client_leaves_does_not_begin() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
+    let mut entry = Entry::with_agents([16_000]);
     let first = entry.submit(job(1, 200));
     let starts = entry.starts();
     entry.handle(Event::Abandon(first));
@@ -365,8 +331,7 @@
 
 #[test]
 fn each_of_several_tries_that_wait_is_answered() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
+    let mut entry = Entry::with_agents([16_000]);
     let first = entry.submit(job(1, 200));
     let starts = entry.starts();
     entry.handle(Event::Abandon(first));
--- a/components/dispatch/tests/planned_stop.rs
+++ b/components/dispatch/tests/planned_stop.rs
@@ -83,8 +83,7 @@
 
 #[test]
 fn open_jobs_get_their_final_answers_and_their_tasks_are_stopped() {
-    let mut entry = Entry::new();
-    entry.agent(1, 3_200, &[]);
+    let mut entry = Entry::with_agents([3_200]);
     let running = entry.submit(job(2, 200));
     let mut waits = job(2, 300);
     waits.id = JobId::new("00000000000000b1");
@@ -104,8 +103,7 @@
 
 #[test]
 fn what_does_not_surely_end_before_the_entry_is_rejected_at_once() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
+    let mut entry = Entry::with_agents([16_000]);
     entry.handle(Event::TakeOnlyWhatEndsBy(entry.now + Duration::from_millis(950)));
     let long = entry.submit(job(4, 556));
     assert_eq!(entry.answer(long), Some(ELSEWHERE));
@@ -126,8 +124,7 @@
 /// the job again, to the same entry, which had no time left for a new one.
 #[test]
 fn a_job_that_comes_again_to_a_stopping_entry_is_not_said_not_to_have_run() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
+    let mut entry = Entry::with_agents([16_000]);
     let first = entry.submit(job(1, 556));
     let starts = entry.starts();
     entry.handle(Event::TakeOnlyWhatEndsBy(entry.now + Duration::from_millis(950)));
@@ -140,8 +137,7 @@
 
 #[test]
 fn a_job_whose_first_try_is_being_stopped_may_have_run() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
+    let mut entry = Entry::with_agents([16_000]);
     let first = entry.submit(job(1, 556));
     entry.starts();
     entry.handle(Event::Abandon(first));
@@ -157,8 +153,7 @@
 /// waited for the end of the first when the entry was told to stop.
 #[test]
 fn a_second_try_that_waited_for_the_end_of_the_first_may_have_run() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
+    let mut entry = Entry::with_agents([16_000]);
     let first = entry.submit(job(1, 556));
     let starts = entry.starts();
     entry.handle(Event::Abandon(first));
@@ -171,8 +166,7 @@
 
 #[test]
 fn a_job_that_comes_again_right_after_a_pause_of_the_process_may_have_run() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
+    let mut entry = Entry::with_agents([16_000]);
     let first = entry.submit(job(1, 2_000));
     assert_eq!(entry.starts().len(), 1);
     entry.now = entry.now + Duration::from_millis(500);
--- a/components/dispatch/tests/rejected.rs
+++ b/components/dispatch/tests/rejected.rs
@@ -47,8 +47,7 @@
 
 #[test]
 fn a_job_waits_for_targets_that_were_there_a_moment_ago() {
-    let mut entry = Entry::new();
-    entry.agent(1, 16_000, &[]);
+    let mut entry = Entry::with_agents([16_000]);
     entry.run_for(2_500, &[(1, 16_000)]);
     entry.handle(Event::AgentClosed(SessionId(1)));
     let ticket = entry.submit(job(1, 200));
--- a/components/dispatch/tests/support/mod.rs
+++ b/components/dispatch/tests/support/mod.rs
@@ -39,6 +39,13 @@
         }
     }
 
+    /// One with an agent for each of these amounts of free processor, in thousandths of a core, numbered from 1.
+    pub fn with_agents<const COUNT: usize>(cpu: [u64; COUNT]) -> Self {
+        let mut entry = Self::new();
+        (1..).zip(cpu).for_each(|(id, cpu)| entry.agent(id, cpu, &[]));
+        entry
+    }
+
     pub fn handle(&mut self, event: Event) {
         let mut actions = Vec::new();
         self.dispatcher.handle(self.now, event, &mut actions);
--- a/components/dispatch/tests/waits.rs
+++ b/components/dispatch/tests/waits.rs
@@ -11,8 +11,7 @@
 
 #[test]
 fn without_room_a_job_is_refused_early_and_never_starts() {
-    let mut entry = Entry::new();
-    entry.agent(1, 1_000, &[]);
+    let mut entry = Entry::with_agents([1_000]);
     let ticket = entry.submit(job(2, 200));
     entry.run_for(70, &[(1, 1_000)]);
     assert_eq!(entry.answer(ticket), None);
@@ -27,8 +26,7 @@
 
 #[test]
 fn a_job_that_finds_room_before_it_is_refused_starts() {
-    let mut entry = Entry::new();
-    entry.agent(1, 1_000, &[]);
+    let mut entry = Entry::with_agents([1_000]);
     let ticket = entry.submit(job(2, 200));
     entry.run_for(70, &[(1, 1_000)]);
     entry.load(1, 16_000);
@@ -39,8 +37,7 @@
 
 #[test]
 fn while_no_target_takes_work_a_job_waits_for_as_long_as_it_can_be_in_time() {
-    let mut entry = Entry::new();
-    entry.agent(1, 0, &[]);
+    let mut entry = Entry::with_agents([0]);
     let closed = Load { open: false, ..entry.load_of(16_000) };
     entry.handle(Event::FromAgent(SessionId(1), ToEntry::Load(closed)));
     let ticket = entry.submit(job(2, 200));
@@ -59,8 +56,7 @@
 
 #[test]
 fn room_that_has_just_come_is_used_before_a_job_is_refused() {
-    let mut entry = Entry::new();
-    entry.agent(1, 1_000, &[]);
+    let mut entry = Entry::with_agents([1_000]);
     let ticket = entry.submit(job(2, 200));
     entry.run_for(70, &[(1, 1_000)]);
     // Its time is over by the event that brings room.
@@ -72,8 +68,7 @@
 
 #[test]
 fn room_that_other_entries_are_thought_to_have_taken_is_not_counted() {
-    let mut entry = Entry::new();
-    entry.agent(1, 1_000, &[]);
+    let mut entry = Entry::with_agents([1_000]);
     let taken_fast = Load { taken_per_ms: 100, ..entry.load_of(2_000) };
     entry.handle(Event::FromAgent(SessionId(1), ToEntry::Load(taken_fast)));
     entry.now = entry.now + Duration::from_millis(5);
@@ -88,9 +83,7 @@
 
 #[test]
 fn what_waits_takes_the_room_of_the_agent_that_tells_of_it() {
-    let mut entry = Entry::new();
-    entry.agent(1, 1_000, &[]);
-    entry.agent(2, 1_000, &[]);
+    let mut entry = Entry::with_agents([1_000, 1_000]);
     entry.submit(job(3, 200));
     entry.load(2, 3_300);
     let starts = entry.starts();
@@ -123,8 +116,7 @@
 
 #[test]
 fn not_run_is_never_said_of_a_job_that_an_agent_has() {
-    let mut entry = Entry::new();
-    entry.agent(1, 1_700, &[]);
+    let mut entry = Entry::with_agents([1_700]);
     let ticket = entry.submit(job(2, 200));
     assert_eq!(entry.starts().len(), 1, "one fits, one waits");
     entry.run_for(4_900, &[(1, 0)]);
