--- a/components/consensus/tests/members.rs
+++ b/components/consensus/tests/members.rs
@@ -22,6 +22,17 @@
     numbers.iter().copied().map(name).collect()
 }
 
+/// Three voters of which the first was lost and replaced by a fourth; and who leads.
+fn with_first_replaced() -> (Cluster, NodeName) {
+    let mut cluster = Cluster::with_voters(3);
+    cluster.run_for(ELECTION);
+    cluster.kill(&name(1));
+    cluster.add(&name(4));
+    cluster.run_for(CATCH_UP + ELECTION);
+    let leader = cluster.leader().expect("one leads");
+    (cluster, leader)
+}
+
 #[test]
 fn a_replica_that_is_gone_for_good_is_replaced_by_one_that_joins() {
     let mut cluster = Cluster::with_voters(3);
@@ -45,12 +56,7 @@
 
 #[test]
 fn a_replica_that_was_replaced_while_it_was_away_votes_no_more() {
-    let mut cluster = Cluster::with_voters(3);
-    cluster.run_for(ELECTION);
-    cluster.kill(&name(1));
-    cluster.add(&name(4));
-    cluster.run_for(CATCH_UP + ELECTION);
-    let leader = cluster.leader().expect("one leads");
+    let (mut cluster, leader) = with_first_replaced();
     let term = cluster.replica(&leader).term();
     cluster.start(&name(1));
     cluster.run_for(CATCH_UP);
@@ -89,12 +95,7 @@
 
 #[test]
 fn members_outlive_a_restart_of_all_and_a_snapshot() {
-    let mut cluster = Cluster::with_voters(3);
-    cluster.run_for(ELECTION);
-    cluster.kill(&name(1));
-    cluster.add(&name(4));
-    cluster.run_for(CATCH_UP + ELECTION);
-    let leader = cluster.leader().expect("one leads");
+    let (mut cluster, leader) = with_first_replaced();
     let mut actions = Vec::new();
     let node = cluster.nodes.get_mut(&leader).expect("it is there");
     node.replica.as_mut().expect("it lives").compact(b"state".to_vec(), &mut actions);
--- a/components/keeper/tests/document.rs
+++ b/components/keeper/tests/document.rs
@@ -92,6 +92,14 @@
     }
 }
 
+/// What node 1, which knows a list of nodes, is told as the document of version 7 is replaced.
+fn replaced_while_it_waits(one: &mut One, revision: u64) -> WatchReply {
+    let waits = one.watch(node(1), 0, revision);
+    let ticket = one.ticket();
+    let event = Event::Replace(ticket, Document { version: 7, body: Arc::from("seven") });
+    watch_reply(one.handle(event), waits).expect("told with the commit")
+}
+
 #[test]
 fn the_highest_version_holds_and_every_valid_one_is_acknowledged() {
     let mut one = One::new();
@@ -134,10 +142,7 @@
     let first = one.watch(node(1), 0, 0);
     let list = watch_reply(one.run_for(Duration::from_millis(100)), first).expect("a list");
     let revision = whole(list.nodes).revision;
-    let waits = one.watch(node(1), 0, revision);
-    let ticket = one.ticket();
-    let event = Event::Replace(ticket, Document { version: 7, body: Arc::from("seven") });
-    let told = watch_reply(one.handle(event), waits).expect("told with the commit");
+    let told = replaced_while_it_waits(&mut one, revision);
     assert_eq!(told.version, 7);
     assert_eq!(one.part(7), Some("seven".to_owned()));
     assert_eq!(told.nodes, None, "the list is the same");
@@ -336,10 +341,7 @@
     one.run_for(Duration::from_millis(100));
     let told = one.ask(node(1), 0, Duration::ZERO).expect("a list");
     let revision = whole(told.nodes).revision;
-    let waits = one.watch(node(1), 0, revision);
-    let ticket = one.ticket();
-    let event = Event::Replace(ticket, Document { version: 7, body: Arc::from("seven") });
-    let told = watch_reply(one.handle(event), waits).expect("told with the commit");
+    let told = replaced_while_it_waits(&mut one, revision);
     assert_eq!(told.version, 7);
     assert_eq!(one.part(7), Some("seven".to_owned()));
     assert_eq!(one.part(8), None);
