Figures count every answer, also one that is given at once

Change: they are counted where every answer leaves for its client; a refusal at the intake counts as held for no time. The new test failed before (no line for a job cancelled before it came), passes now; only figures differ.

--- a/daemon/src/room/entry.rs
+++ b/daemon/src/room/entry.rs
@@ -252,6 +252,7 @@
             }
             Action::DocumentPart(id, part) => self.tell_watch(id, AgentEvent::Answered(part)),
             Action::Answer(ticket, outcome) => {
+                self.figures.borrow_mut().told(outcome);
                 if let Some(waiting) = self.waiting.borrow_mut().remove(&ticket) {
                     // The client may be gone.
                     let _ = waiting.try_send(outcome);
--- a/daemon/src/room/entry_figures.rs
+++ b/daemon/src/room/entry_figures.rs
@@ -20,20 +20,22 @@
     waits: Latency,
     /// How long jobs were held that were then told not to have run.
     holds: Latency,
-    /// Jobs by their outcome and its reason.
+    /// Answers by their outcome and its reason.
     outcomes: BTreeMap<(&'static str, &'static str), u64>,
-    /// Answers by their status.
+    /// Responses by their status.
     statuses: BTreeMap<u16, u64>,
 }
 
 impl Figures {
-    /// Takes note of a decision: jobs that are answered count.
+    /// Takes note of a decision: how long a job took, waited, or was held before it was refused.
     pub fn note(&mut self, news: &News) {
         let News::Answered { queue, outcome, took_ms, waited_ms, starts, .. } = news else {
+            if matches!(news, News::Refused { .. }) {
+                self.holds.record(Duration::ZERO);
+            }
             return;
         };
         let took = Duration::from_secs_f64(took_ms / 1e3);
-        *self.outcomes.entry(outcome_fields(*outcome)).or_default() += 1;
         match outcome {
             Outcome::Completed => self.latency(queue).record(took),
             Outcome::NotRun { .. } => self.holds.record(took),
@@ -44,7 +46,12 @@
         }
     }
 
-    /// Takes note of an answer.
+    /// Takes note of what a client is told of its job.
+    pub fn told(&mut self, outcome: Outcome) {
+        *self.outcomes.entry(outcome_fields(outcome)).or_default() += 1;
+    }
+
+    /// Takes note of a response.
     pub fn answered(&mut self, status: u16) {
         *self.statuses.entry(status).or_default() += 1;
     }
--- a/daemon/tests/room.rs
+++ b/daemon/tests/room.rs
@@ -88,6 +88,38 @@
     }
 }
 
+/// What is refused or cancelled as it comes counts like what was held.
+#[test]
+fn the_figures_count_answers_that_are_given_at_once() {
+    let fleet = Fleet::new(1);
+    let _target = target(&fleet, 0);
+    let _processes = ["keeper", "entry", "agent0"].map(|name| fleet.start(name));
+    fleet.configure(7);
+    fleet.until_ready();
+    let figures = || call(fleet.metrics(), "GET", "/metrics", "", SHORT).expect("a page").body;
+    let path = "/q/0000000000000001";
+    assert_eq!(
+        call(fleet.entry(), "DELETE", path, "", SHORT).map(|answer| answer.status),
+        Some(410)
+    );
+    assert_eq!(fleet.job(1, 1, 50).expect("it is answered").body, "{\"state\":\"cancelled\"}");
+    let cancelled = "dockpass_outcomes_total{outcome=\"cancelled\",reason=\"\"} 1";
+    assert!(figures().lines().any(|line| line == cancelled), "{}", figures());
+    // No target has so much processor, which the entry is sure of some moments after its start.
+    let large = "{\"spec\":\"50\",\"best_effort\":true,\"steps\":[{\"count\":1,\"cpu\":64000}]}";
+    let mut asked = 0;
+    let no_target = "dockpass_outcomes_total{outcome=\"not-run\",reason=\"no-target\"} 1";
+    eventually("it is refused as it comes", || {
+        asked += 1;
+        let answer =
+            call(fleet.entry(), "POST", &format!("/q/{:016x}", 0xa00 + asked), large, SHORT);
+        assert_eq!(answer.expect("it is answered").status, 503);
+        figures().lines().any(|line| line == no_target)
+    });
+    let held = format!("dockpass_job_phase_seconds_count{{phase=\"refused\"}} {asked}");
+    assert!(figures().lines().any(|line| line == held), "{held}: {}", figures());
+}
+
 #[test]
 fn a_log_that_nobody_reads_holds_up_nothing() {
     let fleet = Fleet::new(1);
