Time is taken from the clock that goes on while a host is suspended

Cause: std::time::Instant is CLOCK_MONOTONIC on Linux and stands still during a suspension, so that a keeper that leads, an agent and an entry went on after one as if no time had passed. The daemon's clock, the event log's spans and the ages of connections take CLOCK_BOOTTIME now, in a component of its own; clippy refuses Instant::now elsewhere, but for spans that tests and tools show, and the call deadlines of the library for calls. Every decision that looks for a pause (agents, entries) compares two of these times.

Ruled out: the time of day, which is set back. Not built: a suspension in the soaks of real processes, which signals do not make; in virtual time it is the freeze that the soaks have.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,5 +1,8 @@
 //! `dockpass-bench`: load through all roles on loopback, with stand-in targets.
 
+// Spans of work that is measured.
+#![allow(clippy::disallowed_methods)]
+
 mod changes;
 mod cli;
 mod load;
--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -3,9 +3,10 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_io::Timer;
+use clock::BootInstant;
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
@@ -39,6 +40,11 @@
 }
 
 impl ClientError {
+    /// Whether nothing listens at the address.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect(error) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Whether the other side may have acted on the request.
     pub fn verdict(&self) -> Verdict {
         match self {
@@ -65,7 +71,7 @@
 struct Kept {
     sender: Sender,
     /// When the last answer came over it: it was well then.
-    answered: Instant,
+    answered: BootInstant,
 }
 
 /// A client of one address. It has as many connections as requests at once.
@@ -134,12 +140,12 @@
     async fn exchange(
         &self,
         mut request: Request<Full<Bytes>>,
-        given_to_kept: &Cell<Option<Instant>>,
+        given_to_kept: &Cell<Option<BootInstant>>,
     ) -> Result<Reply, ClientError> {
         loop {
             let kept = self.idle.borrow_mut().pop();
             let was_kept = kept.is_some();
-            given_to_kept.set(was_kept.then(Instant::now));
+            given_to_kept.set(was_kept.then(BootInstant::now));
             let mut sender = match kept {
                 Some(kept) => kept.sender,
                 None => self.open().await?,
@@ -178,7 +184,7 @@
             .await
             .map_err(|error| ClientError::Broken(error.to_string()))?;
         if sender.is_ready() || !sender.is_closed() {
-            self.idle.borrow_mut().push(Kept { sender, answered: Instant::now() });
+            self.idle.borrow_mut().push(Kept { sender, answered: BootInstant::now() });
         }
         Ok(Reply { status: head.status.as_u16(), headers: head.headers, body: whole.to_bytes() })
     }
--- a/components/net/src/connections.rs
+++ b/components/net/src/connections.rs
@@ -4,10 +4,11 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
+use clock::BootInstant;
 
 /// How far a connection is with its present request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,24 +58,24 @@
 pub(crate) struct Tracker {
     peer: Option<SocketAddr>,
     phase: Cell<Phase>,
-    since: Cell<Instant>,
+    since: Cell<BootInstant>,
     answered: Cell<u64>,
     /// When bytes came last on this connection.
-    last_bytes: Cell<Instant>,
+    last_bytes: Cell<BootInstant>,
     /// Bytes of the next request have come while this one is worked on.
     more_came: Cell<bool>,
     /// When anything came last at the server.
-    last_arrival: Rc<Cell<Instant>>,
+    last_arrival: Rc<Cell<BootInstant>>,
 }
 
 impl Tracker {
-    fn new(peer: Option<SocketAddr>, last_arrival: Rc<Cell<Instant>>) -> Self {
+    fn new(peer: Option<SocketAddr>, last_arrival: Rc<Cell<BootInstant>>) -> Self {
         Self {
             peer,
             phase: Cell::new(Phase::Fresh),
-            since: Cell::new(Instant::now()),
+            since: Cell::new(BootInstant::now()),
             answered: Cell::new(0),
-            last_bytes: Cell::new(Instant::now()),
+            last_bytes: Cell::new(BootInstant::now()),
             more_came: Cell::new(false),
             last_arrival,
         }
@@ -86,13 +87,13 @@
 
     pub fn enter(&self, phase: Phase) {
         if self.phase.replace(phase) != phase {
-            self.since.set(Instant::now());
+            self.since.set(BootInstant::now());
         }
     }
 
     /// Bytes have come: of the next request, unless one is being read.
     pub fn bytes_came(&self) {
-        let now = Instant::now();
+        let now = BootInstant::now();
         self.last_bytes.set(now);
         match self.phase() {
             Phase::Fresh | Phase::Idle => {
@@ -163,7 +164,7 @@
     next: Cell<u64>,
     open: RefCell<BTreeMap<u64, Rc<Tracker>>>,
     /// When a connection or a request came last.
-    last_arrival: Rc<Cell<Instant>>,
+    last_arrival: Rc<Cell<BootInstant>>,
     /// Closed once connections close after their answer, and idle ones at once.
     keeping: Gate,
     /// Closed once no more connections are accepted.
@@ -205,7 +206,7 @@
         Self {
             next: Cell::default(),
             open: RefCell::default(),
-            last_arrival: Rc::new(Cell::new(Instant::now())),
+            last_arrival: Rc::new(Cell::new(BootInstant::now())),
             keeping: Gate::default(),
             accepting: Gate::default(),
         }
@@ -289,7 +290,7 @@
     pub(crate) fn open(self: &Rc<Self>, peer: Option<SocketAddr>) -> Listed {
         let number = self.next.get();
         self.next.set(number + 1);
-        self.last_arrival.set(Instant::now());
+        self.last_arrival.set(BootInstant::now());
         let tracker = Rc::new(Tracker::new(peer, self.last_arrival.clone()));
         self.open.borrow_mut().insert(number, tracker.clone());
         Listed { connections: self.clone(), number, tracker }
--- a/components/net/src/rpc.rs
+++ b/components/net/src/rpc.rs
@@ -31,7 +31,9 @@
     serde_transport::new(Framed::new(Compat::new(stream), codec), Bincode::default())
 }
 
-/// The context of a call.
+/// The context of a call. The library of calls takes its deadlines from the clock that stands still while the host is
+/// suspended: a call lasts that much longer, and who waits for it looks at its own clock.
+#[allow(clippy::disallowed_methods)]
 pub fn call_context() -> Context {
     let mut context = Context::current();
     context.deadline = Instant::now() + CALL_TIME;
--- a/components/net/tests/closing_forms.rs
+++ b/components/net/tests/closing_forms.rs
@@ -1,6 +1,9 @@
 //! A server that closes, and requests of every form: in parts, one behind the other, at the limit of
 //! connections, on a slow host.
 
+// Spans that a test measures or waits.
+#![allow(clippy::disallowed_methods)]
+
 mod support;
 
 use std::io::{Read, Write};
--- a/daemon/src/clock.rs
+++ b/daemon/src/clock.rs
@@ -1,16 +1,17 @@
 //! The time that decision libraries are given.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
+use clock::BootInstant;
 use model::Time;
 
-/// A clock that starts at the wall clock's time and goes on monotonically.
+/// A clock that starts at the wall clock's time and goes on monotonically, also while the host is suspended.
 ///
 /// A wall clock that is set back later does not move it back. `clock_skew_ms` bounds how far two
 /// hosts may differ.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    started: Instant,
+    started: BootInstant,
     epoch: Time,
 }
 
@@ -19,7 +20,7 @@
     pub fn start() -> Self {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let micros = u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX);
-        Self { started: Instant::now(), epoch: Time::from_micros(micros) }
+        Self { started: BootInstant::now(), epoch: Time::from_micros(micros) }
     }
 
     /// The time now.
--- a/daemon/src/event_log.rs
+++ b/daemon/src/event_log.rs
@@ -8,8 +8,9 @@
 use std::io::{self, Write};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use ::clock::BootInstant;
 use async_channel::{Receiver, Sender, TrySendError};
 use serde_json::{Map, Value};
 
@@ -57,7 +58,7 @@
     clock: Clock,
     ring: Sender<String>,
     spent: HashMap<&'static str, Spent>,
-    span_began: Instant,
+    span_began: BootInstant,
     omitted: u64,
     /// Closed once the writer has ended.
     writer: mpsc::Receiver<()>,
@@ -81,7 +82,7 @@
             clock,
             ring,
             spent: HashMap::new(),
-            span_began: Instant::now(),
+            span_began: BootInstant::now(),
             omitted: 0,
             writer,
         };
@@ -127,7 +128,7 @@
         if self.span_began.elapsed() < SPAN {
             return;
         }
-        self.span_began = Instant::now();
+        self.span_began = BootInstant::now();
         let omitted: Map<String, Value> = self
             .spent
             .iter()
--- a/daemon/tests/keeper_stops.rs
+++ b/daemon/tests/keeper_stops.rs
@@ -1,5 +1,8 @@
 //! A planned stop of a keeper while an operator's call is under way.
 
+// Spans that a test measures or waits.
+#![allow(clippy::disallowed_methods)]
+
 use std::fs;
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpStream;
--- a/daemon/tests/keepers_full_disk.rs
+++ b/daemon/tests/keepers_full_disk.rs
@@ -1,6 +1,9 @@
 //! Keepers as real processes whose disks fill up: a limit of the size of their files refuses every write
 //! that would make a journal longer.
 
+// Spans that a test measures or waits.
+#![allow(clippy::disallowed_methods)]
+
 // Entries, agents and targets take no part here.
 #[allow(unused_imports)]
 mod room_support;
--- a/daemon/tests/keepers_power_loss.rs
+++ b/daemon/tests/keepers_power_loss.rs
@@ -2,6 +2,9 @@
 //! bears lose their disks, and in the same moment all are killed. A loss of power is made of a kill and
 //! of what it leaves of unsynced writes, at the end of each journal.
 
+// Spans that a test measures or waits.
+#![allow(clippy::disallowed_methods)]
+
 // Entries, agents and targets take no part here.
 #[allow(unused_imports)]
 mod room_support;
--- a/daemon/tests/large_documents.rs
+++ b/daemon/tests/large_documents.rs
@@ -1,5 +1,8 @@
 //! Large configurations over slow links, between real processes.
 
+// Spans that a test measures or waits.
+#![allow(clippy::disallowed_methods)]
+
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::thread;
--- a/daemon/tests/planned_stop.rs
+++ b/daemon/tests/planned_stop.rs
@@ -1,5 +1,8 @@
 //! What callers of an entry see while it is stopped by plan.
 
+// Spans that a test measures or waits.
+#![allow(clippy::disallowed_methods)]
+
 mod room_support;
 
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/daemon/tests/room.rs
+++ b/daemon/tests/room.rs
@@ -1,5 +1,8 @@
 //! The whole path as real processes: a keeper, an entry, agents, and stand-ins for targets.
 
+// Spans that a test measures or waits.
+#![allow(clippy::disallowed_methods)]
+
 mod room_support;
 
 use std::thread;
--- a/daemon/tests/room_called.rs
+++ b/daemon/tests/room_called.rs
@@ -1,5 +1,8 @@
 //! Nodes whose settings name no keeper that is up, as real processes.
 
+// Spans that a test measures or waits.
+#![allow(clippy::disallowed_methods)]
+
 mod room_support;
 
 use std::time::Duration;
--- a/daemon/tests/room_faults.rs
+++ b/daemon/tests/room_faults.rs
@@ -10,6 +10,9 @@
 //! hand; `DOCKPASS_LINK_ENTRIES`, `DOCKPASS_LINK_AGENTS` and `DOCKPASS_LINK_CLIENTS` larger fleets
 //! with links.
 
+// Spans that a test measures or waits.
+#![allow(clippy::disallowed_methods)]
+
 mod room_support;
 
 use std::sync::Mutex;
--- a/daemon/tests/room_halls.rs
+++ b/daemon/tests/room_halls.rs
@@ -2,6 +2,9 @@
 //!
 //! `DOCKPASS_HALL_SEEDS=FIRST..END` runs other seeds under signals by hand.
 
+// Spans that a test measures or waits.
+#![allow(clippy::disallowed_methods)]
+
 mod room_support;
 
 use std::io::Write;
--- a/daemon/tests/room_lives.rs
+++ b/daemon/tests/room_lives.rs
@@ -4,6 +4,9 @@
 //!
 //! All runs are seeded; `DOCKPASS_LIFE_SEEDS=FIRST..END` runs other seeds by hand.
 
+// Spans that a test measures or waits.
+#![allow(clippy::disallowed_methods)]
+
 mod room_support;
 
 use std::thread;
--- a/daemon/tests/room_sets.rs
+++ b/daemon/tests/room_sets.rs
@@ -1,5 +1,8 @@
 //! Agents that serve some of the entries, as real processes.
 
+// Spans that a test measures or waits.
+#![allow(clippy::disallowed_methods)]
+
 mod room_support;
 
 use std::thread;
--- a/daemon/tests/room_silences.rs
+++ b/daemon/tests/room_silences.rs
@@ -8,6 +8,9 @@
 //! All runs are seeded: `DOCKPASS_SILENCE_SEEDS=FIRST..END` runs other seeds by hand,
 //! `DOCKPASS_SILENCE_ENTRIES` and `DOCKPASS_SILENCE_AGENTS` larger fleets.
 
+// Spans that a test measures or waits.
+#![allow(clippy::disallowed_methods)]
+
 mod room_support;
 
 use std::sync::Mutex;
--- a/daemon/tests/room_stops.rs
+++ b/daemon/tests/room_stops.rs
@@ -12,6 +12,9 @@
 //! `DOCKPASS_KEEPER_STOP_SEEDS=FIRST..END` other seeds with operators, `DOCKPASS_KEEPER_FOLDER` a
 //! keeper whose folder is there and not in memory.
 
+// Spans that a test measures or waits.
+#![allow(clippy::disallowed_methods)]
+
 mod room_support;
 mod stops;
 
--- a/daemon/tests/silent_connections.rs
+++ b/daemon/tests/silent_connections.rs
@@ -3,6 +3,9 @@
 //!
 //! Each stand-in takes connections over real sockets and reads or does not read; none answers.
 
+// Spans that a test measures or waits.
+#![allow(clippy::disallowed_methods)]
+
 use std::io::Read;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{self, Receiver};
--- a/daemon/tests/suspended.rs
+++ b/daemon/tests/suspended.rs
@@ -1,6 +1,9 @@
 //! Callers of the tests while the process of the test itself is suspended for a moment, as a host does that saves or
 //! moves what runs on it.
 
+// Spans that a test measures or waits.
+#![allow(clippy::disallowed_methods)]
+
 mod room_support;
 
 use std::io::Write;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,8 @@
 //! `dockpass`: the command-line client of the dockpass dispatcher.
 
+// Spans that a person is shown.
+#![allow(clippy::disallowed_methods)]
+
 mod cli;
 mod cmd;
 
