--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -7,6 +7,7 @@
 use wire::{EmptiedHalls, TaskEnd, ToEntry};
 
 use crate::agents::Agent;
+use crate::crashes::Crashes;
 use crate::event::{Action, Event, HallsSource, SessionId, Ticket};
 use crate::job::Job;
 use crate::place::ChangedRoom;
@@ -130,6 +131,7 @@
     /// When an agent came or went last.
     pub(crate) agents_changed: Time,
     pub(crate) cancelled: CancelledJobs,
+    pub(crate) crashes: Crashes,
     /// The halls that get no new work.
     pub(crate) halls: EmptiedHalls,
     pub(crate) reserve: Reserve,
@@ -161,6 +163,7 @@
             stale_until: now,
             agents_changed: now,
             cancelled: CancelledJobs::default(),
+            crashes: Crashes::default(),
             halls: EmptiedHalls::default(),
             reserve: Reserve::default(),
             returns: Returns::default(),
@@ -268,6 +271,7 @@
             ToEntry::Cancelled(job) => self.cancel_own(now, &job, out),
             ToEntry::DocumentPart(part) => out.push(Action::DocumentPart(id, part)),
             ToEntry::Halls(halls) => self.take_halls(now, &halls, HallsSource::Agent(id), out),
+            ToEntry::TargetCrashed(tasks) => self.target_crashed(now, id, &tasks, out),
         }
     }
 }
--- a/components/dispatch/src/event.rs
+++ b/components/dispatch/src/event.rs
@@ -90,6 +90,8 @@
     Attempts,
     /// A task was lost too often.
     Losses,
+    /// Targets have crashed under a task as often as they may.
+    CrashesTargets,
     /// The client's time is over.
     Deadline,
     /// An agent that had tasks of it is gone.
@@ -114,6 +116,7 @@
             Self::Draining => "draining",
             Self::Attempts => "attempts",
             Self::Losses => "losses",
+            Self::CrashesTargets => "crashes-targets",
             Self::Deadline => "deadline",
             Self::AgentLost => "agent-lost",
             Self::Breach => "breach",
--- a/components/dispatch/src/intake.rs
+++ b/components/dispatch/src/intake.rs
@@ -62,7 +62,9 @@
             self.queue.insert(queue_entry(&job, index, self.policy));
         }
         self.tickets.insert(ticket, id.clone());
-        self.jobs.insert(id, job);
+        self.jobs.insert(id.clone(), job);
+        // An earlier try has crashed targets.
+        self.give_up_crashing(now, &id, out);
     }
 
     /// A job comes of which this entry has an earlier try: its client has lost the connection.
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 mod agents;
 mod answers;
 mod cancels;
+mod crashes;
 mod dispatcher;
 mod ends;
 mod event;
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -7,6 +7,7 @@
 use wire::{StartTask, ToAgent};
 
 use crate::agents::Agent;
+use crate::crashes::Crashes;
 use crate::dispatcher::{Dispatcher, QueueEntry, Timing, queue_entry};
 use crate::event::{Action, JobRequest, News, SessionId};
 use crate::job::{Job, Task, TaskState};
@@ -137,6 +138,7 @@
             timing: &self.timing,
             usual: pass.usual,
             policy: self.policy,
+            crashes: &self.crashes,
         };
         look.choose(job, entry.index, self.agents.len()).map_or(Choice::Nowhere, Choice::At)
     }
@@ -244,13 +246,15 @@
     /// The slowdown that half of the agents do not exceed.
     usual: f64,
     policy: Policy,
+    crashes: &'a Crashes,
 }
 
 impl Look<'_> {
     /// The agent that is best for a task, if any has room; `known` agents have a session.
     fn choose(self, job: &Job, index: u32, known: usize) -> Option<SessionId> {
-        let Self { agents, now, timing, usual, policy } = self;
+        let Self { agents, now, timing, usual, policy, crashes } = self;
         let request = &job.request;
+        let key = TaskId { job: request.id.clone(), index };
         let task = &job.tasks[index as usize];
         let fit = |(id, agent, free): &(&SessionId, &Agent, Resources)| {
             agent.serves(&request.service, now, timing.agent_silence)
@@ -259,6 +263,7 @@
                 && has_place_beside(job, **id)
                 && !(just_tried(task, **id, now) && known > 1)
                 && !(agent.load.on_trial && task.failures > 0)
+                && !agent.name().is_some_and(|name| crashes.has_crashed(&key, name))
         };
         let fitting = agents.map(|(id, agent)| (id, agent, agent.free(now))).filter(fit);
         let scored =
--- a/components/dispatch/src/reports.rs
+++ b/components/dispatch/src/reports.rs
@@ -36,10 +36,13 @@
         }
         job.may_have_run |= !matches!(end, TaskEnd::NotRun(_));
         task.failures += u32::from(end == TaskEnd::Failed);
-        task.losses += u32::from(matches!(end, TaskEnd::Lost | TaskEnd::Stopped));
+        task.losses +=
+            u32::from(matches!(end, TaskEnd::Lost | TaskEnd::Stopped | TaskEnd::Crashed));
         let again = match end {
             TaskEnd::Done => None,
-            TaskEnd::Failed | TaskEnd::Lost | TaskEnd::Stopped => Some(AVOID_BAD),
+            TaskEnd::Failed | TaskEnd::Lost | TaskEnd::Stopped | TaskEnd::Crashed => {
+                Some(AVOID_BAD)
+            }
             TaskEnd::NotRun(wire::Refusal::Room) => Some(AVOID_FULL),
             TaskEnd::NotRun(_) => Some(AVOID_BAD),
         };
@@ -63,6 +66,7 @@
             return self.cancel_own(now, &key.job, out);
         }
         let attempts = job.request.max_attempts;
+        self.note_crash_by(now, id, &key, end);
         self.note_end(id, &key, end, failures, out);
         if answered {
             return;
@@ -70,6 +74,9 @@
         if failures >= attempts.max(1) {
             return self.finish(now, &key.job, Outcome::Failed(Reason::Attempts), out);
         }
+        if self.give_up_crashing(now, &key.job, out) {
+            return;
+        }
         if losses >= LOSSES {
             return self.finish(now, &key.job, Outcome::MayHaveRun(Reason::Losses), out);
         }
@@ -91,7 +98,7 @@
         match end {
             TaskEnd::Done => return,
             TaskEnd::Failed => self.counters.failures += 1,
-            TaskEnd::Lost | TaskEnd::Stopped => self.counters.losses += 1,
+            TaskEnd::Lost | TaskEnd::Stopped | TaskEnd::Crashed => self.counters.losses += 1,
             TaskEnd::NotRun(_) => self.counters.refused_starts += 1,
         }
         let Some(agent) = self.agents.get(&id).and_then(|agent| agent.name()) else { return };
--- a/components/dispatch/src/waits.rs
+++ b/components/dispatch/src/waits.rs
@@ -20,6 +20,7 @@
         }
         self.waits_ended = now;
         self.cancelled.forget(now);
+        self.crashes.forget(now);
         let mut over = Vec::new();
         let mut gone = Vec::new();
         let mut returned = Vec::new();
--- a/components/runner/src/event.rs
+++ b/components/runner/src/event.rs
@@ -11,13 +11,40 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SessionId(pub u64);
 
-/// One life of a target, by the id that it gives itself.
+/// One life of a target. One that starts again may keep its id; the moment of its start then tells
+/// its lives apart.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct TargetId(pub Arc<str>);
+pub struct TargetLife {
+    /// The id that it gives itself.
+    pub id: Arc<str>,
+    /// When it started, in ms of the Unix epoch by its own clock; `None` where it does not tell. Clocks
+    /// are set back, so that a later life may tell an earlier start.
+    pub started_ms: Option<u64>,
+}
+
+impl TargetLife {
+    /// A life that does not tell when it started.
+    pub fn named(id: impl Into<Arc<str>>) -> Self {
+        Self { id: id.into(), started_ms: None }
+    }
+
+    /// Whether nothing says that two names are of different lives: orders and their answers may name
+    /// the id alone.
+    pub fn may_be(&self, other: &Self) -> bool {
+        let same_start = match (self.started_ms, other.started_ms) {
+            (Some(own), Some(others)) => own == others,
+            _ => true,
+        };
+        self.id == other.id && same_start
+    }
+}
 
-impl fmt::Display for TargetId {
+impl fmt::Display for TargetLife {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+        match self.started_ms {
+            Some(started) => write!(f, "{} started at {started}", self.id),
+            None => f.write_str(&self.id),
+        }
     }
 }
 
@@ -25,7 +52,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetReport {
     /// Which of its lives.
-    pub id: TargetId,
+    pub id: TargetLife,
     /// The service that it takes work of.
     pub service: Arc<str>,
     /// Its data hall.
@@ -38,7 +65,7 @@
     pub draining: bool,
     /// While it drains: the least time that is left.
     pub remaining: Option<Duration>,
-    /// Its steady clock, in ms.
+    /// Its steady clock, in ms; each life's begins anew.
     pub clock_ms: u64,
     /// Rises with each report of one life; that of another life says nothing of it.
     pub sequence: u64,
@@ -48,7 +75,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RunKey {
     /// The target's life.
-    pub target: TargetId,
+    pub target: TargetLife,
     /// The task.
     pub task: TaskId,
     /// Counts the task's starts.
@@ -81,7 +108,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HoldOrder {
     /// The target's life.
-    pub target: TargetId,
+    pub target: TargetLife,
     /// The lease's end on the target's clock, in ms; `None` where it is not to be renewed.
     pub deadline_ms: Option<u64>,
     /// Higher than that of any earlier life of the agent.
@@ -185,6 +212,8 @@
 pub enum HoldReply {
     /// The lease is renewed.
     Lists {
+        /// When the life that answers started, as in [`TargetLife`].
+        started_ms: Option<u64>,
         /// Its clock, in ms.
         clock_ms: u64,
         /// What runs.
@@ -226,13 +255,15 @@
     /// The target reports of itself.
     Target(TargetReport),
     /// The target says that it ends now.
-    TargetLeft(TargetId),
+    TargetLeft(TargetLife),
+    /// An order for a life could not be sent, as nothing listens at the target's address.
+    NoListener(TargetLife),
     /// The answer to a start.
     Started(RunKey, StartReply),
     /// The answer to a stop.
     Stopped(RunKey, StopReply),
     /// The answer to a hold.
-    Held(TargetId, HoldReply),
+    Held(TargetLife, HoldReply),
     /// A newer document.
     Document(Document),
     /// A keeper tells which halls are emptied.
@@ -266,35 +297,35 @@
     /// A target's new life is taken on.
     TargetFound {
         /// Its life.
-        id: TargetId,
+        id: TargetLife,
         /// The fencing token that it is given.
         fencing_token: u64,
     },
     /// A target's life is over.
     TargetGone {
         /// Its life.
-        id: TargetId,
+        id: TargetLife,
         /// Runs that went with it.
         lost: usize,
     },
     /// A life that nothing is known of reported while another is there: it is asked.
-    TargetAsked(TargetId),
+    TargetAsked(TargetLife),
     /// A report was overtaken by newer ones of its life, or its life is over: nothing in it counts
     /// but that the present life is about to leave.
     TargetReportLate {
         /// The life that it is of.
-        id: TargetId,
+        id: TargetLife,
         /// Its number within that life.
         sequence: u64,
         /// The life that is there now.
-        present: Option<TargetId>,
+        present: Option<TargetLife>,
         /// The highest number that was heard of that one; 0 for none.
         present_sequence: u64,
     },
     /// The target does not answer.
-    TargetSilent(TargetId),
+    TargetSilent(TargetLife),
     /// The target answers again.
-    TargetHeard(TargetId),
+    TargetHeard(TargetLife),
     /// Other halls are emptied than before.
     Halls {
         /// Those that are, and the revision of the order.
@@ -305,7 +336,7 @@
         source: HallsSource,
     },
     /// The target is about to leave: no new work.
-    TargetDrains(TargetId),
+    TargetDrains(TargetLife),
     /// The target fails what it runs: left out for a while.
     TargetLeftOut {
         /// Failures in a row.
--- a/components/runner/src/hold.rs
+++ b/components/runner/src/hold.rs
@@ -7,7 +7,7 @@
 use wire::TaskEnd;
 
 use crate::event::{
-    Action, EndReason, HoldOrder, HoldReply, News, RunKey, StopOrder, TargetEnd, TargetId,
+    Action, EndReason, HoldOrder, HoldReply, News, RunKey, StopOrder, TargetEnd, TargetLife,
     TargetRun,
 };
 use crate::run::{Run, RunState};
@@ -23,7 +23,7 @@
 /// A run that this many holds in a row did not list, nor its end, is gone.
 const UNLISTED: u32 = 3;
 /// A hold that was sent this soon after a start may not list its run yet.
-const START_SLACK: Duration = Duration::from_millis(100);
+pub(crate) const START_SLACK: Duration = Duration::from_millis(100);
 
 impl Runner {
     /// Sends the next hold where none is under way, and takes note of a silent target.
@@ -83,13 +83,15 @@
         if !target.has_lapsed(now) {
             return;
         }
-        let tasks: Vec<TaskId> = self
-            .runs
-            .iter()
-            .filter(|(_, run)| run.takes_room())
-            .map(|(task, _)| task.clone())
-            .collect();
-        tasks.iter().for_each(|task| self.end(now, task, TaskEnd::Lost, out));
+        // One that only leaves orders unanswered may be well, and its tasks with it.
+        let has_crashed = target.no_listener.is_some();
+        let end_of = |run: &Run| match has_crashed && target.crashed_under(now, run) {
+            true => TaskEnd::Crashed,
+            false => TaskEnd::Lost,
+        };
+        let gone = self.runs.iter().filter(|(_, run)| run.takes_room());
+        let ends = gone.map(|(task, run)| (task.clone(), end_of(run))).collect();
+        self.end_with_target(now, ends, out);
     }
 
     /// The target answered something.
@@ -103,19 +105,31 @@
     pub(crate) fn held(
         &mut self,
         now: Time,
-        id: &TargetId,
+        id: &TargetLife,
         reply: HoldReply,
         out: &mut Vec<Action>,
     ) {
         if self.newcomer_answered(now, id, &reply, out) {
             return;
         }
-        let Some(target) = self.target.as_mut().filter(|target| target.id() == id) else { return };
+        if !self.target.as_ref().is_some_and(|target| target.id().may_be(id)) {
+            return;
+        }
+        if self.is_answered_by_another(now, &reply, out) {
+            return;
+        }
+        let Some(target) = &mut self.target else { return };
         let sent = target.holding.take().unwrap_or(now);
         match reply {
-            HoldReply::Lists { clock_ms, running, ended } => {
+            HoldReply::Lists { clock_ms, running, ended, .. } => {
                 target.clock_is(now, clock_ms);
-                target.heard = now;
+                target.is_heard(now);
+                if target.leave_doubted.is_some_and(|left| left < sent) {
+                    // It was the leave of an earlier life.
+                    target.leave_doubted = None;
+                    self.mark_dirty();
+                }
+                let Some(target) = &mut self.target else { return };
                 if std::mem::take(&mut target.silent) {
                     out.push(Action::News(News::TargetHeard(id.clone())));
                     self.mark_dirty();
@@ -126,7 +140,7 @@
             HoldReply::Fence { clock_ms } => {
                 target.clock_is(now, clock_ms);
                 target.hold_from = now + RETRY;
-                self.raise_fence();
+                target.raise_fence(now);
             }
             HoldReply::OtherLife => self.target_gone(now, out),
             HoldReply::Silent => {
--- a/components/runner/src/lib.rs
+++ b/components/runner/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use event::{
     Action, EndReason, Event, HallsSource, HoldOrder, HoldReply, News, RunKey, SessionId,
-    StartOrder, StartRefusal, StartReply, StopOrder, StopReply, TargetEnd, TargetId, TargetReport,
-    TargetRun,
+    StartOrder, StartRefusal, StartReply, StopOrder, StopReply, TargetEnd, TargetLife,
+    TargetReport, TargetRun,
 };
 pub use runner::{Runner, RunnerCounters, Timing};
--- a/components/runner/src/lives.rs
+++ b/components/runner/src/lives.rs
@@ -1,16 +1,21 @@
 //! Which life of the target is the present one.
 //!
 //! A report may come late: after newer ones of its life, and after its sender has crashed and
-//! another life has registered at the same address. Ids of lives have no order, and neither have
-//! the clocks and the sequence numbers of two lives. But an address has one life at a time, and an
-//! order names the life that it is for. So a life that nothing is known of is asked while another
-//! is there: once it answers an order that was sent after its report came, it is the present one,
-//! and the lives before it are over; where another life answers, it is over itself.
+//! another life has registered at the same address. Lives have no order: neither their ids, nor the
+//! clocks and the sequence numbers of two of them, nor the moments of their starts, as the time of
+//! day may be set back. But an address has one life at a time. So a life that nothing is known of is
+//! asked while another is there: once it answers an order that was sent after its report came, it
+//! is the present one, and the lives before it are over; where another life answers, it is over itself.
+//!
+//! An order names the id alone. Where a target keeps its id, its next life takes orders that were meant
+//! for the one before, so that only an answer which tells the moment of the start shows whose it is.
 
-use model::Time;
+use model::{TaskId, Time};
 use wire::Refusal;
 
-use crate::event::{Action, HoldReply, News, TargetId, TargetReport};
+use crate::event::{Action, HoldReply, News, TargetLife, TargetReport, TargetRun};
+use crate::hold::START_SLACK;
+use crate::run::{Run, RunState};
 use crate::runner::Runner;
 use crate::target::{Heard, Target};
 
@@ -20,6 +25,29 @@
 /// Newcomers that are asked at a time. More than one takes two crashes within an order's time.
 const NEWCOMERS: usize = 4;
 
+/// What the next life of a target may run of what was ordered of the one before.
+pub(crate) enum NextLife<'a> {
+    /// It has another id, or nothing is known of it.
+    TakesNone,
+    /// It has the same id, and runs this. What was on its way to the life before may reach it.
+    TakesOrders(&'a [TargetRun]),
+}
+
+impl NextLife<'_> {
+    pub fn may_run(&self, now: Time, task: &TaskId, run: &Run) -> bool {
+        let Self::TakesOrders(running) = self else { return false };
+        let is_listed = running.iter().any(|listed| listed.task == *task && listed.run == run.run);
+        let is_on_its_way = match run.state {
+            RunState::Starting => true,
+            RunState::Stopping(stop) => stop.doubtful,
+            // What was listed may be older than its start.
+            RunState::Running => now.since(run.since) < START_SLACK,
+            RunState::Waiting => false,
+        };
+        is_on_its_way || (is_listed && run.takes_room())
+    }
+}
+
 impl Runner {
     /// The target reports of itself.
     pub(crate) fn target_reports(
@@ -33,7 +61,7 @@
         }
         match &self.target {
             None => self.adopt(Target::new(report, now), out),
-            Some(target) if *target.id() == report.id => self.hear_target(now, report, out),
+            Some(target) if target.may_report(&report.id) => self.hear_target(now, report, out),
             Some(_) => self.hear_newcomer(now, report, out),
         }
     }
@@ -52,7 +80,11 @@
             self.newcomers.remove(0);
         }
         out.push(Action::News(News::TargetAsked(report.id.clone())));
-        self.newcomers.push(Target::new(report, now));
+        let mut newcomer = Target::new(report, now);
+        if let Some(target) = &self.target {
+            newcomer.follow(target);
+        }
+        self.newcomers.push(newcomer);
     }
 
     /// The present life of the target reports of itself.
@@ -74,14 +106,32 @@
     }
 
     /// The target says that it ends now: whatever else comes from this life is late.
-    pub(crate) fn target_left(&mut self, now: Time, id: &TargetId, out: &mut Vec<Action>) {
-        if self.target.as_ref().is_some_and(|target| target.id() == id) {
+    pub(crate) fn target_left(&mut self, now: Time, id: &TargetLife, out: &mut Vec<Action>) {
+        if let Some(target) = self.target.as_mut().filter(|target| target.id() == id) {
+            target.report.draining = true;
             return self.target_gone(now, out);
         }
+        if let Some(target) = &mut self.target
+            && target.id().may_be(id)
+        {
+            // It may be a late word of an earlier life. A life that has ended answers nothing more,
+            // and its lease runs out.
+            target.leave_doubted = Some(now);
+            self.refuse_waiting(now, Refusal::Closed, out);
+            return self.mark_dirty();
+        }
         self.newcomers.retain(|newcomer| newcomer.id() != id);
         self.remember_gone(id.clone());
     }
 
+    /// No process of the target is there to take an order.
+    pub(crate) fn nothing_listens(&mut self, now: Time, id: &TargetLife) {
+        if let Some(target) = self.target.as_mut().filter(|target| target.id().may_be(id)) {
+            target.no_listener.get_or_insert(now);
+            target.fails(now);
+        }
+    }
+
     /// Asks newcomers for a sign of life, again where there was no answer.
     pub(crate) fn ask_newcomers(&mut self, now: Time, out: &mut Vec<Action>) {
         let timing = self.timing;
@@ -89,23 +139,66 @@
         out.extend(asked.map(Action::Hold));
     }
 
+    /// A hold for the target was answered by a life with another start: the target's life is over. Returns
+    /// whether that is so.
+    pub(crate) fn is_answered_by_another(
+        &mut self,
+        now: Time,
+        reply: &HoldReply,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let HoldReply::Lists { started_ms: Some(started), clock_ms, running, .. } = reply else {
+            return false;
+        };
+        let Some(target) = &mut self.target else { return false };
+        match target.id().started_ms {
+            Some(own) if own == *started => return false,
+            None => {
+                target.started_at(now, *started);
+                return false;
+            }
+            Some(_) => {}
+        }
+        let present = TargetLife { id: target.id().id.clone(), started_ms: Some(*started) };
+        let known = self.newcomers.iter().position(|newcomer| *newcomer.id() == present);
+        let next = match known {
+            Some(at) => self.newcomers.remove(at),
+            None => target.before_its_report(now, present, *clock_ms),
+        };
+        self.replace_life(now, next, running, out);
+        true
+    }
+
     /// A life answered a hold. Returns whether that was the answer of a newcomer which stays one,
     /// or is over; a newcomer that is alive becomes the target, and its answer is the target's.
     pub(crate) fn newcomer_answered(
         &mut self,
         now: Time,
-        id: &TargetId,
+        id: &TargetLife,
         reply: &HoldReply,
         out: &mut Vec<Action>,
     ) -> bool {
         let Some(at) = self.newcomers.iter().position(|newcomer| newcomer.id() == id) else {
             return false;
         };
+        let answered_by = match reply {
+            HoldReply::Lists { started_ms, .. } => *started_ms,
+            _ => None,
+        };
         match reply {
             HoldReply::OtherLife => {
-                let newcomer = self.newcomers.remove(at);
-                self.remember_gone(id.clone());
-                self.report_is_late(id, newcomer.report.sequence, out);
+                self.newcomer_is_over(at, out);
+                true
+            }
+            // The target answers: it has the same id.
+            HoldReply::Lists { .. } if self.is_other_start(at, answered_by) => {
+                self.newcomer_is_over(at, out);
+                true
+            }
+            // Whichever life it was: it may have been the target, which has the same id.
+            HoldReply::Fence { .. } if self.shares_id(at) => {
+                self.newcomers[at].unanswered(now);
+                self.newcomers[at].raise_fence(now);
                 true
             }
             HoldReply::Silent => {
@@ -117,18 +210,71 @@
                 self.newcomers[at].unanswered(now);
                 true
             }
-            HoldReply::Lists { .. } | HoldReply::Fence { .. } => {
+            HoldReply::Lists { running, .. } => {
                 let newcomer = self.newcomers.remove(at);
-                self.end_life(now, out);
-                self.adopt(newcomer, out);
+                self.replace_life(now, newcomer, running, out);
                 false
             }
+            HoldReply::Fence { .. } => {
+                let newcomer = self.newcomers.remove(at);
+                self.replace_life(now, newcomer, &[], out);
+                false
+            }
+        }
+    }
+
+    /// Whether an answer to a newcomer's hold tells another start than the newcomer did. Where the newcomer told
+    /// none, the target is the one that has this id and start.
+    fn is_other_start(&self, newcomer: usize, answered_by: Option<u64>) -> bool {
+        let Some(started) = answered_by else { return false };
+        let id = self.newcomers[newcomer].id();
+        match id.started_ms {
+            Some(own) => own != started,
+            None => {
+                let answering = TargetLife { id: id.id.clone(), started_ms: Some(started) };
+                self.target.as_ref().is_some_and(|target| *target.id() == answering)
+            }
+        }
+    }
+
+    /// Whether a newcomer has the id of the target.
+    fn shares_id(&self, newcomer: usize) -> bool {
+        let id = &self.newcomers[newcomer].id().id;
+        self.target.as_ref().is_some_and(|target| target.id().id == *id)
+    }
+
+    fn newcomer_is_over(&mut self, at: usize, out: &mut Vec<Action>) {
+        let newcomer = self.newcomers.remove(at);
+        self.remember_gone(newcomer.id().clone());
+        self.report_is_late(newcomer.id(), newcomer.report.sequence, out);
+    }
+
+    /// The next life of the target is there, and runs this. A start that was meant for the life before may
+    /// have reached it where both have one id: such a run is stopped before it counts as lost.
+    fn replace_life(
+        &mut self,
+        now: Time,
+        next: Target,
+        running: &[TargetRun],
+        out: &mut Vec<Action>,
+    ) {
+        let shares_id = self.target.as_ref().is_some_and(|target| target.id().id == next.id().id);
+        let mut next = next;
+        if shares_id {
+            next.lease_is_unknown(now, self.timing.longest_lease);
+        }
+        let takes = if shares_id { NextLife::TakesOrders(running) } else { NextLife::TakesNone };
+        self.end_life(now, takes, out);
+        self.adopt(next, out);
+        let kept: Vec<TaskId> = self.runs.keys().cloned().collect();
+        for task in kept {
+            self.stop_doubtful(now, &task, out);
         }
     }
 
     /// A life of the target is over. A newcomer is taken on as any life is while there is none.
     pub(crate) fn target_gone(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.end_life(now, out);
+        self.end_life(now, NextLife::TakesNone, out);
         if let Some(newcomer) = self.newcomers.pop() {
             self.adopt(newcomer, out);
         }
@@ -147,7 +293,7 @@
     }
 
     /// Remembers a life as over.
-    pub(crate) fn remember_gone(&mut self, id: TargetId) {
+    pub(crate) fn remember_gone(&mut self, id: TargetLife) {
         if self.gone.contains(&id) {
             return;
         }
@@ -157,7 +303,7 @@
         }
     }
 
-    fn report_is_late(&mut self, id: &TargetId, sequence: u64, out: &mut Vec<Action>) {
+    fn report_is_late(&mut self, id: &TargetLife, sequence: u64, out: &mut Vec<Action>) {
         self.counters.late_reports += 1;
         let present = self.target.as_ref().map(|target| &target.report);
         out.push(Action::News(News::TargetReportLate {
--- a/components/runner/src/orders.rs
+++ b/components/runner/src/orders.rs
@@ -86,7 +86,7 @@
 
     /// The run that a key names, if it is here and the target's life is the same.
     fn find(&mut self, key: &RunKey) -> Option<&mut Run> {
-        let same_life = self.target.as_ref().is_some_and(|target| *target.id() == key.target);
+        let same_life = self.target.as_ref().is_some_and(|target| target.id().may_be(&key.target));
         self.runs.get_mut(&key.task).filter(|run| same_life && run.run == key.run)
     }
 
@@ -167,7 +167,9 @@
             }
             StartRefusal::Late if again => self.send_start(now, task, out),
             StartRefusal::Fence if again => {
-                self.raise_fence();
+                if let Some(target) = &mut self.target {
+                    target.raise_fence(now);
+                }
                 self.send_start(now, task, out);
             }
             StartRefusal::Room => self.end(now, task, TaskEnd::NotRun(Refusal::Room), out),
@@ -176,15 +178,6 @@
         }
     }
 
-    /// The target may have seen a token that is higher than its clock was told to be.
-    pub(crate) fn raise_fence(&mut self) {
-        let now = self.last_event;
-        if let Some(target) = &mut self.target {
-            let clock = target.deadline_ms(now, Duration::ZERO);
-            target.fencing_token = clock.max(target.fencing_token + 1);
-        }
-    }
-
     /// A start was not answered: it may run, or may be carried out later. The same start again does
     /// no harm, since the target takes each number once. Where that is not answered either, a stop
     /// of the same run is the proof that it does not run.
@@ -207,7 +200,7 @@
     }
 
     /// Stops a run of which nobody knows whether it ever ran.
-    fn stop_doubtful(&mut self, now: Time, task: &TaskId, out: &mut Vec<Action>) {
+    pub(crate) fn stop_doubtful(&mut self, now: Time, task: &TaskId, out: &mut Vec<Action>) {
         let Some(run) = self.runs.get_mut(task) else { return };
         run.state = RunState::Stopping(Stopping::new(now, true));
         self.send_stop(task, out);
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use model::{CancelledJobs, JobId, NodeName, Resources, TaskId, Time};
-use wire::{Document, EmptiedHalls, Refusal, TaskEnd, TaskReport};
+use wire::{Document, EmptiedHalls, Refusal, TaskEnd, TaskReport, ToEntry};
 
-use crate::event::{Action, Event, HallsSource, News, SessionId, TargetId};
+use crate::event::{Action, Event, HallsSource, News, SessionId, TargetLife};
 use crate::health::Change;
+use crate::lives::NextLife;
 use crate::run::{Run, RunState, Stopping};
 use crate::sessions::Session;
 use crate::target::Target;
@@ -21,6 +22,8 @@
     /// after which clients send again: then nothing of a first try runs beside the second, even
     /// where an entry and an agent die one after the other.
     pub lease: Duration,
+    /// The longest lease that a target grants, whatever an order asks for.
+    pub longest_lease: Duration,
     /// How long the target may take to answer a start or a stop: it stands beside the agent.
     pub order_time: Duration,
     /// How long a hold waits for an end. While a hold is lost nothing is known of the target.
@@ -71,6 +74,7 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_millis(750),
+            longest_lease: Duration::from_secs(15),
             order_time: Duration::from_millis(40),
             hold_wait: Duration::from_millis(120),
             hold_slack: Duration::from_millis(50),
@@ -111,6 +115,8 @@
     pub stopped: u64,
     /// Tasks that are gone without an outcome.
     pub lost: u64,
+    /// Tasks that ran when the target crashed.
+    pub crashed: u64,
     /// Starts that the target refused for want of room.
     pub no_room: u64,
     /// Starts that the target did not answer.
@@ -128,7 +134,7 @@
     pub(crate) timing: Timing,
     pub(crate) target: Option<Target>,
     /// Lives of the target that are over.
-    pub(crate) gone: Vec<TargetId>,
+    pub(crate) gone: Vec<TargetLife>,
     /// Lives that reported while another was there, in the order in which they were heard of: the
     /// next ones, or late reports of earlier ones.
     pub(crate) newcomers: Vec<Target>,
@@ -141,6 +147,8 @@
     /// run of the same task gets a higher number, so that a late end is not taken for its own.
     pub(crate) lost: BTreeMap<TaskId, (u64, Time)>,
     pub(crate) cancelled: CancelledJobs,
+    /// Tasks that ran when the target crashed, and when that is forgotten.
+    pub(crate) crashed: BTreeMap<TaskId, Time>,
     pub(crate) turns: Turns,
     pub(crate) draining: bool,
     /// When this life of the agent began.
@@ -151,6 +159,8 @@
 
 /// How long lost runs are remembered: longer than a target holds back ends.
 const LOST_KEPT: Duration = Duration::from_secs(20);
+/// How long the tasks that ran at a crash are remembered: many times as long as a client sends a job again.
+const CRASHED_KEPT: Duration = Duration::from_secs(20);
 /// From one tick to the next, at most.
 const TICK: Duration = Duration::from_millis(20);
 const IDLE_TICK: Duration = Duration::from_millis(100);
@@ -170,6 +180,7 @@
             halls: EmptiedHalls::default(),
             lost: BTreeMap::new(),
             cancelled: CancelledJobs::default(),
+            crashed: BTreeMap::new(),
             turns: Turns::default(),
             draining: false,
             began: now,
@@ -192,6 +203,7 @@
             Event::FromEntry(session, message) => self.hear_entry(now, session, message, out),
             Event::Target(report) => self.target_reports(now, report, out),
             Event::TargetLeft(id) => self.target_left(now, &id, out),
+            Event::NoListener(id) => self.nothing_listens(now, &id),
             Event::Started(key, reply) => self.started(now, &key, reply, out),
             Event::Stopped(key, reply) => self.stop_answered(now, &key, reply, out),
             Event::Held(id, reply) => self.held(now, &id, reply, out),
@@ -263,6 +275,9 @@
                 || target.health.is_out(now)
                 || orphans_only
                 || target.is_report_dated(self.began)
+                || target.leave_doubted.is_some()
+                || target.is_unreported
+                || target.no_listener.is_some()
         };
         !self.draining
             && !self.is_hall_emptied()
@@ -274,6 +289,7 @@
         self.end_retired_sessions(now, out);
         self.cancelled.forget(now);
         self.lost.retain(|_, (_, until)| *until > now);
+        self.crashed.retain(|_, until| *until > now);
         if let Some(target) = &mut self.target {
             target.forget(now);
         }
@@ -298,27 +314,50 @@
         }
     }
 
-    /// A life of the target is over, and all that ran there with it.
-    pub(crate) fn end_life(&mut self, now: Time, out: &mut Vec<Action>) {
+    /// A life of the target is over, and with it all that ran there but what its next life may run: that is kept.
+    pub(crate) fn end_life(&mut self, now: Time, next: NextLife, out: &mut Vec<Action>) {
         let Some(target) = self.target.take() else { return };
         self.remember_gone(target.id().clone());
-        let tasks: Vec<TaskId> = self.runs.keys().cloned().collect();
-        out.push(Action::News(News::TargetGone { id: target.id().clone(), lost: tasks.len() }));
-        for task in tasks {
-            let waiting = self.runs.get(&task).is_some_and(|run| !run.takes_room());
-            let end = if waiting { TaskEnd::NotRun(Refusal::Closed) } else { TaskEnd::Lost };
-            self.end(now, &task, end, out);
-        }
+        let is_kept = |task: &TaskId, run: &Run| next.may_run(now, task, run);
+        let end_of = |run: &Run| match run.state {
+            RunState::Waiting => TaskEnd::NotRun(Refusal::Closed),
+            _ if target.crashed_under(now, run) => TaskEnd::Crashed,
+            _ => TaskEnd::Lost,
+        };
+        let over = self.runs.iter().filter(|(task, run)| !is_kept(task, run));
+        let ends: Vec<(TaskId, TaskEnd)> =
+            over.map(|(task, run)| (task.clone(), end_of(run))).collect();
+        out.push(Action::News(News::TargetGone { id: target.id().clone(), lost: ends.len() }));
+        self.end_with_target(now, ends, out);
         self.mark_dirty();
     }
 
+    /// Runs are over with their target. Every entry is told under which of them it has crashed.
+    pub(crate) fn end_with_target(
+        &mut self,
+        now: Time,
+        ends: Vec<(TaskId, TaskEnd)>,
+        out: &mut Vec<Action>,
+    ) {
+        let crashed = ends.iter().filter(|(_, end)| *end == TaskEnd::Crashed);
+        let crashed: Vec<TaskId> = crashed.map(|(task, _)| task.clone()).collect();
+        if !crashed.is_empty() {
+            let told = || ToEntry::TargetCrashed(crashed.clone());
+            out.extend(self.sessions.keys().map(|id| Action::Send(*id, told())));
+        }
+        ends.into_iter().for_each(|(task, end)| self.end(now, &task, end, out));
+    }
+
     /// A run is over: tells its entry, and frees its room.
     pub(crate) fn end(&mut self, now: Time, task: &TaskId, end: TaskEnd, out: &mut Vec<Action>) {
         let Some(run) = self.runs.remove(task) else { return };
         let ran = if run.takes_room() { now.since(run.since) } else { Duration::ZERO };
-        if end == TaskEnd::Lost {
+        if matches!(end, TaskEnd::Lost | TaskEnd::Crashed) {
             self.lost.insert(task.clone(), (run.run, now + LOST_KEPT));
         }
+        if end == TaskEnd::Crashed {
+            self.crashed.insert(task.clone(), now + CRASHED_KEPT);
+        }
         self.count(end);
         self.learn(now, &run, end, ran, out);
         out.push(Action::News(News::Run {
@@ -364,6 +403,7 @@
             TaskEnd::Stopped => &mut self.counters.stopped,
             TaskEnd::NotRun(_) => &mut self.counters.not_run,
             TaskEnd::Lost => &mut self.counters.lost,
+            TaskEnd::Crashed => &mut self.counters.crashed,
         };
         *counter += 1;
     }
--- a/components/runner/src/sessions.rs
+++ b/components/runner/src/sessions.rs
@@ -130,6 +130,8 @@
             Some(Refusal::Cancelled)
         } else if !self.is_open(now) {
             Some(Refusal::Closed)
+        } else if self.crashed.contains_key(&task) {
+            Some(Refusal::CrashedTarget)
         } else if self.runs.contains_key(&task) {
             // A run of it for another entry, or an earlier one, has not come to its end yet.
             Some(Refusal::Target)
--- a/components/runner/src/target.rs
+++ b/components/runner/src/target.rs
@@ -4,10 +4,11 @@
 
 use model::{Resources, Time};
 
-use crate::event::{HoldOrder, TargetId, TargetReport};
+use crate::event::{HoldOrder, TargetLife, TargetReport};
 use crate::health::Health;
 use crate::hold::RETRY;
 use crate::hold_times::HoldTimes;
+use crate::run::{Run, RunState};
 use crate::runner::Timing;
 
 /// One life of the target.
@@ -42,6 +43,25 @@
     pub ended: Time,
     /// While it is a newcomer: another life was taken on since the hold that is under way was sent.
     pub is_overtaken: bool,
+    /// When someone with its id said that it ends, without saying which life: no new work until it
+    /// answers a hold that was sent after that.
+    pub leave_doubted: Option<Time>,
+    /// Since when it answers no orders.
+    failing_since: Option<Time>,
+    /// It had left an order unanswered a while before that.
+    failed_before: bool,
+    /// It has answered, but not reported of itself yet: what it has is not known.
+    pub is_unreported: bool,
+    /// Since when nothing listens at its address.
+    pub no_listener: Option<Time>,
+    /// How often it refused the fencing token.
+    fence_refusals: u32,
+}
+
+/// A token above all that earlier lives of the agent took, without anything on a disk: a target's clock only goes
+/// forward, and where it keeps its id, the moment of its start does.
+fn fencing_token(id: &TargetLife, clock_ms: u64) -> u64 {
+    id.started_ms.unwrap_or(0) + clock_ms
 }
 
 /// What a report changes in what was known of its life.
@@ -64,6 +84,12 @@
 /// A report may have been sent so long before the agent began. A leave that an earlier life of the
 /// agent acknowledged since is then told again well before work has to stop, 2 s after it.
 const REPORT_SLACK: Duration = Duration::from_millis(500);
+/// The largest step of a fencing token is two to this power: beyond all clocks, and far from an overflow.
+const MOST_FENCE_DOUBLINGS: u32 = 52;
+/// A target that is well answers each hold within the time that it waits, and a little more.
+const HEARD_LATELY: Duration = Duration::from_millis(250);
+/// A target that has left an order unanswered is thought to do so again for so long.
+const FAILED_BEFORE_KEPT: Duration = Duration::from_secs(5);
 /// Weight of one task in the smoothed slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.15;
 /// Without an end for so long, what was learned wears off by a part,
@@ -76,9 +102,7 @@
 impl Target {
     pub fn new(report: TargetReport, now: Time) -> Self {
         Self {
-            // Its clock only goes forward, so that this is higher than what any earlier life of
-            // the agent took, without anything on a disk.
-            fencing_token: report.clock_ms,
+            fencing_token: fencing_token(&report.id, report.clock_ms),
             clock: (report.clock_ms, now),
             report,
             last_seen: 0,
@@ -94,24 +118,85 @@
             judged: now,
             ended: now,
             is_overtaken: false,
+            leave_doubted: None,
+            failing_since: None,
+            failed_before: false,
+            is_unreported: false,
+            no_listener: None,
+            fence_refusals: 0,
+        }
+    }
+
+    /// The next life of this target, which has answered an order and not reported of itself yet.
+    pub fn before_its_report(&self, now: Time, id: TargetLife, clock_ms: u64) -> Self {
+        let report = TargetReport {
+            id,
+            draining: false,
+            remaining: None,
+            clock_ms,
+            sequence: 0,
+            ..self.report.clone()
+        };
+        let mut next = Self { is_unreported: true, ..Self::new(report, now) };
+        next.follow(self);
+        next
+    }
+
+    /// While it is a newcomer: it may be the next life of a target that keeps its id. Its token is above
+    /// that life's then, so that nothing ordered of that life is carried out late by this one.
+    pub fn follow(&mut self, before: &Target) {
+        if self.id().id == before.id().id {
+            self.fencing_token = self.fencing_token.max(before.fencing_token);
         }
     }
 
-    pub fn id(&self) -> &TargetId {
+    /// It may have taken an order that was meant for an earlier life, with a lease that ends by that one's clock.
+    pub fn lease_is_unknown(&mut self, now: Time, longest: Duration) {
+        self.renew(now, longest);
+    }
+
+    pub fn id(&self) -> &TargetLife {
         &self.report.id
     }
 
+    /// Whether a report with this name is one of this life, or of a writer that leaves the start out.
+    pub fn may_report(&self, id: &TargetLife) -> bool {
+        let leaves_out = id.started_ms.is_none() && id.id == self.id().id;
+        *self.id() == *id || leaves_out
+    }
+
+    /// Its answer tells when it started; its report did not. Reports that do are all newer.
+    pub fn started_at(&mut self, now: Time, started_ms: u64) {
+        self.report.id.started_ms = Some(started_ms);
+        self.report.sequence = 0;
+        self.fencing_token = self.fencing_token.max(self.present_token(now));
+    }
+
+    fn present_token(&self, now: Time) -> u64 {
+        fencing_token(self.id(), self.deadline_ms(now, Duration::ZERO))
+    }
+
+    /// It has seen a higher token, of an earlier life of the agent or one that was meant for an earlier life of
+    /// itself. Steps that double reach any such token after few refusals.
+    pub fn raise_fence(&mut self, now: Time) {
+        let step = 1 << self.fence_refusals.min(MOST_FENCE_DOUBLINGS);
+        self.fence_refusals += 1;
+        self.fencing_token = self.present_token(now).max(self.fencing_token + step);
+    }
+
     /// Takes a report of this life. Of one that newer ones have overtaken nothing counts but that
     /// the target is about to leave: it was told that this is known, so it may end soon after, and
     /// no life takes it back.
     pub fn hear(&mut self, report: TargetReport) -> Heard {
-        let late = report.sequence < self.report.sequence;
+        let tells_less = report.id.started_ms.is_none() && self.id().started_ms.is_some();
+        let late = tells_less || report.sequence < self.report.sequence;
         let drains = report.draining && !self.report.draining;
         let draining = report.draining || self.report.draining;
         let moved = !late
             && (report.capacity != self.report.capacity || report.labels != self.report.labels);
         if !late {
             self.report = report;
+            self.is_unreported = false;
         }
         self.report.draining = draining;
         Heard { late, drains, moved }
@@ -149,6 +234,7 @@
 
     /// It has left an order unanswered.
     pub fn left_unanswered(&mut self, now: Time) {
+        self.fails(now);
         self.unanswered = Some(now);
     }
 
@@ -159,6 +245,7 @@
 
     /// Takes its clock from an answer.
     pub fn clock_is(&mut self, now: Time, clock_ms: u64) {
+        self.no_listener = None;
         if clock_ms > 0 {
             self.clock = (clock_ms, now);
         }
@@ -184,6 +271,41 @@
         self.lease_ends = self.lease_ends.max(now + span.mul_f64(SLOWEST_CLOCK) + ORDER_SLACK);
     }
 
+    /// It answered a hold.
+    pub fn is_heard(&mut self, now: Time) {
+        self.heard = now;
+        self.failing_since = None;
+    }
+
+    /// An order was not answered, or could not be sent.
+    pub fn fails(&mut self, now: Time) {
+        if self.failing_since.is_none() {
+            self.failing_since = Some(now);
+            self.failed_before =
+                self.unanswered.is_some_and(|at| now.since(at) < FAILED_BEFORE_KEPT);
+        }
+    }
+
+    /// Whether a run was there when it crashed, where it has: one that had begun, and was not stopped before.
+    pub fn crashed_under(&self, now: Time, run: &Run) -> bool {
+        let was_running = match run.state {
+            RunState::Running => true,
+            RunState::Stopping(stop) => {
+                !stop.doubtful && self.failing_since.is_some_and(|since| since <= stop.first_sent)
+            }
+            RunState::Waiting | RunState::Starting => false,
+        };
+        was_running && !self.report.draining && self.told_all_until_it_failed(now)
+    }
+
+    /// Whether it told of all that had ended there until it stopped to answer: a hold is under way all the time, and is
+    /// answered at the first end. Where this agent has not asked for a while, or the target leaves orders unanswered now and
+    /// then, nothing is known.
+    fn told_all_until_it_failed(&self, now: Time) -> bool {
+        let failed_before = self.failing_since.is_some() && self.failed_before;
+        !failed_before && self.failing_since.unwrap_or(now).since(self.heard) <= HEARD_LATELY
+    }
+
     /// Whether its lease has surely run out.
     pub fn has_lapsed(&self, now: Time) -> bool {
         now > self.lease_ends
--- a/components/wire/src/session.rs
+++ b/components/wire/src/session.rs
@@ -107,6 +107,8 @@
     Late,
     /// The job is cancelled.
     Cancelled,
+    /// The target that the agent stands beside has crashed under this task lately.
+    CrashedTarget,
 }
 
 /// What became of a task at an agent.
@@ -122,6 +124,8 @@
     NotRun(Refusal),
     /// It ran and is gone without an outcome.
     Lost,
+    /// Its target crashed while it ran. The task may be the cause, or have stood beside it.
+    Crashed,
 }
 
 /// What became of one run of a task.
@@ -165,6 +169,9 @@
     DocumentPart(Option<DocumentPart>),
     /// Other halls are emptied than before.
     Halls(EmptiedHalls),
+    /// The target has crashed while these tasks ran, whichever entry's they were: their jobs may be handed in again
+    /// anywhere.
+    TargetCrashed(Vec<TaskId>),
 }
 
 impl ToAgent {
@@ -191,6 +198,7 @@
             Self::Cancelled(_) => "cancelled",
             Self::DocumentPart(_) => "document-part",
             Self::Halls(_) => "halls",
+            Self::TargetCrashed(_) => "target-crashed",
         }
     }
 }
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -111,6 +111,8 @@
     pub stuck: Duration,
     /// With room: how many entries it serves.
     pub sizes: Sizes,
+    /// With room: the longest lease that the target grants.
+    pub longest_lease: Duration,
 }
 
 /// The keeper's part.
@@ -255,6 +257,7 @@
 fn agent(sections: &Sections) -> Result<AgentConfig, SettingsError> {
     let slots = sections.value(AGENT, "slots")?.integer();
     let stuck = sections.value(AGENT, "stuck_ms")?.integer();
+    let longest_lease = sections.value(AGENT, "longest_lease_ms")?.integer();
     let sizes = Sizes {
         entries_of_agent: sections.value(AGENT, "entries_served")?.integer() as usize,
         agents_of_entry: sections.value(AGENT, "agents_of_entry")?.integer() as usize,
@@ -266,6 +269,7 @@
         slots: u32::try_from(slots).unwrap_or(u32::MAX),
         stuck: Duration::from_millis(stuck),
         sizes,
+        longest_lease: Duration::from_millis(longest_lease),
     })
 }
 
--- a/daemon/src/config/keys.rs
+++ b/daemon/src/config/keys.rs
@@ -158,6 +158,12 @@
         default: "28",
         help: "With room: agents of its service that each entry has at least, on the mean.",
     },
+    Key {
+        name: "longest_lease_ms",
+        value_type: ValueType::Integer { min: 100, max: 3_600_000, unit: "ms" },
+        default: "15000",
+        help: "With room: the longest lease that its target grants, whatever an order asks for.",
+    },
 ];
 
 const KEEPER_KEYS: &[Key] = &[
--- a/daemon/src/room/agent.rs
+++ b/daemon/src/room/agent.rs
@@ -9,11 +9,11 @@
 
 use async_io::{Async, Timer};
 use hyper::Method;
-use net::{Client, Tasks};
+use net::{Client, ClientError, Tasks};
 use platform::{BadBeat, HttpOrder};
 use runner::{
     Action, Event, HoldOrder, HoldReply, Runner, SessionId, StartOrder, StartReply, StopOrder,
-    StopReply, TargetReport, Timing,
+    StopReply, TargetLife, TargetReport, Timing,
 };
 use serde_json::json;
 use subset::Subset;
@@ -69,13 +69,14 @@
 async fn serve(started: Started, config: AgentConfig, tasks: Tasks) -> Result<(), RoomError> {
     let clock = started.clock;
     let node = &started.config.node;
+    let timing = Timing { longest_lease: config.longest_lease, ..Timing::default() };
     let agent = Rc::new(Agent {
         log: started.log.clone(),
         clock,
         tasks: tasks.clone(),
         orders: Client::new(config.target, tasks.clone()),
         holds: Client::new(config.target, tasks.clone()),
-        runner: RefCell::new(Runner::new(node.name.clone(), Timing::default(), clock.now())),
+        runner: RefCell::new(Runner::new(node.name.clone(), timing, clock.now())),
         sessions: RefCell::default(),
         messages: Messages::default(),
         subset: RefCell::new(Subset::new(node.name.clone(), config.sizes)),
@@ -195,27 +196,47 @@
     }
 
     async fn start(self: Rc<Self>, order: StartOrder) {
-        let reply =
-            send(&self.orders, platform::start_order(&order), self.timing().order_time).await;
+        let target = &order.key.target;
+        let time = self.timing().order_time;
+        let reply = self.send(&self.orders, target, platform::start_order(&order), time).await;
         let reply = reply
             .map_or(StartReply::Silent, |reply| platform::read_start(reply.status, &reply.body));
         self.feed(Event::Started(order.key, reply));
     }
 
     async fn stop(self: Rc<Self>, order: StopOrder) {
-        let reply =
-            send(&self.orders, platform::stop_order(&order), self.timing().order_time).await;
+        let target = &order.key.target;
+        let time = self.timing().order_time;
+        let reply = self.send(&self.orders, target, platform::stop_order(&order), time).await;
         let reply = reply.map_or(StopReply::Silent, |reply| platform::read_stop(reply.status));
         self.feed(Event::Stopped(order.key, reply));
     }
 
     async fn hold(self: Rc<Self>, order: HoldOrder) {
-        let reply = send(&self.holds, platform::hold_order(&order), order.answer_within).await;
+        let (target, time) = (&order.target, order.answer_within);
+        let reply = self.send(&self.holds, target, platform::hold_order(&order), time).await;
         let reply =
             reply.map_or(HoldReply::Silent, |reply| platform::read_hold(reply.status, &reply.body));
         self.feed(Event::Held(order.target, reply));
     }
 
+    /// Sends an order for a life of the target; `None` where there is no whole answer in time. The runner's counters
+    /// tell how often that is so.
+    async fn send(
+        self: &Rc<Self>,
+        client: &Client,
+        target: &TargetLife,
+        order: HttpOrder,
+        time: Duration,
+    ) -> Option<net::Reply> {
+        let HttpOrder { path, headers, body } = order;
+        let sent = client.send(Method::POST, path, headers, body.into(), time).await;
+        if sent.as_ref().is_err_and(ClientError::is_refused) {
+            self.feed(Event::NoListener(target.clone()));
+        }
+        sent.ok()
+    }
+
     /// A planned stop: takes no new work, waits for what runs, ends.
     async fn drain(self: &Rc<Self>) {
         let began = self.clock.now();
@@ -238,6 +259,7 @@
             ("stopped", counters.stopped),
             ("not_run", counters.not_run),
             ("lost", counters.lost),
+            ("crashed", counters.crashed),
         ];
         page.value("tasks_asked_total", "", counters.asked);
         page.value("tasks_started_total", "", counters.started);
@@ -262,9 +284,3 @@
         page.value("log_lines_omitted_total", "", self.log.omitted());
     }
 }
-
-/// Sends an order; `None` where there is no whole answer in time.
-async fn send(client: &Client, order: HttpOrder, time: Duration) -> Option<net::Reply> {
-    let HttpOrder { path, headers, body } = order;
-    client.send(Method::POST, path, headers, body.into(), time).await.ok()
-}
--- a/daemon/src/room/agent_news.rs
+++ b/daemon/src/room/agent_news.rs
@@ -19,33 +19,35 @@
         News::TargetFound { id, fencing_token } => log.line(
             "target-found",
             Budget::Full,
-            || json!({"target": &*id.0, "fencing_token": fencing_token}),
+            || json!({"target": id.to_string(), "fencing_token": fencing_token}),
+        ),
+        News::TargetGone { id, lost } => log.line(
+            "target-gone",
+            Budget::Full,
+            || json!({"target": id.to_string(), "lost": lost}),
         ),
-        News::TargetGone { id, lost } => {
-            log.line("target-gone", Budget::Full, || json!({"target": &*id.0, "lost": lost}))
-        }
         News::TargetAsked(id) => {
-            log.line("target-asked", Budget::Full, || json!({"target": &*id.0}));
+            log.line("target-asked", Budget::Full, || json!({"target": id.to_string()}));
         }
         News::TargetReportLate { id, sequence, present, present_sequence } => {
-            let present = present.as_ref().map(|id| &*id.0);
+            let present = present.as_ref().map(ToString::to_string);
             log.line("target-report-late", Budget::Sampled, || {
-                json!({"target": &*id.0, "sequence": sequence, "present": present,
+                json!({"target": id.to_string(), "sequence": sequence, "present": present,
                     "present_sequence": present_sequence})
             });
         }
         News::TargetSilent(id) => {
-            log.line("target-silent", Budget::Full, || json!({"target": &*id.0}));
+            log.line("target-silent", Budget::Full, || json!({"target": id.to_string()}));
         }
         News::TargetHeard(id) => {
-            log.line("target-heard", Budget::Full, || json!({"target": &*id.0}));
+            log.line("target-heard", Budget::Full, || json!({"target": id.to_string()}));
         }
         News::Halls { halls, emptied, source } => log.line("halls", Budget::Full, || {
             json!({"revision": halls.revision, "emptied": halls.to_string(), "own": emptied,
                 "from": halls_source(*source)})
         }),
         News::TargetDrains(id) => {
-            log.line("target-drains", Budget::Full, || json!({"target": &*id.0}));
+            log.line("target-drains", Budget::Full, || json!({"target": id.to_string()}));
         }
         News::TargetLeftOut { failures, for_ms } => {
             log.line(
--- a/daemon/src/room/target_http.rs
+++ b/daemon/src/room/target_http.rs
@@ -2,7 +2,6 @@
 
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::Async;
@@ -10,7 +9,7 @@
 use hyper::{Request, Response, StatusCode};
 use net::{Body, BodyError, Limits, Tasks};
 use platform::TargetCall;
-use runner::{Event, TargetId};
+use runner::Event;
 use serde_json::json;
 
 use super::agent::Agent;
@@ -54,8 +53,10 @@
                 reply(400, json!({"error": reason}).to_string())
             }
         },
-        (Some(TargetCall::Leave(id)), _) => {
-            agent.feed(Event::TargetLeft(TargetId(Arc::from(id))));
+        (Some(TargetCall::Leave(id)), body) => {
+            // A body that can't be read leaves open which life it is, as none does.
+            let body = body.unwrap_or_default();
+            agent.feed(Event::TargetLeft(platform::read_leave(&id, &body)));
             reply(200, "{}".to_owned())
         }
         (Some(TargetCall::Beat(_)), Err(error)) => {
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,5 +1,8 @@
 //! `dockpass-soak`: any number of randomised runs.
 
+// The span of the whole run, which is shown.
+#![allow(clippy::disallowed_methods)]
+
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
@@ -43,6 +46,9 @@
                 .action(ArgAction::SetTrue)
                 .help("Let operators move keepers to other hosts for good in runs of keepers"),
         )
+        .arg(Arg::new("restless").long("restless").action(ArgAction::SetTrue).help(
+            "Let targets keep their ids, change their room and crash under tasks in runs of room",
+        ))
         .arg(
             Arg::new("load")
                 .long("load")
@@ -98,6 +104,7 @@
     let common = Options {
         halls: arguments.get_flag("halls"),
         moves: arguments.get_flag("moves"),
+        restless: arguments.get_flag("restless"),
         trace,
         ..Options::new(0)
     };
--- a/soak/src/room/checks.rs
+++ b/soak/src/room/checks.rs
@@ -7,6 +7,7 @@
 use model::{JobId, TaskId, Time};
 use runner::EndReason;
 
+use super::target::Target;
 use crate::checks::Violation;
 
 /// A start may be on its way for so long when its job is answered.
@@ -15,6 +16,8 @@
 /// entry or agent that can't be reached gives its jobs up within 450 ms, a lease ends within 805 ms after,
 /// and a stop takes 50 ms.
 const CANCEL_TIME: Duration = Duration::from_millis(1_400);
+/// A task under which so many targets have crashed may be given up.
+const CRASHES: u32 = 2;
 /// After a target's notice that it leaves reached its agent, nothing starts there.
 const DRAIN_TIME: Duration = Duration::from_millis(200);
 
@@ -43,6 +46,10 @@
     pub cancelled: u64,
     /// Jobs handed in after the last fault, and completed.
     pub calm: u64,
+    /// Targets that crashed under a task that crashes them.
+    pub crashes: u64,
+    /// Times that a target had less room than before.
+    pub shrunk: u64,
 }
 
 impl RoomSummary {
@@ -59,6 +66,8 @@
         self.faults += other.faults;
         self.cancelled += other.cancelled;
         self.calm += other.calm;
+        self.crashes += other.crashes;
+        self.shrunk += other.shrunk;
     }
 }
 
@@ -75,6 +84,8 @@
     last_start: Option<Time>,
     /// When a client's cancel was acknowledged.
     cancelled: Option<Time>,
+    /// Targets that crashed under each task, in all tries.
+    crashes: BTreeMap<u32, u32>,
 }
 
 /// Watches targets and clients.
@@ -159,6 +170,20 @@
         }
     }
 
+    /// A target crashes; tasks that run there may be the cause.
+    pub fn crashed(&mut self, target: Option<&Target>) {
+        for task in target.iter().flat_map(|target| target.running()) {
+            let Some(known) = self.jobs.get_mut(&task.job) else { continue };
+            *known.crashes.entry(task.index).or_default() += 1;
+        }
+    }
+
+    /// How many targets have crashed under a task.
+    pub fn crashes_under(&self, task: &TaskId) -> u32 {
+        let known = self.jobs.get(&task.job);
+        known.and_then(|known| known.crashes.get(&task.index)).copied().unwrap_or(0)
+    }
+
     pub fn answered(&mut self, now: Time, id: &JobId, outcome: Outcome) {
         let Some(known) = self.jobs.get_mut(id) else { return };
         known.answered = Some((now, outcome));
@@ -169,7 +194,9 @@
             }
             Outcome::Failed(_) => {
                 self.summary.failed += 1;
-                !known.failures.values().any(|count| *count >= known.max_attempts)
+                let attempts = known.failures.values().any(|count| *count >= known.max_attempts);
+                let crashes = known.crashes.values().any(|count| *count >= CRASHES);
+                !attempts && !crashes
             }
             Outcome::NotRun { .. } => {
                 self.summary.not_run += 1;
--- a/soak/src/room/mod.rs
+++ b/soak/src/room/mod.rs
@@ -15,6 +15,7 @@
 mod load;
 mod orders;
 mod processes;
+mod restless;
 mod sessions;
 mod sets;
 mod strikes;
--- a/soak/src/room/orders.rs
+++ b/soak/src/room/orders.rs
@@ -16,6 +16,9 @@
 impl World {
     pub(super) fn target_start(&mut self, call: Call, order: StartOrder, late: bool) {
         let agent = call.agent;
+        if self.is_order_gone(call) {
+            return;
+        }
         let Some((work, fails, resources)) = self.work_of(&order.key.task) else { return };
         let now = self.now;
         let Some(target) = &mut self.agents[agent].target else { return };
@@ -25,6 +28,8 @@
         }
         if began {
             let task = &order.key.task;
+            self.check_room(agent, task);
+            self.crash_soon(agent, task);
             let elsewhere = self.agents.iter().enumerate().any(|(other, process)| {
                 other != agent
                     && process.target.as_ref().is_some_and(|target| target.running().contains(task))
@@ -51,6 +56,9 @@
 
     pub(super) fn target_stop(&mut self, call: Call, order: &StopOrder, late: bool) {
         let agent = call.agent;
+        if self.is_order_gone(call) {
+            return;
+        }
         let now = self.now;
         let Some(target) = &mut self.agents[agent].target else { return };
         let reply = target.stop(now, order);
--- a/soak/src/room/processes.rs
+++ b/soak/src/room/processes.rs
@@ -72,8 +72,10 @@
                     }
                 }
                 runner::Action::Start(order) => {
+                    self.tell_no_listener(agent, &order.key.target);
                     let (hop, late) = self.order_time(agent);
                     let call = self.call(agent, life);
+                    self.lies_unanswered(call, late);
                     self.at(hop, Happening::Start(call, order.clone(), late));
                     let silent = Happening::Started(call, order.key, StartReply::Silent);
                     self.at(timing.order_time, silent);
@@ -81,11 +83,13 @@
                 runner::Action::Stop(order) => {
                     let (hop, late) = self.order_time(agent);
                     let call = self.call(agent, life);
+                    self.lies_unanswered(call, late);
                     self.at(hop, Happening::Stop(call, order.clone(), late));
                     let silent = Happening::Stopped(call, order.key, StopReply::Silent);
                     self.at(timing.order_time, silent);
                 }
                 runner::Action::Hold(order) => {
+                    self.tell_no_listener(agent, &order.target);
                     let (hop, late) = self.order_time(agent);
                     let call = self.call(agent, life);
                     if !late {
--- a/soak/src/room/strikes.rs
+++ b/soak/src/room/strikes.rs
@@ -30,6 +30,7 @@
                 *frozen = until.max(*frozen);
             }
             Fault::CrashTarget { agent, down } => {
+                self.checks.crashed(self.agents[agent].target.as_ref());
                 self.agents[agent].target = None;
                 self.at(down, Happening::TargetBack(agent));
             }
--- a/soak/src/room/target.rs
+++ b/soak/src/room/target.rs
@@ -8,7 +8,7 @@
 use model::{Resources, TaskId, Time};
 use runner::{
     EndReason, HoldOrder, HoldReply, StartOrder, StartRefusal, StartReply, StopOrder, StopReply,
-    TargetEnd, TargetId, TargetReport, TargetRun,
+    TargetEnd, TargetLife, TargetReport, TargetRun,
 };
 
 use super::world::ONE_HALL;
@@ -17,8 +17,8 @@
 const SLOW_CLOCK: u64 = 20;
 /// How long a stop takes.
 const STOP_TIME: Duration = Duration::from_millis(40);
-/// The longest lease.
-const LEASE_MS: u64 = 1_000;
+/// The longest lease that it grants.
+pub(crate) const LONGEST_LEASE: Duration = Duration::from_secs(1);
 
 /// How a target treats what it starts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,10 +45,12 @@
 /// One life of a target.
 #[derive(Debug)]
 pub(crate) struct Target {
-    pub id: TargetId,
+    pub id: TargetLife,
     /// The hall that it stands in.
     pub hall: &'static str,
     pub capacity: Resources,
+    /// Whether it refuses what it has no room for.
+    pub guards_room: bool,
     pub manner: Manner,
     pub draining: bool,
     /// Its orders are not answered, and carried out later.
@@ -71,10 +73,11 @@
 }
 
 impl Target {
-    pub fn new(name: &str, life: u64, capacity: Resources, slow_clock: bool, now: Time) -> Self {
+    pub fn new(id: TargetLife, capacity: Resources, slow_clock: bool, now: Time) -> Self {
         Self {
-            id: TargetId(Arc::from(format!("{name}#{life}"))),
+            id,
             capacity,
+            guards_room: true,
             hall: ONE_HALL,
             manner: Manner::Sound,
             draining: false,
@@ -144,7 +147,8 @@
     }
 
     fn renew(&mut self, clock: u64, deadline_ms: u64) {
-        self.lease_ms = self.lease_ms.max(deadline_ms.min(clock + LEASE_MS));
+        self.lease_ms =
+            self.lease_ms.max(deadline_ms.min(clock + LONGEST_LEASE.as_millis() as u64));
     }
 
     /// Takes a start; `work` is how long the task takes, `fails` whether by its own fault. The
@@ -160,7 +164,7 @@
         let clock_ms = self.clock_ms(now);
         let task = &order.key.task;
         let refused = |reason| (StartReply::Refused { clock_ms, reason }, false);
-        if order.key.target != self.id {
+        if order.key.target.id != self.id.id {
             return (StartReply::OtherLife, false);
         }
         if order.fencing_token < self.fence {
@@ -180,7 +184,7 @@
         }
         let mut free = self.capacity;
         self.runs.values().for_each(|run| free -= run.resources);
-        if !resources.fits(&free) {
+        if self.guards_room && !resources.fits(&free) {
             return refused(StartRefusal::Room);
         }
         let (ends, reason) = match self.manner {
@@ -195,7 +199,7 @@
     }
 
     pub fn stop(&mut self, now: Time, order: &StopOrder) -> StopReply {
-        if order.key.target != self.id {
+        if order.key.target.id != self.id.id {
             return StopReply::OtherLife;
         }
         if order.fencing_token < self.fence {
@@ -217,7 +221,7 @@
     /// Takes a hold; `None` where the answer waits for an end.
     pub fn hold(&mut self, now: Time, order: &HoldOrder, last: bool) -> Option<HoldReply> {
         let clock_ms = self.clock_ms(now);
-        if order.target != self.id {
+        if order.target.id != self.id.id {
             return Some(HoldReply::OtherLife);
         }
         if order.fencing_token < self.fence {
@@ -235,7 +239,17 @@
         }
         let run = |(task, run): (&TaskId, &Run)| TargetRun { task: task.clone(), run: run.run };
         let running = self.runs.iter().map(run).collect();
-        Some(HoldReply::Lists { clock_ms, running, ended: self.ended.clone() })
+        Some(HoldReply::Lists {
+            started_ms: self.id.started_ms,
+            clock_ms,
+            running,
+            ended: self.ended.clone(),
+        })
+    }
+
+    /// What runs takes, in thousandths of a core.
+    pub fn taken_cpu(&self) -> u64 {
+        self.runs.values().map(|run| run.resources.cpu_milli).sum()
     }
 
     /// The tasks that run.
--- a/soak/src/room/world.rs
+++ b/soak/src/room/world.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use runner::{
-    HoldOrder, HoldReply, RunKey, Runner, StartOrder, StartReply, StopOrder, StopReply,
+    HoldOrder, HoldReply, RunKey, Runner, StartOrder, StartReply, StopOrder, StopReply, TargetLife,
     TargetReport,
 };
 use wire::{Document, EmptiedHalls};
@@ -22,8 +22,9 @@
 use super::halls::Halls;
 use super::link::{Parcel, Session};
 use super::load::Tally;
+use super::restless::RestlessTargets;
 use super::sets::Sets;
-use super::target::{Manner, Target};
+use super::target::{LONGEST_LEASE, Manner, Target};
 use crate::checks::Violation;
 use crate::world::Options;
 
@@ -88,6 +89,12 @@
     TargetBack(usize),
     MannerOver(usize),
     MuteOver(usize),
+    /// A target has another room, in percent of what it had at first.
+    Resize(usize, u64),
+    /// One life of an agent finds that nothing listens at the address of its target.
+    NoListener(usize, u64, TargetLife),
+    /// A task crashes the life of its target in which it began.
+    CrashUnder(usize, TargetLife),
 }
 
 /// An order of one life of an agent; it is answered once, or not in time.
@@ -146,6 +153,8 @@
     pub(super) document: Option<Document>,
     /// None where nobody empties halls.
     pub(super) halls: Option<Halls>,
+    /// None where targets are what they were at first.
+    pub(super) restless: Option<RestlessTargets>,
     /// What part of their orders targets leave unanswered and carry out late.
     pub(super) unanswered: f64,
 }
@@ -169,6 +178,10 @@
         if options.halls {
             world.set_up_halls(options.seed);
         }
+        if options.restless {
+            world.times.agent.longest_lease = LONGEST_LEASE;
+            world.set_up_restless(options.seed);
+        }
         world
     }
 
@@ -192,6 +205,7 @@
             tally: Tally::default(),
             document: None,
             halls: None,
+            restless: None,
             unanswered: 0.0,
         }
     }
@@ -441,17 +455,32 @@
                 }
             }
             Happening::TargetBack(agent) => {
+                // Where it crashed once more while it was down, this life takes the place of the one before.
+                self.checks.crashed(self.agents[agent].target.as_ref());
                 let process = &mut self.agents[agent];
                 process.target_lives += 1;
                 process.drains = None;
                 let name = format!("t{agent}");
                 let (life, capacity) = (process.target_lives, process.capacity);
                 let hall = self.halls.as_ref().map_or(ONE_HALL, |_| Halls::of_agent(agent));
-                let mut target = Target::new(&name, life, capacity, process.slow_clock, self.now);
+                let id = match &self.restless {
+                    Some(_) => TargetLife {
+                        id: name.into(),
+                        started_ms: Some(self.now.as_micros() / 1_000),
+                    },
+                    None => TargetLife::named(format!("{name}#{life}")),
+                };
+                let mut target = Target::new(id, capacity, process.slow_clock, self.now);
                 target.hall = hall;
+                if let Some(restless) = &self.restless {
+                    target.guards_room = restless.guards_room(agent);
+                }
                 process.target = Some(target);
                 process.waiting = None;
             }
+            Happening::NoListener(agent, life, target) => self.no_listener(agent, life, target),
+            Happening::Resize(agent, percent) => self.resize(agent, percent),
+            Happening::CrashUnder(agent, life) => self.crash_under(agent, &life),
             Happening::MannerOver(agent) => {
                 if let Some(target) = &mut self.agents[agent].target {
                     target.manner = Manner::Sound;
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -39,6 +39,9 @@
     pub halls: bool,
     /// Operators move keepers to other hosts; only runs of keepers have that.
     pub moves: bool,
+    /// Targets keep their ids when they start again, have more or less room by turns, and crash under some tasks; only runs of
+    /// room have that.
+    pub restless: bool,
     /// Prints everything that has this text in it, such as a submission's id.
     pub trace: Option<String>,
 }
@@ -52,6 +55,7 @@
             calm: Duration::from_secs(15),
             halls: false,
             moves: false,
+            restless: false,
             trace: None,
         }
     }
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -121,6 +121,45 @@
     assert!(total.faults > 1_000 && total.again > 2_000, "{total:?}");
 }
 
+/// Targets keep their ids when they start again, have more or less room by turns, and crash under some tasks.
+#[test]
+fn three_hundred_seeds_of_restless_targets_hold() {
+    let runner = |options| run_room(&Options { restless: true, ..options });
+    let total = run_all(ROOM_SEEDS, runner, RoomSummary::add);
+    // The runs have to reach what they are for.
+    assert!(total.completed > 15_000 && total.calm > 2_000, "{total:?}");
+    assert!(total.crashes > 300 && total.shrunk > 1_000, "{total:?}");
+}
+
+/// Seeds of restless targets that failed once, with the cause.
+const RESTLESS_REGRESSIONS: [(u64, &str); 6] = [
+    (4, "a start that the next life had taken was given up before it was stopped"),
+    (603, "the lease of the next life was counted by the clock of the one before"),
+    (11, "a run that was being stopped when its target crashed was not counted"),
+    (5622, "a task was placed again and again at the only agent, which refused it"),
+    (7678, "a start on its way when the next life answered was given up"),
+    (5957, "a start that was taken after the next life had listed what runs was given up"),
+];
+
+#[test]
+fn seeds_of_restless_targets_that_failed_once_hold() {
+    for (seed, cause) in RESTLESS_REGRESSIONS {
+        let run = run_room(&Options { restless: true, ..Options::new(seed) });
+        assert!(run.is_ok(), "seed {seed} ({cause}): {:?}", run.err());
+    }
+}
+
+/// A target that leaves orders unanswered crashes before it could tell of an end: the task counts as one that ran at the
+/// crash, or one that did does not count.
+#[test]
+fn seeds_of_unanswered_orders_before_a_crash_hold() {
+    let seeds =
+        [2_120, 3_445, 8_256, 9_945, 12_108, 12_325, 12_381, 13_035, 13_885, 15_947, 16_449];
+    let failed = |seed: &u64| run_room(&Options { restless: true, ..Options::new(*seed) }).is_err();
+    let failed: Vec<u64> = seeds.into_iter().filter(failed).collect();
+    assert!(failed.is_empty(), "{failed:?}");
+}
+
 #[test]
 fn a_seed_makes_the_same_run_again() {
     assert_eq!(run(Options::new(7)), run(Options::new(7)));
