Keepers look at no node and no waiting question at an event that does not concern it; changes kept follow the number of entries

Cause: at each event a keeper went through all registered nodes for silent ones and through all waiting questions for old ones, some 2 x nodes a question, so that its work grew with the square of the nodes. Now the silent are looked for when one can be, and questions wait in the order of their ends.

The changes of the list that a keeper remembers were 256, five times 51 entries; now five for each entry that is listed, so that a node which missed a restart of all of 800 entries is told the changes (test).

--- a/components/keeper/src/registry.rs
+++ b/components/keeper/src/registry.rs
@@ -24,9 +24,9 @@
 /// A changed list is told this long after the first change, so that nodes which start together
 /// are told of together.
 const GATHER: Duration = Duration::from_millis(50);
-/// Changes of the list that are remembered: all entries of the largest fleet so far, five times over. A node that
-/// has missed more is told the whole list.
-const CHANGES_KEPT: usize = 256;
+/// Changes of the list that are remembered for each entry in it: a restart is two. A node that has missed more is told
+/// the whole list.
+const CHANGES_KEPT_PER_ENTRY: usize = 5;
 /// Bits of a revision that count up; the others tell the keeper's lives apart.
 const REVISION_BITS: u32 = 24;
 
@@ -45,7 +45,6 @@
     pub halls: u64,
     /// The list that it has.
     pub revision: u64,
-    until: Time,
 }
 
 /// The list and who waits.
@@ -61,7 +60,10 @@
     document: u64,
     /// The revision of the emptied halls.
     halls: u64,
-    watchers: Vec<Watcher>,
+    /// Who waits, by when they are answered at the latest: at each event only those are looked at whose time is over.
+    watchers: BTreeMap<(Time, Ticket), Watcher>,
+    /// No node is silent for too long before: until then none is looked at.
+    expires_from: Option<Time>,
     /// When a changed list is told.
     tell_at: Option<Time>,
 }
@@ -76,7 +78,8 @@
             changes: VecDeque::new(),
             document: 0,
             halls: 0,
-            watchers: Vec::new(),
+            watchers: BTreeMap::new(),
+            expires_from: None,
             tell_at: None,
         }
     }
@@ -97,13 +100,13 @@
                 self.changed(now, node.name.clone());
             }
         }
-        let until = now + WATCH_TIME;
-        let watcher = Watcher { ticket, group, document, halls, revision, until };
+        self.expires_from.get_or_insert(now + EXPIRY);
+        let watcher = Watcher { ticket, group, document, halls, revision };
         let settled = self.tell_at.is_none() && revision != self.revision;
         if document < self.document || halls < self.halls || settled {
             return vec![watcher];
         }
-        self.watchers.push(watcher);
+        self.watchers.insert((now + WATCH_TIME, ticket), watcher);
         Vec::new()
     }
 
@@ -121,6 +124,21 @@
 
     /// Lets time pass; returns who has to be answered.
     pub fn tick(&mut self, now: Time) -> Vec<Watcher> {
+        self.expire(now);
+        let mut over = self.take_over(now);
+        if self.tell_at.is_some_and(|at| at <= now) {
+            self.tell_at = None;
+            let revision = self.revision;
+            over.extend(self.take(|watcher| watcher.revision != revision));
+        }
+        over
+    }
+
+    /// Nodes that have been silent for too long are no longer listed.
+    fn expire(&mut self, now: Time) {
+        if self.expires_from.is_none_or(|from| now < from) {
+            return;
+        }
         let over: Vec<NodeInfo> = self
             .nodes
             .values()
@@ -133,17 +151,25 @@
                 self.changed(now, node.name);
             }
         }
-        if self.tell_at.is_some_and(|at| at <= now) {
-            self.tell_at = None;
-            let revision = self.revision;
-            return self.take(|watcher| watcher.revision != revision || watcher.until <= now);
+        let longest_silent = self.nodes.values().map(|(_, heard)| *heard).min();
+        self.expires_from = longest_silent.map(|heard| heard + EXPIRY);
+    }
+
+    /// Takes out those who have waited as long as they may.
+    fn take_over(&mut self, now: Time) -> Vec<Watcher> {
+        let mut over = Vec::new();
+        while let Some(first) = self.watchers.first_entry()
+            && first.key().0 <= now
+        {
+            over.push(first.remove());
         }
-        self.take(|watcher| watcher.until <= now)
+        over
     }
 
     /// When the next tick is due.
     pub fn next_timer(&self) -> Option<Time> {
-        self.watchers.iter().map(|watcher| watcher.until).chain(self.tell_at).min()
+        let first = self.watchers.first_key_value().map(|((until, _), _)| *until);
+        first.into_iter().chain(self.tell_at).min()
     }
 
     /// What a node is told that has a list of this keeper, or none.
@@ -180,6 +206,12 @@
         self.sizes.get(&watcher.group).copied().unwrap_or(0)
     }
 
+    /// How many entries are listed.
+    fn entries(&self) -> usize {
+        let of_entries = self.sizes.iter().filter(|((role, _), _)| *role == NodeRole::Entry);
+        of_entries.map(|(_, size)| *size as usize).sum()
+    }
+
     /// A node is no longer what it was; returns whether it was an entry.
     fn leave_group(&mut self, node: &NodeInfo) -> bool {
         if let Some(size) = self.sizes.get_mut(&group_of(node)) {
@@ -191,16 +223,18 @@
     fn changed(&mut self, now: Time, entry: NodeName) {
         self.revision += 1;
         self.changes.push_back(entry);
-        if self.changes.len() > CHANGES_KEPT {
+        let most = CHANGES_KEPT_PER_ENTRY * self.entries().max(1);
+        while self.changes.len() > most {
             self.changes.pop_front();
         }
         self.tell_at.get_or_insert(now + GATHER);
     }
 
     fn take(&mut self, which: impl Fn(&Watcher) -> bool) -> Vec<Watcher> {
-        let (ended, waiting) = self.watchers.drain(..).partition(|watcher| which(watcher));
-        self.watchers = waiting;
-        ended
+        self.watchers
+            .extract_if(.., |_, watcher| which(watcher))
+            .map(|(_, watcher)| watcher)
+            .collect()
     }
 }
 
--- a/components/keeper/tests/document.rs
+++ b/components/keeper/tests/document.rs
@@ -167,6 +167,21 @@
     assert_eq!((told.nodes, told.version), (None, 0), "no news");
 }
 
+/// All entries of a large fleet restart in turn: whoever has the list is told what has changed, and not all of it again.
+#[test]
+fn a_node_that_missed_the_restart_of_every_entry_is_told_what_has_changed() {
+    const ENTRIES: u16 = 800;
+    let mut one = One::new();
+    (1..=ENTRIES).for_each(|number| one.register(node(number), 0));
+    one.run_for(Duration::from_millis(100));
+    let list = whole(one.ask(node(1), 0, Duration::from_millis(100)).expect("a list").nodes);
+    for number in 2..=ENTRIES {
+        one.register(NodeInfo { incarnation: Incarnation(2), ..node(number) }, 0);
+    }
+    let told = one.ask(node(1), list.revision, Duration::from_millis(100)).expect("a change");
+    assert_eq!(change(told.nodes).put.len(), usize::from(ENTRIES) - 1);
+}
+
 #[test]
 fn a_node_that_asks_no_more_is_no_longer_listed() {
     let mut one = One::new();
