Configurations travel packed

Its text names the same fields for each route: deflate at the least level leaves a small part of it. The packed form is made once a document and shared by its copies; a digest keeps parts of two ways of packing, as of two releases, from being mixed.

Ruled out: sending what has changed between two versions, as a version's number and its routes stand apart in the text and a node may lack the one before. Tests of transfers use texts that can't be packed, so that they are as long on their way as before.

--- a/components/keeper/src/fetch.rs
+++ b/components/keeper/src/fetch.rs
@@ -50,7 +50,9 @@
 #[derive(Debug)]
 struct Transfer {
     version: u64,
-    text: String,
+    bytes: Vec<u8>,
+    /// Of the whole that the parts so far belong to; none before the first.
+    digest: Option<u64>,
     /// Whom the next part was asked of, and when.
     asked: Option<(DocumentSource, Time)>,
 }
@@ -126,13 +128,13 @@
         let newest = self.offers.values().copied().max()?;
         // Nobody is left who has what was being fetched.
         self.transfer.take_if(|transfer| transfer.version > newest);
-        let begin = || Transfer { version: newest, text: String::new(), asked: None };
+        let begin = || Transfer { version: newest, bytes: Vec::new(), digest: None, asked: None };
         let version = self.transfer.get_or_insert_with(begin).version;
         let source = self.next_source(version)?;
         let transfer = self.transfer.as_mut()?;
         transfer.asked = Some((source, now));
         self.last = Some(source);
-        let request = PartRequest { version, offset: transfer.text.len() };
+        let request = PartRequest { version, offset: transfer.bytes.len() };
         Some(FetchStep::Ask(source, request))
     }
 
@@ -156,25 +158,44 @@
     ) -> Option<FetchStep> {
         let transfer = self.transfer.as_mut()?;
         // A part that was asked for elsewhere as well comes twice.
-        if part.version != transfer.version || part.offset != transfer.text.len() {
+        if part.version != transfer.version || part.offset != transfer.bytes.len() {
             return None;
         }
-        transfer.text.push_str(&part.text);
+        if transfer.digest.is_some_and(|digest| digest != part.digest) {
+            return self.take_other(now, source);
+        }
+        transfer.digest = Some(part.digest);
+        transfer.bytes.extend_from_slice(&part.bytes);
         transfer.asked = None;
         // One that was given up as late is there after all.
         self.offers.entry(source).or_insert(part.version);
-        if transfer.text.len() < part.total && !part.text.is_empty() {
+        if transfer.bytes.len() < part.total && !part.bytes.is_empty() {
             return self.next(now);
         }
-        let Transfer { version, text, .. } = self.transfer.take()?;
-        if text.len() != part.total {
-            // It says of itself that it is longer than all that there is: not asked before it tells again.
+        let Transfer { version, bytes, .. } = self.transfer.take()?;
+        let is_whole = bytes.len() == part.total;
+        let document = Document::unpack(version, bytes).filter(|_| is_whole);
+        let Some(document) = document else {
+            // It says of itself that it is longer than all that there is, or is no document: not asked before it tells
+            // again.
             self.offers.remove(&source);
             return self.next(now);
-        }
+        };
         self.have = version;
         self.offers.retain(|_, offer| *offer > version);
-        Some(FetchStep::Whole(Document { version, body: text.into() }, source))
+        Some(FetchStep::Whole(document, source))
+    }
+
+    /// A source packs the text in another way than the one before, as another release may: the others go on with what has
+    /// come, and where there are none, all of it is asked for again.
+    fn take_other(&mut self, now: Time, source: DocumentSource) -> Option<FetchStep> {
+        self.ask_again_if_asked(source);
+        let offer = self.offers.remove(&source);
+        if self.offers.is_empty() {
+            self.transfer = None;
+            self.offers.extend(offer.map(|version| (source, version)));
+        }
+        self.next(now)
     }
 
     /// A source has not the version that is being fetched: it has a newer one by now, or it is another life of it.
--- a/components/keeper/tests/document.rs
+++ b/components/keeper/tests/document.rs
@@ -2,7 +2,6 @@
 
 mod support;
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use keeper::{Event, Reply, Ticket, initial_records};
@@ -16,7 +15,7 @@
 
 impl One {
     fn replace(&mut self, version: u64, body: &str) -> Option<Reply> {
-        let document = Document { version, body: Arc::from(body) };
+        let document = Document::new(version, body);
         self.reply_to(|ticket| Event::Replace(ticket, document))
     }
 
@@ -33,7 +32,10 @@
         let ticket = self.ticket();
         let request = PartRequest { version, offset: 0 };
         match self.handle(Event::Part(ticket, request)).pop() {
-            Some((to, Reply::Part(part))) if to == ticket => part.map(|part| part.text),
+            Some((to, Reply::Part(part))) if to == ticket => part.map(|part| {
+                let document = Document::unpack(version, part.bytes).expect("it is whole");
+                document.body.to_string()
+            }),
             other => panic!("{other:?}"),
         }
     }
@@ -96,7 +98,7 @@
 fn replaced_while_it_waits(one: &mut One, revision: u64) -> WatchReply {
     let waits = one.watch(node(1), 0, revision);
     let ticket = one.ticket();
-    let event = Event::Replace(ticket, Document { version: 7, body: Arc::from("seven") });
+    let event = Event::Replace(ticket, Document::new(7, "seven"));
     watch_reply(one.handle(event), waits).expect("told with the commit")
 }
 
--- a/components/keeper/tests/fetch.rs
+++ b/components/keeper/tests/fetch.rs
@@ -5,7 +5,7 @@
 
 use keeper::{DocumentFetch, DocumentSource, FetchStep, PART_WITHIN};
 use model::Time;
-use wire::{Document, PART_BYTES_MAX, PartRequest};
+use wire::{Document, DocumentPart, PART_BYTES_MAX, PartRequest};
 
 const START: Time = Time::from_millis(1_000_000);
 /// Parts of the documents of these tests; the last is short.
@@ -19,11 +19,17 @@
     DocumentSource::Agent(number)
 }
 
-/// A document whose text has characters of several bytes, so that parts may not be cut anywhere.
+/// A document that is packed to parts of which the last is short, whatever its version.
 fn document(version: u64) -> Document {
-    let text = format!("{version}ü€");
-    let count = (PARTS - 1) * PART_BYTES_MAX / text.len() + 100;
-    Document { version, body: text.repeat(count).into() }
+    let mut dice = version;
+    let mut letter = || {
+        dice = dice.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        char::from(b'!' + (dice >> 33) as u8 % 94)
+    };
+    // Six and a half bits of each letter are left when it is packed.
+    let count = (PARTS - 1) * PART_BYTES_MAX * 8 / 6;
+    let text: String = (0..count).map(|_| letter()).collect();
+    Document::new(version, format!("ü€{text}"))
 }
 
 /// A node, and what its sources have.
@@ -215,19 +221,19 @@
 #[test]
 fn no_part_is_longer_than_a_link_carries_at_once() {
     let document = document(8);
-    let mut text = String::new();
-    while let Some(part) = document.part(PartRequest { version: 8, offset: text.len() })
-        && !part.text.is_empty()
+    let (mut bytes, mut totals) = (Vec::new(), Vec::new());
+    while let Some(part) = document.part(PartRequest { version: 8, offset: bytes.len() })
+        && !part.bytes.is_empty()
     {
-        assert!(part.text.len() <= PART_BYTES_MAX);
-        assert_eq!((part.offset, part.total), (text.len(), document.body.len()));
-        text.push_str(&part.text);
-    }
-    assert_eq!(*text, *document.body);
-    // Within a character of several bytes, and beyond the end.
-    for offset in [2, document.body.len() + 1] {
-        assert_eq!(document.part(PartRequest { version: 8, offset }), None);
+        assert!(part.bytes.len() <= PART_BYTES_MAX);
+        assert_eq!(part.offset, bytes.len());
+        totals.push(part.total);
+        bytes.extend(part.bytes);
     }
+    assert!(totals.iter().all(|total| *total == bytes.len()));
+    let beyond = PartRequest { version: 8, offset: bytes.len() + 1 };
+    assert_eq!(Document::unpack(8, bytes), Some(document.clone()));
+    assert_eq!(document.part(beyond), None);
     assert_eq!(document.part(PartRequest { version: 7, offset: 0 }), None);
 }
 
@@ -239,9 +245,59 @@
     node.offered(keeper(2), 8);
     let (source, request) = node.waits_for();
     let mut part = document(8).part(request).expect("the first part");
-    part.text.clear();
+    part.bytes.clear();
     let step = node.fetch.answered(node.now, source, Some(part));
     node.follow(step);
     assert_eq!(node.waits_for().0, keeper(2));
     assert_eq!(node.fetch_from(&[document(8)]), document(8));
 }
+
+/// The keepers are of two releases, which pack one text in two ways: parts of both don't make a whole.
+#[test]
+fn parts_of_two_ways_of_packing_are_not_mixed() {
+    let other_way = |request| {
+        document(8).part(request).map(|part| DocumentPart { digest: part.digest + 1, ..part })
+    };
+    let mut node = Node::new();
+    (1..=3).for_each(|number| node.offered(keeper(number), 8));
+    node.answered_from(&[document(8)]);
+    let (odd, request) = node.waits_for();
+    let step = node.fetch.answered(node.now, odd, other_way(request));
+    node.follow(step);
+    assert_eq!(node.fetch_from(&[document(8)]), document(8));
+    let asked = node.asked.iter().filter(|(source, _)| *source == odd);
+    assert_eq!(asked.count(), 1);
+
+    // Whoever had sent the first part is gone: the other one's are fetched from the first on.
+    let mut node = Node::new();
+    (1..=2).for_each(|number| node.offered(keeper(number), 8));
+    let first = node.waits_for().0;
+    node.answered_from(&[document(8)]);
+    let step = node.fetch.gone(node.now, first);
+    node.follow(step);
+    for _ in 0..2 * PARTS {
+        if let Some(FetchStep::Whole(whole, _)) = &node.step {
+            assert_eq!(*whole, document(8));
+            return;
+        }
+        let (source, request) = node.waits_for();
+        let step = node.fetch.answered(node.now, source, other_way(request));
+        node.follow(step);
+    }
+    panic!("it has not come whole: {:?}", node.step);
+}
+
+/// What comes can't be unpacked: the source that sent it last is not asked again before it tells of a version anew.
+#[test]
+fn bytes_that_are_no_document_are_fetched_anew() {
+    let mut node = Node::new();
+    node.offered(keeper(1), 8);
+    let (source, request) = node.waits_for();
+    let part = document(8).part(request).expect("the first part");
+    let odd = DocumentPart { total: 3, bytes: vec![255; 3], ..part };
+    let step = node.fetch.answered(node.now, source, Some(odd));
+    node.follow(step);
+    node.offered(keeper(2), 8);
+    assert_eq!(node.waits_for().0, keeper(2));
+    assert_eq!(node.fetch_from(&[document(8)]), document(8));
+}
--- a/components/keeper/tests/full_disk.rs
+++ b/components/keeper/tests/full_disk.rs
@@ -1,7 +1,6 @@
 //! Three keepers in virtual time, of which one's disk fills.
 
 use std::collections::VecDeque;
-use std::sync::Arc;
 use std::time::Duration;
 
 use consensus::{Message, Timing};
@@ -87,7 +86,7 @@
     }
 
     fn replace(&mut self, number: usize, ticket: u64, version: u64) {
-        let document = Document { version, body: Arc::from("body") };
+        let document = Document::new(version, "body");
         self.handle(number, Event::Replace(Ticket(ticket), document));
     }
 
@@ -147,12 +146,12 @@
     let request = PartRequest { version: 7, offset: 0 };
     three.handle(other, Event::Part(Ticket(8), request));
     let Some(Reply::Part(Some(part))) = three.reply(8) else { panic!("{:?}", three.reply(8)) };
-    assert_eq!((part.version, part.text.len()), (7, part.total));
+    assert_eq!((part.version, part.bytes.len()), (7, part.total));
     let replies = [
         Event::Fetch(Ticket(4)),
         Event::Read(Ticket(5)),
         Event::History(Ticket(6)),
-        Event::Replace(Ticket(7), Document { version: 9, body: Arc::from("nine") }),
+        Event::Replace(Ticket(7), Document::new(9, "nine")),
     ];
     for (ticket, event) in (4..).zip(replies) {
         three.handle(other, event);
--- a/components/keeper/tests/spread.rs
+++ b/components/keeper/tests/spread.rs
@@ -240,7 +240,7 @@
         self.sent = vec![Sent::default(); KEEPERS];
         self.nodes.iter_mut().for_each(|node| node.has_since = None);
         let ticket = self.ticket(None);
-        let document = Document { version, body: "x".repeat(DOCUMENT_BYTES).into() };
+        let document = Document::new(version, "x".repeat(DOCUMENT_BYTES));
         let leader = self.leader();
         self.at(WAY, Happening::Keeper(leader, Event::Replace(ticket, document)));
         self.acknowledged = None;
--- a/daemon/tests/large_documents.rs
+++ b/daemon/tests/large_documents.rs
@@ -11,6 +11,8 @@
 use async_io::Async;
 use futures::StreamExt;
 use net::Tasks;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use room_support::proxy::{Direction, Fault, Proxy};
 use room_support::{Fleet, call, document, eventually};
 use tarpc::context::Context;
@@ -33,7 +35,7 @@
 
 impl Telling {
     fn new(version: u64, body: String) -> Self {
-        Self(Arc::new(Mutex::new(Document { version, body: Arc::from(body) })))
+        Self(Arc::new(Mutex::new(Document::new(version, body))))
     }
 
     fn has(&self) -> Document {
@@ -41,8 +43,7 @@
     }
 
     fn replace(&self, version: u64, body: String) {
-        *self.0.lock().expect("nobody panicked with it") =
-            Document { version, body: Arc::from(body) };
+        *self.0.lock().expect("nobody panicked with it") = Document::new(version, body);
     }
 }
 
@@ -98,6 +99,16 @@
 const SLOW_LINK: u64 = 512 * 1024;
 const LARGE: usize = 2 * 1024 * 1024;
 
+/// A configuration that is as long on its way, where it is packed: with a field that nobody reads.
+fn large(version: u64) -> String {
+    let mut rng = ChaCha8Rng::seed_from_u64(version);
+    // Less than six bits of each letter are left when it is packed.
+    let filler: String = (0..LARGE * 11 / 8).map(|_| rng.random_range('#'..='[')).collect();
+    let body = document(version);
+    let body = body.strip_suffix('}').expect("an object");
+    format!(r#"{body},"filler":"{filler}"}}"#)
+}
+
 /// Users saw requests for new routes rejected as unknown 12 s after their configuration was acknowledged. The order of
 /// events: a configuration of 845 kB came into force while the link of an entry was busy; the entry asked a keeper
 /// for it, gave the keeper up as silent after 1.7 s while the answer was still coming, connected anew, and asked for all
@@ -107,7 +118,7 @@
 #[test]
 fn a_configuration_that_takes_seconds_to_come_reaches_an_entry() {
     let fleet = Fleet::new(1);
-    let keeper = start_keeper(Telling::new(1, document(1) + &" ".repeat(LARGE)));
+    let keeper = start_keeper(Telling::new(1, large(1)));
     let _link = slow_link(&fleet, keeper);
     let _entry = fleet.start("entry");
     fleet.until_version(1);
@@ -134,7 +145,7 @@
     let unknown = || call(fleet.entry(), "GET", "/new/", "", Duration::from_secs(1));
     eventually("it listens", || unknown().is_some());
     assert_eq!(unknown().map(|answer| answer.status), Some(404), "it has the newest");
-    keeper.replace(2, document(2) + &" ".repeat(LARGE));
+    keeper.replace(2, large(2));
     eventually("it is told", || unknown().is_some_and(|answer| answer.status == 503));
     let answer = unknown().expect("an answer");
     assert_eq!(answer.status, 503);
--- a/soak/src/room/load.rs
+++ b/soak/src/room/load.rs
@@ -344,7 +344,10 @@
 fn slow_links(world: &mut World, load: &Load) {
     let Some(links) = load.links else { return };
     world.limit_links(links.bytes_per_s);
-    world.document = Some(Document { version: 1, body: " ".repeat(links.document_bytes).into() });
+    // It travels packed: what is told apart by nothing takes its length on a link.
+    let mut rng = ChaCha8Rng::seed_from_u64(load.seed);
+    let text: String = (0..links.document_bytes).map(|_| rng.random_range('!'..='~')).collect();
+    world.document = Some(Document::new(1, text));
 }
 
 fn cut_off(world: &mut World, load: &Load) {
