Keepers name themselves to a node only where it does not know them

Each answer to a waiting node, one a second from each keeper to each node, had the addresses of all keepers that vote: some 200 of its 350 bytes with nine of them (computed). A question carries the digest of those that this keeper has named, and they are sent where they are others.

--- a/components/keeper/src/committed.rs
+++ b/components/keeper/src/committed.rs
@@ -3,7 +3,7 @@
 
 use consensus::{Entry, Payload, Snapshot};
 use model::Time;
-use wire::{Document, EmptiedHalls, WatchReply};
+use wire::{Document, EmptiedHalls, KeeperNames, WatchReply};
 
 use crate::registry::Watcher;
 use crate::{Action, Keeper, KeeperError, LogCommand, News, Reply, State};
@@ -159,13 +159,18 @@
     /// What is committed here is told whether or not this keeper leads: a node takes the highest
     /// version that it is told.
     pub(crate) fn answer_watchers(&self, ended: Vec<Watcher>, out: &mut Vec<Action>) {
+        if ended.is_empty() {
+            return;
+        }
+        let keepers = KeeperNames(self.replica.voters().to_vec());
+        let digest = keepers.digest();
         for watcher in ended {
             let reply = WatchReply {
                 version: self.state.document_version(),
                 nodes: self.registry.list_news(watcher.revision),
                 halls: self.halls_news(watcher.halls),
                 peers: self.registry.peers(&watcher),
-                keepers: self.replica.voters().to_vec(),
+                keepers: (watcher.keepers != digest).then(|| keepers.clone()),
             };
             out.push(Action::Respond(watcher.ticket, Reply::Watch(reply)));
         }
--- a/components/keeper/src/registry.rs
+++ b/components/keeper/src/registry.rs
@@ -45,6 +45,8 @@
     pub halls: u64,
     /// The list that it has.
     pub revision: u64,
+    /// The digest of the keepers that it was told of.
+    pub keepers: u64,
 }
 
 /// The list and who waits.
@@ -90,7 +92,7 @@
 
     /// Registers a node; returns it as one to answer where there is news already.
     pub fn watch(&mut self, now: Time, ticket: Ticket, request: WatchRequest) -> Vec<Watcher> {
-        let WatchRequest { node, document, revision, halls } = request;
+        let WatchRequest { node, document, revision, halls, keepers } = request;
         let group = group_of(&node);
         let known = self.nodes.insert(node.name.clone(), (node.clone(), now)).map(|(node, _)| node);
         if known.as_ref() != Some(&node) {
@@ -101,7 +103,7 @@
             }
         }
         self.expires_from.get_or_insert(now + EXPIRY);
-        let watcher = Watcher { ticket, group, document, halls, revision };
+        let watcher = Watcher { ticket, group, document, halls, revision, keepers };
         let settled = self.tell_at.is_none() && revision != self.revision;
         if document < self.document || halls < self.halls || settled {
             return vec![watcher];
--- a/components/keeper/tests/document.rs
+++ b/components/keeper/tests/document.rs
@@ -42,8 +42,10 @@
 
     fn watch(&mut self, node: NodeInfo, document: u64, revision: u64) -> Ticket {
         let ticket = self.ticket();
-        let replies =
-            self.handle(Event::Watch(ticket, WatchRequest { node, document, revision, halls: 0 }));
+        let replies = self.handle(Event::Watch(
+            ticket,
+            WatchRequest { node, document, revision, halls: 0, keepers: 0 },
+        ));
         assert!(replies.is_empty(), "{replies:?}");
         ticket
     }
@@ -51,7 +53,7 @@
     /// A node asks, and is answered at once or within a time.
     fn ask(&mut self, node: NodeInfo, revision: u64, within: Duration) -> Option<WatchReply> {
         let ticket = self.ticket();
-        let request = WatchRequest { node, document: 0, revision, halls: 0 };
+        let request = WatchRequest { node, document: 0, revision, halls: 0, keepers: 0 };
         let mut replies = self.handle(Event::Watch(ticket, request));
         if replies.is_empty() {
             replies = self.run_for(within);
@@ -62,7 +64,7 @@
     /// A node registers; whatever it is told.
     fn register(&mut self, node: NodeInfo, revision: u64) {
         let ticket = self.ticket();
-        let request = WatchRequest { node, document: 0, revision, halls: 0 };
+        let request = WatchRequest { node, document: 0, revision, halls: 0, keepers: 0 };
         self.handle(Event::Watch(ticket, request));
     }
 }
@@ -211,7 +213,7 @@
     }
     let mut again = One::from_records(one.records.clone());
     let ticket = again.ticket();
-    let request = WatchRequest { node: node(1), document: 0, revision: 0, halls: 0 };
+    let request = WatchRequest { node: node(1), document: 0, revision: 0, halls: 0, keepers: 0 };
     let replies = again.handle(Event::Watch(ticket, request));
     let told = watch_reply(replies, ticket).expect("told at once");
     assert!(told.version >= 1_000);
@@ -225,7 +227,7 @@
     assert_eq!(one.replace(9, "nine"), Some(Reply::Replaced));
     let mut again = One::from_records(one.records.clone());
     let ticket = again.ticket();
-    let request = WatchRequest { node: node(1), document: 0, revision: 0, halls: 0 };
+    let request = WatchRequest { node: node(1), document: 0, revision: 0, halls: 0, keepers: 0 };
     let replies = again.handle(Event::Watch(ticket, request));
     let reply = watch_reply(replies, ticket).expect("it is answered at once");
     // The last commit may not be on the disk yet, the one before it is.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -25,6 +25,7 @@
     PullRequest,
 };
 pub use registry::{
-    KeeperIsUp, ListChange, ListNews, NodeInfo, NodeList, NodeRole, WatchReply, WatchRequest,
+    KeeperIsUp, KeeperNames, ListChange, ListNews, NodeInfo, NodeList, NodeRole, WatchReply,
+    WatchRequest,
 };
 pub use session::{AgentProfile, Load, Refusal, StartTask, TaskEnd, TaskReport, ToAgent, ToEntry};
--- a/components/wire/src/registry.rs
+++ b/components/wire/src/registry.rs
@@ -5,6 +5,7 @@
 
 use model::{Incarnation, NodeName};
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::EmptiedHalls;
 
@@ -50,6 +51,8 @@
     pub revision: u64,
     /// The revision of the emptied halls that this keeper has told it of; 0 for none.
     pub halls: u64,
+    /// The digest of the keepers that this keeper has named to it; 0 for none.
+    pub keepers: u64,
 }
 
 /// The entries that are registered at one keeper. Agents are not listed: whoever looks for a node
@@ -115,6 +118,22 @@
     pub halls: Option<EmptiedHalls>,
     /// Nodes of the same role and service as the node that asks, itself included.
     pub peers: u32,
-    /// The keepers that vote, by the addresses that they are named by.
-    pub keepers: Vec<NodeName>,
+    /// The keepers that vote, where they are others than those that the node was told of.
+    pub keepers: Option<KeeperNames>,
+}
+
+/// Keepers, by the addresses that they are named by.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeeperNames(pub Vec<NodeName>);
+
+impl KeeperNames {
+    /// Tells these names from others; never 0.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        for name in &self.0 {
+            hasher.update(name.as_str().as_bytes());
+            hasher.update(&[0]);
+        }
+        hasher.digest().max(1)
+    }
 }
--- a/daemon/src/keeper_role/listen.rs
+++ b/daemon/src/keeper_role/listen.rs
@@ -148,7 +148,7 @@
         match ask(&self.ring, Ask::Watch(request)).await {
             Some(Reply::Watch(reply)) => reply,
             // The keeper is ending; the connection ends with it.
-            _ => WatchReply { version: 0, nodes: None, halls: None, peers: 0, keepers: Vec::new() },
+            _ => WatchReply { version: 0, nodes: None, halls: None, peers: 0, keepers: None },
         }
     }
 
--- a/daemon/src/room/watch.rs
+++ b/daemon/src/room/watch.rs
@@ -209,10 +209,10 @@
     /// Asks one keeper again and again; returns whether it ever answered.
     async fn ask(self: &Rc<Self>, keeper: SocketAddr, client: &KeeperServiceClient) -> bool {
         let mut heard = false;
-        let (mut revision, mut version, mut halls) = (0, 0, 0);
+        let (mut revision, mut version, mut halls, mut keepers) = (0, 0, 0, 0);
         loop {
             let node = self.own.clone();
-            let request = WatchRequest { node, document: version, revision, halls };
+            let request = WatchRequest { node, document: version, revision, halls, keepers };
             let answer = async { client.watch(net::call_context(), request).await.ok() };
             let late = async {
                 Timer::after(SILENCE).await;
@@ -234,6 +234,9 @@
             if let Some(news) = &reply.halls {
                 halls = news.revision;
             }
+            if let Some(named) = &reply.keepers {
+                keepers = named.digest();
+            }
             self.take(keeper, reply);
         }
     }
@@ -309,10 +312,12 @@
         if let Some(halls) = reply.halls {
             (self.callbacks.halls)(halls);
         }
-        let named: Vec<SocketAddr> =
-            reply.keepers.iter().filter_map(|name| name.as_str().parse().ok()).collect();
-        self.named.borrow_mut().insert(keeper, named.clone());
-        named.into_iter().for_each(|keeper| self.add(keeper));
+        if let Some(names) = reply.keepers {
+            let named = names.0.iter().filter_map(|name| name.as_str().parse().ok());
+            let named: Vec<SocketAddr> = named.collect();
+            self.named.borrow_mut().insert(keeper, named.clone());
+            named.into_iter().for_each(|keeper| self.add(keeper));
+        }
         if self.note_list(keeper, reply.nodes, reply.peers as usize) {
             self.tell_nodes();
         }
--- a/daemon/tests/large_documents.rs
+++ b/daemon/tests/large_documents.rs
@@ -63,7 +63,7 @@
             nodes: None,
             halls: None,
             peers: 1,
-            keepers: Vec::new(),
+            keepers: None,
         }
     }
 
