A node takes the list of entries from three of the keepers

Cause: each keeper lists all entries, and told each node of each change, so that the return of 53 entries was 53 rows for 996 nodes from nine keepers. A node takes the lists of the three that are first in an order of its own, by rendezvous hashing over those that it is connected to: two may be lost or cut off from some entries. Every keeper still counts every node and tells it of the configuration. Weighed: nodes that watch only three keepers at all, which would also take nine questions a second down to three; keepers would then have to tell each other how many agents there are, and a keeper that starts would not be known to most nodes.

--- a/components/keeper/src/registry.rs
+++ b/components/keeper/src/registry.rs
@@ -43,8 +43,8 @@
     document: u64,
     /// The emptied halls that it was told of.
     pub halls: u64,
-    /// The list that it has.
-    pub revision: u64,
+    /// The list that it has; `None` where it takes those of other keepers.
+    pub revision: Option<u64>,
     /// The digest of the keepers that it was told of.
     pub keepers: u64,
 }
@@ -104,7 +104,7 @@
         }
         self.expires_from.get_or_insert(now + EXPIRY);
         let watcher = Watcher { ticket, group, document, halls, revision, keepers };
-        let settled = self.tell_at.is_none() && revision != self.revision;
+        let settled = self.tell_at.is_none() && lacks_list(revision, self.revision);
         if document < self.document || halls < self.halls || settled {
             return vec![watcher];
         }
@@ -131,7 +131,7 @@
         if self.tell_at.is_some_and(|at| at <= now) {
             self.tell_at = None;
             let revision = self.revision;
-            over.extend(self.take(|watcher| watcher.revision != revision));
+            over.extend(self.take(|watcher| lacks_list(watcher.revision, revision)));
         }
         over
     }
@@ -175,10 +175,8 @@
     }
 
     /// What a node is told that has a list of this keeper, or none.
-    pub fn list_news(&self, revision: u64) -> Option<ListNews> {
-        if revision == self.revision {
-            return None;
-        }
+    pub fn list_news(&self, revision: Option<u64>) -> Option<ListNews> {
+        let revision = revision.filter(|revision| *revision != self.revision)?;
         // A revision of an earlier life of this keeper is far away from the present ones.
         let missed = self.revision.checked_sub(revision).and_then(|by| usize::try_from(by).ok());
         let known = missed.filter(|missed| *missed <= self.changes.len());
@@ -233,13 +231,17 @@
     }
 
     fn take(&mut self, which: impl Fn(&Watcher) -> bool) -> Vec<Watcher> {
-        self.watchers
-            .extract_if(.., |_, watcher| which(watcher))
-            .map(|(_, watcher)| watcher)
-            .collect()
+        let chosen = self.watchers.iter().filter(|(_, watcher)| which(watcher));
+        let chosen: Vec<(Time, Ticket)> = chosen.map(|(key, _)| *key).collect();
+        chosen.iter().filter_map(|key| self.watchers.remove(key)).collect()
     }
 }
 
+/// Whether a node that has a revision of the list, or takes none, has to be told of a newer one.
+fn lacks_list(has: Option<u64>, newest: u64) -> bool {
+    has.is_some_and(|revision| revision != newest)
+}
+
 fn group_of(node: &NodeInfo) -> Group {
     (node.role, node.service.clone())
 }
--- a/components/keeper/tests/document.rs
+++ b/components/keeper/tests/document.rs
@@ -44,7 +44,7 @@
         let ticket = self.ticket();
         let replies = self.handle(Event::Watch(
             ticket,
-            WatchRequest { node, document, revision, halls: 0, keepers: 0 },
+            WatchRequest { node, document, revision: Some(revision), halls: 0, keepers: 0 },
         ));
         assert!(replies.is_empty(), "{replies:?}");
         ticket
@@ -53,7 +53,8 @@
     /// A node asks, and is answered at once or within a time.
     fn ask(&mut self, node: NodeInfo, revision: u64, within: Duration) -> Option<WatchReply> {
         let ticket = self.ticket();
-        let request = WatchRequest { node, document: 0, revision, halls: 0, keepers: 0 };
+        let request =
+            WatchRequest { node, document: 0, revision: Some(revision), halls: 0, keepers: 0 };
         let mut replies = self.handle(Event::Watch(ticket, request));
         if replies.is_empty() {
             replies = self.run_for(within);
@@ -64,7 +65,8 @@
     /// A node registers; whatever it is told.
     fn register(&mut self, node: NodeInfo, revision: u64) {
         let ticket = self.ticket();
-        let request = WatchRequest { node, document: 0, revision, halls: 0, keepers: 0 };
+        let request =
+            WatchRequest { node, document: 0, revision: Some(revision), halls: 0, keepers: 0 };
         self.handle(Event::Watch(ticket, request));
     }
 }
@@ -171,6 +173,22 @@
     assert_eq!((told.nodes, told.version), (None, 0), "no news");
 }
 
+/// A node takes the lists of a few keepers; the others are asked for the configuration, and count the node all the same.
+#[test]
+fn a_node_that_takes_the_list_of_other_keepers_is_told_none() {
+    let mut one = One::new();
+    one.watch(node(1), 0, 0);
+    let ticket = one.ticket();
+    let request =
+        WatchRequest { node: agent(2, "work"), document: 0, revision: None, halls: 0, keepers: 0 };
+    assert!(one.handle(Event::Watch(ticket, request)).is_empty());
+    one.watch(node(3), 0, 0);
+    let early = one.run_for(Duration::from_millis(500));
+    assert_eq!(watch_reply(early, ticket), None, "an entry that has come is no news to it");
+    let reply = watch_reply(one.run_for(Duration::from_millis(700)), ticket).expect("an answer");
+    assert_eq!((reply.nodes, reply.peers), (None, 1));
+}
+
 /// All entries of a large fleet restart in turn: whoever has the list is told what has changed, and not all of it again.
 #[test]
 fn a_node_that_missed_the_restart_of_every_entry_is_told_what_has_changed() {
@@ -213,7 +231,8 @@
     }
     let mut again = One::from_records(one.records.clone());
     let ticket = again.ticket();
-    let request = WatchRequest { node: node(1), document: 0, revision: 0, halls: 0, keepers: 0 };
+    let request =
+        WatchRequest { node: node(1), document: 0, revision: Some(0), halls: 0, keepers: 0 };
     let replies = again.handle(Event::Watch(ticket, request));
     let told = watch_reply(replies, ticket).expect("told at once");
     assert!(told.version >= 1_000);
@@ -227,7 +246,8 @@
     assert_eq!(one.replace(9, "nine"), Some(Reply::Replaced));
     let mut again = One::from_records(one.records.clone());
     let ticket = again.ticket();
-    let request = WatchRequest { node: node(1), document: 0, revision: 0, halls: 0, keepers: 0 };
+    let request =
+        WatchRequest { node: node(1), document: 0, revision: Some(0), halls: 0, keepers: 0 };
     let replies = again.handle(Event::Watch(ticket, request));
     let reply = watch_reply(replies, ticket).expect("it is answered at once");
     // The last commit may not be on the disk yet, the one before it is.
--- a/components/keeper/tests/full_disk.rs
+++ b/components/keeper/tests/full_disk.rs
@@ -138,7 +138,8 @@
     three.full = Some((other, 0));
     three.replace(leads, 2, 8);
     three.until(Duration::from_secs(1), |three| three.full == Some((other, 1)));
-    let watch = WatchRequest { node: entry(), document: 0, revision: 0, halls: 0, keepers: 0 };
+    let watch =
+        WatchRequest { node: entry(), document: 0, revision: Some(0), halls: 0, keepers: 0 };
     three.handle(other, Event::Watch(Ticket(3), watch));
     three.until(Duration::from_millis(200), |three| three.reply(3).is_some());
     let Some(Reply::Watch(reply)) = three.reply(3) else { panic!("{:?}", three.reply(3)) };
--- a/components/keeper/tests/halls.rs
+++ b/components/keeper/tests/halls.rs
@@ -42,15 +42,26 @@
             0 => panic!("a keeper has a list"),
             revision => revision,
         };
-        let request = WatchRequest { node: node(1), document: 0, revision, halls, keepers: 0 };
+        let request = WatchRequest {
+            node: node(1),
+            document: 0,
+            revision: Some(revision),
+            halls,
+            keepers: 0,
+        };
         let replies = self.handle(Event::Watch(ticket, request));
         (ticket, replies)
     }
 
     /// The revision of the list of nodes, once the node is on it.
     fn list_revision(&mut self) -> u64 {
-        let request =
-            WatchRequest { node: node(1), document: 0, revision: 0, halls: u64::MAX, keepers: 0 };
+        let request = WatchRequest {
+            node: node(1),
+            document: 0,
+            revision: Some(0),
+            halls: u64::MAX,
+            keepers: 0,
+        };
         match self.reply_to(|ticket| Event::Watch(ticket, request)) {
             Some(Reply::Watch(WatchReply { nodes: Some(news), .. })) => news.revision(),
             other => panic!("{other:?}"),
--- a/components/keeper/tests/spread.rs
+++ b/components/keeper/tests/spread.rs
@@ -130,8 +130,13 @@
 
     fn ask(&mut self, after: Duration, node: usize, keeper: usize, document: u64, revision: u64) {
         let ticket = self.ticket(Some(node));
-        let request =
-            WatchRequest { node: node_info(node), document, revision, halls: 0, keepers: 0 };
+        let request = WatchRequest {
+            node: node_info(node),
+            document,
+            revision: Some(revision),
+            halls: 0,
+            keepers: 0,
+        };
         self.at(after + WAY, Happening::Keeper(keeper, Event::Watch(ticket, request)));
     }
 
--- a/components/wire/src/registry.rs
+++ b/components/wire/src/registry.rs
@@ -47,8 +47,8 @@
     pub node: NodeInfo,
     /// The version of the document that this keeper has told it of; 0 for none.
     pub document: u64,
-    /// The revision of this keeper's list of nodes that it has; 0 for none.
-    pub revision: u64,
+    /// The revision of this keeper's list of nodes that it has, 0 for none; `None` where it takes the list of others.
+    pub revision: Option<u64>,
     /// The revision of the emptied halls that this keeper has told it of; 0 for none.
     pub halls: u64,
     /// The digest of the keepers that this keeper has named to it; 0 for none.
--- a/daemon/src/room/watch.rs
+++ b/daemon/src/room/watch.rs
@@ -18,6 +18,7 @@
     Document, DocumentPart, EmptiedHalls, KeeperIsUp, KeeperServiceClient, ListNews, NodeInfo,
     NodeList, PartRequest, WatchReply, WatchRequest,
 };
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::clock::Clock;
 use crate::event_log::{Budget, EventLog};
@@ -30,6 +31,8 @@
 const FAILURES: u32 = 20;
 /// Longest call of a keeper that is read: an address takes a fraction of it.
 const CALL_BYTES: usize = 64;
+/// Keepers of which a node takes the list of entries. Each of them lists all entries; two may be lost, or cut off from some.
+const LISTS_FROM: usize = 3;
 /// Keepers beyond so many are not followed for their call alone: more than any cluster has.
 const MOST_KEEPERS: usize = 32;
 
@@ -212,7 +215,14 @@
         let (mut revision, mut version, mut halls, mut keepers) = (0, 0, 0, 0);
         loop {
             let node = self.own.clone();
-            let request = WatchRequest { node, document: version, revision, halls, keepers };
+            let takes_list = self.takes_list_of(keeper);
+            let request = WatchRequest {
+                node,
+                document: version,
+                revision: takes_list.then_some(revision),
+                halls,
+                keepers,
+            };
             let answer = async { client.watch(net::call_context(), request).await.ok() };
             let late = async {
                 Timer::after(SILENCE).await;
@@ -230,6 +240,9 @@
             version = reply.version;
             if let Some(news) = &reply.nodes {
                 revision = news.revision();
+            } else if !takes_list {
+                self.lists.borrow_mut().remove(&keeper);
+                revision = 0;
             }
             if let Some(news) = &reply.halls {
                 halls = news.revision;
@@ -241,6 +254,18 @@
         }
     }
 
+    /// Whether the list of entries is taken from a keeper: from the first few of those that are connected to, in an order of
+    /// this node's own.
+    fn takes_list_of(&self, keeper: SocketAddr) -> bool {
+        let rank = |address: &SocketAddr| {
+            let own = xxh3_64(self.own.name.as_str().as_bytes());
+            xxh3_64_with_seed(address.to_string().as_bytes(), own)
+        };
+        let own_rank = rank(&keeper);
+        let clients = self.clients.borrow();
+        clients.keys().filter(|other| rank(other) > own_rank).count() < LISTS_FROM
+    }
+
     fn keeper_is(&self, keeper: SocketAddr, what: &'static str) {
         self.log.line(what, Budget::Full, || json!({"keeper": keeper.to_string()}));
     }
--- a/daemon/tests/silent_connections.rs
+++ b/daemon/tests/silent_connections.rs
@@ -299,7 +299,7 @@
         incarnation: Incarnation(1),
         service: "".into(),
     };
-    let request = WatchRequest { node, document: 0, revision: 0, halls: 0, keepers: 0 };
+    let request = WatchRequest { node, document: 0, revision: Some(0), halls: 0, keepers: 0 };
     net::block_on(|tasks| async move {
         let stream = net::connect(keeper).await.expect("the keeper listens");
         let NewClient { client, dispatch } =
