--- a/components/dispatch/src/cancels.rs
+++ b/components/dispatch/src/cancels.rs
@@ -11,7 +11,7 @@
     /// second entry, nothing of the first try runs any more, so that nobody else has to be told. One that
     /// is not here may be any other entry's, and all of them are told. Agents are told as well: they may
     /// be reached where its entry is not, and tell the entries that they serve. Told to everyone for each
-    /// job, cancels grow with entries times agents: 12,240 messages each for 51 entries and 240 agents.
+    /// job, cancels would grow with entries times agents.
     pub(crate) fn cancel(&mut self, now: Time, id: &JobId, out: &mut Vec<Action>) {
         if !self.jobs.contains_key(id) {
             out.push(Action::TellEntries(id.clone()));
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -23,10 +23,8 @@
     /// From one sign of life to the next, for an agent that has none: it has nothing to stop once this
     /// entry is gone. Three of them fit into the silence after which it ends the session.
     pub quiet_heartbeat: Duration,
-    /// Silence of an agent after which it is given no new work: two of its reports of the load have not come. While a
-    /// quarter of the targets is cut off at usual load, 0.906 of all worth is earned with it and 0.901 with 350 ms
-    /// (51 entries, 240 targets, three seeds in virtual time); 180 ms is no better, and a host that gets its share
-    /// of a core in parts of 100 ms may be that late.
+    /// Silence of an agent after which it is given no new work: two of its reports of the load have not come. A host that
+    /// gets its share of a core in parts may be nearly that late.
     pub agent_silence: Duration,
     /// Silence of an agent after which its session is dead.
     pub session_silence: Duration,
@@ -35,15 +33,13 @@
     pub longest_pause: Duration,
     /// After the loss of an agent, nothing of what it ran runs any more.
     pub lost_lease: Duration,
-    /// How long a task waits at an agent for room. A start that crosses others' on its way is soon tried
-    /// elsewhere: at usual load 0.996 of all worth is earned, with 30 ms 0.988, and 0.872 for 0.868 at 1.5
-    /// times that load (51 entries, 240 targets, in virtual time).
+    /// How long a task waits at an agent for room. Short, so that a start that crosses others' on its way is soon tried
+    /// elsewhere.
     pub longest_wait: Duration,
     /// What part of its objective a job waits at least for its first room before it is refused.
     pub refuse_part: f64,
     /// What part of its objective it waits at most, where it can still end in time. Far from all of
-    /// its slack: the tasks after the first wait as well, and estimates are off by two fifths. Both
-    /// parts are from round 8 of docs/design/policy.md, where 0.12 to 0.30 measured about the same.
+    /// its slack: the tasks after the first wait as well, and estimates are far off.
     pub refuse_part_most: f64,
     /// What starting and answering take besides the work.
     pub overhead: Duration,
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -18,23 +18,17 @@
 const LOOK_AHEAD: usize = 16;
 /// Tasks at the head of the queue that are passed over because no agent has so much free.
 const PASS_OVER: usize = 512;
-/// What a target's slowdown beyond that of others takes from its score. Without the score 0.753 of the worth is
-/// earned for 0.796 while a fifth to three tenths of the targets are four to eight times slower (11 targets, eight
-/// pairs of days on the users' platform); where none is slow it changes nothing.
+/// What a target's slowdown beyond that of others takes from its score.
 const SLOWDOWN_PRICE: f64 = 0.35;
 /// What the label that a task had better have adds to a target's score.
 const AFFINITY_WORTH: f64 = 10.0;
 /// A target this many times slower than the others is left aside while others have room.
 const FAR_SLOWER: f64 = 2.5;
-/// What stays free at a target below this part of a task holds no other one: the task fills it. A part of the task, as
-/// tasks are a fifth of a target for some users and a tenth for others. At 1.1 times the room with tasks of a tenth, 0.881 of
-/// all worth is earned for 0.876 with a twentieth of the target, which is half of such a task (9 entries, 70 targets, 32 seeds in
-/// virtual time); with tasks of a fifth both are the same.
+/// What stays free at a target below this part of a task holds no other one: the task fills it. A part of the task and not of
+/// the target, as tasks are larger beside their targets for some users than for others.
 const FILLED_PART: f64 = 0.2;
 /// What filling a target adds to its score: more than any free part, less than what makes it a last resort. Room at other
-/// targets stays whole for tasks that need more of it, and entries do not all run for the emptiest target: with bursts and cuts
-/// of six kinds 0.876 of all worth is earned for 0.875 (51 entries, 240 targets, each agent serving 6 entries) and 0.880 for
-/// 0.873 (7, 66, each serving all; in virtual time, three seeds). With a part of 0.14 for 0.05 it is lost again.
+/// targets stays whole for tasks that need more of it, and entries do not all run for the emptiest target.
 const FILLED_WORTH: f64 = 1.0;
 /// What being far slower, or avoided, takes from a target's score.
 const LAST_RESORT: f64 = 100.0;
--- a/components/dispatch/src/reserve.rs
+++ b/components/dispatch/src/reserve.rs
@@ -4,9 +4,7 @@
 //! job finds its room task by task, behind less urgent ones of all entries, and ends late however high its
 //! priority. So a job begins only where room for the usual more urgent job stays free beside it.
 //!
-//! The load that this answers: 1.8 times the usual jobs while a quarter of the targets is cut off, 51
-//! entries, 240 targets, in virtual time (`soak/tests/load.rs`). With it 0.74 of the worth of the most urgent jobs is
-//! earned for 0.52, of all jobs 0.695 for 0.657; at usual load nothing changes (0.996).
+//! The load that this answers is far more than the usual jobs while part of the targets is cut off (`soak/tests/load.rs`).
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -18,11 +16,9 @@
 use crate::dispatcher::Timing;
 use crate::event::{JobRequest, SessionId};
 
-/// How many of the usual more urgent job find room. Jobs come unevenly, and loads are some milliseconds old:
-/// with 1.0 of them 0.70 of the worth of the most urgent is earned in the load above, with 1.5 of them 0.74.
+/// How many of the usual more urgent job find room. More than one: jobs come unevenly, and loads are some milliseconds old.
 const JOBS_KEPT: f64 = 1.5;
-/// What part of all known room is kept at most. Where targets are few, one wide job would keep a sixth of
-/// them idle: with 11 targets at usual load 0.904 of all worth is earned without this bound, with it 0.929.
+/// What part of all known room is kept at most. Where targets are few, one wide job would keep much of it idle.
 const PART_KEPT: f64 = 0.07;
 /// Without a more urgent job for so long nothing is kept for one.
 const MEMORY: Duration = Duration::from_secs(2);
--- a/components/dispatch/src/returns.rs
+++ b/components/dispatch/src/returns.rs
@@ -5,9 +5,8 @@
 //! not much work has been told to come back yet: a part of what this entry gets done in a second. The most
 //! urgent may use the whole part, others leave some of it to them, so that the urgent come back first.
 //!
-//! In virtual time, after two seconds with two and a half times the clients that can be served, 64 of 100 are served at
-//! their first try (46 where all come back after a second) with 39% fewer tries, half within 0.14 s (1.3 s); nine
-//! tenths within 6.4 s (4.6 s), as those who have waited no longer push aside those who come.
+//! More are served at their first try, with fewer tries; the last of a burst wait longer, as those who have waited no longer push
+//! aside those who come.
 
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/components/keeper/src/committed.rs
+++ b/components/keeper/src/committed.rs
@@ -10,8 +10,8 @@
 
 /// Entries after which the log is replaced by a snapshot.
 const COMPACT_AT: usize = 1_000;
-/// Bytes of committed commands after which it is so as well: a sixteenth of the smallest disk so far (128 MB).
-/// By entries alone 220 configurations of 845 kB filled a disk of 192 MB for good, that of each keeper at once.
+/// Bytes of committed commands after which it is so as well: a small part of the smallest disk.
+/// A bound by entries alone would let large configurations fill the disk of each keeper at once.
 const COMPACT_AT_BYTES: usize = 8_000_000;
 /// Replaced documents that are still sent. While versions follow each other faster than a slow link carries one, a node
 /// that had to begin anew with each would get none: it finishes one that is at most so many versions old.
--- a/components/keeper/src/fetch.rs
+++ b/components/keeper/src/fetch.rs
@@ -3,8 +3,7 @@
 //! Keepers and agents tell a node which version they have. It fetches the newest, one part at a time and each from the
 //! next of those that have it: a document comes to a node once, however many have it, and each of them sends its share. What
 //! has come stays, whoever sent it: a source that goes silent costs a part, and a link that is slow costs time, but never
-//! the whole document again. Asking for a whole one with a time-out never ended where the document took longer than that:
-//! over a link of 4 Mbit/s 2 MB had not come after 20 s, and take 4.4 s in parts.
+//! the whole document again. Asking for a whole one with a time-out would never end where the document takes longer than that.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/components/keeper/src/registry.rs
+++ b/components/keeper/src/registry.rs
@@ -3,10 +3,8 @@
 //! The list is soft state: every node registers at every keeper it knows, again and again, so that
 //! a keeper which has just started has the whole list within a second.
 //!
-//! Only entries are told of, and only when they change: with 240 agents, 51 entries and 5 keepers that
-//! start together, lists of all nodes are 291 rows for 291 nodes at each change, and most changes are of
-//! agents, which nobody looks for. A node that has an earlier list is told what has changed since, as rows and nodes
-//! both grow with the fleet: at 300 hosts a keeper's traffic was 955 kB a second for 1,009 with whole lists.
+//! Only entries are told of, and only when they change: most changes are of agents, which nobody looks for. A node that has an
+//! earlier list is told what has changed since, as rows and nodes both grow with the fleet.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
--- a/components/keeper/src/roster.rs
+++ b/components/keeper/src/roster.rs
@@ -1,9 +1,8 @@
 //! The nodes that a keeper remembers across its lives, and which of them it calls when it is back.
 //!
 //! Nodes without a disk know of keepers only what their settings name, three addresses. Where everything has
-//! lost power, other keepers may be up first, and nobody asks them: on days of the users' platform that end so entries and
-//! agents waited 0.25 to 0.35 s for a keeper that their settings name while another was up. So a keeper that starts calls
-//! the nodes that it knew before, and they ask it.
+//! lost power, other keepers may be up first, and nobody asks them. So a keeper that starts calls the nodes that it knew before,
+//! and they ask it.
 //!
 //! A call is a hint and may be lost: a node that does not ask is called again for some seconds. What is remembered is a hint
 //! as well, and neither replicated nor part of the journal.
--- a/components/runner/src/hold_times.rs
+++ b/components/runner/src/hold_times.rs
@@ -1,14 +1,9 @@
 //! How long a hold waits for an end, and how soon an unanswered one is given up.
 //!
 //! While a hold is left unanswered nothing is known of what ends at the target: its room lies idle, and jobs whose last
-//! task has ended there are late. A busy agent sends a hold for nearly every end, so that of a target which leaves one
-//! order in eighteen unanswered nothing was known for half of the time: two to three holds a second, 190 ms for each. So
-//! once a target has left an order unanswered, holds wait about as long as the next end is away, and are given up sooner.
-//!
-//! With 55 of 1,000 orders unanswered 0.991 of all worth is earned for 0.881 at usual load, 0.917 for 0.743 near all of the room
-//! (5 entries, 35 targets, in virtual time, `soak/tests/load.rs`), and 0.840 for 0.771 on a day of bursts of the users' platform (two
-//! seeds). Waits of 10 ms with starts sent again after 20 gain another 0.02 in virtual time and nothing on that day, where they cost
-//! connections and processor time. Where all orders are answered nothing changes.
+//! task has ended there are late. A busy agent sends a hold for nearly every end, so that of a target which leaves few
+//! orders unanswered nothing would be known for much of the time. So once a target has left an order unanswered, holds wait
+//! about as long as the next end is away, and are given up sooner. Where all orders are answered nothing changes.
 
 use std::time::Duration;
 
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -63,8 +63,7 @@
     /// and at most by how fast room is taken.
     pub load_gap_plenty: Duration,
     /// The load is reported once entries are thought to have taken this part of what was free: late
-    /// enough to spare entries, early enough that little of what they count on is gone. Only half
-    /// was measured (round 10 of docs/design/policy.md).
+    /// enough to spare entries, early enough that little of what they count on is gone.
     pub load_change: f64,
     /// From one report of the load to the next, at most.
     pub load_interval: Duration,
--- a/components/runner/src/turns.rs
+++ b/components/runner/src/turns.rs
@@ -6,10 +6,7 @@
 //! none. Only entries that sent starts lately take turns; any other is told the truth, and takes part once it
 //! has sent one.
 //!
-//! The load that this answers: 1.5 times the usual jobs, in virtual time (`soak/tests/load.rs`). Part of all worth earned
-//! with 51 entries and 240 targets 0.937 for 0.912, with 7 and 66 0.941 for 0.865, with 3 and 11 0.868 for 0.853; at
-//! usual load 0.998 for 0.997, 0.998 for 0.990, 0.940 for 0.921. Starts a task at 1.5 times: 1.22 for 1.41, 1.31 for
-//! 1.68, 1.12 for 1.19.
+//! The load that this answers is more jobs than there is room for (`soak/tests/load.rs`).
 
 use std::time::Duration;
 
@@ -17,11 +14,9 @@
 
 use crate::event::SessionId;
 
-/// How long a turn lasts: the way there and back takes an entry 3 ms between halls, and a busy one some more. 4 and
-/// 12 ms measured within 0.006 of this.
+/// How long a turn lasts: the way there and back between halls, and some more for a busy entry.
 const TURN: Duration = Duration::from_millis(8);
-/// Room for fewer usual tasks than this is scarce. Three times as much measured the same within 0.01, with a
-/// fifth more messages; room for one task only, 0.01 less.
+/// Room for fewer usual tasks than this is scarce.
 const SCARCE_TASKS: f64 = 1.5;
 /// An entry that has sent no start for so long takes no turns: some times as long as tasks run.
 const ACTIVE: Duration = Duration::from_secs(1);
--- a/components/wire/src/session.rs
+++ b/components/wire/src/session.rs
@@ -149,7 +149,7 @@
         /// Who the agent is.
         profile: AgentProfile,
         /// The version of the newest document that it knows; 0 for none. Its text is sent only to who asks for
-        /// it: with 70 agents and 640 kB it was 14 s of an entry's link at each return of all.
+        /// it: an entry that returns hears from all of its agents at once.
         document: u64,
         /// The halls that it knows to be emptied.
         halls: EmptiedHalls,
