--- a/components/dispatch/src/crashes.rs
+++ b/components/dispatch/src/crashes.rs
@@ -14,8 +14,8 @@
 use crate::event::{Action, Outcome, Reason, SessionId};
 
 /// Targets that may crash under a task before it is given up: each further start may cost all that runs at another one.
-const MOST: usize = 2;
-/// How long a crash is remembered: many times as long as a client sends a job again.
+const CRASHES_MAX: usize = 2;
+/// How long a crash is remembered: many times as long as it takes a client to send a job again.
 const KEPT: Duration = Duration::from_secs(20);
 
 /// The agents whose targets crashed, by task, and when that is forgotten.
@@ -31,7 +31,7 @@
 
     /// Whether targets have crashed under a task as often as they may.
     fn is_given_up(&self, task: &TaskId) -> bool {
-        self.0.get(task).is_some_and(|(agents, _)| agents.len() >= MOST)
+        self.0.get(task).is_some_and(|(agents, _)| agents.len() >= CRASHES_MAX)
     }
 
     /// Whether the target of an agent has crashed under a task: the agent does not start it again.
--- a/components/runner/src/hold.rs
+++ b/components/runner/src/hold.rs
@@ -115,7 +115,7 @@
         if !self.target.as_ref().is_some_and(|target| target.id().may_be(id)) {
             return;
         }
-        if self.is_answered_by_another(now, &reply, out) {
+        if self.another_life_answered(now, &reply, out) {
             return;
         }
         let Some(target) = &mut self.target else { return };
@@ -123,7 +123,7 @@
         match reply {
             HoldReply::Lists { clock_ms, running, ended, .. } => {
                 target.clock_is(now, clock_ms);
-                target.is_heard(now);
+                target.heard_now(now);
                 if target.leave_doubted.is_some_and(|left| left < sent) {
                     // It was the leave of an earlier life.
                     target.leave_doubted = None;
--- a/components/runner/src/lives.rs
+++ b/components/runner/src/lives.rs
@@ -34,6 +34,7 @@
 }
 
 impl NextLife<'_> {
+    /// Whether it may run what was ordered of the life before.
     pub fn may_run(&self, now: Time, task: &TaskId, run: &Run) -> bool {
         let Self::TakesOrders(running) = self else { return false };
         let is_listed = running.iter().any(|listed| listed.task == *task && listed.run == run.run);
@@ -128,7 +129,7 @@
     pub(crate) fn nothing_listens(&mut self, now: Time, id: &TargetLife) {
         if let Some(target) = self.target.as_mut().filter(|target| target.id().may_be(id)) {
             target.no_listener.get_or_insert(now);
-            target.fails(now);
+            target.stopped_answering(now);
         }
     }
 
@@ -139,9 +140,9 @@
         out.extend(asked.map(Action::Hold));
     }
 
-    /// A hold for the target was answered by a life with another start: the target's life is over. Returns
-    /// whether that is so.
-    pub(crate) fn is_answered_by_another(
+    /// Where a hold for the target was answered by a life with another start, the target's life is over, and
+    /// the other one is taken on. Returns whether that is so.
+    pub(crate) fn another_life_answered(
         &mut self,
         now: Time,
         reply: &HoldReply,
@@ -154,7 +155,7 @@
         match target.id().started_ms {
             Some(own) if own == *started => return false,
             None => {
-                target.started_at(now, *started);
+                target.learn_start(now, *started);
                 return false;
             }
             Some(_) => {}
@@ -190,12 +191,12 @@
                 self.newcomer_is_over(at, out);
                 true
             }
-            // The target answers: it has the same id.
+            // The present life answered: it has the same id.
             HoldReply::Lists { .. } if self.is_other_start(at, answered_by) => {
                 self.newcomer_is_over(at, out);
                 true
             }
-            // Whichever life it was: it may have been the target, which has the same id.
+            // It does not tell whose answer it is: it may be that of the present life, which has the same id.
             HoldReply::Fence { .. } if self.shares_id(at) => {
                 self.newcomers[at].unanswered(now);
                 self.newcomers[at].raise_fence(now);
@@ -254,12 +255,11 @@
     fn replace_life(
         &mut self,
         now: Time,
-        next: Target,
+        mut next: Target,
         running: &[TargetRun],
         out: &mut Vec<Action>,
     ) {
         let shares_id = self.target.as_ref().is_some_and(|target| target.id().id == next.id().id);
-        let mut next = next;
         if shares_id {
             next.lease_is_unknown(now, self.timing.longest_lease);
         }
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -158,7 +158,7 @@
 
 /// How long lost runs are remembered: longer than a target holds back ends.
 const LOST_KEPT: Duration = Duration::from_secs(20);
-/// How long the tasks that ran at a crash are remembered: many times as long as a client sends a job again.
+/// How long the tasks that ran at a crash are remembered: many times as long as it takes a client to send a job again.
 const CRASHED_KEPT: Duration = Duration::from_secs(20);
 /// From one tick to the next, at most.
 const TICK: Duration = Duration::from_millis(20);
--- a/components/runner/src/target.rs
+++ b/components/runner/src/target.rs
@@ -142,8 +142,8 @@
         next
     }
 
-    /// While it is a newcomer: it may be the next life of a target that keeps its id. Its token is above
-    /// that life's then, so that nothing ordered of that life is carried out late by this one.
+    /// While it is a newcomer: it may be the next life of a target that keeps its id. Its token is not below
+    /// that life's then, so that nothing ordered of lives before that is carried out late by this one.
     pub fn follow(&mut self, before: &Target) {
         if self.id().id == before.id().id {
             self.fencing_token = self.fencing_token.max(before.fencing_token);
@@ -165,8 +165,8 @@
         *self.id() == *id || leaves_out
     }
 
-    /// Its answer tells when it started; its report did not. Reports that do are all newer.
-    pub fn started_at(&mut self, now: Time, started_ms: u64) {
+    /// Its answer tells when it started, which its report did not: whatever report does counts as newer.
+    pub fn learn_start(&mut self, now: Time, started_ms: u64) {
         self.report.id.started_ms = Some(started_ms);
         self.report.sequence = 0;
         self.fencing_token = self.fencing_token.max(self.present_token(now));
@@ -234,7 +234,7 @@
 
     /// It has left an order unanswered.
     pub fn left_unanswered(&mut self, now: Time) {
-        self.fails(now);
+        self.stopped_answering(now);
         self.unanswered = Some(now);
     }
 
@@ -272,13 +272,13 @@
     }
 
     /// It answered a hold.
-    pub fn is_heard(&mut self, now: Time) {
+    pub fn heard_now(&mut self, now: Time) {
         self.heard = now;
         self.failing_since = None;
     }
 
-    /// An order was not answered, or could not be sent.
-    pub fn fails(&mut self, now: Time) {
+    /// An order was not answered, or could not be sent: notes since when that is so.
+    pub fn stopped_answering(&mut self, now: Time) {
         if self.failing_since.is_none() {
             self.failing_since = Some(now);
             self.failed_before =
