How long unanswered orders are remembered stands once; what wraps a renewal goes

Read again: target.rs had a constant of its own beside Timing::unanswered_kept, with the same meaning and value, and a second form of the look at it; both use one now. lease_is_unknown only called renew. The answer of a hold marks the load as changed at one place, and a node's own hash is worked out once a question, not once a keeper.

--- a/components/runner/src/hold.rs
+++ b/components/runner/src/hold.rs
@@ -124,14 +124,13 @@
             HoldReply::Lists { clock_ms, running, ended, .. } => {
                 target.clock_is(now, clock_ms);
                 target.heard_now(now);
-                if target.leave_doubted.is_some_and(|left| left < sent) {
-                    // It was the leave of an earlier life.
-                    target.leave_doubted = None;
-                    self.mark_dirty();
-                }
-                let Some(target) = &mut self.target else { return };
-                if std::mem::take(&mut target.silent) {
+                // A leave that was told before the hold was sent was that of an earlier life.
+                let was_doubted = target.leave_doubted.take_if(|left| *left < sent).is_some();
+                let was_silent = std::mem::take(&mut target.silent);
+                if was_silent {
                     out.push(Action::News(News::TargetHeard(id.clone())));
+                }
+                if was_silent || was_doubted {
                     self.mark_dirty();
                 }
                 self.take_ends(now, ended, out);
@@ -144,7 +143,7 @@
             }
             HoldReply::OtherLife => self.target_gone(now, out),
             HoldReply::Silent => {
-                target.left_unanswered(now);
+                target.left_unanswered(now, &self.timing);
                 target.hold_from = sent + RETRY;
             }
         }
--- a/components/runner/src/lives.rs
+++ b/components/runner/src/lives.rs
@@ -129,7 +129,7 @@
     pub(crate) fn nothing_listens(&mut self, now: Time, id: &TargetLife) {
         if let Some(target) = self.target.as_mut().filter(|target| target.id().may_be(id)) {
             target.no_listener.get_or_insert(now);
-            target.stopped_answering(now);
+            target.stopped_answering(now, &self.timing);
         }
     }
 
@@ -261,7 +261,8 @@
     ) {
         let shares_id = self.target.as_ref().is_some_and(|target| target.id().id == next.id().id);
         if shares_id {
-            next.lease_is_unknown(now, self.timing.longest_lease);
+            // It may have taken an order for the life before, with a lease that ends by that one's clock.
+            next.renew(now, self.timing.longest_lease);
         }
         let takes = if shares_id { NextLife::TakesOrders(running) } else { NextLife::TakesNone };
         self.end_life(now, takes, out);
--- a/components/runner/src/orders.rs
+++ b/components/runner/src/orders.rs
@@ -184,7 +184,7 @@
     fn start_silent(&mut self, now: Time, task: &TaskId, stopping: bool, out: &mut Vec<Action>) {
         self.counters.silent_starts += 1;
         if let Some(target) = &mut self.target {
-            target.left_unanswered(now);
+            target.left_unanswered(now, &self.timing);
         }
         if stopping {
             return;
--- a/components/runner/src/target.rs
+++ b/components/runner/src/target.rs
@@ -88,8 +88,6 @@
 const MOST_FENCE_DOUBLINGS: u32 = 52;
 /// A target that is well answers each hold within the time that it waits, and a little more.
 const HEARD_LATELY: Duration = Duration::from_millis(250);
-/// A target that has left an order unanswered is thought to do so again for so long.
-const FAILED_BEFORE_KEPT: Duration = Duration::from_secs(5);
 /// Weight of one task in the smoothed slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.15;
 /// Without an end for so long, what was learned wears off by a part,
@@ -150,11 +148,6 @@
         }
     }
 
-    /// It may have taken an order that was meant for an earlier life, with a lease that ends by that one's clock.
-    pub fn lease_is_unknown(&mut self, now: Time, longest: Duration) {
-        self.renew(now, longest);
-    }
-
     pub fn id(&self) -> &TargetLife {
         &self.report.id
     }
@@ -233,14 +226,18 @@
     }
 
     /// It has left an order unanswered.
-    pub fn left_unanswered(&mut self, now: Time) {
-        self.stopped_answering(now);
+    pub fn left_unanswered(&mut self, now: Time, timing: &Timing) {
+        self.stopped_answering(now, timing);
         self.unanswered = Some(now);
     }
 
     /// Whether it answers, but has left an order unanswered within this time.
     pub fn leaves_unanswered(&self, now: Time, within: Duration) -> bool {
-        !self.silent && self.unanswered.is_some_and(|at| now.since(at) < within)
+        !self.silent && self.has_left_unanswered(now, within)
+    }
+
+    fn has_left_unanswered(&self, now: Time, within: Duration) -> bool {
+        self.unanswered.is_some_and(|at| now.since(at) < within)
     }
 
     /// Takes its clock from an answer.
@@ -278,11 +275,10 @@
     }
 
     /// An order was not answered, or could not be sent: notes since when that is so.
-    pub fn stopped_answering(&mut self, now: Time) {
+    pub fn stopped_answering(&mut self, now: Time, timing: &Timing) {
         if self.failing_since.is_none() {
             self.failing_since = Some(now);
-            self.failed_before =
-                self.unanswered.is_some_and(|at| now.since(at) < FAILED_BEFORE_KEPT);
+            self.failed_before = self.has_left_unanswered(now, timing.unanswered_kept);
         }
     }
 
--- a/daemon/src/room/watch.rs
+++ b/daemon/src/room/watch.rs
@@ -257,10 +257,8 @@
     /// Whether the list of entries is taken from a keeper: from the first few of those that are connected to, in an order of
     /// this node's own.
     fn takes_list_of(&self, keeper: SocketAddr) -> bool {
-        let rank = |address: &SocketAddr| {
-            let own = xxh3_64(self.own.name.as_str().as_bytes());
-            xxh3_64_with_seed(address.to_string().as_bytes(), own)
-        };
+        let own = xxh3_64(self.own.name.as_str().as_bytes());
+        let rank = |address: &SocketAddr| xxh3_64_with_seed(address.to_string().as_bytes(), own);
         let own_rank = rank(&keeper);
         let clients = self.clients.borrow();
         clients.keys().filter(|other| rank(other) > own_rank).count() < LISTS_FROM
