A target that refuses every fencing token does not bring it to an overflow

Cause: the steps by which a refused token is raised double up to 2^52 and stay there, so that after some 4,100 refusals, a minute of holds, the sum leaves 64 bits: an agent of a debug build ends, one of a release build begins with a low token again. The token ends at 2^53 now, what a number in a body holds exactly, and steps at 2^40, two of which are beyond all clocks. The test fails on the code before ("attempt to add with overflow").

--- a/components/runner/src/target.rs
+++ b/components/runner/src/target.rs
@@ -84,8 +84,11 @@
 /// A report may have been sent so long before the agent began. A leave that an earlier life of the
 /// agent acknowledged since is then told again well before work has to stop, 2 s after it.
 const REPORT_SLACK: Duration = Duration::from_millis(500);
-/// The largest step of a fencing token is two to this power: beyond all clocks, and far from an overflow.
-const MOST_FENCE_DOUBLINGS: u32 = 52;
+/// The largest step of a fencing token is two to this power: two such steps are beyond all clocks.
+const MOST_FENCE_DOUBLINGS: u32 = 40;
+/// The highest fencing token: what a number in a body holds exactly. A target that refuses every token is not to bring it
+/// beyond that.
+const FENCING_TOKEN_MAX: u64 = 1 << 53;
 /// A target that is well answers each hold within the time that it waits, and a little more.
 const HEARD_LATELY: Duration = Duration::from_millis(250);
 /// Weight of one task in the smoothed slowdown.
@@ -174,7 +177,8 @@
     pub fn raise_fence(&mut self, now: Time) {
         let step = 1 << self.fence_refusals.min(MOST_FENCE_DOUBLINGS);
         self.fence_refusals += 1;
-        self.fencing_token = self.present_token(now).max(self.fencing_token + step);
+        let raised = (self.fencing_token + step).min(FENCING_TOKEN_MAX);
+        self.fencing_token = self.present_token(now).max(raised);
     }
 
     /// Takes a report of this life. Of one that newer ones have overtaken nothing counts but that
--- a/components/runner/tests/kept_ids.rs
+++ b/components/runner/tests/kept_ids.rs
@@ -294,6 +294,19 @@
     assert!(agent.starts.pop().is_some_and(|again| again.fencing_token > start.fencing_token));
 }
 
+/// A target answers every hold as if the token were too low, for minutes: the token stays what a body can tell.
+#[test]
+fn a_target_that_refuses_every_token_does_not_bring_it_beyond_all_numbers() {
+    let mut agent = agent();
+    agent.run_for(20);
+    for _ in 0..9_000 {
+        answer(&mut agent, FIRST, HoldReply::Fence { clock_ms: CLOCK });
+        agent.run_for(20);
+    }
+    let token = agent.holds.last().expect("a hold is under way").fencing_token;
+    assert!(token <= 1 << 53, "{token}");
+}
+
 #[test]
 fn a_leave_without_runs_ends_with_the_next_life_at_once() {
     let mut agent = agent();
