Declare the interfaces for the parts that answer hard load

Cause: five parts on run times, placement, shares, forecasts and data are built side by side and need a common base. Change: Timing of entry and agent in files of their own, which nothing circles back to; a switch in Policy for each part; admission::RunTimes with its interface, which returns the estimate until runs are recorded; the entry sends its result with a start. Result: decisions unchanged; tests of dispatch, runner and admission pass.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -2,7 +2,9 @@
 //! the tasks queued ahead of it.
 
 mod estimate;
+mod run_times;
 mod service_times;
 
 pub use estimate::{QueueLoad, estimate_completion};
+pub use run_times::RunTimes;
 pub use service_times::ServiceTimes;
--- a/components/dispatch/src/agents.rs
+++ b/components/dispatch/src/agents.rs
@@ -7,8 +7,9 @@
 use model::{NodeName, Resources, Time};
 use wire::{AgentProfile, EmptiedHalls, Load, ToAgent};
 
-use crate::dispatcher::{Dispatcher, Timing};
+use crate::dispatcher::Dispatcher;
 use crate::event::{Action, LogEvent, SessionId};
+use crate::timing::Timing;
 
 /// Minimum interval between scans of all agents for timeouts and due heartbeats. A scan on every
 /// event would cost time quadratic in the number of agents.
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -23,13 +23,15 @@
 mod retry_schedule;
 mod task_reports;
 mod timeouts;
+mod timing;
 mod urgent_reserve;
 
 pub use cancel_notices::CancelNotices;
-pub use dispatcher::{Dispatcher, DispatcherCounters, Timing};
+pub use dispatcher::{Dispatcher, DispatcherCounters};
 pub use event::{
     Action, CallId, Event, HallsSource, JobRequest, LogEvent, Outcome, Reason, SessionId,
     TargetSummary, TaskShape,
 };
 pub use planned_stop::{PlannedStop, StopStatus, StopStep, StopTiming};
 pub use policy::Policy;
+pub use timing::Timing;
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -2,16 +2,18 @@
 
 use std::collections::{BTreeMap, btree_map};
 use std::sync::Arc;
+use std::time::Duration;
 
 use model::{JobId, Resources, TaskId, Time};
 use wire::{StartTask, ToAgent};
 
 use crate::agents::Agent;
 use crate::crashes::Crashes;
-use crate::dispatcher::{Dispatcher, QueuedTask, Timing, queued_task};
+use crate::dispatcher::{Dispatcher, QueuedTask, queued_task};
 use crate::event::{Action, JobRequest, LogEvent, SessionId};
 use crate::job::{Job, Task, TaskState};
 use crate::policy::Policy;
+use crate::timing::Timing;
 use crate::urgent_reserve::ServiceCapacities;
 
 /// Number of tasks without a suitable agent after which a pass over the queue ends.
@@ -178,7 +180,12 @@
             pass.started_jobs.push(queued.job.clone());
         }
         let free = agent.free(pass.now);
-        let start = record_start(job, queued.index, agent, id, pass.now, &self.timing);
+        let estimate = Duration::from_millis(u64::from(job.request.shape.estimated_ms));
+        let expected = match self.policy.run_times {
+            true => self.run_times.expected(&job.request.queue, estimate),
+            false => estimate,
+        };
+        let start = record_start(job, queued.index, agent, id, expected, pass.now, &self.timing);
         if let Some(name) = agent.name() {
             actions.push(Action::Log(LogEvent::Placed {
                 task: TaskId { job: queued.job.clone(), index: queued.index },
@@ -337,6 +344,7 @@
     index: u32,
     agent: &mut Agent,
     session: SessionId,
+    expected: Duration,
     now: Time,
     timing: &Timing,
 ) -> StartTask {
@@ -351,7 +359,7 @@
         index,
         run: task.run,
         resources: job.request.shape.resources,
-        estimated_ms: job.request.shape.estimated_ms,
+        estimated_ms: expected.as_millis() as u32,
         longest_wait_ms: timing.max_wait_at_agent.as_millis() as u32,
         priority: job.request.priority,
     }
--- a/components/dispatch/src/policy.rs
+++ b/components/dispatch/src/policy.rs
@@ -17,6 +17,16 @@
     pub urgent_reserve: bool,
     /// A task that was lost with its agent is started again after the agent's lease has ended.
     pub rerun_lost: bool,
+    /// Estimates are corrected by what tasks of the queue have taken, and targets by their speed.
+    pub run_times: bool,
+    /// Targets are chosen by when a task would end there, where they differ in speed.
+    pub predicted_end: bool,
+    /// Targets near data that other tasks wait for are left to those tasks.
+    pub data_demand: bool,
+    /// Agents are told what waits for capacity, so that they share scarce capacity by it.
+    pub report_demand: bool,
+    /// Jobs are refused as soon as their predicted start is too late, and kept while it is not.
+    pub start_forecast: bool,
 }
 
 impl Default for Policy {
@@ -28,6 +38,11 @@
             early_refusal: true,
             urgent_reserve: true,
             rerun_lost: true,
+            run_times: true,
+            predicted_end: true,
+            data_demand: true,
+            report_demand: true,
+            start_forecast: true,
         }
     }
 }
@@ -42,6 +57,11 @@
             "early-refusal" => &mut self.early_refusal,
             "urgent-reserve" => &mut self.urgent_reserve,
             "lost-again" => &mut self.rerun_lost,
+            "run-times" => &mut self.run_times,
+            "predicted-end" => &mut self.predicted_end,
+            "data-demand" => &mut self.data_demand,
+            "report-demand" => &mut self.report_demand,
+            "start-forecast" => &mut self.start_forecast,
             _ => return false,
         };
         *flag = false;
--- a/components/dispatch/src/timeouts.rs
+++ b/components/dispatch/src/timeouts.rs
@@ -5,9 +5,10 @@
 use model::Time;
 
 use crate::admission::not_run_outcome;
-use crate::dispatcher::{Dispatcher, Timing, queued_task};
+use crate::dispatcher::{Dispatcher, queued_task};
 use crate::event::{Action, JobRequest, Outcome, Reason};
 use crate::job::{Job, TaskState};
+use crate::timing::Timing;
 
 /// Minimum interval between scans of all jobs.
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
--- a/components/dispatch/src/urgent_reserve.rs
+++ b/components/dispatch/src/urgent_reserve.rs
@@ -12,8 +12,8 @@
 use model::Time;
 
 use crate::agents::Agent;
-use crate::dispatcher::Timing;
 use crate::event::{JobRequest, SessionId};
+use crate::timing::Timing;
 
 /// Number of typical more urgent jobs to reserve capacity for. More than one, as arrivals are
 /// uneven and load reports are slightly old.
--- a/components/runner/src/hold_timing.rs
+++ b/components/runner/src/hold_timing.rs
@@ -9,7 +9,8 @@
 use model::Time;
 
 use crate::run::Run;
-use crate::runner::{Runner, Timing};
+use crate::runner::Runner;
+use crate::timing::Timing;
 
 /// Wait of a hold while orphaned runs are stopped.
 const ORPHAN_WAIT: Duration = Duration::from_millis(30);
--- a/components/runner/src/lib.rs
+++ b/components/runner/src/lib.rs
@@ -19,10 +19,12 @@
 mod sessions;
 mod start_rate;
 mod target;
+mod timing;
 
 pub use event::{
     Action, EndReason, Event, HallsSource, HoldCommand, HoldReply, LogEvent, RunKey, SessionId,
     StartCommand, StartRefusal, StartReply, StopCommand, StopReply, TargetEnd, TargetInstance,
     TargetReport, TargetRun,
 };
-pub use runner::{Runner, RunnerCounters, Timing};
+pub use runner::{Runner, RunnerCounters};
+pub use timing::Timing;
--- a/components/runner/src/target.rs
+++ b/components/runner/src/target.rs
@@ -9,7 +9,7 @@
 use crate::hold::HOLD_RETRY_DELAY;
 use crate::hold_timing::HoldTiming;
 use crate::run::{Run, RunState};
-use crate::runner::Timing;
+use crate::timing::Timing;
 
 /// The agent's state of one target instance.
 #[derive(Debug)]
