Learn run times by queue and the speed of a target by its life

Cause: a target's speed was forgotten after two idle seconds and mixed with the error of a queue's estimates, and run times of a queue were not recorded.

Entries send the corrected estimate with a start, and record completed runs and the error of their predictions.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use admission::RunTimes;
+use admission::{PredictionErrors, RunTimes};
 use model::{CancelledJobs, JobId, Time};
 use wire::{EmptiedHalls, TaskEnd, ToEntry};
 
@@ -14,6 +14,7 @@
 use crate::placement::ChangedCapacity;
 use crate::policy::Policy;
 use crate::retry_schedule::RetrySchedule;
+use crate::run_times::MedianSlowdown;
 use crate::timing::Timing;
 use crate::urgent_reserve::UrgentReserve;
 
@@ -85,6 +86,8 @@
     pub(crate) reserve: UrgentReserve,
     /// Run times of the tasks of each queue.
     pub(crate) run_times: RunTimes,
+    pub(crate) prediction_errors: PredictionErrors,
+    pub(crate) median_slowdown: MedianSlowdown,
     /// Retry delays assigned to rejected clients.
     pub(crate) retries: RetrySchedule,
     /// Set once the entry is stopping: jobs that may not end by then are refused.
@@ -117,6 +120,8 @@
             emptied_halls: EmptiedHalls::default(),
             reserve: UrgentReserve::default(),
             run_times: RunTimes::default(),
+            prediction_errors: PredictionErrors::default(),
+            median_slowdown: MedianSlowdown::default(),
             retries: RetrySchedule::default(),
             stop_deadline: None,
             counters: DispatcherCounters::default(),
--- a/components/dispatch/src/job.rs
+++ b/components/dispatch/src/job.rs
@@ -5,6 +5,7 @@
 use model::Time;
 
 use crate::event::{CallId, JobRequest, Outcome, SessionId};
+use crate::run_times::Prediction;
 
 /// State of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +34,11 @@
     pub avoid: Option<(SessionId, Time)>,
     /// When the task last started to wait for capacity.
     pub waiting_since: Time,
+    /// The prediction of the last run that was started.
+    pub prediction: Option<Prediction>,
+    /// Run time of the completed run, and the relative slowdown of its target. `None` if the run was
+    /// away from the data that the job names.
+    pub completed_run: Option<(Duration, f64)>,
 }
 
 /// A job and the calls that wait for its answer.
@@ -66,6 +72,8 @@
             losses: 0,
             avoid: None,
             waiting_since: now,
+            prediction: None,
+            completed_run: None,
         };
         let count = request.shape.count as usize;
         Self {
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 mod planned_stop;
 mod policy;
 mod retry_schedule;
+mod run_times;
 mod task_reports;
 mod timeouts;
 mod timing;
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeMap, btree_map};
 use std::sync::Arc;
-use std::time::Duration;
 
 use model::{JobId, Resources, TaskId, Time};
 use wire::{StartTask, ToAgent};
@@ -13,6 +12,7 @@
 use crate::event::{Action, JobRequest, LogEvent, SessionId};
 use crate::job::{Job, Task, TaskState};
 use crate::policy::Policy;
+use crate::run_times::predict_run;
 use crate::timing::Timing;
 use crate::urgent_reserve::ServiceCapacities;
 
@@ -174,18 +174,18 @@
         pass: &mut PlacementPass,
         actions: &mut Vec<Action>,
     ) {
+        self.median_slowdown.refresh(pass.now, &self.agents);
         let Some(job) = self.jobs.get_mut(&queued.job) else { return };
         let Some(agent) = self.agents.get_mut(&id) else { return };
         if queued.unstarted && job.starts == 0 {
             pass.started_jobs.push(queued.job.clone());
         }
         let free = agent.free(pass.now);
-        let estimate = Duration::from_millis(u64::from(job.request.shape.estimated_ms));
-        let expected = match self.policy.run_times {
-            true => self.run_times.expected(&job.request.queue, estimate),
-            false => estimate,
-        };
-        let start = record_start(job, queued.index, agent, id, expected, pass.now, &self.timing);
+        let (prediction, estimated_ms) =
+            predict_run(&job.request, agent, &self.run_times, &self.median_slowdown, self.policy);
+        job.tasks[queued.index as usize].prediction = Some(prediction);
+        let start =
+            record_start(job, queued.index, agent, id, estimated_ms, pass.now, &self.timing);
         if let Some(name) = agent.name() {
             actions.push(Action::Log(LogEvent::Placed {
                 task: TaskId { job: queued.job.clone(), index: queued.index },
@@ -344,7 +344,7 @@
     index: u32,
     agent: &mut Agent,
     session: SessionId,
-    expected: Duration,
+    estimated_ms: u32,
     now: Time,
     timing: &Timing,
 ) -> StartTask {
@@ -359,7 +359,7 @@
         index,
         run: task.run,
         resources: job.request.shape.resources,
-        estimated_ms: expected.as_millis() as u32,
+        estimated_ms,
         longest_wait_ms: timing.max_wait_at_agent.as_millis() as u32,
         priority: job.request.priority,
     }
--- a/components/dispatch/src/task_reports.rs
+++ b/components/dispatch/src/task_reports.rs
@@ -8,6 +8,7 @@
 use crate::dispatcher::{Dispatcher, queued_task};
 use crate::event::{Action, LogEvent, Outcome, Reason, SessionId};
 use crate::job::TaskState;
+use crate::run_times::{record_completed_job, record_completed_run};
 
 /// How long a task avoids an agent that refused it for lack of capacity.
 const AVOID_AFTER_REFUSAL: Duration = Duration::from_millis(20);
@@ -26,7 +27,7 @@
         report: TaskReport,
         actions: &mut Vec<Action>,
     ) {
-        let TaskReport { task: task_id, sequence, end, .. } = report;
+        let TaskReport { task: task_id, sequence, end, ran_ms } = report;
         let Some(job) = self.jobs.get_mut(&task_id.job) else { return };
         let Some(task) = job.tasks.get_mut(task_id.index as usize) else { return };
         if task.state != (TaskState::Placed { session: id, sequence }) {
@@ -48,6 +49,12 @@
             TaskEnd::NotRun(_) => Some(AVOID_AFTER_LOSS),
         };
         let (failures, losses) = (task.failures, task.losses);
+        if end == TaskEnd::Done {
+            let ran = Duration::from_millis(u64::from(ran_ms));
+            let run_times = self.policy.run_times.then_some(&mut self.run_times);
+            let errors = &mut self.prediction_errors;
+            record_completed_run(&job.request, task, ran, run_times, errors);
+        }
         match avoid_for {
             Some(avoid) if job.outcome.is_none() => {
                 task.state = TaskState::Waiting;
@@ -59,6 +66,9 @@
                 job.open_tasks -= 1;
             }
         }
+        if end == TaskEnd::Done && job.open_tasks == 0 {
+            record_completed_job(job, &mut self.run_times);
+        }
         let queued = queued_task(job, task_id.index, self.policy);
         let (open, answered) = (job.open_tasks, job.outcome.is_some());
         if end == TaskEnd::NotRun(wire::Refusal::Cancelled) && !answered {
--- a/components/runner/src/commands.rs
+++ b/components/runner/src/commands.rs
@@ -267,10 +267,10 @@
     pub(crate) fn stop_overdue(&mut self, now: Time, actions: &mut Vec<Action>) {
         let Some(target) = &self.target else { return };
         let last_answer = target.last_hold_answer;
-        let slowdown = (target.slowdown_percent / 100.0).clamp(1.0, MAX_SLOWDOWN);
+        let slowdown = target.speed.slowdown().clamp(1.0, MAX_SLOWDOWN);
         let stalled = last_answer.since(target.last_end) > STALLED_AFTER;
         let is_overdue = |run: &Run, factor: u32| {
-            let estimate = Duration::from_millis(u64::from(run.estimated_ms)).mul_f64(slowdown);
+            let estimate = run.estimate().mul_f64(slowdown);
             let ran = last_answer.since(run.started_at);
             run.state == RunState::Running
                 && run.run == FIRST_RUN
--- a/components/runner/src/load_reports.rs
+++ b/components/runner/src/load_reports.rs
@@ -128,7 +128,7 @@
         let waiting = self.runs.values().filter(|run| !run.holds_capacity());
         waiting.for_each(|run| free -= run.resources);
         let on_trial = self.target.as_ref().is_some_and(|target| target.health.on_trial());
-        let slowdown = self.target.as_ref().map_or(0.0, |target| target.slowdown_percent);
+        let slowdown = self.target.as_ref().map_or(0, |target| target.speed.slowdown_percent());
         Load {
             at: now,
             free,
@@ -136,7 +136,7 @@
             last_start_sequence: 0,
             open: self.is_open(now) && (!on_trial || self.runs.is_empty()),
             on_trial,
-            slowdown_percent: slowdown as u32,
+            slowdown_percent: slowdown,
         }
     }
 }
--- a/components/runner/src/run.rs
+++ b/components/runner/src/run.rs
@@ -1,6 +1,7 @@
 //! A run of a task on this agent's target.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use model::{Resources, Time};
 
@@ -65,6 +66,11 @@
 }
 
 impl Run {
+    /// Estimated run time on an ordinary target.
+    pub fn estimate(&self) -> Duration {
+        Duration::from_millis(u64::from(self.estimated_ms))
+    }
+
     /// Whether the run occupies capacity of the target.
     pub fn holds_capacity(&self) -> bool {
         self.state != RunState::Waiting
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -212,9 +212,6 @@
         self.cancelled.remove_expired(now);
         self.lost_runs.retain(|_, (_, until)| *until > now);
         self.crashed_tasks.retain(|_, until| *until > now);
-        if let Some(target) = &mut self.target {
-            target.decay_slowdown(now);
-        }
         self.check_target(now, actions);
         self.probe_candidates(now, actions);
         self.stop_overdue(now, actions);
@@ -316,7 +313,7 @@
         self.queue_end_report(session, report);
     }
 
-    /// Updates the slowdown and the health of the target from the end of a run.
+    /// Updates the speed and the health of the target from the end of a run.
     fn update_target_stats(
         &mut self,
         now: Time,
@@ -331,7 +328,10 @@
         }
         let change = match end {
             TaskEnd::Done => {
-                target.record_duration(now, ran, run.estimated_ms);
+                // After an unanswered start, it is unknown when the run started.
+                if run.unanswered_starts == 0 {
+                    target.speed.record(run.estimate(), ran);
+                }
                 target.health.record_success(run.started_at)
             }
             TaskEnd::Failed => target.health.record_failure(now, run.started_at),
--- a/components/runner/src/target.rs
+++ b/components/runner/src/target.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use admission::TargetSpeed;
 use model::{Resources, Time};
 
 use crate::event::{HoldCommand, TargetInstance, TargetReport};
@@ -36,10 +37,8 @@
     /// Whether the target may have runs that this agent does not track. While it has only such
     /// runs, its lease is left to expire and nothing starts on it.
     pub has_orphans: bool,
-    /// Duration of tasks in percent of their estimates, smoothed.
-    pub slowdown_percent: f64,
-    /// When the slowdown was last updated or decayed.
-    slowdown_updated: Time,
+    /// How long tasks take on this instance relative to their estimates.
+    pub speed: TargetSpeed,
     /// When a run last ended on the target.
     pub last_end: Time,
     /// For a candidate: whether another instance was adopted after the outstanding hold was sent.
@@ -92,14 +91,6 @@
 const MAX_FENCING_TOKEN: u64 = 1 << 53;
 /// A healthy target answers each hold within its wait and a small margin; this covers both.
 const RECENT_ANSWER: Duration = Duration::from_millis(250);
-/// Weight of one task in the smoothed slowdown.
-const SLOWDOWN_WEIGHT: f64 = 0.15;
-/// Without an ended run, the slowdown decays once per this interval.
-const DECAY_INTERVAL: Duration = Duration::from_millis(200);
-/// Fraction of the way to `NO_SLOWDOWN` that one decay step covers.
-const DECAY_WEIGHT: f64 = 0.1;
-/// Slowdown, in percent, of a target without known durations.
-const NO_SLOWDOWN: f64 = 100.0;
 
 impl Target {
     pub fn new(report: TargetReport, now: Time) -> Self {
@@ -116,8 +107,7 @@
             silent: false,
             last_unanswered: None,
             has_orphans: true,
-            slowdown_percent: NO_SLOWDOWN,
-            slowdown_updated: now,
+            speed: TargetSpeed::default(),
             last_end: now,
             is_overtaken: false,
             unconfirmed_leave: None,
@@ -321,24 +311,6 @@
         now > self.lease_ends
     }
 
-    /// Decays the slowdown towards the default while no run ends on the target.
-    pub fn decay_slowdown(&mut self, now: Time) {
-        if now.since(self.slowdown_updated) >= DECAY_INTERVAL {
-            self.slowdown_updated = now;
-            self.slowdown_percent += (NO_SLOWDOWN - self.slowdown_percent) * DECAY_WEIGHT;
-        }
-    }
-
-    /// Updates the slowdown from the duration of a completed task.
-    pub fn record_duration(&mut self, now: Time, ran: Duration, estimated_ms: u32) {
-        self.slowdown_updated = now;
-        if estimated_ms == 0 {
-            return;
-        }
-        let percent = ran.as_secs_f64() * 1e5 / f64::from(estimated_ms);
-        self.slowdown_percent += (percent - self.slowdown_percent) * SLOWDOWN_WEIGHT;
-    }
-
     pub fn capacity(&self) -> Resources {
         self.report.capacity
     }
