--- a/components/admission/src/target_speed.rs
+++ b/components/admission/src/target_speed.rs
@@ -18,12 +18,13 @@
 /// Part of a run's deviation from the mean, in logarithms, that the spread of single runs explains:
 /// one standard deviation. Changes by a smaller factor are left to the mean.
 const USUAL_DEVIATION: f64 = 0.4;
-/// Largest deviation of a single run that counts as evidence of a change, so that no two runs are
+/// Largest deviation of a single run that counts as evidence of a change, so that three runs are not
 /// enough.
-const MAX_DEVIATION: f64 = 2.0;
-/// Evidence at which a change is accepted: eight standard deviations, which ordinary runs reach once
-/// in millions. A target that becomes five times slower reaches it within 3 to 5 runs.
-const ACCEPTED_EVIDENCE: f64 = 3.2;
+const MAX_DEVIATION: f64 = 1.9;
+/// Evidence at which a change is accepted. A target that becomes five times slower reaches it within
+/// 4 to 6 runs. The eight tasks of a job whose estimate is off by twice the usual error, all on one
+/// target, do not: they add up to 3.2.
+const ACCEPTED_EVIDENCE: f64 = 4.8;
 
 /// The slowdown of a target, learned from the runs that it completes.
 #[derive(Clone, Copy, Debug)]
