--- a/components/runner/tests/support/mod.rs
+++ b/components/runner/tests/support/mod.rs
@@ -28,6 +28,8 @@
     pub reports: Vec<TaskReport>,
     pub closed: Vec<SessionId>,
     pub open: bool,
+    /// The slowdown in the last load report.
+    pub slowdown_percent: u32,
     /// Number of load reports without ended runs.
     pub loads: u32,
     pub sequence: u64,
@@ -61,6 +63,7 @@
             reports: Vec::new(),
             closed: Vec::new(),
             open: false,
+            slowdown_percent: 0,
             loads: 0,
             sequence: 0,
             halls_sent: Vec::new(),
@@ -79,9 +82,11 @@
                 Action::Send(_, ToEntry::Ended { reports, load }) => {
                     self.reports.extend(reports);
                     self.open = load.open;
+                    self.slowdown_percent = load.slowdown_percent;
                 }
                 Action::Send(_, ToEntry::Load(load)) => {
                     self.open = load.open;
+                    self.slowdown_percent = load.slowdown_percent;
                     self.loads += 1;
                 }
                 Action::Send(id, ToEntry::Halls(halls)) => self.halls_sent.push((id, halls)),
