--- a/components/runner/tests/target_speed.rs
+++ b/components/runner/tests/target_speed.rs
@@ -3,7 +3,6 @@
 mod support;
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use model::JobId;
 use runner::{EndReason, Event, HoldReply, RunKey, StartReply};
