Choose targets by the predicted end of a task

Nothing predicted when a task would end on a target, so an empty target of half the speed was preferred to a fast half-full one, even for a task that could not be in time there.

placement::TargetSearch takes the task's predicted run time, the rest of its objective and the candidates, and prefers targets where the task is in time.

--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -5,14 +5,13 @@
 use std::time::Duration;
 
 use model::{JobId, Resources, TaskId, Time};
+use placement::{Candidate, SearchOptions, SearchResult, TargetSearch, TaskNeeds};
 use wire::{StartTask, ToAgent};
 
 use crate::agents::Agent;
-use crate::crashes::Crashes;
 use crate::dispatcher::{Dispatcher, QueuedTask, queued_task};
-use crate::event::{Action, JobRequest, LogEvent, SessionId};
+use crate::event::{Action, LogEvent, SessionId};
 use crate::job::{Job, Task, TaskState};
-use crate::policy::Policy;
 use crate::timing::Timing;
 use crate::urgent_reserve::ServiceCapacities;
 
@@ -20,21 +19,9 @@
 const MAX_MISSES: usize = 16;
 /// Maximum number of queued tasks that a pass examines.
 const MAX_QUEUE_SCAN: usize = 512;
-/// Score penalty of a target with twice the median slowdown; proportional to the excess.
-const SLOWDOWN_PENALTY: f64 = 0.35;
-/// Score bonus for a target with the task's preferred label.
-const AFFINITY_BONUS: f64 = 10.0;
-/// Slowdown relative to the median above which a target is a last resort.
-const MAX_RELATIVE_SLOWDOWN: f64 = 2.5;
-/// A task fills a target if the remaining CPU is below this fraction of the task's own. Relative to
-/// the task, as the ratio of task size to target size differs between users.
-const FILLED_FRACTION: f64 = 0.2;
-/// Score bonus for a target that the task fills: above any score for free capacity, below the
-/// last-resort penalty. Keeps large free blocks at other targets and stops all entries from
-/// choosing the emptiest target.
-const FILLED_BONUS: f64 = 1.0;
-/// Score penalty for a target that is much slower than the median.
-const LAST_RESORT_PENALTY: f64 = 100.0;
+/// Fraction of a service's capacity below which free capacity is scarce. The smallest burst, 1.3
+/// times the usual load, takes up this much.
+const SCARCE_FREE_FRACTION: f64 = 0.25;
 
 /// The agents at which queued tasks may find capacity that they did not find before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,8 +51,7 @@
     changed: ChangedCapacity,
     /// Largest free CPU of any of these agents, in thousandths of a core.
     max_free_cpu: u64,
-    /// Median slowdown of the agents that accept work, in percent.
-    median_slowdown: f64,
+    search: TargetSearch,
     capacities: ServiceCapacities,
     /// Number of tasks so far that found no agent.
     misses: usize,
@@ -75,13 +61,13 @@
 }
 
 impl PlacementPass {
-    fn new(now: Time, changed: ChangedCapacity, max_free_cpu: u64, median_slowdown: f64) -> Self {
+    fn new(now: Time, changed: ChangedCapacity, max_free_cpu: u64, search: TargetSearch) -> Self {
         let (placed, started_jobs) = (Vec::new(), Vec::new());
         Self {
             now,
             changed,
             max_free_cpu,
-            median_slowdown,
+            search,
             capacities: ServiceCapacities::default(),
             misses: 0,
             placed,
@@ -94,6 +80,8 @@
 enum Choice {
     Agent(SessionId),
     NoAgent,
+    /// The result would come too late to be of use from any agent.
+    TooLate,
     /// The job of the task no longer exists.
     NoJob,
 }
@@ -116,7 +104,7 @@
         }
         // The queue is detached while its tasks are placed. Nothing is queued during the pass.
         let queue = std::mem::take(&mut self.queue);
-        let mut pass = PlacementPass::new(now, changed, max_free_cpu, self.median_slowdown());
+        let mut pass = PlacementPass::new(now, changed, max_free_cpu, self.target_search());
         for queued in queue.iter().take(MAX_QUEUE_SCAN) {
             if queued.cpu_milli > pass.max_free_cpu {
                 continue;
@@ -125,7 +113,7 @@
                 Choice::Agent(id) => self.start_task_at(id, queued, &mut pass, actions),
                 Choice::NoAgent if pass.misses + 1 >= MAX_MISSES => break,
                 Choice::NoAgent => pass.misses += 1,
-                Choice::NoJob => {}
+                Choice::TooLate | Choice::NoJob => {}
             }
         }
         self.queue = queue;
@@ -141,18 +129,85 @@
         if queued.unstarted && job.starts == 0 && !self.may_start_job(job, pass) {
             return Choice::NoAgent;
         }
-        let agents = pass.changed.select(&self.agents);
-        let search = AgentSearch {
-            agents,
-            now: pass.now,
-            timing: &self.timing,
-            median_slowdown: pass.median_slowdown,
-            policy: self.policy,
-            crashes: &self.crashes,
+        let needs = self.task_needs(job, pass);
+        if pass.search.is_too_late(&needs) {
+            return Choice::TooLate;
+        }
+        let candidates = self.candidates(job, queued.index, pass);
+        match pass.search.best(&needs, candidates) {
+            SearchResult::Target(id) => Choice::Agent(id),
+            SearchResult::NoCandidate => Choice::NoAgent,
+            // Another agent may still be fast enough. A pass over a single agent goes on, as the
+            // agent may be fast enough for other tasks and each costs little.
+            SearchResult::TooLate if pass.changed == ChangedCapacity::AnyAgent => Choice::NoAgent,
+            SearchResult::TooLate => Choice::TooLate,
+        }
+    }
+
+    /// Returns what the next task of a job needs from its target.
+    fn task_needs(&self, job: &Job, pass: &mut PlacementPass) -> TaskNeeds {
+        let request = &job.request;
+        let estimate = Duration::from_millis(u64::from(request.shape.estimated_ms));
+        let mut needs = TaskNeeds {
+            cpu_milli: request.shape.resources.cpu_milli,
+            run_time: estimate,
+            longest_run_time: estimate,
+            objective: request.objective,
+            elapsed: pass.now.since(job.submitted) + self.timing.start_overhead,
+            names_label: request.shape.affinity.is_some(),
+            remote_penalty: 1.0,
+            capacity_is_scarce: false,
+        };
+        if !pass.search.predicts_end(&needs) {
+            return needs;
+        }
+        if self.policy.run_times {
+            let is_waiting = |task: &&Task| task.state == TaskState::Waiting;
+            let waiting = job.tasks.iter().filter(is_waiting).count().max(1) as u32;
+            needs.run_time = self.run_times.expected(&request.queue, estimate);
+            needs.longest_run_time = self.run_times.longest_of(&request.queue, estimate, waiting);
+        }
+        // A single agent is chosen or not, whatever its speed is compared with.
+        if pass.changed == ChangedCapacity::AnyAgent {
+            let capacity =
+                pass.capacities.get(&request.service, &self.agents, pass.now, &self.timing);
+            needs.capacity_is_scarce =
+                (capacity.free as f64) < capacity.total as f64 * SCARCE_FREE_FRACTION;
+        }
+        needs
+    }
+
+    /// Returns the agents to search that may run a task and have room for it. A task may return to
+    /// the agent that it avoids if that is the only one known.
+    fn candidates<'a>(
+        &'a self,
+        job: &'a Job,
+        index: u32,
+        pass: &PlacementPass,
+    ) -> impl Iterator<Item = Candidate<SessionId>> + use<'a> {
+        let (now, max_load_age) = (pass.now, self.timing.max_load_age);
+        let request = &job.request;
+        let task = &job.tasks[index as usize];
+        let task_id = TaskId { job: request.id.clone(), index };
+        let is_eligible = move |(id, agent, free): &(&SessionId, &Agent, Resources)| {
+            agent.serves(&request.service, now, max_load_age)
+                && request.shape.resources.fits(free)
+                && has_requirement(agent, request.shape.requirement.as_ref())
+                && is_below_target_limit(job, **id)
+                && !(is_avoided(task, **id, now) && self.agents.len() > 1)
+                && !(agent.load.on_trial && task.failures > 0)
+                && !agent.name().is_some_and(|name| self.crashes.has_crashed(&task_id, name))
         };
-        search
-            .best_agent(job, queued.index, self.agents.len())
-            .map_or(Choice::NoAgent, Choice::Agent)
+        let agents = pass.changed.select(&self.agents);
+        let eligible =
+            agents.map(move |(id, agent)| (id, agent, agent.free(now))).filter(is_eligible);
+        eligible.map(|(id, agent, free)| Candidate {
+            id: *id,
+            free_cpu_milli: free.cpu_milli,
+            total_cpu_milli: agent.capacity().cpu_milli,
+            slowdown_percent: agent.load.slowdown_percent,
+            has_label: request.shape.affinity.as_ref().is_some_and(|label| agent.has_label(label)),
+        })
     }
 
     /// Whether a job may start its first task without using capacity that is reserved for more
@@ -229,18 +284,18 @@
         }
     }
 
-    /// Median slowdown of the agents that accept work, in percent, with a lower bound so that fast
-    /// targets don't make ordinary ones look slow. Infinite if the policy ignores slowdown.
-    fn median_slowdown(&self) -> f64 {
+    /// Returns the search among the agents that accept work.
+    fn target_search(&self) -> TargetSearch {
+        let options = SearchOptions {
+            fill_targets: self.policy.fill_targets,
+            use_slowdown: self.policy.slowdown_score,
+            predict_end: self.policy.predicted_end,
+        };
         if !self.policy.slowdown_score {
-            return f64::INFINITY;
+            return TargetSearch::new(options, Vec::new());
         }
-        let slowdown = |agent: &Agent| agent.load.slowdown_percent;
-        let mut all: Vec<u32> =
-            self.agents.values().filter(|agent| agent.load.open).map(slowdown).collect();
-        all.sort_unstable();
-        let median = all.get(all.len() / 2).copied().unwrap_or_default();
-        f64::from(median.max(50))
+        let open = self.agents.values().filter(|agent| agent.load.open);
+        TargetSearch::new(options, open.map(|agent| agent.load.slowdown_percent).collect())
     }
 
     /// Removes the tasks of a job from the queue.
@@ -259,41 +314,6 @@
     agents.map(|agent| agent.free(now).cpu_milli).max().unwrap_or(0)
 }
 
-/// A search for the best agent for a task.
-struct AgentSearch<'a> {
-    agents: btree_map::Range<'a, SessionId, Agent>,
-    now: Time,
-    timing: &'a Timing,
-    /// Median slowdown of the agents that accept work, in percent.
-    median_slowdown: f64,
-    policy: Policy,
-    crashes: &'a Crashes,
-}
-
-impl AgentSearch<'_> {
-    /// Returns the eligible agent with the highest score. A task may return to the agent that it
-    /// avoids if that is the only one of `known_agents`.
-    fn best_agent(self, job: &Job, index: u32, known_agents: usize) -> Option<SessionId> {
-        let Self { agents, now, timing, median_slowdown, policy, crashes } = self;
-        let request = &job.request;
-        let task_id = TaskId { job: request.id.clone(), index };
-        let task = &job.tasks[index as usize];
-        let is_eligible = |(id, agent, free): &(&SessionId, &Agent, Resources)| {
-            agent.serves(&request.service, now, timing.max_load_age)
-                && request.shape.resources.fits(free)
-                && has_requirement(agent, request.shape.requirement.as_ref())
-                && is_below_target_limit(job, **id)
-                && !(is_avoided(task, **id, now) && known_agents > 1)
-                && !(agent.load.on_trial && task.failures > 0)
-                && !agent.name().is_some_and(|name| crashes.has_crashed(&task_id, name))
-        };
-        let eligible = agents.map(|(id, agent)| (id, agent, agent.free(now))).filter(is_eligible);
-        let scored = eligible
-            .map(|(id, agent, free)| (*id, score(agent, free, request, median_slowdown, policy)));
-        scored.max_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(id, _)| id)
-    }
-}
-
 fn has_requirement(agent: &Agent, label: Option<&Arc<str>>) -> bool {
     label.is_none_or(|label| agent.has_label(label))
 }
@@ -310,34 +330,6 @@
     task.avoid.is_some_and(|(avoided, until)| avoided == id && now < until)
 }
 
-/// Scores an agent for a task: the fraction of its capacity that stays free, with a bonus if the
-/// task fills it and a penalty if it is slow.
-fn score(
-    agent: &Agent,
-    free: Resources,
-    request: &JobRequest,
-    median_slowdown: f64,
-    policy: Policy,
-) -> f64 {
-    let free = free.saturating_sub(&request.shape.resources);
-    let capacity = agent.capacity().cpu_milli.max(1);
-    let mut score = free.cpu_milli as f64 / capacity as f64;
-    let fills =
-        (free.cpu_milli as f64) < request.shape.resources.cpu_milli as f64 * FILLED_FRACTION;
-    if policy.fill_targets && fills {
-        score += FILLED_BONUS;
-    }
-    let relative_slowdown = f64::from(agent.load.slowdown_percent) / median_slowdown;
-    score -= (relative_slowdown - 1.0).max(0.0) * SLOWDOWN_PENALTY;
-    if relative_slowdown > MAX_RELATIVE_SLOWDOWN {
-        score -= LAST_RESORT_PENALTY;
-    }
-    if request.shape.affinity.as_ref().is_some_and(|label| agent.has_label(label)) {
-        score += AFFINITY_BONUS;
-    }
-    score
-}
-
 /// Records a new run of a task at an agent and returns the start to send.
 fn record_start(
     job: &mut Job,
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -1,11 +1,14 @@
 //! Task placement and job queueing.
 //!
-//! Tasks of a service run on the targets of that service. [`TargetPool`] ranks the targets for
-//! which the entry holds idle slot tokens. [`FairQueue`] orders the waiting jobs: weighted fair
-//! between teams, earliest deadline first within a team.
+//! Tasks of a service run on the targets of that service. With slots, [`TargetPool`] ranks the
+//! targets for which the entry holds idle slot tokens, and [`FairQueue`] orders the waiting jobs:
+//! weighted fair between teams, earliest deadline first within a team. With capacity,
+//! [`TargetSearch`] chooses a task's target by when the task would end there.
 
 mod fair_queue;
 mod target_pool;
+mod target_search;
 
 pub use fair_queue::FairQueue;
 pub use target_pool::{TargetId, TargetPool, TargetProfile};
+pub use target_search::{Candidate, SearchOptions, SearchResult, TargetSearch, TaskNeeds};
