--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -26,6 +26,10 @@
             Command::new("slopes")
                 .about("Measure memory, CPU time and messages of the decision libraries by size"),
         )
+        .subcommand(
+            Command::new("placement")
+                .about("Measure the CPU time of placement by capacity, by the number of targets"),
+        )
         .subcommand(
             Command::new("changes")
                 .about("Measure how long one and three keepers take to accept a settings change")
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -28,6 +28,7 @@
     let result = match matches.subcommand() {
         Some(("path", matches)) => path::run(matches),
         Some(("slopes", _)) => slopes::run(),
+        Some(("placement", _)) => slopes::run_placement(),
         Some(("changes", matches)) => changes::run(matches),
         Some(("policy", matches)) => policy::run(matches),
         _ => Err("no subcommand given".to_owned()),
--- a/bench/src/slopes/mod.rs
+++ b/bench/src/slopes/mod.rs
@@ -1,6 +1,7 @@
 //! Memory, CPU time and messages of the decision libraries at growing sizes.
 
 mod agent;
+mod capacity;
 mod detector;
 mod entry;
 mod table;
@@ -12,5 +13,12 @@
     entry::measure_placement();
     entry::measure_memory();
     detector::measure_load();
+    capacity::measure_capacity_placement();
+    Ok(())
+}
+
+/// Measures only placement by capacity.
+pub fn run_placement() -> Result<(), String> {
+    capacity::measure_capacity_placement();
     Ok(())
 }
