Leave targets near data in demand to the tasks that name them

Tasks that name a rack took any free target elsewhere at once, where they take a multiple of the time, and other tasks filled the rack.

placement::LabelDemand counts the tasks that named a label in the last second and the waiting tasks placed near it. Other tasks avoid labels in demand. A task without a near target waits while that leads to an earlier end, runs elsewhere if it is in time there, and its job is refused if neither is in time. All of it applies only with a remote penalty above 1. The placed line tells whether the target is near the data.

--- a/components/dispatch/src/admission.rs
+++ b/components/dispatch/src/admission.rs
@@ -58,6 +58,7 @@
             waiting: self.queue.len(),
         }));
         self.reserve.record_job(now, &request);
+        self.record_label_demand(now, &request);
         let job = Job::new(now, call, request);
         for index in 0..job.request.shape.count {
             self.queue.insert(queued_task(&job, index, self.policy));
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -5,6 +5,7 @@
 
 use admission::{PredictionErrors, RunTimes};
 use model::{CancelledJobs, JobId, Time};
+use placement::LabelDemand;
 use wire::{EmptiedHalls, TaskEnd, ToEntry};
 
 use crate::agents::Agent;
@@ -88,6 +89,10 @@
     pub(crate) run_times: RunTimes,
     pub(crate) prediction_errors: PredictionErrors,
     pub(crate) median_slowdown: MedianSlowdown,
+    /// Tasks that named a label, if running elsewhere has a penalty.
+    pub(crate) label_demand: LabelDemand,
+    /// Factor on the run time of a task at a target without the label that its job names.
+    pub(crate) remote_penalty: f64,
     /// Retry delays assigned to rejected clients.
     pub(crate) retries: RetrySchedule,
     /// Set once the entry is stopping: jobs that may not end by then are refused.
@@ -122,6 +127,8 @@
             run_times: RunTimes::default(),
             prediction_errors: PredictionErrors::default(),
             median_slowdown: MedianSlowdown::default(),
+            label_demand: LabelDemand::default(),
+            remote_penalty: 1.0,
             retries: RetrySchedule::default(),
             stop_deadline: None,
             counters: DispatcherCounters::default(),
@@ -133,6 +140,12 @@
         Self { policy, ..self }
     }
 
+    /// Sets how many times as long a task takes at a target without the label that its job names. At
+    /// 1, the label is only a preference.
+    pub fn with_remote_penalty(self, remote_penalty: f64) -> Self {
+        Self { remote_penalty: remote_penalty.max(1.0), ..self }
+    }
+
     /// Processes an event and appends the resulting actions.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         let gap = now.since(self.last_event);
--- a/components/dispatch/src/event.rs
+++ b/components/dispatch/src/event.rs
@@ -163,6 +163,25 @@
     Agent(SessionId),
 }
 
+/// Where a task runs relative to the data that its job names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DataLocation {
+    /// At a target with the label that the job names.
+    Near,
+    /// At a target without that label.
+    Away,
+}
+
+impl DataLocation {
+    /// The name of the location in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Near => "near",
+            Self::Away => "away",
+        }
+    }
+}
+
 /// Input of the dispatcher.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -297,6 +316,8 @@
         free: Resources,
         /// Age of the agent's last load, in milliseconds.
         age_ms: u64,
+        /// Where the agent is relative to the data that the job names, if it names a label.
+        data: Option<DataLocation>,
     },
     /// A task ended at an agent without being done.
     TaskEnded {
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod cancel_notices;
 mod cancels;
 mod crashes;
+mod data_demand;
 mod dispatcher;
 mod event;
 mod feasibility;
@@ -30,8 +31,8 @@
 pub use cancel_notices::CancelNotices;
 pub use dispatcher::{Dispatcher, DispatcherCounters};
 pub use event::{
-    Action, CallId, Event, HallsSource, JobRequest, LogEvent, Outcome, Reason, SessionId,
-    TargetSummary, TaskShape,
+    Action, CallId, DataLocation, Event, HallsSource, JobRequest, LogEvent, Outcome, Reason,
+    SessionId, TargetSummary, TaskShape,
 };
 pub use planned_stop::{PlannedStop, StopStatus, StopStep, StopTiming};
 pub use policy::Policy;
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use model::{JobId, Resources, TaskId, Time};
-use placement::{Candidate, SearchOptions, SearchResult, TargetSearch, TaskNeeds};
+use placement::{Candidate, DataDecision, SearchOptions, SearchResult, TargetSearch, TaskNeeds};
 use wire::{StartTask, ToAgent};
 
+use crate::admission::not_run_outcome;
 use crate::agents::Agent;
+use crate::data_demand::{PassLabels, TaskWithoutNearTarget, data_location};
 use crate::dispatcher::{Dispatcher, QueuedTask, queued_task};
-use crate::event::{Action, LogEvent, SessionId};
+use crate::event::{Action, DataLocation, LogEvent, Reason, SessionId};
 use crate::job::{Job, Task, TaskState};
 use crate::run_times::predict_run;
 use crate::timing::Timing;
@@ -54,6 +56,12 @@
     max_free_cpu: u64,
     search: TargetSearch,
     capacities: ServiceCapacities,
+    /// Labels of targets that are left to the tasks that name them.
+    labels_in_demand: Vec<Arc<str>>,
+    /// The labels that tasks of this pass name.
+    labels: PassLabels,
+    /// Jobs to be refused after the pass.
+    refused: Vec<JobId>,
     /// Number of tasks so far that found no agent.
     misses: usize,
     placed: Vec<QueuedTask>,
@@ -70,6 +78,9 @@
             max_free_cpu,
             search,
             capacities: ServiceCapacities::default(),
+            labels_in_demand: Vec::new(),
+            labels: PassLabels::default(),
+            refused: Vec::new(),
             misses: 0,
             placed,
             started_jobs,
@@ -81,6 +92,10 @@
 enum Choice {
     Agent(SessionId),
     NoAgent,
+    /// The task waits for a target with the label that its job names.
+    WaitsForData,
+    /// The job can't be in time near its data or elsewhere.
+    Refuse,
     /// The result would come too late to be of use from any agent.
     TooLate,
     /// The job of the task no longer exists.
@@ -106,15 +121,22 @@
         // The queue is detached while its tasks are placed. Nothing is queued during the pass.
         let queue = std::mem::take(&mut self.queue);
         let mut pass = PlacementPass::new(now, changed, max_free_cpu, self.target_search());
+        if self.data_penalty() > 1.0 {
+            pass.labels_in_demand = self.label_demand.in_demand(now);
+        }
         for queued in queue.iter().take(MAX_QUEUE_SCAN) {
             if queued.cpu_milli > pass.max_free_cpu {
                 continue;
             }
             match self.choose_agent(queued, &mut pass) {
-                Choice::Agent(id) => self.start_task_at(id, queued, &mut pass, actions),
+                Choice::Agent(id) => {
+                    self.record_label_wait(now, &queued.job, queued.index, id);
+                    self.start_task_at(id, queued, &mut pass, actions);
+                }
                 Choice::NoAgent if pass.misses + 1 >= MAX_MISSES => break,
                 Choice::NoAgent => pass.misses += 1,
-                Choice::TooLate | Choice::NoJob => {}
+                Choice::Refuse => pass.refused.push(queued.job.clone()),
+                Choice::WaitsForData | Choice::TooLate | Choice::NoJob => {}
             }
         }
         self.queue = queue;
@@ -122,6 +144,11 @@
             self.queue.remove(queued);
         }
         pass.started_jobs.iter().for_each(|job| self.requeue_as_started(job));
+        for id in pass.refused {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let outcome = not_run_outcome(Reason::NoCapacity, &job.request);
+            self.finish_job(now, &id, outcome, actions);
+        }
     }
 
     /// Chooses the best agent for a task.
@@ -134,8 +161,30 @@
         if pass.search.is_too_late(&needs) {
             return Choice::TooLate;
         }
+        if pass.refused.contains(&queued.job) {
+            return Choice::NoJob;
+        }
+        if pass.labels.skips(job) {
+            return Choice::WaitsForData;
+        }
         let candidates = self.candidates(job, queued.index, pass);
-        match pass.search.best(&needs, candidates) {
+        let result = pass.search.best(&needs, candidates);
+        let target = match result {
+            SearchResult::Target(id) => Some(id),
+            _ => None,
+        };
+        let is_near =
+            |agent: &Agent| data_location(&job.request, agent) == Some(DataLocation::Near);
+        let is_near = target.and_then(|id| self.agents.get(&id)).is_some_and(is_near);
+        if needs.names_label && needs.remote_penalty > 1.0 && !is_near {
+            let task = TaskWithoutNearTarget { job, index: queued.index, needs, away: target };
+            match self.decide_data(pass.now, &task, &pass.search, &mut pass.labels) {
+                DataDecision::Wait => return Choice::WaitsForData,
+                DataDecision::Refuse => return Choice::Refuse,
+                DataDecision::RunAway => {}
+            }
+        }
+        match result {
             SearchResult::Target(id) => Choice::Agent(id),
             SearchResult::NoCandidate => Choice::NoAgent,
             // Another agent may still be fast enough. A pass over a single agent goes on, as the
@@ -156,7 +205,7 @@
             objective: request.objective,
             elapsed: pass.now.since(job.submitted) + self.timing.start_overhead,
             names_label: request.shape.affinity.is_some(),
-            remote_penalty: 1.0,
+            remote_penalty: self.data_penalty(),
             capacity_is_scarce: false,
         };
         if !pass.search.predicts_end(&needs) {
@@ -184,7 +233,7 @@
         &'a self,
         job: &'a Job,
         index: u32,
-        pass: &PlacementPass,
+        pass: &'a PlacementPass,
     ) -> impl Iterator<Item = Candidate<SessionId>> + use<'a> {
         let (now, max_load_age) = (pass.now, self.timing.max_load_age);
         let request = &job.request;
@@ -202,12 +251,17 @@
         let agents = pass.changed.select(&self.agents);
         let eligible =
             agents.map(move |(id, agent)| (id, agent, agent.free(now))).filter(is_eligible);
-        eligible.map(|(id, agent, free)| Candidate {
+        let named = request.shape.affinity.as_ref();
+        eligible.map(move |(id, agent, free)| Candidate {
             id: *id,
             free_cpu_milli: free.cpu_milli,
             total_cpu_milli: agent.capacity().cpu_milli,
             slowdown_percent: agent.load.slowdown_percent,
-            has_label: request.shape.affinity.as_ref().is_some_and(|label| agent.has_label(label)),
+            has_label: named.is_some_and(|label| agent.has_label(label)),
+            is_in_demand: pass
+                .labels_in_demand
+                .iter()
+                .any(|label| named != Some(label) && agent.has_label(label)),
         })
     }
 
@@ -249,6 +303,7 @@
                 agent: name.clone(),
                 free,
                 age_ms: pass.now.since(agent.last_contact).as_millis() as u64,
+                data: data_location(&job.request, agent),
             }));
         }
         pass.capacities.consume(&job.request.service, job.request.shape.resources.cpu_milli);
--- a/components/placement/src/target_search.rs
+++ b/components/placement/src/target_search.rs
@@ -38,6 +38,9 @@
 /// Score bonus for a target where the task ends in time with a margin: above the scores for speed
 /// and free capacity together.
 const MARGIN_BONUS: f64 = 4.0;
+/// Score penalty for a target that other tasks demand: above the scores for speed, margin and free
+/// capacity together, so that such a target is used only if there is no room elsewhere.
+const DEMAND_PENALTY: f64 = 8.0;
 /// Score bonus for a target with the task's preferred label.
 const AFFINITY_BONUS: f64 = 10.0;
 /// Score penalty for a target that is much slower than the median.
@@ -89,6 +92,8 @@
     pub slowdown_percent: u32,
     /// Whether it has the label that the task names.
     pub has_label: bool,
+    /// Whether it has a label that is in demand and that the task does not name.
+    pub is_in_demand: bool,
 }
 
 /// Result of a search.
@@ -108,7 +113,7 @@
     options: SearchOptions,
     /// Median slowdown of the targets that accept work, in percent.
     median_percent: f64,
-    /// Lowest slowdown of these targets relative to the median.
+    /// Lowest slowdown of these targets relative to the median, at most 1.
     lowest_slowdown: f64,
     /// Whether the targets differ in speed by so much that ends are predicted.
     speeds_differ: bool,
@@ -144,6 +149,11 @@
         }
     }
 
+    /// Returns the lowest slowdown of the targets relative to the median, at most 1.
+    pub fn lowest_slowdown(&self) -> f64 {
+        self.lowest_slowdown
+    }
+
     /// Whether the task's target is chosen by when the task would end there.
     pub fn predicts_end(&self, task: &TaskNeeds) -> bool {
         self.speeds_differ || (task.names_label && task.remote_penalty > 1.0)
@@ -221,7 +231,7 @@
     }
 }
 
-/// Adds the scores for the task's label and for targets that are a last resort.
+/// Adds the scores for the task's label, for targets that other tasks demand, and for targets that are a last resort.
 fn add_constraint_scores<Id>(
     mut score: f64,
     task: &TaskNeeds,
@@ -234,6 +244,9 @@
     if task.names_label && candidate.has_label {
         score += AFFINITY_BONUS;
     }
+    if candidate.is_in_demand {
+        score -= DEMAND_PENALTY;
+    }
     score
 }
 
@@ -255,7 +268,7 @@
     }
 
     /// Predicted time from the submission of the job to the end of the run, in seconds.
-    fn end(&self, run_time: Duration, run_factor: f64) -> f64 {
+    pub(crate) fn end(&self, run_time: Duration, run_factor: f64) -> f64 {
         self.elapsed.as_secs_f64() + run_time.as_secs_f64() * run_factor
     }
 }
--- a/daemon/src/capacity/entry_log.rs
+++ b/daemon/src/capacity/entry_log.rs
@@ -62,10 +62,14 @@
             Budget::Full,
             || json!({"job": job.as_str(), "reason": reason.as_str()}),
         ),
-        LogEvent::Placed { task, run, agent, free, age_ms } => {
+        LogEvent::Placed { task, run, agent, free, age_ms, data } => {
             log.line("placed", Budget::Sampled, || {
-                json!({"job": task.job.as_str(), "task": task.index, "run": run,
-                    "agent": agent.as_str(), "free": free.to_string(), "age_ms": age_ms})
+                let mut line = json!({"job": task.job.as_str(), "task": task.index, "run": run,
+                    "agent": agent.as_str(), "free": free.to_string(), "age_ms": age_ms});
+                if let Some(data) = data {
+                    line["data"] = json!(data.as_str());
+                }
+                line
             });
         }
         LogEvent::TaskEnded { task, agent, end, failures } => {
