Send the penalty for data elsewhere with the estimate

Cause: a task away from the data that its job names takes remote_penalty times as long, and the agent, which knows no racks, would count its target as slow.

The estimate sent with a start away from the data and the prediction of that run include it.

--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -14,7 +14,7 @@
 use crate::dispatcher::{Dispatcher, QueuedTask, queued_task};
 use crate::event::{Action, DataLocation, LogEvent, Reason, SessionId};
 use crate::job::{Job, Task, TaskState};
-use crate::run_times::predict_run;
+use crate::run_times::Learned;
 use crate::timing::Timing;
 use crate::urgent_reserve::ServiceCapacities;
 
@@ -291,8 +291,12 @@
             pass.started_jobs.push(queued.job.clone());
         }
         let free = agent.free(pass.now);
-        let (prediction, estimated_ms) =
-            predict_run(&job.request, agent, &self.run_times, &self.median_slowdown, self.policy);
+        let learned = Learned {
+            run_times: self.policy.run_times.then_some(&self.run_times),
+            median_slowdown: &self.median_slowdown,
+            remote_penalty: self.remote_penalty,
+        };
+        let (prediction, estimated_ms) = learned.predict(&job.request, agent);
         job.tasks[queued.index as usize].prediction = Some(prediction);
         let start =
             record_start(job, queued.index, agent, id, estimated_ms, pass.now, &self.timing);
--- a/components/dispatch/src/run_times.rs
+++ b/components/dispatch/src/run_times.rs
@@ -12,10 +12,10 @@
 use model::Time;
 
 use crate::agents::Agent;
+use crate::data_demand::data_location;
 use crate::dispatcher::Dispatcher;
-use crate::event::{JobRequest, SessionId};
+use crate::event::{DataLocation, JobRequest, SessionId};
 use crate::job::{Job, Task};
-use crate::policy::Policy;
 
 /// Interval at which the median slowdown is computed again. The slowdown of a target lasts for its
 /// life, and the median of many changes only as targets come and go.
@@ -67,26 +67,33 @@
     }
 }
 
-/// Predicts a run at an agent. Returns the prediction and the estimate to send with its start, in
-/// milliseconds.
-pub(crate) fn predict_run(
-    request: &JobRequest,
-    agent: &Agent,
-    run_times: &RunTimes,
-    median: &MedianSlowdown,
-    policy: Policy,
-) -> (Prediction, u32) {
-    let estimated_ms = request.shape.estimated_ms;
-    let estimate = Duration::from_millis(u64::from(estimated_ms));
-    let is_away = request.shape.affinity.as_ref().is_some_and(|label| !agent.has_label(label));
-    let relative_slowdown = median.relative(agent.load.slowdown_percent);
-    if !policy.run_times {
-        return (Prediction { run_time: estimate, relative_slowdown, is_away }, estimated_ms);
+/// What a prediction is made from.
+pub(crate) struct Learned<'a> {
+    /// `None` if estimates are used as they are.
+    pub run_times: Option<&'a RunTimes>,
+    pub median_slowdown: &'a MedianSlowdown,
+    /// Factor on the run time at a target without the label that its job names.
+    pub remote_penalty: f64,
+}
+
+impl Learned<'_> {
+    /// Predicts a run at an agent. Returns the prediction and the estimate to send with its start,
+    /// in milliseconds.
+    pub fn predict(&self, request: &JobRequest, agent: &Agent) -> (Prediction, u32) {
+        let estimated_ms = request.shape.estimated_ms;
+        let estimate = Duration::from_millis(u64::from(estimated_ms));
+        let is_away = data_location(request, agent) == Some(DataLocation::Away);
+        let relative_slowdown = self.median_slowdown.relative(agent.load.slowdown_percent);
+        let Some(run_times) = self.run_times else {
+            return (Prediction { run_time: estimate, relative_slowdown, is_away }, estimated_ms);
+        };
+        let penalty = if is_away { self.remote_penalty } else { 1.0 };
+        let expected = run_times.expected(&request.queue, estimate);
+        let run_time = expected.mul_f64(relative_slowdown * penalty);
+        // The agent doesn't know where the data is, so the penalty is not left to its figure.
+        let sent = expected.max(estimate.mul_f64(MIN_SENT_FRACTION)).mul_f64(penalty);
+        (Prediction { run_time, relative_slowdown, is_away }, to_millis(sent, estimated_ms))
     }
-    let on_median_target = run_times.expected(&request.queue, estimate);
-    let run_time = on_median_target.mul_f64(relative_slowdown);
-    let sent = on_median_target.max(estimate.mul_f64(MIN_SENT_FRACTION));
-    (Prediction { run_time, relative_slowdown, is_away }, to_millis(sent, estimated_ms))
 }
 
 /// Returns a run time in whole milliseconds. It stays above 0, which stands for an unknown estimate,
--- a/components/dispatch/tests/run_times.rs
+++ b/components/dispatch/tests/run_times.rs
@@ -142,6 +142,37 @@
     assert!((147..=153).contains(&sent), "{sent}");
 }
 
+/// Guards against targets that look slow because they run tasks away from their data: the agent
+/// doesn't know where the data is, so it is sent the longer run time.
+#[test]
+fn sent_estimate_includes_the_penalty_away_from_the_data() {
+    let penalized = |policy: Policy| {
+        let mut line = Line::new(2, policy);
+        line.entry.dispatcher =
+            Dispatcher::new(Timing::default(), START).with_policy(policy).with_remote_penalty(3.0);
+        line.entry.add_agent(1, 16_000, &[]);
+        line.entry.add_agent(2, 16_000, &[]);
+        line
+    };
+    let shape = TaskShape { affinity: Some(Arc::from("r1")), ..job(1, ESTIMATE).shape };
+    // Long enough that the task is in time away from its data.
+    let objective = Duration::from_secs(2);
+    let request = JobRequest { shape, objective, ..job(1, ESTIMATE) };
+    let mut line = penalized(Policy::default());
+    let starts = line.submit("q", request.clone());
+    assert_eq!(starts[0].2.estimated_ms, 300);
+    line.end(&starts[0], TaskEnd::Done, 300);
+    let errors = line.entry.dispatcher.prediction_errors();
+    let sums: Vec<f64> = errors.iter().map(|(_, error)| error.sum()).collect();
+    assert_eq!(sums, [1.0], "the prediction includes the penalty");
+    assert_eq!(line.sent("q"), 100, "a job that names no data has no penalty");
+    line.entry.add_agent(3, 16_000, &["r1"]);
+    let starts = line.submit("q", request.clone());
+    assert_eq!((starts[0].0, starts[0].2.estimated_ms), (3, 100));
+    let mut line = penalized(Policy { run_times: false, ..Policy::default() });
+    assert_eq!(line.submit("q", request)[0].2.estimated_ms, 100);
+}
+
 /// Guards against a correction that counts the slowdown of targets twice: agents that report the
 /// same figure are ordinary, whatever the figure.
 #[test]
