--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -328,10 +328,7 @@
         }
         let change = match end {
             TaskEnd::Done => {
-                // After an unanswered start, it is unknown when the run started.
-                if run.unanswered_starts == 0 {
-                    target.speed.record(run.estimate(), ran);
-                }
+                target.speed.record(run.estimate(), ran);
                 target.health.record_success(run.started_at)
             }
             TaskEnd::Failed => target.health.record_failure(now, run.started_at),
