Hold the memory of run times by a test

Change: a test of the size of the statistics; the fields of the session protocol describe what they carry now.

--- a/components/admission/src/queue_map.rs
+++ b/components/admission/src/queue_map.rs
@@ -5,7 +5,7 @@
 
 /// Maximum number of queues. Names of queues come from configuration, and deployments have few; the
 /// bound keeps an entry's memory small if names change all the time.
-const MAX_QUEUES: usize = 256;
+pub(crate) const MAX_QUEUES: usize = 256;
 
 /// Values by queue. A new queue replaces the one whose value was not changed for the longest time.
 #[derive(Debug)]
--- a/components/admission/src/run_times.rs
+++ b/components/admission/src/run_times.rs
@@ -143,3 +143,19 @@
 fn from_step(step: u64, origin: f64) -> f64 {
     ((step as f64 - origin) / STEPS_PER_LOG).exp()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::queue_map::MAX_QUEUES;
+
+    /// Guards against statistics that take up an entry's memory: all state of a node for hard load
+    /// stays under 1 MB.
+    #[test]
+    fn statistics_of_all_queues_stay_small() {
+        let times = QueueRunTimes::default();
+        let counts = times.ratios.count_bytes() + times.spread.count_bytes();
+        let bytes = (counts + size_of::<QueueRunTimes>()) * MAX_QUEUES;
+        assert!(bytes < 800_000, "{bytes}");
+    }
+}
--- a/components/admission/src/windows.rs
+++ b/components/admission/src/windows.rs
@@ -55,6 +55,14 @@
         }
     }
 
+    /// Memory for the counts, in bytes.
+    #[cfg(test)]
+    pub fn count_bytes(&self) -> usize {
+        let counts =
+            self.recent.histogram.distinct_values() + self.older.histogram.distinct_values();
+        counts * size_of::<u16>()
+    }
+
     /// The window with more samples; `None` while it has too few.
     pub fn known(&self) -> Option<&Window> {
         let older = self.older.histogram.len() > self.recent.histogram.len();
--- a/components/wire/src/session.rs
+++ b/components/wire/src/session.rs
@@ -45,7 +45,8 @@
     /// Whether the target was excluded after repeated failures and is not restored yet; after the
     /// exclusion, it is probed with one task at a time.
     pub on_trial: bool,
-    /// Recent run time of tasks relative to their estimates, in percent.
+    /// Usual run time of tasks on this instance of the target relative to the estimates in
+    /// [`StartTask`], in percent; 0 without a target.
     pub slowdown_percent: u32,
 }
 
@@ -60,7 +61,8 @@
     pub run: u64,
     /// The resources that the task occupies while it runs.
     pub resources: Resources,
-    /// Estimated run time, in milliseconds.
+    /// Expected run time on an ordinary target, in milliseconds: the client's estimate, corrected by
+    /// what tasks of the queue have taken.
     pub estimated_ms: u32,
     /// Longest time that the task may wait at the agent for free capacity, in milliseconds.
     pub longest_wait_ms: u32,
