--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod cancel_notices;
 mod cancels;
 mod crashes;
+mod data_demand;
 mod dispatcher;
 mod event;
 mod feasibility;
@@ -21,6 +22,7 @@
 mod planned_stop;
 mod policy;
 mod retry_schedule;
+mod run_times;
 mod task_reports;
 mod timeouts;
 mod timing;
@@ -29,8 +31,8 @@
 pub use cancel_notices::CancelNotices;
 pub use dispatcher::{Dispatcher, DispatcherCounters};
 pub use event::{
-    Action, CallId, Event, HallsSource, JobRequest, LogEvent, Outcome, Reason, SessionId,
-    TargetSummary, TaskShape,
+    Action, CallId, DataLocation, Event, HallsSource, JobRequest, LogEvent, Outcome, Reason,
+    SessionId, TargetSummary, TaskShape,
 };
 pub use planned_stop::{PlannedStop, StopStatus, StopStep, StopTiming};
 pub use policy::Policy;
