Add the setting [entry] remote_penalty

An entry did not know how much longer tasks take away from their data.

The setting is a decimal from 1 to 100 with the default 1, at which data is only a preference. The platform's bounds.remote_penalty fills it. It adds the value type Factor to the schema. The estimate sent with a start away from the data contains the penalty, so that agents do not take it for slowness of their target.

--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -285,14 +285,21 @@
         actions: &mut Vec<Action>,
     ) {
         self.median_slowdown.refresh(pass.now, &self.agents);
+        let remote_penalty = self.data_penalty();
         let Some(job) = self.jobs.get_mut(&queued.job) else { return };
         let Some(agent) = self.agents.get_mut(&id) else { return };
         if queued.unstarted && job.starts == 0 {
             pass.started_jobs.push(queued.job.clone());
         }
         let free = agent.free(pass.now);
-        let (prediction, estimated_ms) =
-            predict_run(&job.request, agent, &self.run_times, &self.median_slowdown, self.policy);
+        let (prediction, estimated_ms) = predict_run(
+            &job.request,
+            agent,
+            &self.run_times,
+            &self.median_slowdown,
+            self.policy,
+            remote_penalty,
+        );
         job.tasks[queued.index as usize].prediction = Some(prediction);
         let start =
             record_start(job, queued.index, agent, id, estimated_ms, pass.now, &self.timing);
--- a/components/dispatch/src/run_times.rs
+++ b/components/dispatch/src/run_times.rs
@@ -75,6 +75,7 @@
     run_times: &RunTimes,
     median: &MedianSlowdown,
     policy: Policy,
+    remote_penalty: f64,
 ) -> (Prediction, u32) {
     let estimated_ms = request.shape.estimated_ms;
     let estimate = Duration::from_millis(u64::from(estimated_ms));
@@ -83,7 +84,8 @@
     if !policy.run_times {
         return (Prediction { run_time: estimate, relative_slowdown, is_away }, estimated_ms);
     }
-    let on_median_target = run_times.expected(&request.queue, estimate);
+    let penalty = if is_away { remote_penalty } else { 1.0 };
+    let on_median_target = run_times.expected(&request.queue, estimate).mul_f64(penalty);
     let run_time = on_median_target.mul_f64(relative_slowdown);
     let sent = on_median_target.max(estimate.mul_f64(MIN_SENT_FRACTION));
     (Prediction { run_time, relative_slowdown, is_away }, to_millis(sent, estimated_ms))
--- a/components/settings/src/schema.rs
+++ b/components/settings/src/schema.rs
@@ -22,6 +22,13 @@
         /// The longest allowed duration, in milliseconds.
         max_ms: u64,
     },
+    /// A factor within a range; decimals are allowed.
+    Factor {
+        /// The smallest allowed value.
+        min: u32,
+        /// The largest allowed value.
+        max: u32,
+    },
     /// `true` or `false`.
     Flag,
     /// One of the listed words.
@@ -56,6 +63,8 @@
     Integer(u64),
     /// A value of a seconds key.
     Duration(Duration),
+    /// A value of a factor key, in thousandths.
+    Thousandths(u64),
     /// A value of a flag key.
     Flag(bool),
     /// A value of a choice key or a text key.
@@ -76,6 +85,7 @@
         match self.value_type {
             ValueType::Integer { min, max, unit } => parse_integer(text, min, max, unit),
             ValueType::Seconds { min_ms, max_ms } => parse_seconds(text, min_ms, max_ms),
+            ValueType::Factor { min, max } => parse_factor(text, min, max),
             ValueType::Flag => parse_flag(text),
             ValueType::Choice(words) => parse_choice(text, words),
             ValueType::Text => parse_text(text),
@@ -92,6 +102,7 @@
             ValueType::Seconds { min_ms, max_ms } => {
                 format!("decimal {} to {}, s", to_seconds(min_ms), to_seconds(max_ms))
             }
+            ValueType::Factor { min, max } => format!("decimal {min} to {max}"),
             ValueType::Flag => "true or false".to_owned(),
             ValueType::Choice(words) => words.join(" or "),
             ValueType::Text => "text".to_owned(),
@@ -132,6 +143,18 @@
         }
     }
 
+    /// The factor of a factor key, in thousandths.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the value has another type.
+    pub fn thousandths(&self) -> u64 {
+        match self {
+            Self::Thousandths(factor) => *factor,
+            other => panic!("expected a factor, got {other:?}"),
+        }
+    }
+
     /// The value of a flag key.
     ///
     /// # Panics
@@ -225,6 +248,14 @@
     Ok(Value::Duration(Duration::from_secs_f64(number)))
 }
 
+fn parse_factor(text: &str, min: u32, max: u32) -> Result<Value, String> {
+    let number: f64 = text.parse().map_err(|_| format!("'{text}' is not a number"))?;
+    if !(f64::from(min)..=f64::from(max)).contains(&number) {
+        return Err(format!("{text} is out of range {min} to {max}"));
+    }
+    Ok(Value::Thousandths((number * 1e3).round() as u64))
+}
+
 fn parse_flag(text: &str) -> Result<Value, String> {
     match text {
         "true" => Ok(Value::Flag(true)),
--- a/daemon/src/capacity/entry.rs
+++ b/daemon/src/capacity/entry.rs
@@ -70,13 +70,14 @@
     tasks: Spawner,
 ) -> Result<(), CapacityNodeError> {
     let clock = context.clock;
+    let dispatcher = Dispatcher::new(Timing::default(), clock.now())
+        .with_policy(config.policy)
+        .with_remote_penalty(config.remote_penalty_milli as f64 / 1e3);
     let peer_address = config.peer_address.unwrap_or(config.peer_listen);
     let entry = Rc::new(Entry {
         log: context.log.clone(),
         clock,
-        dispatcher: RefCell::new(
-            Dispatcher::new(Timing::default(), clock.now()).with_policy(config.policy),
-        ),
+        dispatcher: RefCell::new(dispatcher),
         route_table: RefCell::default(),
         agent_sessions: RefCell::default(),
         pending_calls: RefCell::default(),
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -96,6 +96,9 @@
     pub peer_address: Option<SocketAddr>,
     /// How long the entry still accepts requests after it reports that it is not ready.
     pub drain_notice: Duration,
+    /// With capacity scheduling: factor on the run time of a task away from the data that its job
+    /// names, in thousandths.
+    pub remote_penalty_milli: u64,
     /// With capacity scheduling: the enabled parts of the policy.
     pub policy: dispatch::Policy,
 }
@@ -243,6 +246,7 @@
         peer_listen: read_address(sections, ENTRY, "peer_listen")?,
         peer_address: read_optional_address(sections, ENTRY, "peer_address")?,
         drain_notice: Duration::from_millis(notice),
+        remote_penalty_milli: sections.value(ENTRY, "remote_penalty")?.thousandths(),
         policy: read_policy(sections)?,
     })
 }
--- a/daemon/src/config/keys.rs
+++ b/daemon/src/config/keys.rs
@@ -113,6 +113,12 @@
         default: "5000",
         help: "How long it goes on taking requests after it has said that it is not ready.",
     },
+    Key {
+        name: "remote_penalty",
+        value_type: ValueType::Factor { min: 1, max: 100 },
+        default: "1",
+        help: "With scheduling = room: how many times as long a task takes away from the data that its job names; with 1 the data is only a preference.",
+    },
 ];
 
 const AGENT_KEYS: &[Key] = &[
--- a/daemon/tests/config.rs
+++ b/daemon/tests/config.rs
@@ -77,3 +77,71 @@
         assert!(config.is_ok(), "{name}: {:?}", config.err());
     }
 }
+
+const ENTRY: &str = "[node]\nname = e1\nroles = entry\nkeepers = 127.0.0.1:7101\n\
+                     platform = file:hosts\n[entry]\nlisten = 127.0.0.1:7200\npeer_listen = 127.0.0.1:7201\n";
+
+/// Guards against a penalty that is ignored, or that makes run times shorter.
+#[test]
+fn the_remote_penalty_is_a_factor_from_1_to_100() {
+    let penalty = |line: &str| {
+        let config = Config::from_ini(&format!("{ENTRY}{line}")).unwrap();
+        config.entry.map(|entry| entry.remote_penalty_milli)
+    };
+    assert_eq!(penalty(""), Some(1_000), "by default, data is only a preference");
+    assert_eq!(penalty("remote_penalty = 2.5\n"), Some(2_500));
+    for (value, reason) in [
+        ("0.5", "0.5 is out of range 1 to 100"),
+        ("101", "101 is out of range 1 to 100"),
+        ("twice", "'twice' is not a number"),
+    ] {
+        let error = error_of(&format!("{ENTRY}remote_penalty = {value}\n"));
+        assert_eq!(error, format!("[entry] remote_penalty: {reason}"));
+    }
+}
+
+/// Fills in a value of a template that has one value for each key; sections without one are left
+/// out.
+fn render(template: &str, values: &[(&str, &str)]) -> String {
+    let mut text = template.to_owned();
+    while let Some(start) = text.find("{{#") {
+        let name_end = start + text[start..].find("}}").expect("the tag ends");
+        let name = text[start + 3..name_end].to_owned();
+        let close = format!("{{{{/{name}}}}}");
+        let end = text.find(&close).expect("the section ends");
+        let value = values.iter().find(|(key, _)| *key == name).map(|(_, value)| *value);
+        let body = text[name_end + 2..end].to_owned();
+        let body = value.map_or_else(String::new, |value| body.replace("{{.}}", value));
+        text.replace_range(start..end + close.len(), &body);
+    }
+    for (key, value) in values {
+        text = text.replace(&format!("{{{{{key}}}}}"), value);
+    }
+    text
+}
+
+/// Guards against a template that doesn't pass on the platform's penalty, or that is invalid where
+/// the platform has none.
+#[test]
+fn the_template_of_an_entry_takes_the_penalty_from_the_platform() {
+    let template = Path::new(env!("CARGO_MANIFEST_DIR")).join("../platform/entry.ini");
+    let template = std::fs::read_to_string(template).unwrap();
+    let common = [
+        ("node", "e1"),
+        ("zone", "h1"),
+        ("seeds", "10.0.0.9:7100 "),
+        ("ip", "10.0.0.1"),
+        ("internal_port_range.0", "7100"),
+        ("internal_port_range.1", "7101"),
+        ("listen.front", "10.0.0.1:7200"),
+        ("listen.ready", "10.0.0.1:7201"),
+    ];
+    let penalty = |values: &[(&str, &str)]| {
+        let config = Config::from_ini(&render(&template, values)).unwrap();
+        config.entry.map(|entry| entry.remote_penalty_milli)
+    };
+    assert_eq!(penalty(&common), Some(1_000));
+    let mut with_bounds = common.to_vec();
+    with_bounds.push(("bounds.remote_penalty", "3.0"));
+    assert_eq!(penalty(&with_bounds), Some(3_000));
+}
