Simulate unequal targets, entries and queues in loads

Cause: simulated loads had equal targets, one queue name for all jobs and entries drawn between 0.2 and 1.8 of the mean, so that none of the parts for hard load could be measured. Change: `Load` gets run-time factors of targets, shares of entries, jobs that name a rack, a surge of one queue, and clients that return after `Retry-After` at another entry. `LoadResult` gets results by entry and by queue, the share of late and in-time jobs whose longest run was on the slowest quarter of the targets, and the submitted work over time. Each kind of jobs has its own queue name, also in the soak. `Load::deployment_p` and `deployment_q` follow the design page.

--- a/soak/src/capacity/client.rs
+++ b/soak/src/capacity/client.rs
@@ -13,6 +13,12 @@
 /// Most submissions of one job.
 pub(super) const MAX_TRIES: u32 = 3;
 
+/// Name of the queue of the jobs of a priority. Entries learn run times by queue, so that jobs of
+/// different kinds need different queues.
+pub(super) fn queue_name(priority: u8) -> Arc<str> {
+    Arc::from(format!("queue-{priority}"))
+}
+
 /// One client with its job.
 #[derive(Clone, Debug)]
 pub(super) struct Client {
@@ -25,6 +31,7 @@
     /// Whether the job is submitted after the last fault.
     pub after_faults: bool,
     pub first_submitted: Time,
+    pub last_submitted: Time,
     /// Time after the first submission within which a job of a load counts as in time; the request
     /// has an estimate of it.
     pub objective: Duration,
@@ -34,6 +41,10 @@
     pub fixed_entry: Option<usize>,
     /// Whether a task of the job has started.
     pub started: bool,
+    /// Number of submissions after an answer "not run".
+    pub returns: u32,
+    /// The longest completed run of a task, and the agent of its target.
+    pub longest_run: Option<(Duration, usize)>,
     /// Whether the client cancelled the job; it is not submitted again.
     pub cancelled: bool,
 }
@@ -53,7 +64,7 @@
         let objective = Duration::from_millis(u64::from(estimated_ms) * 16 / 10 + 60);
         let request = JobRequest {
             id: JobId::new(&format!("{number:016x}")),
-            queue: Arc::from("queue"),
+            queue: queue_name(priority),
             service: Arc::from("work"),
             spec: Arc::from("spec"),
             shape: TaskShape {
@@ -92,9 +103,17 @@
             pending_call: None,
             after_faults: false,
             first_submitted,
+            last_submitted: first_submitted,
             fixed_entry: None,
             started: false,
+            returns: 0,
+            longest_run: None,
             cancelled: false,
         }
     }
+
+    /// Whether the job may be submitted again after a try without a definite answer.
+    pub fn has_tries_left(&self) -> bool {
+        self.tries - self.returns < MAX_TRIES
+    }
 }
--- a/soak/src/capacity/commands.rs
+++ b/soak/src/capacity/commands.rs
@@ -4,7 +4,7 @@
 
 use model::{Resources, TaskId};
 use rand::Rng;
-use runner::{HoldCommand, StartCommand, StartReply, StopCommand, TargetReport};
+use runner::{EndReason, HoldCommand, StartCommand, StartReply, StopCommand, TargetReport};
 
 use super::simulation::{Call, HEARTBEAT_INTERVAL, SimEvent, Simulation, TARGET_TICK};
 
@@ -20,7 +20,9 @@
         if self.is_command_lost(call) {
             return;
         }
-        let Some((work, fails, resources)) = self.task_work(&command.key.task) else { return };
+        let Some((work, fails, resources)) = self.task_work(agent, &command.key.task) else {
+            return;
+        };
         let now = self.now;
         let Some(target) = &mut self.agents[agent].target else { return };
         let (reply, started) = target.start(now, &command, resources, work, fails);
@@ -49,10 +51,23 @@
         }
     }
 
-    pub(super) fn task_work(&self, task: &TaskId) -> Option<(Duration, bool, Resources)> {
+    /// Returns the run time of a task at an agent's target, whether it fails, and its resources.
+    pub(super) fn task_work(
+        &self,
+        agent: usize,
+        task: &TaskId,
+    ) -> Option<(Duration, bool, Resources)> {
         let client = self.clients.get(&task.job)?;
         let (work, fails) = *client.work.get(task.index as usize)?;
-        Some((work, fails, client.request.shape.resources))
+        let process = &self.agents[agent];
+        let is_near = client
+            .request
+            .shape
+            .affinity
+            .as_ref()
+            .is_none_or(|label| process.labels.contains(label));
+        let factor = process.speed_factor * if is_near { 1.0 } else { self.remote_penalty };
+        Some((work.mul_f64(factor), fails, client.request.shape.resources))
     }
 
     pub(super) fn stop_at_target(&mut self, call: Call, command: &StopCommand, late: bool) {
@@ -113,6 +128,11 @@
             for end in &ended {
                 self.trace_event(|| format!("target {agent}: {} ends {:?}", end.task, end.reason));
                 self.checks.task_ended(&end.task, end.reason);
+                if end.reason == EndReason::Done
+                    && let Some(client) = self.clients.get_mut(&end.task.job)
+                {
+                    client.longest_run = client.longest_run.max(Some((end.ran, agent)));
+                }
             }
             if !ended.is_empty() {
                 self.answer_hold(agent);
--- a/soak/src/capacity/load.rs
+++ b/soak/src/capacity/load.rs
@@ -7,79 +7,22 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dispatch::{JobRequest, Outcome, TaskShape};
-use model::{JobId, NodeName, Resources, Time};
+use model::NodeName;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use subset::{Subset, SubsetSizes};
 use wire::Document;
 
 use super::CapacityTiming;
-use super::client::Client;
+use super::load_jobs::{Workload, schedule_clients};
+use super::load_results::{LoadResult, Measured, collect_result};
 use super::simulation::{START, SimEvent, Simulation};
 use super::subsets::EntrySubsets;
 
 /// Time before the first job, in which sessions open.
-const WARM_UP: Duration = Duration::from_secs(3);
+pub(super) const WARM_UP: Duration = Duration::from_secs(3);
 /// Time after the last job, in which open jobs end.
 const COOL_DOWN: Duration = Duration::from_secs(6);
-/// Share of its worth that a job earns when it ends after its objective.
-const LATE_WORTH_SHARE: f64 = 0.2;
-/// Standard deviation of the logarithm of the task count, the task duration and the estimate error.
-const LOG_STD_DEV: f64 = 0.4;
-/// The objective of a job is the duration of its longest task times `OBJECTIVE_FACTOR`, plus
-/// `TARGET_LATENCY_MS`.
-const OBJECTIVE_FACTOR: f64 = 1.6;
-const TARGET_LATENCY_MS: f64 = 60.0;
-
-/// Number of job kinds; each has its own priority.
-const JOB_KINDS: usize = 3;
-
-/// A kind of jobs.
-#[derive(Clone, Copy, Debug)]
-struct JobKind {
-    /// Share of all jobs that are of this kind.
-    share: f64,
-    /// Mean number of tasks.
-    tasks: u32,
-    /// Mean duration of a task, in milliseconds.
-    mean_ms: f64,
-    priority: u8,
-    worth: f64,
-}
-
-/// A mix of jobs and the size of the targets that run them.
-#[derive(Clone, Copy, Debug)]
-pub struct Workload {
-    /// Capacity of targets in thousandths of a core, assigned in turn.
-    target_cpu: [u64; 3],
-    /// Mean CPU of a task, in thousandths of a core.
-    task_cpu: f64,
-    job_kinds: [JobKind; JOB_KINDS],
-}
-
-impl Workload {
-    /// Tasks that take about a fifth of a target.
-    pub const LARGE_TASKS: Self = Self {
-        target_cpu: [16_000, 16_000, 24_000],
-        task_cpu: 3_800.0,
-        job_kinds: [
-            JobKind { share: 0.244, tasks: 8, mean_ms: 60.0, priority: 0, worth: 3.23 },
-            JobKind { share: 0.712, tasks: 2, mean_ms: 200.0, priority: 1, worth: 1.11 },
-            JobKind { share: 0.044, tasks: 4, mean_ms: 900.0, priority: 2, worth: 17.8 },
-        ],
-    };
-    /// Tasks that take about a tenth of a target, with a larger share of long jobs.
-    pub const SMALL_TASKS: Self = Self {
-        target_cpu: [32_000, 32_000, 48_000],
-        task_cpu: 3_300.0,
-        job_kinds: [
-            JobKind { share: 0.232, tasks: 8, mean_ms: 60.0, priority: 0, worth: 4.85 },
-            JobKind { share: 0.676, tasks: 2, mean_ms: 200.0, priority: 1, worth: 1.67 },
-            JobKind { share: 0.092, tasks: 4, mean_ms: 900.0, priority: 2, worth: 26.7 },
-        ],
-    };
-}
 
 /// A temporary increase in the rate of jobs.
 #[derive(Clone, Copy, Debug)]
@@ -103,6 +46,27 @@
     pub share: f64,
 }
 
+/// Racks of targets, and jobs whose data one of the racks holds for a while.
+#[derive(Clone, Copy, Debug)]
+pub struct DataDemand {
+    /// Number of targets per rack, in the order of the agents. The label of a rack is `rack-` and
+    /// its number from 0.
+    pub targets_per_rack: usize,
+    /// Share of the jobs of the first queue that name rack 0.
+    pub share: f64,
+    /// Start, counted from the start of the submissions.
+    pub start: Duration,
+    /// Length of the period.
+    pub duration: Duration,
+    /// Factor on the run time of such a task at a target of another rack.
+    pub remote_penalty: f64,
+}
+
+/// Returns the label of the targets of a rack.
+pub(super) fn rack_label(rack: usize) -> String {
+    format!("rack-{rack}")
+}
+
 /// Slow links to entries, with a configuration that all agents have from the start.
 #[derive(Clone, Copy, Debug)]
 pub struct SlowLinks {
@@ -129,8 +93,21 @@
     pub utilization: f64,
     /// Period in which jobs are submitted.
     pub duration: Duration,
+    /// Run time of tasks at each target relative to the usual one, assigned in turn; 1 for all if
+    /// empty.
+    pub speed_factors: Vec<f64>,
+    /// Shares of the jobs that each entry receives, relative to each other, assigned in turn; drawn
+    /// between 0.2 and 1.8 if empty.
+    pub entry_shares: Vec<f64>,
+    /// Racks, and jobs that name one; targets have no rack if `None`.
+    pub data: Option<DataDemand>,
     /// A temporary increase in jobs.
     pub surge: Option<Surge>,
+    /// The only queue, by priority, whose jobs increase in the surge; all queues if `None`.
+    pub surge_queue: Option<usize>,
+    /// How long after its first submission a client that is answered "not run" submits its job
+    /// again, after `Retry-After` and at another entry; such clients don't return if `None`.
+    pub return_period: Option<Duration>,
     /// A temporary loss of agents.
     pub cut: Option<Cut>,
     /// Share of commands that targets leave unanswered and carry out late.
@@ -141,77 +118,70 @@
     pub timing: CapacityTiming,
 }
 
-/// Results of a load.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct LoadResult {
-    /// Jobs that were submitted.
-    pub jobs: u64,
-    /// Jobs that completed within their objective.
-    pub in_time: u64,
-    /// Jobs that completed after their objective.
-    pub late: u64,
-    /// Jobs answered as not run.
-    pub not_run: u64,
-    /// Earned share of the worth of all jobs.
-    pub worth: f64,
-    /// Earned share of the worth of the jobs of each priority.
-    pub worth_by_priority: [f64; JOB_KINDS],
-    /// Starts that entries sent, per task that started.
-    pub starts_per_task: f64,
-    /// Messages sent in sessions, per job.
-    pub messages_per_job: f64,
-    /// Time from the submission to the first start: median and 95th percentile, in milliseconds.
-    pub first_start_ms: (f64, f64),
-    /// Lowest and highest number of sessions of an entry.
-    pub sessions: (usize, usize),
-    /// Entries that have the configuration at the end.
-    pub entries_with_document: usize,
-}
-
-impl LoadResult {
-    /// Returns the share of jobs that completed within their objective.
-    pub fn in_time_share(&self) -> f64 {
-        self.in_time as f64 / self.jobs.max(1) as f64
+impl Default for Load {
+    /// A usual load without faults, of 20 entries and 90 equal targets.
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            entries: 20,
+            agents: 90,
+            sizes: Some(SubsetSizes::default()),
+            workload: Workload::LARGE_TASKS,
+            utilization: 0.6,
+            duration: Duration::from_secs(2),
+            speed_factors: Vec::new(),
+            entry_shares: Vec::new(),
+            data: None,
+            surge: None,
+            surge_queue: None,
+            return_period: None,
+            cut: None,
+            unanswered: 0.0,
+            links: None,
+            timing: CapacityTiming::default(),
+        }
     }
 }
 
-/// Counters of a running load.
-#[derive(Debug, Default)]
-pub(super) struct LoadStats {
-    pub messages: u64,
-    in_time: u64,
-    late: u64,
-    not_run: u64,
-    /// Submitted and earned worth, by priority.
-    worth: [(f64, f64); JOB_KINDS],
-    first_starts: Vec<Duration>,
-}
-
-impl LoadStats {
-    pub fn job_answered(&mut self, now: Time, client: &Client, outcome: Outcome) {
-        let in_time = now.since(client.first_submitted) <= client.objective;
-        let earned = match outcome {
-            Outcome::Completed if in_time => 1.0,
-            Outcome::Completed => LATE_WORTH_SHARE,
-            _ => 0.0,
-        };
-        match outcome {
-            Outcome::Completed if in_time => self.in_time += 1,
-            Outcome::Completed => self.late += 1,
-            Outcome::NotRun { .. } => self.not_run += 1,
-            _ => {}
+impl Load {
+    /// Deployment P of `docs/design/hard-load.md` at its usual load.
+    pub fn deployment_p() -> Self {
+        Self {
+            entries: 7,
+            agents: 65,
+            sizes: None,
+            workload: Workload::HARD_LOAD,
+            utilization: 0.5,
+            speed_factors: vec![0.8, 1.0, 1.25],
+            ..Self::default()
         }
-        let priority = usize::from(client.request.priority);
-        if let Some(worth) = self.worth.get_mut(priority) {
-            worth.0 += client.worth;
-            worth.1 += client.worth * earned;
+    }
+
+    /// Deployment Q of `docs/design/hard-load.md` at its usual load.
+    pub fn deployment_q() -> Self {
+        Self {
+            entries: 10,
+            agents: 74,
+            sizes: None,
+            workload: Workload::HARD_LOAD,
+            utilization: 0.5,
+            speed_factors: vec![0.55, 1.2, 1.2, 1.2],
+            entry_shares: (0..10).map(|entry| 4.0 - f64::from(entry) / 3.0).collect(),
+            ..Self::default()
         }
     }
 
-    pub fn task_started(&mut self, now: Time, client: &mut Client) {
-        if !std::mem::replace(&mut client.started, true) {
-            self.first_starts.push(now.since(client.first_submitted));
+    /// Returns the agents of the slowest quarter of the targets.
+    fn slowest_quarter(&self) -> Vec<usize> {
+        let mut agents: Vec<usize> = (0..self.agents).collect();
+        if self.speed_factors.is_empty() {
+            agents.truncate(self.agents / 4);
+            return agents;
         }
+        let factor = |agent: usize| self.speed_factors[agent % self.speed_factors.len()];
+        agents.sort_by(|a, b| factor(*b).total_cmp(&factor(*a)));
+        agents.truncate(self.agents / 4);
+        agents
     }
 }
 
@@ -223,7 +193,9 @@
     (0..load.entries).for_each(|_| simulation.add_entry());
     let capacities = load.workload.target_cpu.iter().cycle().take(load.agents);
     capacities.for_each(|cpu| simulation.add_agent(*cpu, false));
+    set_up_targets(&mut simulation, load);
     limit_entry_links(&mut simulation, load);
+    simulation.return_period = load.return_period;
     simulation.unanswered = load.unanswered;
     simulation.start_processes();
     let jobs = schedule_clients(&mut simulation, load);
@@ -231,9 +203,28 @@
     simulation.run_until(START + WARM_UP);
     let at_warm_up_end = (simulation.load_stats.messages, session_counts(&simulation));
     simulation.run_until(START + WARM_UP + load.duration);
-    let messages = simulation.load_stats.messages - at_warm_up_end.0;
-    simulation.run_until(START + WARM_UP + load.duration + COOL_DOWN);
-    collect_result(&mut simulation, jobs, messages, at_warm_up_end.1)
+    let measured = Measured {
+        jobs,
+        messages: simulation.load_stats.messages - at_warm_up_end.0,
+        sessions: at_warm_up_end.1,
+        slowest: load.slowest_quarter(),
+        start: START + WARM_UP,
+    };
+    let cool_down = COOL_DOWN + load.return_period.unwrap_or_default();
+    simulation.run_until(START + WARM_UP + load.duration + cool_down);
+    collect_result(&mut simulation, &measured)
+}
+
+/// Assigns speeds and racks to targets.
+fn set_up_targets(simulation: &mut Simulation, load: &Load) {
+    for (process, factor) in simulation.agents.iter_mut().zip(load.speed_factors.iter().cycle()) {
+        process.speed_factor = *factor;
+    }
+    let Some(data) = load.data else { return };
+    simulation.remote_penalty = data.remote_penalty;
+    for (agent, process) in simulation.agents.iter_mut().enumerate() {
+        process.labels = vec![rack_label(agent / data.targets_per_rack.max(1)).into()];
+    }
 }
 
 fn subsets_of(load: &Load) -> Vec<BTreeSet<usize>> {
@@ -253,102 +244,6 @@
     (0..load.agents).map(subset_of).collect()
 }
 
-/// Schedules the submissions of all clients; returns their number.
-fn schedule_clients(simulation: &mut Simulation, load: &Load) -> u64 {
-    let capacity: u64 = simulation.agents.iter().map(|agent| agent.capacity.cpu_milli).sum();
-    let cpu_time_of = |kind: &JobKind| kind.share * f64::from(kind.tasks) * kind.mean_ms;
-    let mean_cpu_time =
-        load.workload.job_kinds.iter().map(cpu_time_of).sum::<f64>() * load.workload.task_cpu;
-    let jobs_per_ms = capacity as f64 * load.utilization / mean_cpu_time;
-    // The load balancer assigns clients by a hash, so that entries get uneven shares.
-    let shares: Vec<f64> =
-        (0..load.entries).map(|_| simulation.rng.random_range(0.2_f64..1.8)).collect();
-    let all_shares: f64 = shares.iter().sum();
-    let mut after = 0.0;
-    let mut number = 0;
-    while after < load.duration.as_secs_f64() * 1e3 {
-        let surge = load.surge.filter(|surge| {
-            let since = after - surge.start.as_secs_f64() * 1e3;
-            since >= 0.0 && since < surge.duration.as_secs_f64() * 1e3
-        });
-        let rate = jobs_per_ms * surge.map_or(1.0, |surge| surge.factor);
-        after -= (1.0 - simulation.rng.random::<f64>()).ln() / rate;
-        number += 1;
-        let submitted_at = START + WARM_UP + Duration::from_secs_f64(after / 1e3);
-        let mut client = draw_client(simulation, &load.workload, number, submitted_at);
-        let mut remaining_share = simulation.rng.random_range(0.0..all_shares);
-        let entry = shares.iter().position(|own| {
-            remaining_share -= own;
-            remaining_share < 0.0
-        });
-        client.fixed_entry = Some(entry.unwrap_or(0));
-        let id = client.request.id.clone();
-        simulation.clients.insert(id.clone(), client);
-        simulation.schedule_at(submitted_at, SimEvent::Submit(id));
-    }
-    u64::from(number)
-}
-
-fn draw_client(
-    simulation: &mut Simulation,
-    workload: &Workload,
-    number: u32,
-    submitted_at: Time,
-) -> Client {
-    let rng = &mut simulation.rng;
-    let mut remaining_share = rng.random::<f64>();
-    let kind = workload
-        .job_kinds
-        .iter()
-        .find(|candidate| {
-            remaining_share -= candidate.share;
-            remaining_share < 0.0
-        })
-        .unwrap_or(&workload.job_kinds[1]);
-    let count = (f64::from(kind.tasks) * log_uniform_factor(rng)).round().max(1.0) as u32;
-    let mean = kind.mean_ms * log_uniform_factor(rng);
-    let work: Vec<(Duration, bool)> = (0..count)
-        .map(|_| (Duration::from_secs_f64(mean * rng.random_range(0.85..1.15) / 1e3), false))
-        .collect();
-    let longest = work.iter().map(|(time, _)| *time).max().unwrap_or_default();
-    let objective =
-        longest.mul_f64(OBJECTIVE_FACTOR) + Duration::from_secs_f64(TARGET_LATENCY_MS / 1e3);
-    let estimated_ms = (mean * log_uniform_factor(rng)) as u32;
-    let cpu_milli = (workload.task_cpu * rng.random_range(0.7..1.3)) as u64;
-    let shape = TaskShape {
-        count,
-        resources: Resources { cpu_milli, memory_mb: 64, gpu: 0 },
-        estimated_ms,
-        requirement: None,
-        affinity: None,
-        max_per_target: None,
-    };
-    let estimated_objective = Duration::from_millis(u64::from(estimated_ms))
-        .mul_f64(OBJECTIVE_FACTOR)
-        + Duration::from_secs_f64(TARGET_LATENCY_MS / 1e3);
-    let request = JobRequest {
-        id: JobId::new(&format!("{number:016x}")),
-        queue: "queue".into(),
-        service: "work".into(),
-        spec: "spec".into(),
-        shape,
-        priority: kind.priority,
-        max_attempts: 4,
-        objective: estimated_objective,
-        deadline: objective * 3,
-    };
-    let mut client = Client::with_request(request, work, submitted_at);
-    client.objective = objective;
-    client.worth = kind.worth;
-    client
-}
-
-/// Returns a random factor that is log-uniform around 1.
-fn log_uniform_factor(rng: &mut ChaCha8Rng) -> f64 {
-    let half_width = LOG_STD_DEV * 3.0_f64.sqrt();
-    rng.random_range(-half_width..half_width).exp()
-}
-
 fn limit_entry_links(simulation: &mut Simulation, load: &Load) {
     let Some(links) = load.links else { return };
     simulation.limit_links(links.bytes_per_s);
@@ -374,41 +269,3 @@
     let of_entry = || simulation.entries.iter().map(|entry| entry.sessions.len());
     (of_entry().min().unwrap_or(0), of_entry().max().unwrap_or(0))
 }
-
-fn collect_result(
-    simulation: &mut Simulation,
-    jobs: u64,
-    messages: u64,
-    sessions: (usize, usize),
-) -> LoadResult {
-    let counters: Vec<_> = simulation
-        .entries
-        .iter()
-        .filter_map(|entry| entry.dispatcher.as_ref())
-        .map(|dispatcher| dispatcher.counters())
-        .collect();
-    let starts: u64 = counters.iter().map(|counters| counters.starts_sent).sum();
-    let load_stats = &mut simulation.load_stats;
-    load_stats.first_starts.sort_unstable();
-    let percentile = |quantile: f64| {
-        let index = (load_stats.first_starts.len() as f64 * quantile) as usize;
-        load_stats.first_starts.get(index).map_or(0.0, |time| time.as_secs_f64() * 1e3)
-    };
-    let (submitted, earned) = load_stats
-        .worth
-        .iter()
-        .fold((0.0, 0.0), |(submitted, earned), kind| (submitted + kind.0, earned + kind.1));
-    LoadResult {
-        jobs,
-        worth: earned / submitted,
-        worth_by_priority: load_stats.worth.map(|(submitted, earned)| earned / submitted),
-        in_time: load_stats.in_time,
-        late: load_stats.late,
-        not_run: load_stats.not_run,
-        starts_per_task: starts as f64 / simulation.checks.summary.started.max(1) as f64,
-        messages_per_job: messages as f64 / jobs.max(1) as f64,
-        first_start_ms: (percentile(0.5), percentile(0.95)),
-        sessions,
-        entries_with_document: simulation.entries_with_document(),
-    }
-}
--- a/soak/src/capacity/mod.rs
+++ b/soak/src/capacity/mod.rs
@@ -12,6 +12,8 @@
 mod faults;
 mod halls;
 mod load;
+mod load_jobs;
+mod load_results;
 mod processes;
 mod session;
 mod simulation;
@@ -22,7 +24,9 @@
 mod unstable_targets;
 
 pub use checks::CapacitySummary;
-pub use load::{Cut, Load, LoadResult, SlowLinks, Surge, Workload, run_load};
+pub use load::{Cut, DataDemand, Load, SlowLinks, Surge, run_load};
+pub use load_jobs::Workload;
+pub use load_results::{GroupResult, LoadResult};
 
 use crate::checks::Violation;
 use crate::simulation::Options;
--- a/soak/src/capacity/simulation.rs
+++ b/soak/src/capacity/simulation.rs
@@ -1,6 +1,7 @@
 //! The state of a run, its event queue, and the dispatch of events.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use dispatch::{CallId, Dispatcher, JobRequest};
@@ -20,7 +21,7 @@
 use super::entry_link::EntryLink;
 use super::faults::Fault;
 use super::halls::HallCommands;
-use super::load::LoadStats;
+use super::load_results::LoadStats;
 use super::session::{Packet, Session};
 use super::subsets::EntrySubsets;
 use super::target::{Behavior, MAX_LEASE, Target};
@@ -151,6 +152,10 @@
     pub last_id: u64,
     /// When the agent received the drain notice of its target.
     pub draining_since: Option<Time>,
+    /// Run time of tasks at the target, relative to the usual one.
+    pub speed_factor: f64,
+    /// The target's labels.
+    pub labels: Vec<Arc<str>>,
     /// The hold command that waits at the target.
     pub waiting_hold: Option<(Call, HoldCommand)>,
 }
@@ -181,6 +186,11 @@
     pub(super) unstable_targets: Option<UnstableTargets>,
     /// Share of commands that targets leave unanswered and carry out late.
     pub(super) unanswered: f64,
+    /// Factor on the run time of tasks at targets without the label that their job names.
+    pub(super) remote_penalty: f64,
+    /// How long after its first submission a client that is answered "not run" submits its job
+    /// again; such clients don't return if `None`.
+    pub(super) return_period: Option<Duration>,
 }
 
 impl Simulation {
@@ -232,6 +242,8 @@
             halls: None,
             unstable_targets: None,
             unanswered: 0.0,
+            remote_penalty: 1.0,
+            return_period: None,
         }
     }
 
@@ -260,6 +272,8 @@
             sessions: BTreeMap::new(),
             last_id: 0,
             draining_since: None,
+            speed_factor: 1.0,
+            labels: Vec::new(),
             waiting_hold: None,
         });
     }
@@ -496,6 +510,7 @@
                 process.draining_since = None;
                 let name = format!("t{agent}");
                 let (instance, capacity) = (process.target_instances, process.capacity);
+                let labels = process.labels.clone();
                 let hall =
                     self.halls.as_ref().map_or(DEFAULT_HALL, |_| HallCommands::of_agent(agent));
                 let id = match &self.unstable_targets {
@@ -507,6 +522,7 @@
                 };
                 let mut target = Target::new(id, capacity, process.slow_clock, self.now);
                 target.hall = hall;
+                target.labels = labels;
                 if let Some(unstable) = &self.unstable_targets {
                     target.enforces_capacity = unstable.enforces_capacity(agent);
                 }
--- a/soak/src/capacity/submissions.rs
+++ b/soak/src/capacity/submissions.rs
@@ -1,10 +1,12 @@
 //! Submission of jobs by clients, timeouts, and answers.
 
+use std::time::Duration;
+
 use dispatch::{CallId, Outcome};
 use model::JobId;
 use rand::Rng;
 
-use super::client::{MAX_TRIES, RESEND_DELAY};
+use super::client::{Client, RESEND_DELAY};
 use super::simulation::{SimEvent, Simulation};
 
 impl Simulation {
@@ -14,11 +16,12 @@
             return;
         };
         client.tries += 1;
-        let tries = client.tries;
+        client.last_submitted = self.now;
+        let (tries, has_tries_left) = (client.tries, client.has_tries_left());
         let process = &mut self.entries[entry];
         if process.dispatcher.is_none() {
             // The entry is down, so the connection fails and the client tries again.
-            if tries < MAX_TRIES {
+            if has_tries_left {
                 self.schedule_after(RESEND_DELAY, SimEvent::Submit(id.clone()));
             }
             return;
@@ -28,6 +31,7 @@
         process.jobs.insert(CallId(call_id), id.clone());
         client.pending_call = Some((entry, call_id));
         let request = client.request.clone();
+        self.load_stats.job_submitted(self.now, client);
         self.checks.job_submitted(self.now, id, request.shape.count, request.max_attempts);
         self.schedule_after(request.deadline, SimEvent::ClientTimeout(id.clone(), tries));
         let paused_until = self.entries[entry].paused_until;
@@ -66,12 +70,23 @@
     }
 
     pub(super) fn send_again(&mut self, id: &JobId) {
-        let tries = self.clients.get(id).map_or(MAX_TRIES, |client| client.tries);
-        if tries < MAX_TRIES {
+        if self.clients.get(id).is_some_and(Client::has_tries_left) {
             self.schedule_after(RESEND_DELAY, SimEvent::Submit(id.clone()));
         }
     }
 
+    /// Schedules the next submission of a job that was answered "not run", at another entry as the
+    /// load balancer would choose.
+    fn schedule_return(&mut self, refused_by: usize, id: &JobId, retry_after: Duration) {
+        let entries = self.entries.len();
+        let others = self.rng.random_range(0..entries.saturating_sub(1).max(1));
+        let Some(client) = self.clients.get_mut(id) else { return };
+        client.returns += 1;
+        client.fixed_entry = Some((refused_by + 1 + others) % entries);
+        self.load_stats.job_returns(refused_by, client, retry_after);
+        self.schedule_after(retry_after, SimEvent::Submit(id.clone()));
+    }
+
     /// Delivers the outcome of a job to its client, which may submit the job again.
     pub(super) fn deliver_outcome(&mut self, entry: usize, call_id: CallId, outcome: Outcome) {
         let Some(id) = self.entries[entry].jobs.remove(&call_id) else { return };
@@ -79,7 +94,14 @@
         self.checks.job_answered(now, &id, outcome);
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.pending_call = None;
-        self.load_stats.job_answered(now, client, outcome);
+        if let Outcome::NotRun { retry_after, .. } = outcome
+            && self.return_period.is_some_and(|period| {
+                now.since(client.first_submitted) + retry_after < period && !client.cancelled
+            })
+        {
+            return self.schedule_return(entry, &id, retry_after);
+        }
+        self.load_stats.job_answered(now, entry, client, outcome);
         let in_time_after_faults =
             client.after_faults && now.since(client.first_submitted) < client.request.deadline;
         match outcome {
--- a/soak/src/capacity/target.rs
+++ b/soak/src/capacity/target.rs
@@ -38,6 +38,7 @@
 pub(crate) struct Run {
     pub run: u64,
     resources: Resources,
+    started_at: Time,
     ends_at: Option<Time>,
     reason: EndReason,
 }
@@ -48,6 +49,7 @@
     pub instance: TargetInstance,
     /// The hall of the target's host.
     pub hall: &'static str,
+    pub labels: Vec<Arc<str>>,
     pub capacity: Resources,
     /// Whether the target refuses starts that exceed its capacity.
     pub enforces_capacity: bool,
@@ -74,6 +76,7 @@
 pub(crate) struct EndedRun {
     pub task: TaskId,
     pub reason: EndReason,
+    pub ran: Duration,
 }
 
 impl Target {
@@ -83,6 +86,7 @@
             capacity,
             enforces_capacity: true,
             hall: DEFAULT_HALL,
+            labels: Vec::new(),
             behavior: Behavior::Normal,
             draining: false,
             unresponsive: false,
@@ -109,7 +113,7 @@
             instance: self.instance.clone(),
             service: Arc::from("work"),
             hall: Arc::from(self.hall),
-            labels: Vec::new(),
+            labels: self.labels.clone(),
             capacity: self.capacity,
             draining: self.draining,
             remaining: None,
@@ -124,7 +128,7 @@
             let runs: Vec<TaskId> = self.runs.keys().cloned().collect();
             return runs
                 .into_iter()
-                .filter_map(|task| self.end_run(&task, EndReason::LeaseExpired))
+                .filter_map(|task| self.end_run(now, &task, EndReason::LeaseExpired))
                 .collect();
         }
         let due: Vec<(TaskId, EndReason)> = self
@@ -133,17 +137,17 @@
             .filter(|(_, run)| run.ends_at.is_some_and(|ends_at| ends_at <= now))
             .map(|(task, run)| (task.clone(), run.reason))
             .collect();
-        due.into_iter().filter_map(|(task, reason)| self.end_run(&task, reason)).collect()
+        due.into_iter().filter_map(|(task, reason)| self.end_run(now, &task, reason)).collect()
     }
 
-    fn end_run(&mut self, task: &TaskId, reason: EndReason) -> Option<EndedRun> {
+    fn end_run(&mut self, now: Time, task: &TaskId, reason: EndReason) -> Option<EndedRun> {
         let run = self.runs.remove(task)?;
         self.close_run(task, run.run);
         let number = self.next_end;
         self.next_end += 1;
         let target_run = TargetRun { task: task.clone(), run: run.run };
         self.ends.push(TargetEnd { number, run: Some(target_run), reason });
-        Some(EndedRun { task: task.clone(), reason })
+        Some(EndedRun { task: task.clone(), reason, ran: now.since(run.started_at) })
     }
 
     fn close_run(&mut self, task: &TaskId, run: u64) {
@@ -202,7 +206,8 @@
             Behavior::Hangs => (None, EndReason::Other),
             Behavior::Slow(factor) => (Some(now + work * factor), EndReason::Done),
         };
-        self.runs.insert(task.clone(), Run { run: command.key.run, resources, ends_at, reason });
+        let run = command.key.run;
+        self.runs.insert(task.clone(), Run { run, resources, started_at: now, ends_at, reason });
         (StartReply::Accepted { clock_ms }, true)
     }
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -6,18 +6,23 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use clap::{Arg, ArgAction, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use soak::{CapacitySummary, Options, Summary, Violation, run, run_capacity, run_keepers};
-use soak::{CapacityTiming, Cut, KeeperSummary, Load, Surge, Workload, run_load};
+use soak::{Cut, DataDemand, KeeperSummary, Load, Surge, Workload, run_load};
 use subset::SubsetSizes;
 
 /// Number of runs between two progress messages.
 const PROGRESS_INTERVAL: u64 = 5_000;
+/// Number of targets per rack in loads with racks.
+const TARGETS_PER_RACK: usize = 9;
 
 fn main() -> ExitCode {
     let number = |name: &'static str, default: &'static str, help: &'static str| {
         Arg::new(name).long(name).default_value(default).value_parser(value_parser!(u64)).help(help)
     };
+    let factors = |name: &'static str, help: &'static str| {
+        Arg::new(name).long(name).value_delimiter(',').value_parser(value_parser!(f64)).help(help)
+    };
     let arguments = Command::new("dockpass-soak")
         .about("Randomised runs of entries and agents with fault injection, in virtual time")
         .arg(number("seeds", "1000", "Number of runs"))
@@ -61,6 +66,34 @@
                 .action(ArgAction::SetTrue)
                 .help("Use tasks that take a tenth of a target in a load, not a fifth"),
         )
+        .arg(Arg::new("hard").long("hard").value_name("P|Q").value_parser(["P", "Q"]).help(
+            "Use the entries, targets and jobs of a deployment in docs/design/hard-load.md in a load",
+        ))
+        .arg(
+            factors("speeds", "Run time of tasks at targets relative to the usual one, in turn, such as 0.55,1.2"),
+        )
+        .arg(factors("entry-shares", "Shares of the jobs that entries receive, in turn, such as 4,1"))
+        .arg(number(
+            "rack-share",
+            "0",
+            "Percentage of the jobs of the first queue that name one rack in the middle third of a load",
+        ))
+        .arg(number(
+            "remote-penalty",
+            "1",
+            "Factor on the run time of tasks outside the rack that their job names in a load",
+        ))
+        .arg(
+            Arg::new("surge-queue")
+                .long("surge-queue")
+                .value_parser(value_parser!(u64).range(0..3))
+                .help("The only queue, by priority, whose jobs increase in the surge of a load"),
+        )
+        .arg(number(
+            "returns",
+            "0",
+            "Seconds after its first submission for which a client returns after Retry-After in a load",
+        ))
         .arg(number("entries", "51", "Number of entries in a load"))
         .arg(number("agents", "240", "Number of agents in a load"))
         .arg(number("serves", "6", "Entries that an agent serves in a load; 0 for all"))
@@ -103,6 +136,7 @@
         let small_tasks = arguments.get_flag("small-tasks");
         let workload = if small_tasks { Workload::SMALL_TASKS } else { Workload::LARGE_TASKS };
         let mut load = load(&get, workload);
+        set_unevenness(&mut load, &arguments);
         if let Some(part) = arguments.get_one::<String>("without")
             && !load.timing.policy.disable(part)
         {
@@ -156,8 +190,39 @@
         surge: Some(Surge { start, duration: middle, factor: share("surge") }),
         cut: Some(Cut { start, duration: middle, share: share("cut") }),
         unanswered: get("unanswered") as f64 / 1e3,
-        links: None,
-        timing: CapacityTiming::default(),
+        ..Load::default()
+    }
+}
+
+/// Applies the options for unequal targets and entries.
+fn set_unevenness(load: &mut Load, arguments: &ArgMatches) {
+    if let Some(name) = arguments.get_one::<String>("hard") {
+        let hard = if name == "P" { Load::deployment_p() } else { Load::deployment_q() };
+        load.entries = hard.entries;
+        load.agents = hard.agents;
+        load.sizes = hard.sizes;
+        load.workload = hard.workload;
+        load.speed_factors = hard.speed_factors;
+        load.entry_shares = hard.entry_shares;
+    }
+    let factors = |name: &str| arguments.get_many::<f64>(name).map(|all| all.copied().collect());
+    if let Some(speed_factors) = factors("speeds") {
+        load.speed_factors = speed_factors;
+    }
+    if let Some(entry_shares) = factors("entry-shares") {
+        load.entry_shares = entry_shares;
+    }
+    let get = |name: &str| arguments.get_one::<u64>(name).copied();
+    load.surge_queue = get("surge-queue").map(|queue| queue as usize);
+    load.return_period = get("returns").filter(|period| *period > 0).map(Duration::from_secs);
+    if let Some(share) = get("rack-share").filter(|share| *share > 0) {
+        load.data = Some(DataDemand {
+            targets_per_rack: TARGETS_PER_RACK,
+            share: share.min(100) as f64 / 100.0,
+            start: load.duration / 3,
+            duration: load.duration / 3,
+            remote_penalty: get("remote-penalty").unwrap_or(1) as f64,
+        });
     }
 }
 
--- a/soak/tests/load.rs
+++ b/soak/tests/load.rs
@@ -19,11 +19,7 @@
         workload: Workload::LARGE_TASKS,
         utilization: 0.6,
         duration: Duration::from_secs(2),
-        surge: None,
-        cut: None,
-        unanswered: 0.0,
-        links: None,
-        timing: CapacityTiming::default(),
+        ..Load::default()
     }
 }
 
