Let soak seeds draw unequal targets and entries, and give loads faults

Cause: the soak had equal targets and entries, no job named a rack and no refused client returned, so that the parts for hard load would run in it without what they answer. Loads could not restart or pause a given node. `Load::faults` pauses or restarts given nodes, cuts them off, and restarts a target with another speed.

--- a/soak/src/capacity/checks.rs
+++ b/soak/src/capacity/checks.rs
@@ -50,6 +50,10 @@
     pub target_crashes: u64,
     /// Times that the capacity of a target was reduced.
     pub capacity_reductions: u64,
+    /// Jobs that named a rack.
+    pub named_racks: u64,
+    /// Submissions of clients that returned after an answer "not run".
+    pub returned: u64,
 }
 
 impl CapacitySummary {
@@ -68,6 +72,8 @@
         self.completed_after_faults += other.completed_after_faults;
         self.target_crashes += other.target_crashes;
         self.capacity_reductions += other.capacity_reductions;
+        self.named_racks += other.named_racks;
+        self.returned += other.returned;
     }
 }
 
--- a/soak/src/capacity/load.rs
+++ b/soak/src/capacity/load.rs
@@ -14,6 +14,7 @@
 use wire::Document;
 
 use super::CapacityTiming;
+use super::faults::Fault;
 use super::load_jobs::{Workload, schedule_clients};
 use super::load_results::{LoadResult, Measured, collect_result};
 use super::simulation::{START, SimEvent, Simulation};
@@ -67,6 +68,48 @@
     format!("rack-{rack}")
 }
 
+/// A fault at a given time of a load.
+#[derive(Clone, Copy, Debug)]
+pub enum LoadFault {
+    /// An entry is paused.
+    PauseEntry {
+        /// The number of the entry.
+        entry: usize,
+        /// Length of the pause.
+        duration: Duration,
+    },
+    /// An entry is killed and restarted; its connections are closed.
+    RestartEntry {
+        /// The number of the entry.
+        entry: usize,
+        /// Time from the end to the start.
+        downtime: Duration,
+    },
+    /// An agent is killed and restarted; its target keeps running.
+    RestartAgent {
+        /// The number of the agent.
+        agent: usize,
+        /// Time from the end to the start.
+        downtime: Duration,
+    },
+    /// A target is killed and restarted with another speed.
+    RestartTarget {
+        /// The number of the target's agent.
+        agent: usize,
+        /// Time from the end to the start.
+        downtime: Duration,
+        /// Run time of tasks at the new instance relative to the usual one.
+        speed_factor: f64,
+    },
+    /// An agent is cut off from all entries.
+    CutAgent {
+        /// The number of the agent.
+        agent: usize,
+        /// Length of the interruption.
+        duration: Duration,
+    },
+}
+
 /// Slow links to entries, with a configuration that all agents have from the start.
 #[derive(Clone, Copy, Debug)]
 pub struct SlowLinks {
@@ -110,6 +153,8 @@
     pub return_period: Option<Duration>,
     /// A temporary loss of agents.
     pub cut: Option<Cut>,
+    /// Faults, each with its time from the start of the submissions.
+    pub faults: Vec<(Duration, LoadFault)>,
     /// Share of commands that targets leave unanswered and carry out late.
     pub unanswered: f64,
     /// Slow links to entries; messages take no transmission time if `None`.
@@ -136,6 +181,7 @@
             surge_queue: None,
             return_period: None,
             cut: None,
+            faults: Vec::new(),
             unanswered: 0.0,
             links: None,
             timing: CapacityTiming::default(),
@@ -200,6 +246,7 @@
     simulation.start_processes();
     let jobs = schedule_clients(&mut simulation, load);
     schedule_cuts(&mut simulation, load);
+    load.faults.iter().for_each(|(after, fault)| schedule_fault(&mut simulation, *after, *fault));
     simulation.run_until(START + WARM_UP);
     let at_warm_up_end = (simulation.load_stats.messages, session_counts(&simulation));
     simulation.run_until(START + WARM_UP + load.duration);
@@ -265,6 +312,27 @@
     }
 }
 
+fn schedule_fault(simulation: &mut Simulation, after: Duration, fault: LoadFault) {
+    let event = match fault {
+        LoadFault::PauseEntry { entry, duration } => {
+            SimEvent::Fault(Fault::PauseEntry { entry, duration })
+        }
+        LoadFault::RestartEntry { entry, downtime } => {
+            SimEvent::Fault(Fault::KillEntry { entry, downtime, silent: false })
+        }
+        LoadFault::RestartAgent { agent, downtime } => {
+            SimEvent::Fault(Fault::KillAgent { agent, downtime })
+        }
+        LoadFault::RestartTarget { agent, downtime, speed_factor } => {
+            // Run times are drawn when a run starts, so that running tasks keep theirs.
+            simulation.schedule_after(WARM_UP + after, SimEvent::SetSpeed(agent, speed_factor));
+            SimEvent::Fault(Fault::CrashTarget { agent, downtime })
+        }
+        LoadFault::CutAgent { agent, duration } => SimEvent::DisconnectAgent(agent, duration),
+    };
+    simulation.schedule_after(WARM_UP + after, event);
+}
+
 fn session_counts(simulation: &Simulation) -> (usize, usize) {
     let of_entry = || simulation.entries.iter().map(|entry| entry.sessions.len());
     (of_entry().min().unwrap_or(0), of_entry().max().unwrap_or(0))
--- a/soak/src/capacity/mod.rs
+++ b/soak/src/capacity/mod.rs
@@ -21,10 +21,11 @@
 mod subsets;
 mod target;
 mod transport;
+mod uneven;
 mod unstable_targets;
 
 pub use checks::CapacitySummary;
-pub use load::{Cut, DataDemand, Load, SlowLinks, Surge, run_load};
+pub use load::{Cut, DataDemand, Load, LoadFault, SlowLinks, Surge, run_load};
 pub use load_jobs::Workload;
 pub use load_results::{GroupResult, LoadResult};
 
--- a/soak/src/capacity/simulation.rs
+++ b/soak/src/capacity/simulation.rs
@@ -25,6 +25,7 @@
 use super::session::{Packet, Session};
 use super::subsets::EntrySubsets;
 use super::target::{Behavior, MAX_LEASE, Target};
+use super::uneven::Uneven;
 use super::unstable_targets::UnstableTargets;
 use crate::checks::Violation;
 use crate::simulation::Options;
@@ -112,6 +113,8 @@
     NoListener(usize, u64, TargetInstance),
     /// Crashes the target instance that started a task.
     CrashTarget(usize, TargetInstance),
+    /// Sets the run time of tasks at a target, relative to the usual one.
+    SetSpeed(usize, f64),
 }
 
 /// A command of one incarnation of an agent. It gets one answer, or a timeout.
@@ -184,6 +187,8 @@
     pub(super) halls: Option<HallCommands>,
     /// `None` in runs with stable targets.
     pub(super) unstable_targets: Option<UnstableTargets>,
+    /// `None` in runs with equal targets and entries.
+    pub(super) uneven: Option<Uneven>,
     /// Share of commands that targets leave unanswered and carry out late.
     pub(super) unanswered: f64,
     /// Factor on the run time of tasks at targets without the label that their job names.
@@ -217,6 +222,9 @@
             simulation.timing.agent.max_lease = MAX_LEASE;
             simulation.set_up_unstable_targets(options.seed);
         }
+        if options.uneven {
+            simulation.set_up_uneven(options.seed);
+        }
         simulation
     }
 
@@ -241,6 +249,7 @@
             document: None,
             halls: None,
             unstable_targets: None,
+            uneven: None,
             unanswered: 0.0,
             remote_penalty: 1.0,
             return_period: None,
@@ -505,6 +514,7 @@
                 // Two crashes in one downtime schedule two starts. The second one replaces a
                 // running instance, which counts as a crash.
                 self.checks.target_crashed(self.agents[agent].target.as_ref());
+                self.redraw_speed(agent);
                 let process = &mut self.agents[agent];
                 process.target_instances += 1;
                 process.draining_since = None;
@@ -532,6 +542,7 @@
             SimEvent::NoListener(agent, incarnation, target) => {
                 self.deliver_no_listener(agent, incarnation, target)
             }
+            SimEvent::SetSpeed(agent, factor) => self.agents[agent].speed_factor = factor,
             SimEvent::Resize(agent, percent) => self.resize_target(agent, percent),
             SimEvent::CrashTarget(agent, instance) => self.crash_target(agent, &instance),
             SimEvent::RestoreBehavior(agent) => {
--- a/soak/src/capacity/submissions.rs
+++ b/soak/src/capacity/submissions.rs
@@ -49,7 +49,11 @@
     /// Returns the fixed entry of a client, or a random one as the load balancer would choose.
     fn entry_of(&mut self, id: &JobId) -> usize {
         let fixed = self.clients.get(id).and_then(|client| client.fixed_entry);
-        fixed.unwrap_or_else(|| self.rng.random_range(0..self.entries.len()))
+        let entries = self.entries.len();
+        fixed.unwrap_or_else(|| match &mut self.uneven {
+            Some(uneven) => uneven.draw_entry(entries),
+            None => self.rng.random_range(0..entries),
+        })
     }
 
     /// Ends a try that was not answered within the client's deadline.
@@ -82,6 +86,7 @@
         let others = self.rng.random_range(0..entries.saturating_sub(1).max(1));
         let Some(client) = self.clients.get_mut(id) else { return };
         client.returns += 1;
+        self.checks.summary.returned += 1;
         client.fixed_entry = Some((refused_by + 1 + others) % entries);
         self.load_stats.job_returns(refused_by, client, retry_after);
         self.schedule_after(retry_after, SimEvent::Submit(id.clone()));
@@ -96,7 +101,9 @@
         client.pending_call = None;
         if let Outcome::NotRun { retry_after, .. } = outcome
             && self.return_period.is_some_and(|period| {
-                now.since(client.first_submitted) + retry_after < period && !client.cancelled
+                now.since(client.first_submitted) + retry_after < period
+                    && !client.cancelled
+                    && !client.after_faults
             })
         {
             return self.schedule_return(entry, &id, retry_after);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -19,8 +19,8 @@
 mod simulation;
 
 pub use capacity::{
-    CapacitySummary, CapacityTiming, Cut, DataDemand, GroupResult, Load, LoadResult, SlowLinks,
-    Surge, Workload, run_capacity, run_capacity_with, run_load,
+    CapacitySummary, CapacityTiming, Cut, DataDemand, GroupResult, Load, LoadFault, LoadResult,
+    SlowLinks, Surge, Workload, run_capacity, run_capacity_with, run_load,
 };
 pub use checks::{Summary, Violation};
 pub use keepers::{KeeperSummary, run_keepers};
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -54,6 +54,9 @@
         .arg(Arg::new("restless").long("restless").action(ArgAction::SetTrue).help(
             "Let targets keep their ids, change their capacity and crash under tasks; needs --room",
         ))
+        .arg(Arg::new("uneven").long("uneven").action(ArgAction::SetTrue).help(
+            "Let targets differ in speed, entries in their share of the jobs, jobs name a rack and refused clients return; needs --room",
+        ))
         .arg(
             Arg::new("load")
                 .long("load")
@@ -151,6 +154,7 @@
         halls: arguments.get_flag("halls"),
         moves: arguments.get_flag("moves"),
         unstable_targets: arguments.get_flag("restless"),
+        uneven: arguments.get_flag("uneven"),
         trace,
         ..Options::new(0)
     };
--- a/soak/src/simulation.rs
+++ b/soak/src/simulation.rs
@@ -43,6 +43,9 @@
     /// Whether targets keep their ids over restarts, change their capacity, and crash under some
     /// tasks; only for runs of capacity.
     pub unstable_targets: bool,
+    /// Whether targets differ in speed, entries in their share of the jobs, jobs name a rack, and
+    /// refused clients return; only for runs of capacity.
+    pub uneven: bool,
     /// Prints all events that contain this text, such as the id of a submission; not for runs of
     /// keepers.
     pub trace: Option<String>,
@@ -58,6 +61,7 @@
             halls: false,
             moves: false,
             unstable_targets: false,
+            uneven: false,
             trace: None,
         }
     }
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -13,6 +13,8 @@
 const SEEDS: u64 = 200;
 /// Number of seeds for capacity runs.
 const CAPACITY_SEEDS: u64 = 300;
+/// Number of seeds for uneven capacity runs with unstable targets.
+const UNEVEN_UNSTABLE_SEEDS: u64 = 100;
 /// Number of seeds for keeper runs with hall commands.
 const HALL_SEEDS: u64 = 250;
 /// Number of seeds for keeper runs with moves.
@@ -163,6 +165,29 @@
     assert!(failed.is_empty(), "{failed:?}");
 }
 
+/// Guards against broken rules where targets differ in speed and get another one with a new
+/// instance, jobs name a rack, entries receive unequal shares of the jobs, and refused clients
+/// return to another entry.
+#[test]
+fn uneven_capacity_runs_keep_invariants() {
+    let runner = |options| run_capacity(&Options { uneven: true, ..options });
+    let total = run_all(CAPACITY_SEEDS, runner, CapacitySummary::add);
+    // The runs must cover these events.
+    assert!(total.completed > 15_000 && total.completed_after_faults > 2_000, "{total:?}");
+    assert!(total.named_racks > 1_000 && total.returned > 1_000, "{total:?}");
+}
+
+/// Guards against broken rules where uneven targets also restart under the same id, change their
+/// capacity and crash under some tasks.
+#[test]
+fn uneven_capacity_runs_with_unstable_targets_keep_invariants() {
+    let runner =
+        |options| run_capacity(&Options { uneven: true, unstable_targets: true, ..options });
+    let total = run_all(UNEVEN_UNSTABLE_SEEDS, runner, CapacitySummary::add);
+    // The runs must cover these events.
+    assert!(total.target_crashes > 100 && total.returned > 300, "{total:?}");
+}
+
 #[test]
 fn entry_and_agent_runs_are_deterministic() {
     assert_eq!(run(Options::new(7)), run(Options::new(7)));
--- a/soak/tests/uneven_load.rs
+++ b/soak/tests/uneven_load.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use soak::{CapacityTiming, DataDemand, Load, Surge, run_load};
+use soak::{CapacityTiming, DataDemand, Load, LoadFault, Surge, run_load};
 
 /// A light load, in which no job waits for capacity.
 fn light_load() -> Load {
@@ -101,3 +101,35 @@
     };
     assert_eq!(run_load(&load), run_load(&load));
 }
+
+/// Guards against faults that are scheduled but have no effect on the load.
+#[test]
+fn faults_of_a_load_take_effect() {
+    let load = Load { entry_shares: vec![1.0], utilization: 0.4, ..light_load() };
+    let after = Duration::from_millis(500);
+    let downtime = Duration::from_millis(300);
+    let duration = Duration::from_secs(1);
+    let agents = 0..load.agents;
+    let all = |fault: &dyn Fn(usize) -> LoadFault| -> Vec<(Duration, LoadFault)> {
+        agents.clone().map(|agent| (after, fault(agent))).collect()
+    };
+    let calm = run_load(&load);
+    let cases = [
+        vec![(after, LoadFault::PauseEntry { entry: 0, duration })],
+        vec![(after, LoadFault::RestartEntry { entry: 0, downtime })],
+        all(&|agent| LoadFault::RestartAgent { agent, downtime }),
+        all(&|agent| LoadFault::CutAgent { agent, duration }),
+    ];
+    for faults in cases {
+        let result = run_load(&Load { faults: faults.clone(), ..load.clone() });
+        println!("{:?}: {} in time, {} without", faults[0], result.in_time, calm.in_time);
+        assert!(result.in_time + 2 < calm.in_time, "{:?}", faults[0]);
+    }
+    let restarts = |speed_factor| {
+        let faults = all(&|agent| LoadFault::RestartTarget { agent, downtime, speed_factor });
+        run_load(&Load { faults, ..load.clone() })
+    };
+    let (same, slower) = (restarts(1.0), restarts(3.0));
+    println!("restarted: {}, as slower ones: {} in time", same.in_time, slower.in_time);
+    assert!(slower.in_time * 10 < same.in_time * 9);
+}
