Show operators who waits, who is refused and how fast targets are

Cause: an operator could not see by queue what waits, what is late and what is refused for which cause, nor the speed of targets, and had to compare the pages of all entries by hand. Agents show the slowdown of their target. `dockpass load` asks the metrics addresses of entries and agents and prints the sum and the worst entry of each queue, and the slowest, median and fastest target; nodes that can't be read are listed and give exit code 1. Metrics pages are parsed here: prometheus-parse 0.2.5 drops lines whose label values have a comma, and openmetrics-parser is LGPL.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -1,6 +1,7 @@
 //! The state of an entry and the dispatch of its events.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use admission::{PredictionErrors, RunTimes};
@@ -10,7 +11,7 @@
 use crate::agents::Agent;
 use crate::crashes::Crashes;
 use crate::event::{Action, CallId, Event, HallsSource, SessionId};
-use crate::job::Job;
+use crate::job::{Job, Task, TaskState};
 use crate::placement::ChangedCapacity;
 use crate::policy::Policy;
 use crate::retry_schedule::RetrySchedule;
@@ -207,6 +208,19 @@
         self.queue.len()
     }
 
+    /// Number of tasks that wait for capacity, by queue. Looks at all jobs.
+    pub fn waiting_by_queue(&self) -> BTreeMap<Arc<str>, usize> {
+        let mut waiting = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| job.outcome.is_none()) {
+            let is_waiting = |task: &&Task| task.state == TaskState::Waiting;
+            let tasks = job.tasks.iter().filter(is_waiting).count();
+            if tasks > 0 {
+                *waiting.entry(job.request.queue.clone()).or_default() += tasks;
+            }
+        }
+        waiting
+    }
+
     /// Event counts since the start of this entry.
     pub fn counters(&self) -> DispatcherCounters {
         self.counters
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -170,6 +170,12 @@
         (waiting, self.runs.len() - waiting)
     }
 
+    /// Run time of tasks at the target relative to their estimates, in percent; `None` without a
+    /// target.
+    pub fn target_slowdown_percent(&self) -> Option<u32> {
+        self.target.as_ref().map(|target| target.speed.slowdown_percent())
+    }
+
     /// Version of the newest configuration document; 0 without one.
     pub fn document_version(&self) -> u64 {
         self.document.as_ref().map_or(0, |document| document.version)
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -8,9 +8,11 @@
 mod decision;
 mod latency;
 mod messages;
+mod queue_table;
 
 pub use breach::Breach;
 pub use counters::{AgentCounters, EntryCounters};
 pub use decision::{Decision, DecisionKind};
 pub use latency::LatencyHistogram;
 pub use messages::{MessageCounts, MessageKind};
+pub use queue_table::QueueTable;
--- a/daemon/src/capacity/agent.rs
+++ b/daemon/src/capacity/agent.rs
@@ -299,6 +299,9 @@
         let (waiting, running) = runner.run_counts();
         page.value("tasks", "{state=\"waiting\"}", waiting as u64);
         page.value("tasks", "{state=\"running\"}", running as u64);
+        if let Some(percent) = runner.target_slowdown_percent() {
+            page.value("target_slowdown_percent", "", u64::from(percent));
+        }
         page.value("configuration_version", "", runner.document_version());
         page.value("halls_revision", "", runner.halls().revision);
         page.value("log_lines_omitted_total", "", self.log.omitted());
--- a/daemon/src/capacity/entry.rs
+++ b/daemon/src/capacity/entry.rs
@@ -39,6 +39,12 @@
 /// Delay after a failed accept, to avoid a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// A client that waits for the outcome of its job.
+struct PendingCall {
+    queue: Arc<str>,
+    sender: Sender<Outcome>,
+}
+
 /// State of an entry, shared by the tasks on its thread.
 pub(super) struct Entry {
     pub log: EventLog,
@@ -47,7 +53,7 @@
     /// The routing table in force; `None` before the first configuration.
     route_table: RefCell<Option<Rc<RouteTable>>>,
     agent_sessions: RefCell<HashMap<SessionId, SessionSender<ToAgent>>>,
-    pending_calls: RefCell<HashMap<CallId, Sender<Outcome>>>,
+    pending_calls: RefCell<HashMap<CallId, PendingCall>>,
     pub(super) metrics: RefCell<EntryMetrics>,
     last_id: Cell<u64>,
     /// Whether the callers' port is bound.
@@ -263,9 +269,10 @@
             Action::DocumentPart(id, part) => self.notify_watch(id, AgentEvent::Answered(part)),
             Action::Answer(call_id, outcome) => {
                 self.metrics.borrow_mut().record_outcome(outcome);
-                if let Some(sender) = self.pending_calls.borrow_mut().remove(&call_id) {
+                if let Some(call) = self.pending_calls.borrow_mut().remove(&call_id) {
+                    self.metrics.borrow_mut().record_refusal(&call.queue, outcome);
                     // The receiver is gone if the client has disconnected.
-                    let _ = sender.try_send(outcome);
+                    let _ = call.sender.try_send(outcome);
                 }
             }
             Action::Log(event) => {
@@ -350,7 +357,8 @@
     ) -> (async_channel::Receiver<Outcome>, CallGuard) {
         let call_id = CallId(self.next_id());
         let (sender, receiver) = async_channel::bounded(1);
-        self.pending_calls.borrow_mut().insert(call_id, sender);
+        let call = PendingCall { queue: request.queue.clone(), sender };
+        self.pending_calls.borrow_mut().insert(call_id, call);
         let guard = CallGuard { entry: self.clone(), call_id };
         self.handle_event(Event::Submit(call_id, request));
         (receiver, guard)
--- a/daemon/src/capacity/entry_metrics.rs
+++ b/daemon/src/capacity/entry_metrics.rs
@@ -1,6 +1,6 @@
 //! The entry's metrics.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use dispatch::{LogEvent, Outcome};
@@ -10,12 +10,12 @@
 use super::entry::Entry;
 use super::entry_log::outcome_and_reason;
 use super::metrics::MetricsPage;
+use super::queue_metrics::{self, QueueMetrics};
 
 /// Latencies and counts of the jobs and requests that an entry has answered.
 #[derive(Default)]
 pub(super) struct EntryMetrics {
-    /// Time from submission to outcome of completed jobs, by queue.
-    completion_times: HashMap<String, LatencyHistogram>,
+    queues: QueueMetrics,
     /// Longest wait of a task for capacity, per job that was started.
     wait_times: LatencyHistogram,
     /// Time from submission to refusal of jobs that did not run.
@@ -29,7 +29,9 @@
 impl EntryMetrics {
     /// Records the latencies of an answered or refused job.
     pub fn record_event(&mut self, event: &LogEvent) {
-        let LogEvent::Answered { queue, outcome, took_ms, waited_ms, starts, .. } = event else {
+        let LogEvent::Answered { queue, outcome, took_ms, objective_ms, waited_ms, starts, .. } =
+            event
+        else {
             if matches!(event, LogEvent::Refused { .. }) {
                 self.refusal_times.record(Duration::ZERO);
             }
@@ -37,7 +39,10 @@
         };
         let took = Duration::from_secs_f64(took_ms / 1e3);
         match outcome {
-            Outcome::Completed => self.queue_latency(queue).record(took),
+            Outcome::Completed => {
+                let objective = Duration::from_millis(*objective_ms);
+                self.queues.record_completed(queue, took, objective);
+            }
             Outcome::NotRun { .. } => self.refusal_times.record(took),
             _ => {}
         }
@@ -51,19 +56,23 @@
         *self.outcomes.entry(outcome_and_reason(outcome)).or_default() += 1;
     }
 
+    /// Counts an outcome sent to a client by its queue, if no task has run.
+    pub fn record_refusal(&mut self, queue: &str, outcome: Outcome) {
+        if let Outcome::NotRun { reason, .. } = outcome {
+            self.queues.record_refused(queue, reason.as_str());
+        }
+    }
+
     /// Counts a response.
     pub fn record_response(&mut self, status: u16) {
         *self.statuses.entry(status).or_default() += 1;
     }
 
-    fn queue_latency(&mut self, queue: &str) -> &mut LatencyHistogram {
-        if !self.completion_times.contains_key(queue) {
-            self.completion_times.insert(queue.to_owned(), LatencyHistogram::default());
-        }
-        self.completion_times.get_mut(queue).expect("the queue's latency was inserted above")
-    }
-
-    fn write_metrics(&self, page: &mut MetricsPage) {
+    fn write_metrics<'a>(
+        &'a self,
+        waiting: impl IntoIterator<Item = (&'a str, usize)>,
+        page: &mut MetricsPage,
+    ) {
         for (status, count) in &self.statuses {
             page.value("answers_total", &format!("{{status=\"{status}\"}}"), *count);
         }
@@ -71,9 +80,7 @@
             let labels = format!("{{outcome=\"{outcome}\",reason=\"{reason}\"}}");
             page.value("outcomes_total", &labels, *count);
         }
-        for (queue, latency) in &self.completion_times {
-            page.latency("job", "queue", queue, latency);
-        }
+        self.queues.write_metrics(waiting, page);
         page.latency("job_phase", "phase", "wait", &self.wait_times);
         page.latency("job_phase", "phase", "refused", &self.refusal_times);
     }
@@ -105,6 +112,9 @@
         page.value("agents", "{state=\"open\"}", dispatcher.open_agents() as u64);
         page.value("jobs_active", "", dispatcher.active_jobs() as u64);
         page.value("tasks_queued", "", dispatcher.queued_tasks() as u64);
+        let waiting = dispatcher.waiting_by_queue();
+        let waiting = waiting.iter().map(|(queue, tasks)| (&**queue, *tasks));
+        queue_metrics::write_prediction_errors(dispatcher.prediction_errors().iter(), page);
         let connections = &self.stop.connections;
         page.value("connections_accepted_total", "", connections.accepted());
         for phase in Phase::ALL {
@@ -117,6 +127,6 @@
         page.value("configuration_version", "", version);
         page.value("halls_revision", "", dispatcher.emptied_halls().revision);
         page.value("log_lines_omitted_total", "", self.log.omitted());
-        self.metrics.borrow().write_metrics(page);
+        self.metrics.borrow().write_metrics(waiting, page);
     }
 }
--- a/daemon/src/capacity/metrics.rs
+++ b/daemon/src/capacity/metrics.rs
@@ -1,5 +1,6 @@
 //! Serves counters, gauges and latencies in the Prometheus text format.
 
+use std::borrow::Cow;
 use std::cell::RefCell;
 use std::fmt::Write as _;
 use std::net::{SocketAddr, TcpListener};
@@ -22,6 +23,14 @@
 /// Quantiles reported for each latency.
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 0.999];
 
+/// Returns a label value with the characters escaped that the format gives a meaning.
+pub(crate) fn escape_label(value: &str) -> Cow<'_, str> {
+    if !value.contains(['\\', '"', '\n']) {
+        return Cow::Borrowed(value);
+    }
+    value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n").into()
+}
+
 /// A metrics page in the Prometheus text format.
 #[derive(Default)]
 pub(crate) struct MetricsPage(String);
@@ -32,6 +41,11 @@
         let _ = writeln!(self.0, "dockpass_{name}{labels} {value}");
     }
 
+    /// Adds a gauge or a sum with a fraction.
+    pub fn decimal(&mut self, name: &str, labels: &str, value: f64) {
+        let _ = writeln!(self.0, "dockpass_{name}{labels} {value}");
+    }
+
     /// Adds a latency as quantiles in seconds, with its count.
     pub fn latency(&mut self, name: &str, label: &str, value: &str, latency: &LatencyHistogram) {
         for quantile in QUANTILES {
--- a/daemon/src/capacity/mod.rs
+++ b/daemon/src/capacity/mod.rs
@@ -16,6 +16,7 @@
 mod keeper_watch;
 mod message_counters;
 mod metrics;
+mod queue_metrics;
 mod session;
 mod target_http;
 
--- a/daemon/tests/end_to_end.rs
+++ b/daemon/tests/end_to_end.rs
@@ -98,6 +98,9 @@
     for line in [
         "dockpass_outcomes_total{outcome=\"not-run\",reason=\"no-room\"} 3",
         "dockpass_outcomes_total{outcome=\"completed\",reason=\"\"} 1",
+        "dockpass_queue_refused_total{queue=\"q\",reason=\"no-room\"} 3",
+        "dockpass_queue_jobs_total{queue=\"q\",result=\"in_time\"} 1",
+        "dockpass_queue_jobs_total{queue=\"q\",result=\"late\"} 0",
         "dockpass_job_phase_seconds_count{phase=\"refused\"} 3",
         "dockpass_job_phase_seconds_count{phase=\"wait\"} 1",
     ] {
@@ -105,6 +108,50 @@
     }
 }
 
+/// Guards against waiting tasks and slow targets that operators can't see, and against waiting tasks
+/// that are still shown after they have run.
+#[test]
+fn metrics_show_waiting_tasks_and_the_speed_of_targets() {
+    let fleet = Fleet::new(1);
+    let _target = target(&fleet, 0);
+    let _processes = ["keeper", "entry", "agent0"].map(|name| fleet.start(name));
+    fleet.configure(7);
+    fleet.wait_until_ready();
+    let has_line = |line: &str| {
+        let page = call(fleet.metrics_address(), "GET", "/metrics", "", ANSWER_TIMEOUT);
+        page.is_some_and(|page| page.body.lines().any(|found| found == line))
+    };
+    thread::scope(|scope| {
+        let busy = scope.spawn(|| fleet.submit_job(1, 8, 1_500));
+        eventually("the target is full", || has_line("dockpass_starts_total 8"));
+        // The estimate leaves the job enough time to wait until the others end.
+        let body = "{\"spec\":\"50\",\"best_effort\":true,\"steps\":[{\"count\":3,\
+                    \"cpu\":1000,\"mem_mb\":64,\"estimated_ms\":20000}]}";
+        let path = "/q/0000000000000002";
+        let address = fleet.entry_address();
+        let timeout = Duration::from_secs(10);
+        let waiting = scope.spawn(move || call(address, "POST", path, body, timeout));
+        eventually("the tasks of the waiting job are counted", || {
+            has_line("dockpass_queue_tasks_waiting{queue=\"q\"} 3")
+        });
+        for job in [busy, waiting] {
+            let answer = job.join().expect("the thread does not panic");
+            assert_eq!(answer.expect("the request is answered").body, COMPLETED);
+        }
+    });
+    assert!(has_line("dockpass_queue_tasks_waiting{queue=\"q\"} 0"));
+    assert!(has_line("dockpass_queue_jobs_total{queue=\"q\",result=\"in_time\"} 2"));
+    assert!(has_line("dockpass_run_time_ratio_count{queue=\"q\"} 11"));
+    assert!(has_line("dockpass_run_time_ratio_bucket{queue=\"q\",le=\"+Inf\"} 11"));
+    let page = call(fleet.agent_metrics_address(0), "GET", "/metrics", "", ANSWER_TIMEOUT)
+        .expect("the metrics page is served")
+        .body;
+    let name = "dockpass_target_slowdown_percent ";
+    let percent = page.lines().find_map(|line| line.strip_prefix(name));
+    let percent: u32 = percent.and_then(|text| text.parse().ok()).expect("the speed is shown");
+    assert!((1..200).contains(&percent), "{page}");
+}
+
 /// Guards against immediate refusals and cancellations that are missing from the metrics.
 #[test]
 fn metrics_count_immediate_answers() {
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -282,8 +282,9 @@
         self.write("keeper", &keeper);
         for number in 0..self.agents {
             let agent = format!(
-                "{}[agent]\nlisten = {}\ntarget = {}\nservice = work\n{}",
+                "{}metrics = {}\n[agent]\nlisten = {}\ntarget = {}\nservice = work\n{}",
                 common(&format!("a{number}"), "agent"),
+                self.agent_metrics_address(number),
                 self.agent_address(number),
                 self.command_address(number),
                 self.agent_settings
@@ -368,6 +369,11 @@
         self.metrics_address_of(0)
     }
 
+    /// Address of the metrics page of an agent.
+    pub fn agent_metrics_address(&self, number: usize) -> SocketAddr {
+        self.address(TARGET_HOST + number, 7_900)
+    }
+
     /// Address of the metrics page of an entry.
     pub fn metrics_address_of(&self, entry: usize) -> SocketAddr {
         self.address(entry_host(entry), 7_900)
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -24,6 +24,7 @@
         .subcommand(demo())
         .subcommand(submit())
         .subcommand(status())
+        .subcommand(load())
         .subcommand(settings())
         .subcommand(service())
         .subcommand(halls())
@@ -101,6 +102,22 @@
         )
 }
 
+fn load() -> Command {
+    let node = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("IP:PORT")
+            .action(ArgAction::Append)
+            .num_args(1..)
+            .help(help)
+    };
+    Command::new("load")
+        .about("Show who waits, who is refused and how fast the targets are, over the whole fleet")
+        .arg(node("entry", "Metrics address of an entry; may be repeated"))
+        .arg(node("agent", "Metrics address of an agent; may be repeated"))
+        .after_help("Fails with exit code 1 if a node can't be read; the others are still shown.")
+}
+
 fn settings() -> Command {
     Command::new("settings")
         .about("Read and change the settings tree")
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -12,7 +12,10 @@
 mod decisions;
 mod demo;
 mod explain;
+mod fleet_load;
 mod halls;
+mod load;
+mod metrics_page;
 mod service;
 mod settings;
 mod status;
@@ -73,6 +76,7 @@
         Some(("demo", matches)) => demo::run(matches),
         Some(("submit", matches)) => submit::run(matches),
         Some(("status", matches)) => status::run(matches),
+        Some(("load", matches)) => load::run(matches),
         Some(("settings", matches)) => settings::run(matches),
         Some(("service", matches)) => service::run(matches),
         Some(("halls", matches)) => halls::run(matches),
