--- a/soak/src/capacity/simulation.rs
+++ b/soak/src/capacity/simulation.rs
@@ -1,6 +1,7 @@
 //! The state of a run, its event queue, and the dispatch of events.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use dispatch::{CallId, Dispatcher, JobRequest};
@@ -20,10 +21,11 @@
 use super::entry_link::EntryLink;
 use super::faults::Fault;
 use super::halls::HallCommands;
-use super::load::LoadStats;
+use super::load_results::LoadStats;
 use super::session::{Packet, Session};
 use super::subsets::EntrySubsets;
 use super::target::{Behavior, MAX_LEASE, Target};
+use super::uneven::Uneven;
 use super::unstable_targets::UnstableTargets;
 use crate::checks::Violation;
 use crate::simulation::Options;
@@ -111,6 +113,8 @@
     NoListener(usize, u64, TargetInstance),
     /// Crashes the target instance that started a task.
     CrashTarget(usize, TargetInstance),
+    /// Sets the run time of tasks at a target, relative to the usual one.
+    SetSpeed(usize, f64),
 }
 
 /// A command of one incarnation of an agent. It gets one answer, or a timeout.
@@ -151,6 +155,10 @@
     pub last_id: u64,
     /// When the agent received the drain notice of its target.
     pub draining_since: Option<Time>,
+    /// Run time of tasks at the target, relative to the usual one.
+    pub speed_factor: f64,
+    /// The target's labels.
+    pub labels: Vec<Arc<str>>,
     /// The hold command that waits at the target.
     pub waiting_hold: Option<(Call, HoldCommand)>,
 }
@@ -179,8 +187,15 @@
     pub(super) halls: Option<HallCommands>,
     /// `None` in runs with stable targets.
     pub(super) unstable_targets: Option<UnstableTargets>,
+    /// `None` in runs with equal targets and entries.
+    pub(super) uneven: Option<Uneven>,
     /// Share of commands that targets leave unanswered and carry out late.
     pub(super) unanswered: f64,
+    /// Factor on the run time of tasks at targets without the label that their job names.
+    pub(super) remote_penalty: f64,
+    /// How long after its first submission a client that is answered "not run" submits its job
+    /// again; such clients don't return if `None`.
+    pub(super) return_period: Option<Duration>,
 }
 
 impl Simulation {
@@ -207,6 +222,9 @@
             simulation.timing.agent.max_lease = MAX_LEASE;
             simulation.set_up_unstable_targets(options.seed);
         }
+        if options.uneven {
+            simulation.set_up_uneven(options.seed);
+        }
         simulation
     }
 
@@ -231,7 +249,10 @@
             document: None,
             halls: None,
             unstable_targets: None,
+            uneven: None,
             unanswered: 0.0,
+            remote_penalty: 1.0,
+            return_period: None,
         }
     }
 
@@ -260,6 +281,8 @@
             sessions: BTreeMap::new(),
             last_id: 0,
             draining_since: None,
+            speed_factor: 1.0,
+            labels: Vec::new(),
             waiting_hold: None,
         });
     }
@@ -491,11 +514,13 @@
                 // Two crashes in one downtime schedule two starts. The second one replaces a
                 // running instance, which counts as a crash.
                 self.checks.target_crashed(self.agents[agent].target.as_ref());
+                self.redraw_speed(agent);
                 let process = &mut self.agents[agent];
                 process.target_instances += 1;
                 process.draining_since = None;
                 let name = format!("t{agent}");
                 let (instance, capacity) = (process.target_instances, process.capacity);
+                let labels = process.labels.clone();
                 let hall =
                     self.halls.as_ref().map_or(DEFAULT_HALL, |_| HallCommands::of_agent(agent));
                 let id = match &self.unstable_targets {
@@ -507,6 +532,7 @@
                 };
                 let mut target = Target::new(id, capacity, process.slow_clock, self.now);
                 target.hall = hall;
+                target.labels = labels;
                 if let Some(unstable) = &self.unstable_targets {
                     target.enforces_capacity = unstable.enforces_capacity(agent);
                 }
@@ -516,6 +542,7 @@
             SimEvent::NoListener(agent, incarnation, target) => {
                 self.deliver_no_listener(agent, incarnation, target)
             }
+            SimEvent::SetSpeed(agent, factor) => self.agents[agent].speed_factor = factor,
             SimEvent::Resize(agent, percent) => self.resize_target(agent, percent),
             SimEvent::CrashTarget(agent, instance) => self.crash_target(agent, &instance),
             SimEvent::RestoreBehavior(agent) => {
