Log the labels that an admitted job names

Cause: whether jobs that want the same rack require a label or only prefer one could not be seen in the log. Change: the admitted line has requires and data_at.

--- a/components/dispatch/src/admission.rs
+++ b/components/dispatch/src/admission.rs
@@ -56,6 +56,8 @@
             tasks: request.shape.count,
             objective_ms: request.objective.as_millis() as u64,
             waiting: self.queue.len(),
+            requirement: request.shape.requirement.clone(),
+            affinity: request.shape.affinity.clone(),
         }));
         self.reserve.record_job(now, &request);
         let job = Job::new(now, call, request);
--- a/components/dispatch/src/event.rs
+++ b/components/dispatch/src/event.rs
@@ -277,6 +277,10 @@
         objective_ms: u64,
         /// Number of tasks that already waited for capacity at this entry.
         waiting: usize,
+        /// Label that a target must have.
+        requirement: Option<Arc<str>>,
+        /// Label that a target should preferably have.
+        affinity: Option<Arc<str>>,
     },
     /// A job was refused on submission.
     Refused {
--- a/daemon/src/capacity/entry_log.rs
+++ b/daemon/src/capacity/entry_log.rs
@@ -51,10 +51,11 @@
         LogEvent::Paused { gap_ms } => {
             log.line("paused", Budget::Full, || json!({"gap_ms": gap_ms}));
         }
-        LogEvent::Admitted { job, queue, tasks, objective_ms, waiting } => {
+        LogEvent::Admitted { job, queue, tasks, objective_ms, waiting, requirement, affinity } => {
             log.line("admitted", Budget::Sampled, || {
                 json!({"job": job.as_str(), "queue": &**queue, "tasks": tasks,
-                    "objective_ms": objective_ms, "waiting": waiting})
+                    "objective_ms": objective_ms, "waiting": waiting,
+                    "requires": requirement, "data_at": affinity})
             });
         }
         LogEvent::Refused { job, reason } => log.line(
