Count no crash under a task on a target that still answered commands

Cause: an agent took the runs of a crashed target to have been active at the crash if a hold had been answered shortly before the first unanswered command. A target that leaves some commands unanswered goes on ending runs without reporting them, so a task that was done before counted as a cause of the crash, and its job was answered as failed. Change: a command answered after the first unanswered one shows that the target was up then; the runs of such a target are lost, not crashed. Result: the new test fails before (Crashed) and passes now.

--- a/components/runner/src/target.rs
+++ b/components/runner/src/target.rs
@@ -49,7 +49,8 @@
     pub unconfirmed_leave: Option<Time>,
     /// When the target stopped answering.
     failing_since: Option<Time>,
-    /// Whether the target had left a command unanswered shortly before it stopped answering.
+    /// Whether the target had left a command unanswered shortly before it stopped answering, or has
+    /// answered another one since.
     unanswered_before_failure: bool,
     /// Whether the target has answered but not reported yet, so that its capacity is unknown.
     pub awaits_report: bool,
@@ -252,6 +253,8 @@
     /// Updates the known clock from an answer.
     pub fn sync_clock(&mut self, now: Time, clock_ms: u64) {
         self.unreachable_since = None;
+        // Only some commands are unanswered, so the target may have ended runs without a report.
+        self.unanswered_before_failure |= self.failing_since.is_some();
         if clock_ms > 0 {
             self.clock = (clock_ms, now);
         }
--- a/components/runner/tests/crashes.rs
+++ b/components/runner/tests/crashes.rs
@@ -49,6 +49,22 @@
     assert_eq!(agent.ends(), [TaskEnd::Lost, TaskEnd::Lost]);
 }
 
+/// Guards against tasks that are taken to have run at a crash although they may have ended before:
+/// the target answered a start after it had begun to leave commands unanswered, so it was up, and
+/// ends that it did not report may be missing.
+#[test]
+fn runs_on_a_target_that_answers_only_some_commands_are_lost() {
+    let mut agent = agent_with_running_and_starting_task();
+    let start = agent.starts.pop().expect("a start was sent");
+    agent.handle(Event::StartAnswered(start.key, StartReply::NoAnswer));
+    let resent = agent.starts.pop().expect("the start was sent again");
+    agent.handle(Event::StartAnswered(resent.key, StartReply::Accepted { clock_ms: 0 }));
+    agent.handle(Event::TargetReported(numbered_report("t2", 1)));
+    assert!(answer(&mut agent, "t2", no_runs()));
+    agent.run_for(20);
+    assert_eq!(agent.ends(), [TaskEnd::Lost, TaskEnd::Lost]);
+}
+
 #[test]
 fn planned_leave_is_not_a_crash() {
     let mut agent = agent_with_running_and_starting_task();
