Share scarce capacity by the work that waits at entries

Agents offered scarce capacity in equal turns to each entry that had sent a start in the last second, so that an entry with four times the work refused far more of it, and turns went to entries that waited for nothing.

Entries now report what waits, by priority, in place of heartbeats (wire::ToAgent::Demand) to agents that announce by an empty first batch that they read it. placement::CapacityShares offers capacity to the most urgent waiting work, in proportion to its amount; while more waits than fits, up to 0.4 of a target counts as scarce. Sessions of old builds count with the mean, and turns are equal as before where nobody reports demand.

--- a/components/dispatch/src/agents.rs
+++ b/components/dispatch/src/agents.rs
@@ -7,6 +7,7 @@
 use model::{NodeName, Resources, Time};
 use wire::{AgentProfile, EmptiedHalls, Load, ToAgent};
 
+use crate::demand::WaitingSummary;
 use crate::dispatcher::Dispatcher;
 use crate::event::{Action, LogEvent, SessionId};
 use crate::timing::Timing;
@@ -23,6 +24,12 @@
     pub load: Load,
     pub last_contact: Time,
     last_heartbeat: Time,
+    /// Whether the agent has announced that it reads reports of waiting work.
+    pub reads_demand: bool,
+    /// When the agent was last sent such a report.
+    last_demand: Time,
+    /// Whether the last report said that work waits.
+    reported_waiting: bool,
     next_sequence: u64,
     /// Sequence number and resources of the starts that the last reported load does not include
     /// yet.
@@ -40,6 +47,9 @@
             load: Load::default(),
             last_contact: now,
             last_heartbeat: Time::default(),
+            reads_demand: false,
+            last_demand: Time::default(),
+            reported_waiting: false,
             next_sequence: 1,
             unacknowledged: VecDeque::new(),
             placed_tasks: 0,
@@ -93,6 +103,37 @@
         }
     }
 
+    /// Returns the heartbeat for this agent if it is due. In place of heartbeats, an agent that
+    /// reads them is sent reports of the waiting work. No report is sent early when work begins to
+    /// wait: that takes 4 of 100 more messages per job at usual load, where jobs wait for moments,
+    /// and does not improve the shares of entries in simulated bursts.
+    fn due_heartbeat(
+        &mut self,
+        now: Time,
+        timing: &Timing,
+        summary: &WaitingSummary,
+    ) -> Option<ToAgent> {
+        let since_heartbeat = now.since(self.last_heartbeat);
+        let is_due = since_heartbeat >= self.heartbeat_interval(timing);
+        let agent_clock = self.load.at;
+        if !self.reads_demand {
+            self.last_heartbeat = if is_due { now } else { self.last_heartbeat };
+            return is_due.then_some(ToAgent::Heartbeat { agent_clock });
+        }
+        let waits = summary.concerns(self);
+        // Starts take the place of heartbeats but don't renew the report.
+        let is_outdated = (self.reported_waiting || waits)
+            && now.since(self.last_demand) >= timing.idle_heartbeat_interval;
+        if !is_due && !is_outdated {
+            return None;
+        }
+        let waiting = summary.for_agent(now, self);
+        self.last_heartbeat = now;
+        self.last_demand = now;
+        self.reported_waiting = waits;
+        Some(ToAgent::Demand { agent_clock, waiting })
+    }
+
     /// Whether the agent accepts new work and its last load is recent enough to be trusted.
     pub fn takes_work(&self, now: Time, max_load_age: Duration) -> bool {
         self.load.open && !self.hall_is_emptied && now.since(self.last_contact) < max_load_age
@@ -175,13 +216,15 @@
             return;
         }
         self.agents_checked = now;
+        self.update_waiting_summary(now);
         let mut silent = Vec::new();
         for (id, agent) in &mut self.agents {
             if now.since(agent.last_contact) > self.timing.session_timeout {
                 silent.push(*id);
-            } else if now.since(agent.last_heartbeat) >= agent.heartbeat_interval(&self.timing) {
-                agent.last_heartbeat = now;
-                actions.push(Action::Send(*id, ToAgent::Heartbeat { agent_clock: agent.load.at }));
+            } else if let Some(message) =
+                agent.due_heartbeat(now, &self.timing, &self.waiting_summary)
+            {
+                actions.push(Action::Send(*id, message));
             }
         }
         silent.into_iter().for_each(|id| self.remove_agent(id, "silent", actions));
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -9,6 +9,7 @@
 
 use crate::agents::Agent;
 use crate::crashes::Crashes;
+use crate::demand::WaitingSummary;
 use crate::event::{Action, CallId, Event, HallsSource, SessionId};
 use crate::job::Job;
 use crate::placement::ChangedCapacity;
@@ -69,6 +70,8 @@
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) calls: BTreeMap<CallId, JobId>,
     pub(crate) queue: BTreeSet<QueuedTask>,
+    /// The work that agents are told to be waiting.
+    pub(crate) waiting_summary: WaitingSummary,
     /// Starts to be sent at the end of the current event, by agent and job.
     pub(crate) pending_starts: BTreeMap<(SessionId, JobId), Vec<wire::StartTask>>,
     pub(crate) last_event: Time,
@@ -106,6 +109,7 @@
             jobs: BTreeMap::new(),
             calls: BTreeMap::new(),
             queue: BTreeSet::new(),
+            waiting_summary: WaitingSummary::default(),
             pending_starts: BTreeMap::new(),
             last_event: now,
             timeouts_checked: now,
@@ -138,6 +142,7 @@
         let changed = changed_capacity(&event);
         match event {
             Event::AgentOpened(id) => self.add_agent(now, id),
+            Event::AgentReadsDemand(id) => self.enable_demand(id),
             Event::AgentClosed(id) => self.remove_agent(id, "closed", actions),
             Event::FromAgent(id, message) => self.handle_agent_message(now, id, message, actions),
             Event::Submit(call, request) => self.submit(now, call, request, actions),
--- a/components/dispatch/src/event.rs
+++ b/components/dispatch/src/event.rs
@@ -172,6 +172,9 @@
     AgentClosed(SessionId),
     /// A message from an agent.
     FromAgent(SessionId, ToEntry),
+    /// An agent has announced that it reads [`ToAgent::Demand`], which is then sent in place of
+    /// heartbeats.
+    AgentReadsDemand(SessionId),
     /// A client submits a job.
     Submit(CallId, JobRequest),
     /// A client disconnected before it was answered.
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod cancel_notices;
 mod cancels;
 mod crashes;
+mod demand;
 mod dispatcher;
 mod event;
 mod feasibility;
--- a/components/runner/src/event.rs
+++ b/components/runner/src/event.rs
@@ -11,6 +11,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SessionId(pub u64);
 
+/// What a session was offered while capacity was scarce.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SessionOffers {
+    /// The session.
+    pub session: SessionId,
+    /// Number of turns in which capacity was offered to this session alone.
+    pub turns: u64,
+    /// Number of turns in which its entry sent a start.
+    pub used: u64,
+    /// CPU of the starts in these turns, in thousandths of a core.
+    pub taken_cpu_milli: u64,
+}
+
 /// One process of a target. A restarted target may keep its id; its start time then distinguishes
 /// its instances.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -350,6 +363,22 @@
     TargetRestored,
     /// A session with an entry opened.
     SessionOpened(SessionId),
+    /// Capacity has become scarce and is offered to one session at a time.
+    CapacityScarce {
+        /// Number of sessions that take turns.
+        sessions: usize,
+        /// CPU of the work that waits at their entries, in thousandths of a core.
+        waiting_cpu_milli: u64,
+    },
+    /// What sessions were offered while capacity was scarce, for at most
+    /// [`MAX_LOGGED_OFFERS`](crate::MAX_LOGGED_OFFERS) of them. Written when capacity is no longer
+    /// scarce, and at intervals while it is.
+    CapacityOffered {
+        /// Length of the period, in ms.
+        for_ms: u64,
+        /// The sessions with the most turns in this period, most turns first.
+        offers: Vec<SessionOffers>,
+    },
     /// A session was lost; its runs are stopped.
     SessionLost {
         /// The session.
--- a/components/runner/src/lib.rs
+++ b/components/runner/src/lib.rs
@@ -13,7 +13,6 @@
 mod hold_timing;
 mod instances;
 mod load_reports;
-mod round_robin;
 mod run;
 mod runner;
 mod sessions;
@@ -23,8 +22,9 @@
 
 pub use event::{
     Action, EndReason, Event, HallsSource, HoldCommand, HoldReply, LogEvent, RunKey, SessionId,
-    StartCommand, StartRefusal, StartReply, StopCommand, StopReply, TargetEnd, TargetInstance,
-    TargetReport, TargetRun,
+    SessionOffers, StartCommand, StartRefusal, StartReply, StopCommand, StopReply, TargetEnd,
+    TargetInstance, TargetReport, TargetRun,
 };
+pub use load_reports::MAX_LOGGED_OFFERS;
 pub use runner::{Runner, RunnerCounters};
 pub use timing::Timing;
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use model::{CancelledJobs, JobId, NodeName, Resources, TaskId, Time};
+use placement::{CapacityShares, OfferCounts};
 use wire::{Document, EmptiedHalls, Refusal, TaskEnd, TaskReport, ToEntry};
 
 use crate::event::{Action, Event, HallsSource, LogEvent, SessionId, TargetInstance};
 use crate::health::HealthChange;
 use crate::instances::NextInstance;
-use crate::round_robin::RoundRobin;
+use crate::load_reports::Sharing;
 use crate::run::{Run, RunState, Stopping};
 use crate::sessions::Session;
 use crate::target::Target;
@@ -39,6 +40,12 @@
     pub starts_without_capacity: u64,
     /// Starts that the target did not answer.
     pub unanswered_starts: u64,
+    /// Offers of scarce capacity to a single session.
+    pub offers: u64,
+    /// Offers that the session used by sending a start in its turn.
+    pub offers_used: u64,
+    /// Reports of waiting work that entries sent.
+    pub demands: u64,
     /// Sessions that were lost.
     pub sessions_lost: u64,
     /// Reports that arrived after newer ones of their instance, or after the end of the instance.
@@ -67,7 +74,9 @@
     pub(crate) cancelled: CancelledJobs,
     /// Tasks that ran when the target crashed, with the time to forget them.
     pub(crate) crashed_tasks: BTreeMap<TaskId, Time>,
-    pub(crate) round_robin: RoundRobin,
+    pub(crate) shares: CapacityShares,
+    /// The current period of scarce capacity.
+    pub(crate) sharing: Option<Sharing>,
     pub(crate) draining: bool,
     /// When this agent process started.
     pub(crate) started_at: Time,
@@ -87,6 +96,8 @@
     /// An agent without a target.
     pub fn new(node: NodeName, timing: Timing, now: Time) -> Self {
         Self {
+            shares: CapacityShares::new(seed_of(&node)),
+            sharing: None,
             node,
             timing,
             target: None,
@@ -99,7 +110,6 @@
             lost_runs: BTreeMap::new(),
             cancelled: CancelledJobs::default(),
             crashed_tasks: BTreeMap::new(),
-            round_robin: RoundRobin::default(),
             draining: false,
             started_at: now,
             last_event: now,
@@ -148,8 +158,8 @@
         let busy = self.runs.values().any(is_unsettled)
             || self.sessions.values().any(Session::has_updates)
             || !self.candidates.is_empty();
-        if self.uses_round_robin(now) {
-            return RoundRobin::turn_end(now);
+        if let Some(at) = self.next_offer_at(now) {
+            return at;
         }
         now + if busy { BUSY_TICK } else { IDLE_TICK }
     }
@@ -161,7 +171,8 @@
 
     /// Counters since the start of the agent.
     pub fn counters(&self) -> RunnerCounters {
-        self.counters
+        let OfferCounts { turns, used, .. } = self.shares.total_counts();
+        RunnerCounters { offers: turns, offers_used: used, ..self.counters }
     }
 
     /// Number of waiting runs, and number of runs on the target.
@@ -379,6 +390,13 @@
     }
 }
 
+/// A number that differs between agents and persists over restarts.
+fn seed_of(node: &NodeName) -> u64 {
+    node.as_str()
+        .bytes()
+        .fold(0, |seed: u64, byte| seed.wrapping_mul(31).wrapping_add(u64::from(byte)))
+}
+
 pub(crate) fn log_health_change(change: HealthChange, actions: &mut Vec<Action>) {
     match change {
         HealthChange::None => {}
--- a/components/runner/src/sessions.rs
+++ b/components/runner/src/sessions.rs
@@ -21,8 +21,6 @@
     pub last_report: Time,
     /// The load in the last report.
     pub last_load: Load,
-    /// When the entry last sent a start.
-    pub last_start: Option<Time>,
     /// Ended runs that are not reported yet.
     pub reports: Vec<TaskReport>,
     /// The rate at which the entry takes capacity.
@@ -46,7 +44,6 @@
             load_changed: true,
             last_report: Time::default(),
             last_load: Load::default(),
-            last_start: None,
             reports: vec![],
             start_rate: StartRate::default(),
             retired: None,
@@ -88,6 +85,7 @@
         session.last_received = now;
         match message {
             ToAgent::Heartbeat { .. } => {}
+            ToAgent::Demand { waiting, .. } => self.record_demand(now, id, &waiting),
             ToAgent::Start { agent_clock, job, spec, tasks } => {
                 let late = now.since(agent_clock) > self.timing.max_start_age;
                 for task in tasks {
@@ -150,9 +148,8 @@
         }
         if let Some(session) = self.sessions.get_mut(&id) {
             session.start_rate.add(now, start.resources.cpu_milli);
-            session.last_start = Some(now);
         }
-        self.round_robin.record_request(start.resources.cpu_milli);
+        self.shares.record_start(now, id.0, start.resources.cpu_milli);
         let run = Run {
             session: Some(id),
             sequence: start.sequence,
@@ -193,6 +190,7 @@
         if self.sessions.remove(&id).is_none() {
             return;
         }
+        self.shares.remove_session(id.0);
         self.counters.sessions_lost += 1;
         let of_session = |(_, run): &(&TaskId, &Run)| run.session == Some(id);
         let tasks: Vec<TaskId> =
@@ -236,6 +234,7 @@
         if let Some(session) = self.sessions.get_mut(&id) {
             session.retired.get_or_insert(now);
             session.load_changed = true;
+            self.shares.remove_session(id.0);
         }
     }
 
@@ -250,6 +249,7 @@
         let ids: Vec<SessionId> = self.sessions.iter().filter(is_over).map(|(id, _)| *id).collect();
         for id in ids {
             self.sessions.remove(&id);
+            self.shares.remove_session(id.0);
             actions.push(Action::Log(LogEvent::SessionRetired(id)));
             actions.push(Action::Close(id));
         }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -29,4 +29,7 @@
     KeeperNames, KeeperStarted, NodeInfo, NodeList, NodeListDelta, NodeListUpdate, NodeRole,
     WatchReply, WatchRequest,
 };
-pub use session::{AgentProfile, Load, Refusal, StartTask, TaskEnd, TaskReport, ToAgent, ToEntry};
+pub use session::{
+    AgentProfile, Demand, Load, MAX_DEMAND_ROWS, Refusal, StartTask, TaskEnd, TaskReport, ToAgent,
+    ToEntry,
+};
--- a/components/wire/src/session.rs
+++ b/components/wire/src/session.rs
@@ -68,7 +68,28 @@
     pub priority: u8,
 }
 
+/// The work of one priority that waits for capacity at an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Priority of the tasks; 0 is the most urgent.
+    pub priority: u8,
+    /// Number of tasks.
+    pub tasks: u32,
+    /// CPU that the tasks occupy together, in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Time left until the first of the tasks can no longer start early enough for its job to end
+    /// in time, in milliseconds; 0 if that time has passed.
+    pub due_ms: u32,
+}
+
+/// Maximum number of rows in [`ToAgent::Demand`].
+pub const MAX_DEMAND_ROWS: usize = 4;
+
 /// A message from an entry to an agent.
+///
+/// Messages are encoded by position, and an old build closes a session on a variant that it does
+/// not know. Variants that were added later are sent only in sessions whose peer has announced that
+/// it can read them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ToAgent {
     /// Keeps the session alive.
@@ -98,6 +119,17 @@
     SendPart(PartRequest),
     /// The emptied halls, sent when the entry has a newer revision than the agent.
     Halls(EmptiedHalls),
+    /// Keeps the session alive like a heartbeat, and describes the work that waits for capacity at
+    /// the entry. Sent in place of heartbeats to an agent that has announced by an empty first
+    /// batch that it reads this message.
+    Demand {
+        /// The agent's time in the latest load report that the entry has received.
+        #[serde(rename = "heard")]
+        agent_clock: Time,
+        /// The waiting work that the agent's target could run, most urgent priority first; at most
+        /// [`MAX_DEMAND_ROWS`] rows.
+        waiting: Vec<Demand>,
+    },
 }
 
 /// The reason why an agent did not start a task.
@@ -192,6 +224,7 @@
             Self::Cancel(_) => "cancel",
             Self::SendPart(_) => "send-part",
             Self::Halls(_) => "halls",
+            Self::Demand { .. } => "demand",
         }
     }
 }
--- a/daemon/src/capacity/agent.rs
+++ b/daemon/src/capacity/agent.rs
@@ -288,6 +288,17 @@
         }
         page.value("starts_without_room_total", "", counters.starts_without_capacity);
         page.value("starts_unanswered_total", "", counters.unanswered_starts);
+        page.value("offers_total", "", counters.offers);
+        page.value("offers_used_total", "", counters.offers_used);
+        page.value("demands_total", "", counters.demands);
+        let entries = self.entries_by_session();
+        for offers in runner.offers() {
+            let Some(entry) = entries.get(&offers.session) else { continue };
+            let label = format!("{{entry=\"{entry}\"}}");
+            page.value("session_offers_total", &label, offers.turns);
+            page.value("session_offers_used_total", &label, offers.used);
+            page.value("session_offers_taken_cpu_milli_total", &label, offers.taken_cpu_milli);
+        }
         page.value("sessions_lost_total", "", counters.sessions_lost);
         page.value("target_reports_late_total", "", counters.late_target_reports);
         for (kind, count) in &*self.rejected_reports.borrow() {
--- a/daemon/src/capacity/agent_log.rs
+++ b/daemon/src/capacity/agent_log.rs
@@ -1,6 +1,6 @@
 //! Writes the runner's events to the log.
 
-use runner::{HallsSource, LogEvent};
+use runner::{HallsSource, LogEvent, SessionOffers};
 use serde_json::{Value, json};
 use wire::TaskEnd;
 
@@ -60,6 +60,23 @@
         LogEvent::SessionOpened(session) => {
             log.line("session-opened", Budget::Full, || json!({"session": session.0}));
         }
+        LogEvent::CapacityScarce { sessions, waiting_cpu_milli } => {
+            log.line(
+                "capacity-scarce",
+                Budget::Full,
+                || json!({"sessions": sessions, "waiting_cpu_milli": waiting_cpu_milli}),
+            );
+        }
+        LogEvent::CapacityOffered { for_ms, offers } => {
+            log.line("capacity-offered", Budget::Full, || {
+                let of_session = |offers: &SessionOffers| {
+                    json!({"session": offers.session.0, "turns": offers.turns,
+                        "used": offers.used, "taken_cpu_milli": offers.taken_cpu_milli})
+                };
+                let offers: Vec<Value> = offers.iter().map(of_session).collect();
+                json!({"for_ms": for_ms, "offers": offers})
+            });
+        }
         LogEvent::SessionLost { session, reason, runs } => log.line(
             "session-lost",
             Budget::Full,
--- a/daemon/src/capacity/agent_sessions.rs
+++ b/daemon/src/capacity/agent_sessions.rs
@@ -1,5 +1,6 @@
 //! Keeps an agent's sessions in step with the subset of entries selected for it.
 
+use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use wire::{NodeInfo, NodeRole, ToAgent};
 
 use super::agent::Agent;
-use super::session::{self, SessionSender};
+use super::session::{self, Received, SessionSender};
 use crate::event_log::Budget;
 
 /// Delay before reconnecting to an entry.
@@ -119,16 +120,25 @@
         self.handle_event(Event::SessionOpened(id));
         self.record_session(address, Some(id));
         let receiver = self.clone();
-        let on_message = move |message: ToAgent| {
+        let on_received = move |received: Received<ToAgent>| {
+            let Received::Message(message) = received else { return };
             receiver.message_counters.record_received(message.kind());
             receiver.handle_event(Event::FromEntry(id, message));
         };
-        session::run(stream, queue, on_message).await;
+        session::run(stream, queue.announced(), on_received).await;
         self.sessions.borrow_mut().remove(&id);
         self.handle_event(Event::SessionClosed(id));
         self.record_session(address, None);
     }
 
+    /// The entries with open sessions.
+    pub(super) fn entries_by_session(&self) -> HashMap<SessionId, SocketAddr> {
+        let contacts = self.contacts.borrow();
+        let with_session =
+            contacts.iter().filter_map(|(address, contact)| Some((contact.session?, *address)));
+        with_session.collect()
+    }
+
     /// Records the start or end of the session with an entry. A selected entry is retried for the
     /// full time from now; a session with an entry that has been deselected meanwhile is retired.
     fn record_session(self: &Rc<Self>, address: SocketAddr, session: Option<SessionId>) {
--- a/daemon/src/capacity/entry.rs
+++ b/daemon/src/capacity/entry.rs
@@ -24,7 +24,7 @@
 use super::keeper_watch::{AgentEvent, KeeperWatch, WatchCallbacks};
 use super::message_counters::MessageCounters;
 use super::metrics;
-use super::session::{self, SessionSender};
+use super::session::{self, Received, SessionSender};
 use super::{CapacityNodeError, NodeContext, entry_http, io_error, reload_until_stopped};
 use crate::clock::Clock;
 use crate::config::EntryConfig;
@@ -148,7 +148,10 @@
         let entry = entry.clone();
         tasks.spawn(async move {
             let receiver = entry.clone();
-            let on_message = move |message: ToEntry| {
+            let on_received = move |received: Received<ToEntry>| {
+                let Received::Message(message) = received else {
+                    return receiver.handle_event(Event::AgentReadsDemand(id));
+                };
                 receiver.message_counters.record_received(message.kind());
                 receiver.handle_event(match message {
                     // Both agents and other entries send cancellations.
@@ -156,7 +159,7 @@
                     message => Event::FromAgent(id, message),
                 });
             };
-            session::run(stream, queue, on_message).await;
+            session::run(stream, queue, on_received).await;
             entry.agent_sessions.borrow_mut().remove(&id);
             entry.handle_event(Event::AgentClosed(id));
             entry.notify_watch(id, AgentEvent::Gone);
--- a/daemon/src/capacity/entry_peers.rs
+++ b/daemon/src/capacity/entry_peers.rs
@@ -19,7 +19,7 @@
 use serde_json::json;
 use wire::{NodeInfo, NodeRole, ToAgent, ToEntry};
 
-use super::session::{self, SessionSender};
+use super::session::{self, Received, SessionSender};
 use crate::clock::Clock;
 use crate::event_log::{Budget, EventLog};
 
@@ -92,7 +92,7 @@
                     peers.links.borrow_mut().remove(&address);
                 };
                 // The other side's heartbeats are ignored.
-                let run = session::run(stream, queue, |_: ToAgent| {});
+                let run = session::run(stream, queue, |_: Received<ToAgent>| {});
                 future::zip(expire, run).await;
             }
             peers.links.borrow_mut().remove(&address);
--- a/daemon/src/capacity/session.rs
+++ b/daemon/src/capacity/session.rs
@@ -21,10 +21,26 @@
     _open: Sender<()>,
 }
 
+/// What is received in a session.
+pub(crate) enum Received<M> {
+    /// A batch without messages, which announces that the peer reads messages that old builds do
+    /// not know. Old builds ignore it.
+    EmptyBatch,
+    Message(M),
+}
+
 /// Messages queued in a session, and a channel that closes once the [`SessionSender`] is dropped.
 pub(crate) struct OutboundQueue<M> {
     messages: Receiver<M>,
     open: Receiver<()>,
+    announced: bool,
+}
+
+impl<M> OutboundQueue<M> {
+    /// Sends an empty batch as the first one of the session.
+    pub fn announced(self) -> Self {
+        Self { announced: true, ..self }
+    }
 }
 
 impl<M> SessionSender<M> {
@@ -32,7 +48,8 @@
     pub fn new() -> (Self, OutboundQueue<M>) {
         let (messages, queued) = async_channel::unbounded();
         let (open, closed) = async_channel::bounded(1);
-        (Self { messages, _open: open }, OutboundQueue { messages: queued, open: closed })
+        let queue = OutboundQueue { messages: queued, open: closed, announced: false };
+        (Self { messages, _open: open }, queue)
     }
 
     /// Queues a message; returns false if the queue is full or the session has ended.
@@ -41,13 +58,13 @@
     }
 }
 
-/// Runs a session until either side ends it: sends queued messages and passes received ones to
-/// `on_message`. Once the sender is dropped nothing more is sent, as the peer may have stopped
+/// Runs a session until either side ends it: sends queued messages and passes what is received to
+/// `on_received`. Once the sender is dropped nothing more is sent, as the peer may have stopped
 /// reading.
 pub(crate) async fn run<Out, In>(
     stream: Async<TcpStream>,
     queue: OutboundQueue<Out>,
-    mut on_message: impl FnMut(In),
+    mut on_received: impl FnMut(Received<In>),
 ) where
     Out: Serialize,
     In: for<'de> Deserialize<'de>,
@@ -55,8 +72,11 @@
     net::set_socket_options(&stream);
     let frames = net::framed_transport::<Vec<In>, Vec<Out>>(stream);
     let (mut sink, mut source) = frames.split();
-    let OutboundQueue { messages, open } = queue;
+    let OutboundQueue { messages, open, announced } = queue;
     let send = async move {
+        if announced && sink.send(Vec::new()).await.is_err() {
+            return;
+        }
         while let Ok(first) = messages.recv().await {
             let mut batch = vec![first];
             while batch.len() < MAX_BATCH_MESSAGES
@@ -71,7 +91,10 @@
     };
     let receive = async move {
         while let Some(Ok(batch)) = source.next().await {
-            batch.into_iter().for_each(&mut on_message);
+            if batch.is_empty() {
+                on_received(Received::EmptyBatch);
+            }
+            batch.into_iter().map(Received::Message).for_each(&mut on_received);
         }
     };
     let closed = async move {
--- a/daemon/tests/silent_connections.rs
+++ b/daemon/tests/silent_connections.rs
@@ -234,7 +234,7 @@
         let _unread = listener.accept().expect("the connection is accepted");
         let (end_guard, ended_signal) = async_channel::bounded::<()>(1);
         tasks.spawn(async move {
-            session::run(stream, queue, |_: ()| {}).await;
+            session::run(stream, queue, |_: session::Received<()>| {}).await;
             drop(end_guard);
         });
         // Lets the session fill the buffers.
--- a/soak/src/capacity/entry_link.rs
+++ b/soak/src/capacity/entry_link.rs
@@ -85,6 +85,8 @@
                 }
                 None
             }
+            // A few bytes that precede all messages of the session.
+            Packet::ReadsDemand => Some(packet),
             Packet::CloseAtEntry | Packet::CloseAtAgent => {
                 link.drop_session(number);
                 Some(packet)
--- a/soak/src/capacity/session.rs
+++ b/soak/src/capacity/session.rs
@@ -20,6 +20,8 @@
 pub(super) enum Packet {
     ToAgent(ToAgent),
     ToEntry(ToEntry),
+    /// The empty first batch of an agent that reads reports of waiting work.
+    ReadsDemand,
     /// The other side has closed the session.
     CloseAtAgent,
     CloseAtEntry,
--- a/soak/src/capacity/simulation.rs
+++ b/soak/src/capacity/simulation.rs
@@ -45,6 +45,9 @@
 pub(super) const DEFAULT_HALL: &str = "hall";
 pub(super) const DIAL_INTERVAL: Duration = Duration::from_millis(120);
 
+/// Distinguishes the random choice of builds from the others of a seed.
+const OLD_BUILD_SEED: u64 = 0x6F6C_6462_7569_6C64;
+
 /// A scheduled event. Where an event has the incarnation of a process, it is dropped if the process
 /// has restarted since.
 pub(super) enum SimEvent {
@@ -191,6 +194,25 @@
     /// How long after its first submission a client that is answered "not run" submits its job
     /// again; such clients don't return if `None`.
     pub(super) return_period: Option<Duration>,
+    pub(super) old_builds: OldBuilds,
+}
+
+/// Entries and agents of a build that knows no reports of waiting work.
+#[derive(Clone, Debug, Default)]
+pub(super) struct OldBuilds {
+    pub entries: BTreeSet<usize>,
+    pub agents: BTreeSet<usize>,
+}
+
+impl OldBuilds {
+    /// Draws the builds of a run: all new in half of the runs, and mixed in the others. Separate
+    /// from the other random choices, so that these don't depend on the builds.
+    fn draw(seed: u64, entries: usize, agents: usize) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ OLD_BUILD_SEED);
+        let share = if rng.random_bool(0.5) { 0.0 } else { 0.4 };
+        let mut draw = |count| (0..count).filter(|_| rng.random_bool(share)).collect();
+        Self { entries: draw(entries), agents: draw(agents) }
+    }
 }
 
 impl Simulation {
@@ -208,6 +230,7 @@
             let slow_clock = simulation.rng.random_bool(0.3);
             simulation.add_agent(cpu_milli, slow_clock);
         }
+        simulation.old_builds = OldBuilds::draw(options.seed, entries, agents);
         simulation.start_processes();
         simulation.schedule_faults_and_jobs();
         if options.halls {
@@ -244,6 +267,7 @@
             unanswered: 0.0,
             remote_penalty: 1.0,
             return_period: None,
+            old_builds: OldBuilds::default(),
         }
     }
 
--- a/soak/src/capacity/transport.rs
+++ b/soak/src/capacity/transport.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use keeper::DocumentSource;
+use wire::ToAgent;
 
 use super::session::{Packet, Session};
 use super::simulation::{DIAL_INTERVAL, SimEvent, Simulation};
@@ -40,6 +41,9 @@
         self.entries[entry].sessions.insert(at_entry, number);
         self.agents[agent].sessions.insert(at_agent, number);
         self.deliver_to_entry(entry, dispatch::Event::AgentOpened(dispatch::SessionId(at_entry)));
+        if !self.old_builds.agents.contains(&agent) {
+            self.send_packet(number, Packet::ReadsDemand);
+        }
         self.deliver_to_agent(agent, runner::Event::SessionOpened(runner::SessionId(at_agent)));
     }
 
@@ -64,6 +68,14 @@
         self.schedule_at(arrives, SimEvent::Packet(number, packet));
     }
 
+    /// An agent of an old build closes a session on a message that it cannot read.
+    fn check_readable(&mut self, agent: usize, message: &ToAgent) {
+        if self.old_builds.agents.contains(&agent) && matches!(message, ToAgent::Demand { .. }) {
+            let description = format!("agent {agent} of an old build was sent {message:?}");
+            self.checks.violation(self.now, description);
+        }
+    }
+
     pub(super) fn close_at_entry(&mut self, number: usize) {
         self.sessions[number].open_at_entry = false;
         self.send_packet(number, Packet::CloseAtAgent);
@@ -90,6 +102,7 @@
         };
         match packet {
             Packet::ToAgent(message) if open_at_agent => {
+                self.check_readable(agent, &message);
                 let Some(id) = find(&self.agents[agent].sessions) else { return };
                 let event = runner::Event::FromEntry(runner::SessionId(id), message);
                 self.deliver_to_agent(agent, event);
@@ -99,6 +112,11 @@
                 let event = dispatch::Event::FromAgent(dispatch::SessionId(id), message);
                 self.deliver_to_entry(entry, event);
             }
+            Packet::ReadsDemand if open_at_entry && !self.old_builds.entries.contains(&entry) => {
+                let Some(id) = find(&self.entries[entry].sessions) else { return };
+                let event = dispatch::Event::AgentReadsDemand(dispatch::SessionId(id));
+                self.deliver_to_entry(entry, event);
+            }
             Packet::CloseAtAgent if open_at_agent => {
                 self.sessions[number].open_at_agent = false;
                 let Some(id) = find(&self.agents[agent].sessions) else { return };
