--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod cancels;
 mod crashes;
 mod data_demand;
+mod demand;
 mod dispatcher;
 mod event;
 mod feasibility;
