Forecast the wait for a rack from the start of the demand

The rate of placements was taken over a whole second, so at the start of a demand it was too low and jobs that could be in time were refused.

The rate is taken from the first placement of a waiting task in the window.

--- a/components/placement/src/label_demand.rs
+++ b/components/placement/src/label_demand.rs
@@ -63,6 +63,16 @@
         &mut bucket.demand
     }
 
+    /// Returns the part of the window since the first placement of a waiting task. At the start of a
+    /// demand, the rate over the whole window would be too low.
+    fn waited_span(&self, number: u64) -> Duration {
+        let is_counted =
+            |bucket: &&Bucket| bucket.number + BUCKETS > number && bucket.demand.waited > 0;
+        let first = self.buckets.iter().filter(is_counted).map(|bucket| bucket.number).min();
+        let parts = first.map_or(BUCKETS, |first| number.saturating_sub(first) + 1);
+        WINDOW.mul_f64(parts as f64 / BUCKETS as f64)
+    }
+
     fn total(&self, number: u64) -> Demand {
         let is_recent = |bucket: &&Bucket| bucket.number + BUCKETS > number;
         let recent = self.buckets.iter().filter(is_recent).map(|bucket| bucket.demand);
@@ -128,13 +138,15 @@
     /// Predicts the wait for a target with a label behind waiting tasks of this much CPU, in
     /// thousandths of a core. `None` until enough waiting tasks were placed in the last second.
     pub fn expected_wait(&self, now: Time, label: &str, cpu_milli_ahead: u64) -> Option<Duration> {
-        let demand = self.demand(now, label);
+        let number = bucket_number(now);
+        let history = self.labels.get(label)?;
+        let demand = history.total(number);
         if demand.waited < MIN_PLACEMENTS {
             return None;
         }
-        let windows = cpu_milli_ahead as f64 / demand.waited_cpu.max(1) as f64;
+        let spans = cpu_milli_ahead as f64 / demand.waited_cpu.max(1) as f64;
         // A wait of many windows is longer than any objective.
-        Some(WINDOW.mul_f64(windows.min(1e3)))
+        Some(history.waited_span(number).mul_f64(spans.min(1e3)))
     }
 }
 
