--- a/soak/src/capacity/simulation.rs
+++ b/soak/src/capacity/simulation.rs
@@ -492,7 +492,8 @@
                 process.incarnation += 1;
                 process.fetch = DocumentFetch::default();
                 let dispatcher = Dispatcher::new(self.timing.entry, self.now);
-                process.dispatcher = Some(dispatcher.with_policy(self.timing.policy));
+                let dispatcher = dispatcher.with_policy(self.timing.policy);
+                process.dispatcher = Some(dispatcher.with_remote_penalty(self.remote_penalty));
                 let incarnation = process.incarnation;
                 self.schedule_after(Duration::ZERO, SimEvent::EntryTick(entry, incarnation));
                 self.schedule_hall_notice(true, entry);
