--- a/components/runner/src/load_reports.rs
+++ b/components/runner/src/load_reports.rs
@@ -198,13 +198,14 @@
     /// Logs what sessions were offered in the current period and ends it.
     fn log_offered(&mut self, actions: &mut Vec<Action>) {
         let Some(sharing) = self.sharing.take() else { return };
+        // The counts of a session that was retired in the period start anew.
         let since_then = |offers: SessionOffers| {
             let before = sharing.counts_before.get(&offers.session).copied().unwrap_or_default();
             SessionOffers {
                 session: offers.session,
-                turns: offers.turns - before.turns,
-                used: offers.used - before.used,
-                taken_cpu_milli: offers.taken_cpu_milli - before.taken_cpu_milli,
+                turns: offers.turns.saturating_sub(before.turns),
+                used: offers.used.saturating_sub(before.used),
+                taken_cpu_milli: offers.taken_cpu_milli.saturating_sub(before.taken_cpu_milli),
             }
         };
         let offers = self.offers().map(since_then).filter(|offers| offers.turns > 0);
--- a/soak/tests/load.rs
+++ b/soak/tests/load.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use dispatch::Policy;
-use soak::{CapacityTiming, Cut, Load, LoadResult, SlowLinks, Surge, Workload, run_load};
+use soak::{
+    CapacityTiming, Cut, GroupResult, Load, LoadResult, SlowLinks, Surge, Workload, run_load,
+};
 use subset::SubsetSizes;
 
 const ENTRIES: usize = 20;
@@ -207,3 +209,53 @@
     assert!(current.urgent > 0.95 && current.urgent > baseline.urgent + 0.3);
     assert!(burst_current.urgent > 0.85 && burst_current.all > burst_baseline.all + 0.15);
 }
+
+/// A burst at deployment Q, whose entries receive jobs in shares of up to 4 to 1.
+fn uneven_burst() -> Load {
+    let (start, duration) = (Duration::from_secs(1), Duration::from_secs(3));
+    Load {
+        duration: Duration::from_secs(5),
+        utilization: 0.6,
+        surge: Some(Surge { start, duration, factor: 2.0 }),
+        ..Load::deployment_q()
+    }
+}
+
+/// The highest value of an entry relative to the mean over all entries, by the means over results.
+fn worst_entry(results: &[LoadResult], value: impl Fn(&GroupResult) -> f64) -> f64 {
+    let of_entry =
+        |entry: usize| results.iter().map(|result| value(&result.by_entry[entry])).sum::<f64>();
+    let values: Vec<f64> = (0..results[0].by_entry.len()).map(of_entry).collect();
+    let mean = values.iter().sum::<f64>() / values.len() as f64;
+    values.into_iter().fold(0.0, f64::max) / mean
+}
+
+/// Guards against entries with more work that refuse a larger share of it, or let it wait for
+/// longer, than others, as in equal turns.
+#[test]
+fn uneven_entries_refuse_the_same_share_of_their_jobs() {
+    let four_seeds = |run: fn(Load) -> LoadResult| -> Vec<LoadResult> {
+        let run_seed = |seed| move || run(Load { seed, ..uneven_burst() });
+        let threads: Vec<_> = (1..5).map(|seed| std::thread::spawn(run_seed(seed))).collect();
+        threads.into_iter().map(|thread| thread.join().expect("the load runs")).collect()
+    };
+    let baseline = four_seeds(|load| run_without("report-demand", load));
+    let current = four_seeds(|load| run_load(&load));
+    let worst = |results: &[LoadResult]| {
+        let refused = worst_entry(results, GroupResult::refused_share);
+        (refused, worst_entry(results, |entry| entry.mean_wait_ms))
+    };
+    let mean = |results: &[LoadResult], of: fn(&LoadResult) -> f64| {
+        results.iter().map(of).sum::<f64>() / results.len() as f64
+    };
+    let messages = |results: &[LoadResult]| mean(results, |result| result.messages_per_job);
+    let (refused, wait) = worst(&current);
+    println!("worst entry by refusals and waits: {:?} without, {refused} {wait}", worst(&baseline));
+    println!("messages per job: {} without, {}", messages(&baseline), messages(&current));
+    let worth = |results: &[LoadResult]| mean(results, |result| result.worth);
+    println!("worth: {} without, {}", worth(&baseline), worth(&current));
+    assert!(worst(&baseline).0 > 1.3, "the load does not show the difference");
+    assert!(refused < 1.3 && wait < 1.3);
+    assert!(messages(&current) <= messages(&baseline));
+    assert!(worth(&current) > worth(&baseline));
+}
