Refuse and keep waiting jobs by the predicted start

Cause: a job waited a fifth of its objective before it was refused for lack of capacity, whether or not it could still end in time.

Change: admission::StartForecast predicts the start of a job from the work queued ahead of it and the rate at which the entry placed work in the last half second while tasks were waiting. A job that would start too late even at the highest rate of a tenth of a second is answered on arrival; a job that is predicted to be in time with a margin waits beyond max_wait_fraction unless less urgent work waits too. Without 20 placements in the window, after capacity grew, or for queues with less than a tenth of the placed work, the former rules apply. The queue keeps running sums by target group, priority and due time.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -4,7 +4,9 @@
 mod estimate;
 mod run_times;
 mod service_times;
+mod start_forecast;
 
 pub use estimate::{QueueLoad, estimate_completion};
 pub use run_times::RunTimes;
 pub use service_times::ServiceTimes;
+pub use start_forecast::{JobNeed, StartForecast, StartReason, StartVerdict, WorkAhead};
--- a/components/dispatch/src/admission.rs
+++ b/components/dispatch/src/admission.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use admission::StartReason;
 use model::Time;
 
 use crate::dispatcher::{Dispatcher, queued_task};
@@ -32,7 +33,7 @@
         }
         if now < self.stale_until {
             // The client may have submitted the job elsewhere in the meantime.
-            return self.refuse(call, &request, Reason::Paused, actions);
+            return self.refuse(now, call, &request, Reason::Paused, None, actions);
         }
         if self.cancelled_jobs.contains(&request.id) {
             actions.push(Action::Answer(call, Outcome::Cancelled));
@@ -41,13 +42,17 @@
         }
         let outlasts_stop = |end: Time| !request.ends_within(end.since(now));
         if self.stop_deadline.is_some_and(outlasts_stop) {
-            return self.refuse(call, &request, Reason::Draining, actions);
+            return self.refuse(now, call, &request, Reason::Draining, None, actions);
         }
         if self.only_emptied_halls_fit(now, &request) {
-            return self.refuse(call, &request, Reason::HallsEmptied, actions);
+            return self.refuse(now, call, &request, Reason::HallsEmptied, None, actions);
         }
         if self.is_unservable(now, &request) {
-            return self.refuse(call, &request, Reason::NoTarget, actions);
+            return self.refuse(now, call, &request, Reason::NoTarget, None, actions);
+        }
+        if let Some(forecast) = self.too_late_on_arrival(now, &request) {
+            let (reason, forecast) = (Reason::NoCapacity, Some(forecast));
+            return self.refuse(now, call, &request, reason, forecast, actions);
         }
         let id = request.id.clone();
         actions.push(Action::Log(LogEvent::Admitted {
@@ -112,14 +117,16 @@
     /// Answers a job that is not admitted as not run.
     pub(crate) fn refuse(
         &mut self,
+        now: Time,
         call: CallId,
         request: &JobRequest,
         reason: Reason,
+        forecast: Option<StartReason>,
         actions: &mut Vec<Action>,
     ) {
-        let outcome = not_run_outcome(reason, request);
+        let outcome = self.retries.record_outcome(now, request, not_run_outcome(reason, request));
         self.counters.not_run += 1;
-        actions.push(Action::Log(LogEvent::Refused { job: request.id.clone(), reason }));
+        actions.push(Action::Log(LogEvent::Refused { job: request.id.clone(), reason, forecast }));
         actions.push(Action::Answer(call, outcome));
     }
 
--- a/components/dispatch/src/agents.rs
+++ b/components/dispatch/src/agents.rs
@@ -150,6 +150,7 @@
         }));
         agent.profile = Some(profile);
         self.agents_changed = self.now();
+        self.forecasts.record_capacity_growth(self.now());
     }
 
     pub(crate) fn update_agent_load(
@@ -162,6 +163,9 @@
         let Some(agent) = self.agents.get_mut(&id) else { return };
         let was_open = agent.load.open;
         agent.update_load(now, load);
+        if load.open && !was_open {
+            self.forecasts.record_capacity_growth(now);
+        }
         if was_open != load.open
             && let Some(name) = agent.name()
         {
--- a/components/dispatch/src/answers.rs
+++ b/components/dispatch/src/answers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use admission::StartReason;
 use model::{JobId, TaskId, Time};
 use telemetry::Breach;
 use wire::ToAgent;
@@ -25,6 +26,7 @@
         actions: &mut Vec<Action>,
     ) {
         let targets = self.summarize_targets(now);
+        let forecast = self.refusal_forecast(now, id, outcome);
         self.remove_from_queue(id);
         let Some(job) = self.jobs.get_mut(id).filter(|job| job.outcome.is_none()) else { return };
         let breach = invariant_violation(job, outcome);
@@ -48,6 +50,7 @@
             starts: job.starts,
             waited_ms: job.longest_wait.as_secs_f64() * 1e3,
             targets,
+            forecast,
         }));
         let mut to_stop: BTreeMap<SessionId, Vec<TaskId>> = BTreeMap::new();
         for (index, task) in job.tasks.iter().enumerate() {
@@ -66,6 +69,13 @@
         self.count_outcome(outcome);
     }
 
+    /// Returns the predicted start of a job that is refused for lack of capacity.
+    fn refusal_forecast(&self, now: Time, id: &JobId, outcome: Outcome) -> Option<StartReason> {
+        let Outcome::NotRun { reason: Reason::NoCapacity, .. } = outcome else { return None };
+        let job = self.jobs.get(id).filter(|_| self.policy.start_forecast)?;
+        Some(self.forecast_inputs(now).predict(&job.request, job.submitted).1)
+    }
+
     /// Summarizes the state of the targets as this entry knows it.
     fn summarize_targets(&self, now: Time) -> TargetSummary {
         let mut targets = TargetSummary { waiting: self.queue.len(), ..TargetSummary::default() };
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -1,6 +1,6 @@
 //! The state of an entry and the dispatch of its events.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use admission::RunTimes;
@@ -14,6 +14,8 @@
 use crate::placement::ChangedCapacity;
 use crate::policy::Policy;
 use crate::retry_schedule::RetrySchedule;
+use crate::start_forecasts::StartForecasts;
+use crate::task_queue::{TargetGroup, TaskQueue};
 use crate::timing::Timing;
 use crate::urgent_reserve::UrgentReserve;
 
@@ -58,6 +60,7 @@
     pub index: u32,
     /// CPU that the task needs, in thousandths of a core.
     pub cpu_milli: u64,
+    pub group: TargetGroup,
 }
 
 /// Places the tasks of one entry's jobs at agents and answers the jobs.
@@ -68,7 +71,7 @@
     pub(crate) agents: BTreeMap<SessionId, Agent>,
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) calls: BTreeMap<CallId, JobId>,
-    pub(crate) queue: BTreeSet<QueuedTask>,
+    pub(crate) queue: TaskQueue,
     /// Starts to be sent at the end of the current event, by agent and job.
     pub(crate) pending_starts: BTreeMap<(SessionId, JobId), Vec<wire::StartTask>>,
     pub(crate) last_event: Time,
@@ -85,6 +88,10 @@
     pub(crate) reserve: UrgentReserve,
     /// Run times of the tasks of each queue.
     pub(crate) run_times: RunTimes,
+    /// Predicted starts of waiting jobs.
+    pub(crate) forecasts: StartForecasts,
+    /// When waiting jobs were last checked against their forecast.
+    pub(crate) forecasts_checked: Time,
     /// Retry delays assigned to rejected clients.
     pub(crate) retries: RetrySchedule,
     /// Set once the entry is stopping: jobs that may not end by then are refused.
@@ -105,7 +112,7 @@
             agents: BTreeMap::new(),
             jobs: BTreeMap::new(),
             calls: BTreeMap::new(),
-            queue: BTreeSet::new(),
+            queue: TaskQueue::default(),
             pending_starts: BTreeMap::new(),
             last_event: now,
             timeouts_checked: now,
@@ -117,6 +124,8 @@
             emptied_halls: EmptiedHalls::default(),
             reserve: UrgentReserve::default(),
             run_times: RunTimes::default(),
+            forecasts: StartForecasts::default(),
+            forecasts_checked: now,
             retries: RetrySchedule::default(),
             stop_deadline: None,
             counters: DispatcherCounters::default(),
@@ -156,6 +165,7 @@
         // jobs time out, so that no stop precedes its start.
         self.place_tasks(now, changed, actions);
         self.send_starts(now, actions);
+        self.forecasts.update_backlog(now, &self.queue);
         self.check_timeouts(now, actions);
     }
 
@@ -261,5 +271,6 @@
         job: job.request.id.clone(),
         index,
         cpu_milli: job.request.shape.resources.cpu_milli,
+        group: TargetGroup::of(&job.request),
     }
 }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -21,11 +21,14 @@
 mod planned_stop;
 mod policy;
 mod retry_schedule;
+mod start_forecasts;
+mod task_queue;
 mod task_reports;
 mod timeouts;
 mod timing;
 mod urgent_reserve;
 
+pub use ::admission::StartReason;
 pub use cancel_notices::CancelNotices;
 pub use dispatcher::{Dispatcher, DispatcherCounters};
 pub use event::{
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -185,6 +185,7 @@
             true => self.run_times.expected(&job.request.queue, estimate),
             false => estimate,
         };
+        self.forecasts.record_placement(pass.now, &job.request, expected);
         let start = record_start(job, queued.index, agent, id, expected, pass.now, &self.timing);
         if let Some(name) = agent.name() {
             actions.push(Action::Log(LogEvent::Placed {
