Bound the longer wait by the slack of a job with a wrong estimate

Cause: the time left was divided by the estimate error instead of the whole slack, so a job could wait for most of its slack. In bursts, half of the refusals that this avoided became late answers.

Change: the last task must start within the slack divided by 1.5.

--- a/components/admission/src/start_forecast.rs
+++ b/components/admission/src/start_forecast.rs
@@ -26,9 +26,9 @@
 const MIN_QUEUE_SHARE: f64 = 0.1;
 /// Maximum number of queues whose share is tracked. Jobs of others are not refused by forecast.
 const MAX_QUEUES: usize = 256;
-/// Divisor of the time left to the latest start of a job that waits beyond the usual bound. Its
-/// latest start is computed from the estimate, and estimates are off by a factor of 1.5 (one
-/// standard deviation).
+/// Divisor of the slack of a job that waits beyond the usual bound. The objective and the run time
+/// are computed from the estimate, and estimates are off by a factor of 1.5 (one standard
+/// deviation).
 const ESTIMATE_ERROR: f64 = 1.5;
 
 /// Waiting tasks that are served before those of a job.
@@ -45,11 +45,25 @@
 pub struct JobNeed {
     /// CPU of all waiting tasks of the job, in thousandths of a core.
     pub cpu_milli: u64,
-    /// Least time left until the last task of the job has to start. Derived from the longer one of
-    /// the estimated and the predicted run time, as a job that waits on a wrong guess ends late.
-    pub min_time_left: Duration,
-    /// Most time left. Derived from the shorter one, as a refusal on a wrong guess loses the job.
-    pub max_time_left: Duration,
+    /// Time since the submission.
+    pub waited: Duration,
+    /// How long after the submission the last task has to start, if the job runs for the longer one
+    /// of the estimated and the predicted run time: a job that waits on a wrong guess ends late.
+    pub min_slack: Duration,
+    /// The same for the shorter one: a refusal on a wrong guess loses the job.
+    pub max_slack: Duration,
+}
+
+impl JobNeed {
+    /// Most time left until the last task has to start.
+    fn max_time_left(&self) -> Duration {
+        self.max_slack.saturating_sub(self.waited)
+    }
+
+    /// Time left until then that is likely even if the estimate is wrong.
+    fn safe_time_left(&self) -> Duration {
+        self.min_slack.div_f64(ESTIMATE_ERROR).saturating_sub(self.waited)
+    }
 }
 
 /// The figures behind a verdict, for the log.
@@ -104,7 +118,7 @@
         let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         StartReason {
             tasks_ahead: ahead.tasks,
-            slack_ms: millis(need.max_time_left),
+            slack_ms: millis(need.max_time_left()),
             expected_wait_ms: wait.map(millis),
         }
     }
@@ -203,11 +217,10 @@
         let Some(rates) = self.rates(now) else { return StartVerdict::Uncertain { wait: None } };
         let work = (ahead.cpu_milli + need.cpu_milli) as f64;
         let wait = queueing_delay(work, rates.mean);
-        let safe_time_left = need.min_time_left.div_f64(ESTIMATE_ERROR);
-        if queueing_delay(work * WAIT_MARGIN, rates.mean) <= safe_time_left {
+        if queueing_delay(work * WAIT_MARGIN, rates.mean) <= need.safe_time_left() {
             return StartVerdict::InTime { wait };
         }
-        let too_late = queueing_delay(work, rates.highest) > need.max_time_left;
+        let too_late = queueing_delay(work, rates.highest) > need.max_time_left();
         if !too_late || !self.has_minimum_share(now, queue) {
             return StartVerdict::Uncertain { wait: Some(wait) };
         }
--- a/components/dispatch/src/start_forecasts.rs
+++ b/components/dispatch/src/start_forecasts.rs
@@ -104,12 +104,11 @@
             true => self.run_times.longest_of(&request.queue, estimate, shape.count),
             false => estimate,
         };
-        let age = self.now.since(submitted);
-        let left = |run_time| slack(request, run_time, self.timing).saturating_sub(age);
         JobNeed {
             cpu_milli: shape.resources.cpu_milli * u64::from(shape.count),
-            min_time_left: left(predicted.max(estimate)),
-            max_time_left: left(predicted.min(estimate)),
+            waited: self.now.since(submitted),
+            min_slack: slack(request, predicted.max(estimate), self.timing),
+            max_slack: slack(request, predicted.min(estimate), self.timing),
         }
     }
 
