--- a/components/admission/src/start_forecast.rs
+++ b/components/admission/src/start_forecast.rs
@@ -17,7 +17,7 @@
 const WINDOW: Duration = Duration::from_millis(500);
 /// The window is divided into intervals of this length.
 const INTERVAL: Duration = Duration::from_millis(100);
-/// Number of intervals that a window covers, including the current one.
+/// Number of whole intervals that a window covers.
 const WINDOW_INTERVALS: u64 = 5;
 /// Minimum number of placements in the window for a certain forecast.
 const MIN_PLACEMENTS: u32 = 20;
@@ -234,8 +234,9 @@
         if now.since(self.capacity_grew) < WINDOW {
             return None;
         }
-        let (current, first) = (interval_number(now), interval_number(since) + 1);
-        let first = first.max((current + 1).saturating_sub(WINDOW_INTERVALS));
+        let current = interval_number(now);
+        let first = interval_number(since.max(self.capacity_grew)) + 1;
+        let first = first.max(current.saturating_sub(WINDOW_INTERVALS));
         // The current interval is not over yet, so it says nothing about the rate.
         let whole_intervals = current.checked_sub(first).filter(|count| *count > 0)?;
         let counted =
@@ -268,5 +269,5 @@
 }
 
 fn is_expired(interval: &Interval, current: u64) -> bool {
-    interval.number + WINDOW_INTERVALS <= current
+    interval.number + WINDOW_INTERVALS < current
 }
