Move the plan of retry delays to admission::ReturnSchedule

Cause: the plan is a decision on plain data, but stood in dispatch and could only be tested through a whole entry.

Change: the schedule takes and returns work and delays; dispatch maps jobs and outcomes to it. The behaviour is the same.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -2,11 +2,13 @@
 //! the tasks queued ahead of it.
 
 mod estimate;
+mod return_schedule;
 mod run_times;
 mod service_times;
 mod start_forecast;
 
 pub use estimate::{QueueLoad, estimate_completion};
+pub use return_schedule::{MAX_RETRY_AFTER, ReturnSchedule};
 pub use run_times::RunTimes;
 pub use service_times::ServiceTimes;
 pub use start_forecast::{JobNeed, StartForecast, StartReason, StartVerdict, WorkAhead};
--- a/components/dispatch/src/admission.rs
+++ b/components/dispatch/src/admission.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use admission::StartReason;
+use admission::{ReturnSchedule, StartReason};
 use model::Time;
 
 use crate::dispatcher::{Dispatcher, queued_task};
@@ -15,7 +15,7 @@
 const DRAINING_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Retry delay when all suitable halls are emptied. Operators take minutes to refill a hall, so
 /// clients get the longest delay.
-const HALLS_EMPTIED_RETRY_AFTER: Duration = crate::retry_schedule::MAX_RETRY_AFTER;
+const HALLS_EMPTIED_RETRY_AFTER: Duration = admission::MAX_RETRY_AFTER;
 /// Retry delay when no target can run the job: a new target takes seconds to start.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(3);
 
@@ -124,7 +124,8 @@
         forecast: Option<StartReason>,
         actions: &mut Vec<Action>,
     ) {
-        let outcome = self.retries.record_outcome(now, request, not_run_outcome(reason, request));
+        let outcome =
+            record_outcome(&mut self.retries, now, request, not_run_outcome(reason, request));
         self.counters.not_run += 1;
         actions.push(Action::Log(LogEvent::Refused { job: request.id.clone(), reason, forecast }));
         actions.push(Action::Answer(call, outcome));
@@ -157,3 +158,22 @@
     };
     Outcome::NotRun { reason, retry_after }
 }
+
+/// Records the outcome of a job for the planning of returns. A job that was refused for lack of
+/// capacity or time gets its retry delay.
+pub(crate) fn record_outcome(
+    returns: &mut ReturnSchedule,
+    now: Time,
+    request: &JobRequest,
+    outcome: Outcome,
+) -> Outcome {
+    match outcome {
+        Outcome::Completed => returns.record_done(now, request.estimated_work()),
+        Outcome::NotRun { reason: reason @ (Reason::NoCapacity | Reason::Deadline), .. } => {
+            let retry_after = returns.book(now, request.estimated_work(), request.priority);
+            return Outcome::NotRun { reason, retry_after };
+        }
+        _ => {}
+    }
+    outcome
+}
--- a/components/dispatch/src/answers.rs
+++ b/components/dispatch/src/answers.rs
@@ -7,6 +7,7 @@
 use telemetry::Breach;
 use wire::ToAgent;
 
+use crate::admission::record_outcome;
 use crate::dispatcher::Dispatcher;
 use crate::event::{Action, LogEvent, Outcome, Reason, SessionId, TargetSummary};
 use crate::job::{Job, TaskState};
@@ -32,7 +33,7 @@
         let breach = invariant_violation(job, outcome);
         let outcome = match breach {
             Some(_) => Outcome::MayHaveRun(Reason::Breach),
-            None => self.retries.record_outcome(now, &job.request, outcome),
+            None => record_outcome(&mut self.retries, now, &job.request, outcome),
         };
         if let Some(breach) = breach {
             self.counters.breaches += 1;
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use admission::RunTimes;
+use admission::{ReturnSchedule, RunTimes};
 use model::{CancelledJobs, JobId, Time};
 use wire::{EmptiedHalls, TaskEnd, ToEntry};
 
@@ -13,7 +13,6 @@
 use crate::job::Job;
 use crate::placement::ChangedCapacity;
 use crate::policy::Policy;
-use crate::retry_schedule::RetrySchedule;
 use crate::start_forecasts::StartForecasts;
 use crate::task_queue::{TargetGroup, TaskQueue};
 use crate::timing::Timing;
@@ -93,7 +92,7 @@
     /// When waiting jobs were last checked against their forecast.
     pub(crate) forecasts_checked: Time,
     /// Retry delays assigned to rejected clients.
-    pub(crate) retries: RetrySchedule,
+    pub(crate) retries: ReturnSchedule,
     /// Set once the entry is stopping: jobs that may not end by then are refused.
     pub(crate) stop_deadline: Option<Time>,
     pub(crate) counters: DispatcherCounters,
@@ -126,7 +125,7 @@
             run_times: RunTimes::default(),
             forecasts: StartForecasts::default(),
             forecasts_checked: now,
-            retries: RetrySchedule::default(),
+            retries: ReturnSchedule::default(),
             stop_deadline: None,
             counters: DispatcherCounters::default(),
         }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -20,7 +20,6 @@
 mod placement;
 mod planned_stop;
 mod policy;
-mod retry_schedule;
 mod start_forecasts;
 mod task_queue;
 mod task_reports;
