--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use admission::{ReturnSchedule, RunTimes};
+use admission::{PredictionErrors, ReturnSchedule, RunTimes};
 use model::{CancelledJobs, JobId, Time};
 use wire::{EmptiedHalls, TaskEnd, ToEntry};
 
@@ -13,6 +13,7 @@
 use crate::job::Job;
 use crate::placement::ChangedCapacity;
 use crate::policy::Policy;
+use crate::run_times::MedianSlowdown;
 use crate::start_forecasts::StartForecasts;
 use crate::task_queue::{TargetGroup, TaskQueue};
 use crate::timing::Timing;
@@ -87,6 +88,8 @@
     pub(crate) reserve: UrgentReserve,
     /// Run times of the tasks of each queue.
     pub(crate) run_times: RunTimes,
+    pub(crate) prediction_errors: PredictionErrors,
+    pub(crate) median_slowdown: MedianSlowdown,
     /// Predicted starts of waiting jobs.
     pub(crate) forecasts: StartForecasts,
     /// When waiting jobs were last checked against their forecast.
@@ -123,6 +126,8 @@
             emptied_halls: EmptiedHalls::default(),
             reserve: UrgentReserve::default(),
             run_times: RunTimes::default(),
+            prediction_errors: PredictionErrors::default(),
+            median_slowdown: MedianSlowdown::default(),
             forecasts: StartForecasts::default(),
             forecasts_checked: now,
             retries: ReturnSchedule::default(),
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod placement;
 mod planned_stop;
 mod policy;
+mod run_times;
 mod start_forecasts;
 mod task_queue;
 mod task_reports;
--- a/components/dispatch/src/start_forecasts.rs
+++ b/components/dispatch/src/start_forecasts.rs
@@ -25,8 +25,9 @@
 }
 
 impl StartForecasts {
-    /// Records the placement of a task of a job that is expected to run for `run_time`.
-    pub fn record_placement(&mut self, now: Time, request: &JobRequest, run_time: Duration) {
+    /// Records the placement of a task of a job that is expected to run for `run_ms`.
+    pub fn record_placement(&mut self, now: Time, request: &JobRequest, run_ms: u32) {
+        let run_time = Duration::from_millis(u64::from(run_ms));
         if let Some(forecast) = self.get_or_insert(TargetGroup::of(request)) {
             let cpu_milli = request.shape.resources.cpu_milli;
             forecast.record_placement(now, &request.queue, cpu_milli, run_time);
