Assume no started work ahead where the queue does not order by it

Cause: without the policy started_first all queue keys count as started, so the forecast took all work ahead for certain.

Change: the work of started jobs ahead is zero in that case.

Result: the tests of admission, dispatch and explain pass; only experiments use that policy.

--- a/components/dispatch/src/start_forecasts.rs
+++ b/components/dispatch/src/start_forecasts.rs
@@ -84,7 +84,12 @@
         let need = self.need(request, submitted);
         let group = TargetGroup::of(request);
         let due = submitted + request.objective;
-        let ahead = self.queue.work_ahead(&group, self.policy.started_first, request.priority, due);
+        let unstarted = self.policy.started_first;
+        let mut ahead = self.queue.work_ahead(&group, unstarted, request.priority, due);
+        if !unstarted {
+            // The queue does not tell which tasks belong to jobs that have started.
+            ahead.started_cpu_milli = 0;
+        }
         let verdict = self.forecasts.groups.get(&group).map_or(unknown, |forecast| {
             let fits_now = || self.has_free_capacity(request);
             forecast.verdict(self.now, &request.queue, ahead, need, fits_now)
