Wrap comments of the new parts at 100 columns

Cause: rustfmt leaves comments as they are, and some lines of the joined parts were longer. Change: line breaks in comments only. Result: none to measure.

--- a/components/admission/src/run_times.rs
+++ b/components/admission/src/run_times.rs
@@ -1,7 +1,7 @@
 //! Predicted run times of the tasks of a queue.
 //!
-//! Clients estimate run times, and their estimates are off by a factor of 1.5 and more; targets take
-//! from half to several times the usual time. Both factors are learned separately: this module
+//! Clients estimate run times, and their estimates are off by a factor of 1.5 and more; targets
+//! take from half to several times the usual time. Both factors are learned separately: this module
 //! learns the ratio of run time to estimate by queue, with each run divided by the slowdown of its
 //! target relative to the median target. The division keeps the two factors from drifting: if all
 //! targets look slower because estimates are too low, their median does too.
@@ -22,8 +22,8 @@
 const STEPS_PER_LOG: f64 = 50.0;
 /// Precision of the recorded steps: two digits are exact up to 255 steps.
 const SIGNIFICANT_DIGITS: u8 = 2;
-/// Number of the step of the ratio 1 and of the highest step. They hold ratios above 0.03, and those
-/// up to 5 exactly.
+/// Number of the step of the ratio 1 and of the highest step. They hold ratios above 0.03, and
+/// those up to 5 exactly.
 const RATIO_ORIGIN: f64 = 175.0;
 const RATIO_STEPS: u64 = 511;
 /// The same for the run time of a task relative to the mean of its job. They hold ratios from 0.08
--- a/components/admission/src/start_forecast.rs
+++ b/components/admission/src/start_forecast.rs
@@ -96,8 +96,8 @@
         /// Predicted time until the last task starts, if there is a prediction.
         wait: Option<Duration>,
     },
-    /// The last task starts too late even at the highest rate in the window, and if all waiting jobs
-    /// ahead that have not started are refused.
+    /// The last task starts too late even at the highest rate in the window, and if all waiting
+    /// jobs ahead that have not started are refused.
     TooLate {
         /// Predicted time until the last task starts.
         wait: Duration,
@@ -105,9 +105,9 @@
 }
 
 impl StartVerdict {
-    /// Whether a job may wait beyond the usual bound. While jobs wait behind it, a longer wait takes
-    /// the capacity from them: in simulated bursts of 1.3 to 2.4 times the usual jobs, longer waits
-    /// in front of others served no more jobs in time.
+    /// Whether a job may wait beyond the usual bound. While jobs wait behind it, a longer wait
+    /// takes the capacity from them: in simulated bursts of 1.3 to 2.4 times the usual jobs, longer
+    /// waits in front of others served no more jobs in time.
     pub fn allows_longer_wait(self, others_wait_behind: bool) -> bool {
         matches!(self, Self::InTime { .. } | Self::StartsNow) && !others_wait_behind
     }
--- a/components/admission/src/target_speed.rs
+++ b/components/admission/src/target_speed.rs
@@ -1,14 +1,14 @@
 //! How much longer a target takes for tasks than estimated.
 //!
-//! Targets of one deployment take from half to 1.25 times the usual time, constant for the life of a
-//! target, and a faulty one takes several times as long. A single run says little, because estimates
-//! are off by a factor of 1.5. So the slowdown is a mean over many runs that idleness does not
-//! change, next to a test for a lasting change, which is accepted after a few runs.
+//! Targets of one deployment take from half to 1.25 times the usual time, constant for the life of
+//! a target, and a faulty one takes several times as long. A single run says little, because
+//! estimates are off by a factor of 1.5. So the slowdown is a mean over many runs that idleness
+//! does not change, next to a test for a lasting change, which is accepted after a few runs.
 
 use std::time::Duration;
 
-/// Number of runs that the mean covers. Busy targets complete about 50 runs per second, and the mean
-/// of 50 runs whose ratios spread by a factor of 1.5 is accurate to 6 %.
+/// Number of runs that the mean covers. Busy targets complete about 50 runs per second, and the
+/// mean of 50 runs whose ratios spread by a factor of 1.5 is accurate to 6 %.
 const MEAN_RUNS: f64 = 50.0;
 /// Weight of the assumption that a new target is an ordinary one, in runs. The first run of a new
 /// target then counts by a third, as single runs spread more widely than targets do.
@@ -18,12 +18,12 @@
 /// Part of a run's deviation from the mean, in logarithms, that the spread of single runs explains:
 /// one standard deviation. Changes by a smaller factor are left to the mean.
 const USUAL_DEVIATION: f64 = 0.4;
-/// Largest deviation of a single run that counts as evidence of a change, so that three runs are not
-/// enough.
+/// Largest deviation of a single run that counts as evidence of a change, so that three runs are
+/// not enough.
 const MAX_DEVIATION: f64 = 1.9;
-/// Evidence at which a change is accepted. A target that becomes five times slower reaches it within
-/// 4 to 6 runs. The eight tasks of a job whose estimate is off by twice the usual error, all on one
-/// target, do not: they add up to 3.2.
+/// Evidence at which a change is accepted. A target that becomes five times slower reaches it
+/// within 4 to 6 runs. The eight tasks of a job whose estimate is off by twice the usual error, all
+/// on one target, do not: they add up to 3.2.
 const ACCEPTED_EVIDENCE: f64 = 4.8;
 
 /// The slowdown of a target, learned from the runs that it completes.
--- a/components/dispatch/src/demand.rs
+++ b/components/dispatch/src/demand.rs
@@ -14,8 +14,8 @@
 use crate::dispatcher::Dispatcher;
 use crate::event::SessionId;
 
-/// Minimum interval between summaries of the queue. Agents are sent a report each 100 ms at most, so
-/// that fresher summaries would change little.
+/// Minimum interval between summaries of the queue. Agents are sent a report each 100 ms at most,
+/// so that fresher summaries would change little.
 const SUMMARY_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of queued tasks that a summary counts. An entry with more than this is far behind
 /// every other one.
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -153,8 +153,8 @@
         Self { policy, ..self }
     }
 
-    /// Sets how many times as long a task takes at a target without the label that its job names. At
-    /// 1, the label is only a preference.
+    /// Sets how many times as long a task takes at a target without the label that its job names.
+    /// At 1, the label is only a preference.
     pub fn with_remote_penalty(self, remote_penalty: f64) -> Self {
         Self { remote_penalty: remote_penalty.max(1.0), ..self }
     }
--- a/components/dispatch/src/job.rs
+++ b/components/dispatch/src/job.rs
@@ -36,8 +36,8 @@
     pub waiting_since: Time,
     /// The prediction of the last run that was started.
     pub prediction: Option<Prediction>,
-    /// Run time of the completed run, and the relative slowdown of its target. `None` if the run was
-    /// away from the data that the job names.
+    /// Run time of the completed run, and the relative slowdown of its target. `None` if the run
+    /// was away from the data that the job names.
     pub completed_run: Option<(Duration, f64)>,
 }
 
--- a/components/dispatch/src/run_times.rs
+++ b/components/dispatch/src/run_times.rs
@@ -1,9 +1,10 @@
 //! Run times of tasks: what the entry predicts and sends with a start, and what it learns from
 //! completed runs.
 //!
-//! Estimates of clients are off by a factor of 1.5 and targets differ in speed by more than two. The
-//! agent of a target learns its speed from the tasks of all entries, so the estimates that it is
-//! sent must not contain the error of a queue's estimates or the penalty of data that is elsewhere.
+//! Estimates of clients are off by a factor of 1.5 and targets differ in speed by more than two.
+//! The agent of a target learns its speed from the tasks of all entries, so the estimates that it
+//! is sent must not contain the error of a queue's estimates or the penalty of data that is
+//! elsewhere.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -96,15 +97,15 @@
     }
 }
 
-/// Returns a run time in whole milliseconds. It stays above 0, which stands for an unknown estimate,
-/// unless the client's estimate is 0.
+/// Returns a run time in whole milliseconds. It stays above 0, which stands for an unknown
+/// estimate, unless the client's estimate is 0.
 fn to_millis(run_time: Duration, estimated_ms: u32) -> u32 {
     let millis = (run_time.as_secs_f64() * 1e3).round() as u32;
     millis.max(estimated_ms.min(1))
 }
 
-/// Records the completed run of a task; without `run_times`, only how good its prediction was. Runs away from the data that their job names say nothing
-/// about other runs of the queue.
+/// Records the completed run of a task; without `run_times`, only how good its prediction was. Runs
+/// away from the data that their job names say nothing about other runs of the queue.
 pub(crate) fn record_completed_run(
     request: &JobRequest,
     task: &mut Task,
--- a/components/dispatch/tests/run_times.rs
+++ b/components/dispatch/tests/run_times.rs
@@ -194,8 +194,8 @@
     assert!((196..=204).contains(&sent), "{sent}");
 }
 
-/// Guards against a queue whose estimates are off by 2 and which makes the targets that it uses look
-/// slow to the other queues.
+/// Guards against a queue whose estimates are off by 2 and which makes the targets that it uses
+/// look slow to the other queues.
 #[test]
 fn wrong_estimates_do_not_look_like_slow_targets() {
     let mut line = Line::new(4, Policy::default());
--- a/components/placement/src/capacity_shares.rs
+++ b/components/placement/src/capacity_shares.rs
@@ -19,9 +19,9 @@
 /// Free CPU for fewer tasks of average size than this is scarce.
 const SCARCE_TASK_COUNT: f64 = 1.5;
 /// While more work waits than would fit, free CPU below this fraction of the target's total is
-/// scarce too. Several short tasks often end within a turn, and the entries that wait would all send
-/// tasks for the block: in simulated bursts, entries sent 1.9 starts per task without this rule and
-/// 1.3 with it. A larger fraction delays jobs while there is room.
+/// scarce too. Several short tasks often end within a turn, and the entries that wait would all
+/// send tasks for the block: in simulated bursts, entries sent 1.9 starts per task without this
+/// rule and 1.3 with it. A larger fraction delays jobs while there is room.
 const SCARCE_FRACTION: f64 = 0.4;
 /// A turn ends this long after the session's first start in it: the starts that an entry sends for
 /// one report arrive together, and what they leave is offered to the next session.
@@ -290,7 +290,8 @@
         self.total
     }
 
-    /// To whom this much free CPU of a target is offered; starts the next turn when the last one is over.
+    /// To whom this much free CPU of a target is offered; starts the next turn when the last one is
+    /// over.
     pub fn offer(&mut self, now: Time, free_cpu_milli: u64, total_cpu_milli: u64) -> Offer {
         if !self.is_scarce(now, free_cpu_milli, total_cpu_milli)
             || !self.participants.values().any(|participant| participant.takes_part(now))
--- a/components/placement/src/label_demand.rs
+++ b/components/placement/src/label_demand.rs
@@ -63,8 +63,8 @@
         &mut bucket.demand
     }
 
-    /// Returns the part of the window since the first placement of a waiting task. At the start of a
-    /// demand, the rate over the whole window would be too low.
+    /// Returns the part of the window since the first placement of a waiting task. At the start of
+    /// a demand, the rate over the whole window would be too low.
     fn waited_span(&self, number: u64) -> Duration {
         let is_counted =
             |bucket: &&Bucket| bucket.number + BUCKETS > number && bucket.demand.waited > 0;
--- a/components/placement/src/target_search.rs
+++ b/components/placement/src/target_search.rs
@@ -231,7 +231,8 @@
     }
 }
 
-/// Adds the scores for the task's label, for targets that other tasks demand, and for targets that are a last resort.
+/// Adds the scores for the task's label, for targets that other tasks demand, and for targets that
+/// are a last resort.
 fn add_constraint_scores<Id>(
     mut score: f64,
     task: &TaskNeeds,
--- a/components/wire/src/session.rs
+++ b/components/wire/src/session.rs
@@ -61,8 +61,8 @@
     pub run: u64,
     /// The resources that the task occupies while it runs.
     pub resources: Resources,
-    /// Expected run time on an ordinary target, in milliseconds: the client's estimate, corrected by
-    /// what tasks of the queue have taken.
+    /// Expected run time on an ordinary target, in milliseconds: the client's estimate, corrected
+    /// by what tasks of the queue have taken.
     pub estimated_ms: u32,
     /// Longest time that the task may wait at the agent for free capacity, in milliseconds.
     pub longest_wait_ms: u32,
--- a/daemon/tests/end_to_end.rs
+++ b/daemon/tests/end_to_end.rs
@@ -108,8 +108,8 @@
     }
 }
 
-/// Guards against waiting tasks and slow targets that operators can't see, and against waiting tasks
-/// that are still shown after they have run.
+/// Guards against waiting tasks and slow targets that operators can't see, and against waiting
+/// tasks that are still shown after they have run.
 #[test]
 fn metrics_show_waiting_tasks_and_the_speed_of_targets() {
     let fleet = Fleet::new(1);
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -7,7 +7,8 @@
 
 use serde_json::{Value, json};
 
-/// Serves a fixed response on a loopback port, one request per connection, for the life of the test.
+/// Serves a fixed response on a loopback port, one request per connection, for the life of the
+/// test.
 fn serve(status: &'static str, page: String) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = listener.local_addr().expect("the listener has an address");
