Place the remaining tasks of a started job however late they are

Cause: a task past three objectives everywhere was not placed, also where other tasks of its job had run. The objective comes from an estimate that may be too low by three times, and a started job is answered only at its client's deadline, so its client waited in vain for work that was mostly done. Change: TaskNeeds::must_run, set for started jobs.

--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -207,6 +207,7 @@
             names_label: request.shape.affinity.is_some(),
             remote_penalty: self.data_penalty(),
             capacity_is_scarce: false,
+            must_run: job.starts > 0,
         };
         if !pass.search.predicts_end(&needs) {
             return needs;
--- a/components/placement/src/target_search.rs
+++ b/components/placement/src/target_search.rs
@@ -77,6 +77,9 @@
     pub remote_penalty: f64,
     /// Whether little capacity is free, so that fast targets are left to tasks that need them.
     pub capacity_is_scarce: bool,
+    /// Whether the task is placed however late its result is. Holds for jobs that have started: the
+    /// work that is done would be lost, and an objective from a low estimate says little.
+    pub must_run: bool,
 }
 
 /// A target with room for the task.
@@ -265,7 +268,7 @@
 
     fn is_useful(&self, run_factor: f64) -> bool {
         let latest = self.objective.as_secs_f64() * MAX_USEFUL_OBJECTIVES;
-        self.end(self.run_time, run_factor) <= latest
+        self.must_run || self.end(self.run_time, run_factor) <= latest
     }
 
     /// Predicted time from the submission of the job to the end of the run, in seconds.
--- a/components/placement/tests/label_demand.rs
+++ b/components/placement/tests/label_demand.rs
@@ -73,6 +73,7 @@
         names_label: true,
         remote_penalty,
         capacity_is_scarce: false,
+        must_run: false,
     }
 }
 
--- a/components/placement/tests/target_search.rs
+++ b/components/placement/tests/target_search.rs
@@ -19,6 +19,7 @@
         names_label: false,
         remote_penalty: 1.0,
         capacity_is_scarce: false,
+        must_run: false,
     }
 }
 
@@ -111,6 +112,17 @@
     assert!(fleet.is_too_late(&late(700)) && !fleet.is_too_late(&late(550)));
 }
 
+/// Guards against started jobs whose last tasks are never placed, so that their clients wait for
+/// the whole deadline: an objective from a low estimate may have passed three times.
+#[test]
+fn a_task_of_a_started_job_is_placed_however_late() {
+    let targets = [target(100, 16_000), target(200, 16_000)];
+    let late = TaskNeeds { elapsed: Duration::from_millis(700), must_run: true, ..task() };
+    assert_eq!(search(&late, &targets), SearchResult::Target(100));
+    let fleet = TargetSearch::new(ALL_PARTS, vec![100, 200]);
+    assert!(!fleet.is_too_late(&late));
+}
+
 /// Guards against targets of unknown speed, as after the restart of an agent, that are taken to be
 /// fast or to make others look slow.
 #[test]
@@ -221,6 +233,7 @@
             names_label,
             remote_penalty: 1.0,
             capacity_is_scarce,
+            must_run: false,
         },
     )
 }
