Keep a word whole in the comment on idle connections

Cause: a wrapped comment broke half-open at its hyphen. Change: a line break in a comment. Result: formatter and compiler pass; no code changed.

--- a/daemon/src/keeper_role/listen.rs
+++ b/daemon/src/keeper_role/listen.rs
@@ -34,8 +34,8 @@
     max_connections: 1_000,
 };
 
-/// Idle time after which a connection of a node or another keeper is closed, as it may be half-
-/// open. Longer than the interval of a watching node's requests, which is at most 2 s; others
+/// Idle time after which a connection of a node or another keeper is closed, as it may be
+/// half-open. Longer than the interval of a watching node's requests, which is at most 2 s; others
 /// reconnect when they have something to send.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
