Soak: trace the answers to an agent's commands

Cause: the trace of a run shows the commands of an agent and the runs of its target, but neither the answers nor which commands the target left unanswered. Whether a run ended before the hold that should have reported it was lost, or the crash cut the hold off, could not be told apart.

Change: the trace has each answer as the agent receives it, and a line for each command that is left unanswered.

--- a/soak/src/capacity/processes.rs
+++ b/soak/src/capacity/processes.rs
@@ -117,6 +117,7 @@
             self.agents[agent].target.as_ref().is_some_and(|target| target.unresponsive);
         let unanswered = if unresponsive { UNRESPONSIVE_SHARE } else { self.unanswered };
         if unanswered > 0.0 && self.rng.random_bool(unanswered) {
+            self.trace_event(|| format!("target {agent} leaves a command unanswered"));
             (Duration::from_millis(self.rng.random_range(2_000..9_000)), true)
         } else {
             (Duration::from_micros(self.rng.random_range(200..1_500)), false)
@@ -159,6 +160,7 @@
         }
         self.open_calls.remove(&call.number);
         if process.incarnation == call.incarnation {
+            self.trace_event(|| format!("agent {} receives {event:?}", call.agent));
             self.deliver_to_agent(call.agent, event);
         }
     }
