Count crashes under tasks that may have been running

Callers saw: a task that crashes its targets was started a sixth time and more, each time at the cost of all tasks beside it.

Cause: agents counted a crash only under tasks that certainly ran. A task was merely lost, and started elsewhere, if the target had left a command unanswered within 5 s before, if the entry stopped it between the crash and its discovery, if the next instance of the target (same id) acknowledged that stop, or if the run was given up before the crash was noticed.

Change: such tasks are suspects. Agents count the crashes at which each may have run and report them to every entry, also to one that connects later. After three crashes, suspected or confirmed, an entry starts the task no more and answers its job as may-have-run, at once if it is submitted again; two confirmed crashes still mean failed. The message is new, so it goes only to entries that have announced by an empty first batch that they read it, which older agents ignore; to other entries the agent refuses a suspect for 20 s.

The new tests of suspected crashes name each way in which a crash was missed.

--- a/components/dispatch/src/admission.rs
+++ b/components/dispatch/src/admission.rs
@@ -68,7 +68,7 @@
         self.calls.insert(call, id.clone());
         self.jobs.insert(id.clone(), job);
         // An earlier run of the job may have crashed too many targets already.
-        self.fail_if_crashing(now, &id, actions);
+        self.end_crashing_job(now, &id, actions);
     }
 
     /// Handles a submission of a job that is already known here, usually because its client lost
--- a/components/dispatch/src/crashes.rs
+++ b/components/dispatch/src/crashes.rs
@@ -4,47 +4,76 @@
 //! no answer. So crashes are remembered after the job has ended, and agents report each crash to
 //! all of their entries. A task that merely ran beside the cause of a crash is unlikely to be in
 //! a second one before the first is forgotten.
+//!
+//! If a target left commands unanswered before it crashed, its agent cannot tell which tasks were
+//! still running. Such suspected crashes count as well, or a task could crash any number of targets,
+//! but they don't show that its job has failed.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use model::{JobId, NodeName, TaskId, Time};
-use wire::{Refusal, TaskEnd};
+use wire::{Refusal, SuspectedTask, TaskEnd};
 
 use crate::dispatcher::Dispatcher;
 use crate::event::{Action, Outcome, Reason, SessionId};
 
-/// Number of crashed targets after which a task is not started again, as every further start may
-/// cost all tasks of another target.
-const MAX_CRASHES: usize = 2;
+/// Number of targets that crashed under a task after which its job has failed, as every further
+/// start may cost all tasks of another target.
+const MAX_CRASHES: u32 = 2;
+/// As [`MAX_CRASHES`], with suspected crashes: one more, as the task may have run at none of them.
+const MAX_SUSPECTED_CRASHES: u32 = 3;
 /// How long a crash is remembered: long enough for clients to submit the job again several times.
 const CRASH_RETENTION: Duration = Duration::from_secs(20);
 
-/// The agents whose targets crashed and the expiry time, by task.
+/// The crashes of one agent's target under a task.
+#[derive(Clone, Copy, Debug, Default)]
+struct AgentCrashes {
+    /// Whether the task ran at a crash. The agent then refuses to start it again.
+    confirmed: bool,
+    /// Number of further crashes at which the task may have run.
+    suspected: u32,
+}
+
+/// The crashes under one task.
 #[derive(Debug, Default)]
-pub(crate) struct Crashes(BTreeMap<TaskId, (BTreeSet<NodeName>, Time)>);
+struct TaskCrashes {
+    by_agent: BTreeMap<NodeName, AgentCrashes>,
+    expires: Time,
+}
+
+/// The crashes of targets under tasks.
+#[derive(Debug, Default)]
+pub(crate) struct Crashes(BTreeMap<TaskId, TaskCrashes>);
 
 impl Crashes {
-    fn add(&mut self, now: Time, task: &TaskId, agent: NodeName) {
-        let (agents, until) = self.0.entry(task.clone()).or_default();
-        agents.insert(agent);
-        *until = now + CRASH_RETENTION;
+    fn of_agent(&mut self, now: Time, task: &TaskId, agent: NodeName) -> &mut AgentCrashes {
+        let crashes = self.0.entry(task.clone()).or_default();
+        crashes.expires = now + CRASH_RETENTION;
+        crashes.by_agent.entry(agent).or_default()
     }
 
-    /// Whether a task has crashed the maximum number of targets.
-    fn is_at_crash_limit(&self, task: &TaskId) -> bool {
-        self.0.get(task).is_some_and(|(agents, _)| agents.len() >= MAX_CRASHES)
+    /// How the job of a task ends; `None` if the task may start again.
+    fn outcome(&self, task: &TaskId) -> Option<Outcome> {
+        let by_agent = &self.0.get(task)?.by_agent;
+        let confirmed = by_agent.values().filter(|crashes| crashes.confirmed).count() as u32;
+        let suspected: u32 = by_agent.values().map(|crashes| crashes.suspected).sum();
+        if confirmed >= MAX_CRASHES {
+            return Some(Outcome::Failed(Reason::CrashesTargets));
+        }
+        let is_suspect = confirmed + suspected >= MAX_SUSPECTED_CRASHES;
+        is_suspect.then_some(Outcome::MayHaveRun(Reason::CrashesTargets))
     }
 
-    /// Whether the target of an agent has crashed under a task. The agent refuses to start that
-    /// task again.
+    /// Whether an agent refuses to start a task, as its target has crashed under it.
     pub fn has_crashed(&self, task: &TaskId, agent: &NodeName) -> bool {
-        self.0.get(task).is_some_and(|(agents, _)| agents.contains(agent))
+        let crashes = self.0.get(task).and_then(|crashes| crashes.by_agent.get(agent));
+        crashes.is_some_and(|crashes| crashes.confirmed)
     }
 
     /// Removes crashes that are past their retention time.
     pub fn expire(&mut self, now: Time) {
-        self.0.retain(|_, (_, until)| *until > now);
+        self.0.retain(|_, crashes| crashes.expires > now);
     }
 }
 
@@ -59,9 +88,24 @@
     ) {
         for task in tasks {
             self.record_crash(now, id, task);
-            if self.has_job(&task.job) {
-                self.fail_if_crashing(now, &task.job, actions);
+            self.end_crashing_job(now, &task.job, actions);
+        }
+    }
+
+    /// Handles an agent's report of the tasks that may have run when its target crashed.
+    pub(crate) fn handle_suspected_crash(
+        &mut self,
+        now: Time,
+        id: SessionId,
+        tasks: &[SuspectedTask],
+        actions: &mut Vec<Action>,
+    ) {
+        for SuspectedTask { task, crashes } in tasks {
+            if let Some(agent) = self.agent_name(id) {
+                let known = self.crashes.of_agent(now, task, agent);
+                known.suspected = known.suspected.max(*crashes);
             }
+            self.end_crashing_job(now, &task.job, actions);
         }
     }
 
@@ -80,27 +124,31 @@
     }
 
     fn record_crash(&mut self, now: Time, id: SessionId, task: &TaskId) {
-        let agent = self.agents.get(&id).and_then(|agent| agent.name());
-        if let Some(agent) = agent.cloned() {
-            self.crashes.add(now, task, agent);
+        if let Some(agent) = self.agent_name(id) {
+            self.crashes.of_agent(now, task, agent).confirmed = true;
         }
     }
 
-    /// Fails a job if one of its tasks has crashed the maximum number of targets. Returns whether
-    /// the job was failed.
-    pub(crate) fn fail_if_crashing(
+    fn agent_name(&self, id: SessionId) -> Option<NodeName> {
+        self.agents.get(&id).and_then(|agent| agent.name()).cloned()
+    }
+
+    /// Answers an open job if one of its tasks has crashed too many targets. Returns whether the job
+    /// was answered.
+    pub(crate) fn end_crashing_job(
         &mut self,
         now: Time,
         id: &JobId,
         actions: &mut Vec<Action>,
     ) -> bool {
-        let Some(job) = self.jobs.get(id) else { return false };
-        let task = |index| TaskId { job: id.clone(), index };
-        let at_limit =
-            (0..job.request.shape.count).any(|index| self.crashes.is_at_crash_limit(&task(index)));
-        if at_limit {
-            self.finish_job(now, id, Outcome::Failed(Reason::CrashesTargets), actions);
+        let Some(job) = self.jobs.get(id).filter(|job| job.outcome.is_none()) else { return false };
+        let tasks = (0..job.request.shape.count).map(|index| TaskId { job: id.clone(), index });
+        let outcomes = tasks.filter_map(|task| self.crashes.outcome(&task));
+        // A failure is the clearer answer.
+        let outcome = outcomes.max_by_key(|outcome| matches!(outcome, Outcome::Failed(_)));
+        if let Some(outcome) = outcome {
+            self.finish_job(now, id, outcome, actions);
         }
-        at_limit
+        outcome.is_some()
     }
 }
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -270,6 +270,9 @@
                 self.update_emptied_halls(now, &halls, HallsSource::Agent(id), actions)
             }
             ToEntry::TargetCrashed(tasks) => self.handle_target_crash(now, id, &tasks, actions),
+            ToEntry::CrashSuspected(tasks) => {
+                self.handle_suspected_crash(now, id, &tasks, actions);
+            }
         }
     }
 }
--- a/components/dispatch/src/task_reports.rs
+++ b/components/dispatch/src/task_reports.rs
@@ -91,7 +91,7 @@
                 actions,
             );
         }
-        if self.fail_if_crashing(now, &task_id.job, actions) {
+        if self.end_crashing_job(now, &task_id.job, actions) {
             return;
         }
         if losses >= MAX_LOSSES {
--- a/components/runner/src/commands.rs
+++ b/components/runner/src/commands.rs
@@ -255,7 +255,7 @@
             }
         }
         resend.iter().for_each(|task| self.send_stop(task, actions));
-        ended.iter().for_each(|task| self.end_run(now, task, TaskEnd::Lost, actions));
+        self.end_lost_runs(now, &ended, actions);
     }
 
     /// Stops runs that take much longer than estimated, as the target may be stuck. The estimate of
--- a/components/runner/src/event.rs
+++ b/components/runner/src/event.rs
@@ -264,6 +264,8 @@
     SessionClosed(SessionId),
     /// The entry is to be served by other agents: the session ends once it has no runs left.
     SessionRetired(SessionId),
+    /// The entry has announced that it reads [`ToEntry::CrashSuspected`].
+    EntryReadsSuspicions(SessionId),
     /// A message of an entry.
     FromEntry(SessionId, ToAgent),
     /// The target sent a status report.
@@ -416,6 +418,8 @@
     },
     /// A start was not answered; it is sent again or stopped.
     StartUnanswered(TaskId),
+    /// The target has crashed, and this task may have run at that time.
+    CrashSuspected(TaskId),
     /// The target lists a run that the agent does not track, such as one of an earlier agent
     /// process; it is stopped.
     Orphan(TaskId),
--- a/components/runner/src/hold.rs
+++ b/components/runner/src/hold.rs
@@ -7,6 +7,7 @@
 use model::{TaskId, Time};
 use wire::TaskEnd;
 
+use crate::crashed_tasks::CrashVerdict;
 use crate::event::{
     Action, EndReason, HoldCommand, HoldReply, LogEvent, RunKey, StopCommand, TargetEnd,
     TargetInstance, TargetRun,
@@ -86,15 +87,25 @@
         if !target.is_lease_expired(now) {
             return;
         }
-        // A target that accepts connections but does not answer may be healthy, and its tasks too.
-        let has_crashed = target.unreachable_since.is_some();
-        let end_of = |run: &Run| match has_crashed && target.crashed_during(now, run) {
-            true => TaskEnd::Crashed,
-            false => TaskEnd::Lost,
-        };
-        let lost = self.runs.iter().filter(|(_, run)| run.holds_capacity());
-        let ends = lost.map(|(task, run)| (task.clone(), end_of(run))).collect();
-        self.end_runs_with_target(now, ends, actions);
+        let started = self.runs.iter().filter(|(_, run)| run.holds_capacity());
+        let tasks: Vec<TaskId> = started.map(|(task, _)| task.clone()).collect();
+        self.end_lost_runs(now, &tasks, actions);
+    }
+
+    /// Ends runs of which nothing more can be learned. The target has crashed if its address refuses
+    /// connections; one that accepts them but does not answer may be healthy, and its tasks too.
+    pub(crate) fn end_lost_runs(&mut self, now: Time, tasks: &[TaskId], actions: &mut Vec<Action>) {
+        let has_crashed =
+            |target: &&Target| target.unreachable_since.is_some() && !target.report.draining;
+        let runs = self.runs.iter().filter(|(task, _)| tasks.contains(task));
+        match self.target.as_ref().filter(has_crashed) {
+            Some(target) => {
+                let evidence = target.crash_evidence(now, &self.timing);
+                let crash = CrashVerdict::new(&evidence, runs);
+                self.end_crashed_runs(now, crash, actions);
+            }
+            None => tasks.iter().for_each(|task| self.end_run(now, task, TaskEnd::Lost, actions)),
+        }
     }
 
     /// Updates the known clock of the target from an answer.
--- a/components/runner/src/instances.rs
+++ b/components/runner/src/instances.rs
@@ -147,8 +147,7 @@
         if let Some(target) =
             self.target.as_mut().filter(|target| target.instance().may_match(instance))
         {
-            target.unreachable_since.get_or_insert(now);
-            target.mark_failing(now, &self.timing);
+            target.record_refused_connection(now, &self.timing);
         }
     }
 
--- a/components/runner/src/lib.rs
+++ b/components/runner/src/lib.rs
@@ -6,6 +6,8 @@
 //! [`Runner::handle`] takes a time and an event and appends the resulting actions.
 
 mod commands;
+mod crash_evidence;
+mod crashed_tasks;
 mod event;
 mod halls;
 mod health;
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -6,8 +6,9 @@
 
 use model::{CancelledJobs, JobId, NodeName, Resources, TaskId, Time};
 use placement::{CapacityShares, OfferCounts};
-use wire::{Document, EmptiedHalls, Refusal, TaskEnd, TaskReport, ToEntry};
+use wire::{Document, EmptiedHalls, Refusal, TaskEnd, TaskReport};
 
+use crate::crashed_tasks::{CrashVerdict, CrashedTasks};
 use crate::event::{Action, Event, HallsSource, LogEvent, SessionId, TargetInstance};
 use crate::health::HealthChange;
 use crate::instances::NextInstance;
@@ -36,6 +37,8 @@
     pub lost: u64,
     /// Tasks that ran when the target crashed.
     pub crashed: u64,
+    /// Tasks that may have run when the target crashed; counted as lost too.
+    pub suspected_crashes: u64,
     /// Starts that the target refused for lack of capacity.
     pub starts_without_capacity: u64,
     /// Starts that the target did not answer.
@@ -68,12 +71,10 @@
     pub(crate) document: Option<Document>,
     /// Emptied halls, which get no new work.
     pub(crate) halls: EmptiedHalls,
-    /// Runs that were lost before the target listed their ends, with the time to forget them. A
-    /// later run of the same task gets a higher number, so that a late end is not attributed to it.
-    pub(crate) lost_runs: BTreeMap<TaskId, (u64, Time)>,
+    /// Runs that were lost before the target listed their ends.
+    pub(crate) lost_runs: BTreeMap<TaskId, LostRun>,
     pub(crate) cancelled: CancelledJobs,
-    /// Tasks that ran when the target crashed, with the time to forget them.
-    pub(crate) crashed_tasks: BTreeMap<TaskId, Time>,
+    pub(crate) crashed_tasks: CrashedTasks,
     pub(crate) shares: CapacityShares,
     /// The current period of scarce capacity.
     pub(crate) sharing: Option<Sharing>,
@@ -84,10 +85,19 @@
     pub(crate) counters: RunnerCounters,
 }
 
+/// A run that was lost before the target listed its end.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LostRun {
+    /// The number of the run. A later run of the same task gets a higher one, so that a late end is
+    /// not attributed to it.
+    pub run: u64,
+    pub lost_at: Time,
+    /// Whether it is settled that the target has crashed under the run, or has not.
+    pub is_settled: bool,
+}
+
 /// How long lost runs are remembered: longer than a target may delay the report of an end.
 const LOST_RUN_RETENTION: Duration = Duration::from_secs(20);
-/// How long tasks that ran during a crash are remembered: well beyond the client's retries.
-const CRASHED_TASK_RETENTION: Duration = Duration::from_secs(20);
 /// Maximum time between ticks while runs or reports are pending.
 const BUSY_TICK: Duration = Duration::from_millis(20);
 const IDLE_TICK: Duration = Duration::from_millis(100);
@@ -109,7 +119,7 @@
             halls: EmptiedHalls::default(),
             lost_runs: BTreeMap::new(),
             cancelled: CancelledJobs::default(),
-            crashed_tasks: BTreeMap::new(),
+            crashed_tasks: CrashedTasks::default(),
             draining: false,
             started_at: now,
             last_event: now,
@@ -128,6 +138,7 @@
             Event::SessionOpened(session) => self.open_session(now, session, actions),
             Event::SessionClosed(session) => self.lose_session(session, "closed", actions),
             Event::SessionRetired(session) => self.retire_session(now, session),
+            Event::EntryReadsSuspicions(session) => self.enable_suspicions(session, actions),
             Event::FromEntry(session, message) => {
                 self.receive_from_entry(now, session, message, actions)
             }
@@ -227,8 +238,8 @@
         self.end_timed_out_sessions(now, actions);
         self.end_retired_sessions(now, actions);
         self.cancelled.remove_expired(now);
-        self.lost_runs.retain(|_, (_, until)| *until > now);
-        self.crashed_tasks.retain(|_, until| *until > now);
+        self.lost_runs.retain(|_, run| now.since(run.lost_at) < LOST_RUN_RETENTION);
+        self.crashed_tasks.expire(now);
         self.check_target(now, actions);
         self.probe_candidates(now, actions);
         self.stop_overdue(now, actions);
@@ -260,37 +271,27 @@
         let Some(target) = self.target.take() else { return };
         self.remember_ended_instance(target.instance().clone());
         let is_carried_over = |task: &TaskId, run: &Run| next.may_run(now, task, run);
-        let end_of = |run: &Run| match run.state {
-            RunState::Waiting => TaskEnd::NotRun(Refusal::Closed),
-            _ if target.crashed_during(now, run) => TaskEnd::Crashed,
-            _ => TaskEnd::Lost,
-        };
         let ended = self.runs.iter().filter(|(task, run)| !is_carried_over(task, run));
-        let ends: Vec<(TaskId, TaskEnd)> =
-            ended.map(|(task, run)| (task.clone(), end_of(run))).collect();
+        let (waiting, started): (Vec<_>, Vec<_>) =
+            ended.partition(|(_, run)| run.state == RunState::Waiting);
+        let waiting: Vec<TaskId> = waiting.into_iter().map(|(task, _)| task.clone()).collect();
+        let lost: Vec<TaskId> = started.iter().map(|(task, _)| (*task).clone()).collect();
+        let crash = (!target.report.draining).then(|| {
+            let evidence = target.crash_evidence(now, &self.timing);
+            CrashVerdict::new(&evidence, started.into_iter())
+        });
         actions.push(Action::Log(LogEvent::InstanceEnded {
             instance: target.instance().clone(),
-            lost: ends.len(),
+            lost: waiting.len() + lost.len(),
         }));
-        self.end_runs_with_target(now, ends, actions);
-        self.mark_load_changed();
-    }
-
-    /// Ends runs together with their target. Every entry is notified of the tasks that ran when the
-    /// target crashed.
-    pub(crate) fn end_runs_with_target(
-        &mut self,
-        now: Time,
-        ends: Vec<(TaskId, TaskEnd)>,
-        actions: &mut Vec<Action>,
-    ) {
-        let crashed = ends.iter().filter(|(_, end)| *end == TaskEnd::Crashed);
-        let crashed: Vec<TaskId> = crashed.map(|(task, _)| task.clone()).collect();
-        if !crashed.is_empty() {
-            let message = || ToEntry::TargetCrashed(crashed.clone());
-            actions.extend(self.sessions.keys().map(|id| Action::Send(*id, message())));
+        for task in waiting {
+            self.end_run(now, &task, TaskEnd::NotRun(Refusal::Closed), actions);
         }
-        ends.into_iter().for_each(|(task, end)| self.end_run(now, &task, end, actions));
+        match crash {
+            Some(crash) => self.end_crashed_runs(now, crash, actions),
+            None => lost.iter().for_each(|task| self.end_run(now, task, TaskEnd::Lost, actions)),
+        }
+        self.mark_load_changed();
     }
 
     /// Ends a run: reports it to its entry and frees its capacity.
@@ -304,10 +305,8 @@
         let Some(run) = self.runs.remove(task) else { return };
         let ran = if run.holds_capacity() { now.since(run.started_at) } else { Duration::ZERO };
         if matches!(end, TaskEnd::Lost | TaskEnd::Crashed) {
-            self.lost_runs.insert(task.clone(), (run.run, now + LOST_RUN_RETENTION));
-        }
-        if end == TaskEnd::Crashed {
-            self.crashed_tasks.insert(task.clone(), now + CRASHED_TASK_RETENTION);
+            let lost = LostRun { run: run.run, lost_at: now, is_settled: false };
+            self.lost_runs.insert(task.clone(), lost);
         }
         self.count_end(end);
         self.update_target_stats(now, &run, end, ran, actions);
--- a/components/runner/src/sessions.rs
+++ b/components/runner/src/sessions.rs
@@ -27,6 +27,8 @@
     pub start_rate: StartRate,
     /// When the session was retired; its load reports then refuse further work.
     pub retired: Option<Time>,
+    /// Whether the entry has announced that it reads [`ToEntry::CrashSuspected`].
+    pub reads_suspicions: bool,
 }
 
 impl Session {
@@ -47,11 +49,13 @@
             reports: vec![],
             start_rate: StartRate::default(),
             retired: None,
+            reads_suspicions: false,
         };
         self.sessions.insert(id, session);
         actions.push(Action::Log(LogEvent::SessionOpened(id)));
         if self.target.is_some() {
             actions.push(Action::Send(id, self.hello()));
+            self.notify_of_recent_crashes(id, actions);
         }
     }
 
@@ -122,14 +126,19 @@
     ) {
         self.counters.requested += 1;
         let task = TaskId { job: job.clone(), index: start.index };
+        let reads_suspicions =
+            self.sessions.get(&id).is_some_and(|session| session.reads_suspicions);
         let refusal = if late {
             Some(Refusal::Late)
         } else if self.cancelled.contains(job) {
             Some(Refusal::Cancelled)
         } else if !self.is_open(now) {
             Some(Refusal::Closed)
-        } else if self.crashed_tasks.contains_key(&task) {
+        } else if self.crashed_tasks.is_confirmed(&task) {
             Some(Refusal::CrashedTarget)
+        } else if !reads_suspicions && self.crashed_tasks.is_suspected(&task) {
+            // An entry of an old build does not count suspected crashes.
+            Some(Refusal::Target)
         } else if self.runs.contains_key(&task) {
             // Another run of the task, for this or another entry, has not ended yet.
             Some(Refusal::Target)
@@ -153,7 +162,7 @@
         let run = Run {
             session: Some(id),
             sequence: start.sequence,
-            run: self.lost_runs.get(&task).map_or(start.run, |(run, _)| start.run.max(run + 1)),
+            run: self.lost_runs.get(&task).map_or(start.run, |lost| start.run.max(lost.run + 1)),
             spec: spec.clone(),
             resources: start.resources,
             estimated_ms: start.estimated_ms,
--- a/components/runner/src/target.rs
+++ b/components/runner/src/target.rs
@@ -5,11 +5,11 @@
 use admission::TargetSpeed;
 use model::{Resources, Time};
 
+use crate::crash_evidence::{CrashEvidence, Failure};
 use crate::event::{HoldCommand, TargetInstance, TargetReport};
 use crate::health::Health;
 use crate::hold::HOLD_RETRY_DELAY;
 use crate::hold_timing::HoldTiming;
-use crate::run::{Run, RunState};
 use crate::timing::Timing;
 
 /// The agent's state of one target instance.
@@ -46,11 +46,8 @@
     /// When a leave arrived that had the target's id and no start time. The target gets no new work
     /// until it answers a hold that was sent later.
     pub unconfirmed_leave: Option<Time>,
-    /// When the target stopped answering.
-    failing_since: Option<Time>,
-    /// Whether the target had left a command unanswered shortly before it stopped answering, or has
-    /// answered another one since.
-    unanswered_before_failure: bool,
+    /// What is known of a target that has stopped answering; `None` while it answers holds.
+    failure: Option<Failure>,
     /// Whether the target has answered but not reported yet, so that its capacity is unknown.
     pub awaits_report: bool,
     /// Since when the target's address refuses connections.
@@ -90,8 +87,6 @@
 /// Upper bound of a fencing token, which JSON numbers still represent exactly. Keeps a target that
 /// refuses every token from causing an overflow.
 const MAX_FENCING_TOKEN: u64 = 1 << 53;
-/// A healthy target answers each hold within its wait and a small margin; this covers both.
-const RECENT_ANSWER: Duration = Duration::from_millis(250);
 
 impl Target {
     pub fn new(report: TargetReport, now: Time) -> Self {
@@ -112,8 +107,7 @@
             last_end: now,
             is_overtaken: false,
             unconfirmed_leave: None,
-            failing_since: None,
-            unanswered_before_failure: false,
+            failure: None,
             awaits_report: false,
             unreachable_since: None,
             token_refusals: 0,
@@ -243,8 +237,9 @@
     /// Updates the known clock from an answer.
     pub fn sync_clock(&mut self, now: Time, clock_ms: u64) {
         self.unreachable_since = None;
-        // Only some commands are unanswered, so the target may have ended runs without a report.
-        self.unanswered_before_failure |= self.failing_since.is_some();
+        if let Some(failure) = &mut self.failure {
+            failure.record_answer();
+        }
         if clock_ms > 0 {
             self.clock = (clock_ms, now);
         }
@@ -274,39 +269,29 @@
     /// Records an answer to a hold.
     pub fn record_hold_answer(&mut self, now: Time) {
         self.last_hold_answer = now;
-        self.failing_since = None;
+        self.failure = None;
     }
 
-    /// Records since when commands are unanswered or undeliverable.
-    pub fn mark_failing(&mut self, now: Time, timing: &Timing) {
-        if self.failing_since.is_none() {
-            self.failing_since = Some(now);
-            self.unanswered_before_failure = self.had_unanswered(now, timing.unanswered_retention);
-        }
+    /// Records that the target's address refused a connection.
+    pub fn record_refused_connection(&mut self, now: Time, timing: &Timing) {
+        self.unreachable_since.get_or_insert(now);
+        self.mark_failing(now, timing);
     }
 
-    /// If the target has crashed: whether this run was active at that time. That is, it had started
-    /// and was not stopped before.
-    pub fn crashed_during(&self, now: Time, run: &Run) -> bool {
-        let was_running = match run.state {
-            RunState::Running => true,
-            RunState::Stopping(stop) => {
-                !stop.unconfirmed
-                    && self.failing_since.is_some_and(|since| since <= stop.first_sent)
-            }
-            RunState::Waiting | RunState::Starting => false,
-        };
-        was_running && !self.report.draining && self.reported_until_failure(now)
+    /// Records since when commands are unanswered or undeliverable.
+    fn mark_failing(&mut self, now: Time, timing: &Timing) {
+        let had_unanswered = self.had_unanswered(now, timing.unanswered_retention);
+        self.failure.get_or_insert_with(|| Failure::new(now, had_unanswered));
     }
 
-    /// Whether the target had reported all ended runs when it stopped answering. This holds if a
-    /// hold was answered shortly before, since a hold is answered at the first end; it is unknown
-    /// after a gap between holds, or if the target occasionally leaves commands unanswered.
-    fn reported_until_failure(&self, now: Time) -> bool {
-        let unanswered_before_failure =
-            self.failing_since.is_some() && self.unanswered_before_failure;
-        !unanswered_before_failure
-            && self.failing_since.unwrap_or(now).since(self.last_hold_answer) <= RECENT_ANSWER
+    /// What is known if the target has crashed.
+    pub fn crash_evidence(&self, now: Time, timing: &Timing) -> CrashEvidence {
+        CrashEvidence {
+            now,
+            last_hold_answer: self.last_hold_answer,
+            had_unanswered: self.had_unanswered(now, timing.unanswered_retention),
+            failure: self.failure,
+        }
     }
 
     /// Whether the target's lease has expired, with allowance for its clock.
--- a/components/runner/tests/support/mod.rs
+++ b/components/runner/tests/support/mod.rs
@@ -11,7 +11,7 @@
     Action, EndReason, Event, HoldCommand, HoldReply, RunKey, Runner, SessionId, StartCommand,
     StartReply, StopCommand, TargetEnd, TargetInstance, TargetReport, TargetRun, Timing,
 };
-use wire::{EmptiedHalls, StartTask, TaskEnd, TaskReport, ToAgent, ToEntry};
+use wire::{EmptiedHalls, StartTask, SuspectedTask, TaskEnd, TaskReport, ToAgent, ToEntry};
 
 pub const START: Time = Time::from_millis(1_000_000);
 pub const SESSION: SessionId = SessionId(1);
@@ -35,6 +35,10 @@
     pub sequence: u64,
     /// The lists of emptied halls that were sent to entries.
     pub halls_sent: Vec<(SessionId, EmptiedHalls)>,
+    /// The reports of suspected crashes: session, job of the task, number of crashes.
+    pub suspicions: Vec<(SessionId, String, u32)>,
+    /// The reports of tasks that ran at a crash: session, job of the task.
+    pub crashes: Vec<(SessionId, String)>,
 }
 
 impl Agent {
@@ -67,6 +71,8 @@
             loads: 0,
             sequence: 0,
             halls_sent: Vec::new(),
+            suspicions: Vec::new(),
+            crashes: Vec::new(),
         }
     }
 
@@ -90,6 +96,16 @@
                     self.loads += 1;
                 }
                 Action::Send(id, ToEntry::Halls(halls)) => self.halls_sent.push((id, halls)),
+                Action::Send(id, ToEntry::CrashSuspected(tasks)) => {
+                    let report = |SuspectedTask { task, crashes }: SuspectedTask| {
+                        (id, task.job.as_str().to_owned(), crashes)
+                    };
+                    self.suspicions.extend(tasks.into_iter().map(report));
+                }
+                Action::Send(id, ToEntry::TargetCrashed(tasks)) => {
+                    let jobs = tasks.iter().map(|task| task.job.as_str().to_owned());
+                    self.crashes.extend(jobs.map(|job| (id, job)));
+                }
                 Action::Send(..) | Action::Log(_) => {}
             }
         }
--- /dev/null
+++ b/components/runner/tests/suspected_crashes.rs
@@ -0,0 +1,110 @@
+//! Tasks that may have run when their target crashed. If they counted as running, a job whose task
+//! had ended would be answered as failed; if they didn't count, a task could crash any number of
+//! targets.
+
+mod support;
+
+use runner::{Event, HoldReply, RunKey, SessionId, StartReply, StopReply};
+use wire::{TaskEnd, ToAgent};
+
+use support::{Agent, SESSION, answer, no_runs, numbered_report, target};
+
+/// Exceeds the wait and the slack of a hold.
+const HOLD_TIMEOUT_MS: u64 = 170;
+/// Exceeds the lease of a target that refuses connections.
+const LEASE_MS: u64 = 1_500;
+
+/// An agent whose entry reads reports of suspected crashes and runs a task; returns its run.
+fn agent_with_running_task() -> (Agent, RunKey) {
+    let mut agent = Agent::new();
+    agent.handle(Event::EntryReadsSuspicions(SESSION));
+    agent.request("a", 1, 0);
+    let start = agent.take_starts().pop().expect("a start was sent");
+    (agent, start.key)
+}
+
+fn suspicion(session: SessionId, crashes: u32) -> (SessionId, String, u32) {
+    (session, "a".to_owned(), crashes)
+}
+
+/// Crashes the target and adopts the next instance, which runs nothing.
+fn adopt_next_instance(agent: &mut Agent, id: &str) {
+    agent.handle(Event::TargetReported(numbered_report(id, 1)));
+    assert!(answer(agent, id, no_runs()), "the next instance is probed");
+    agent.run_for(20);
+}
+
+/// Guards against crashes that nobody counts: a target that has left a start unanswered crashes
+/// within seconds, and its ends may be unreported.
+#[test]
+fn a_task_is_a_suspect_if_its_target_left_a_start_unanswered_before() {
+    let (mut agent, run) = agent_with_running_task();
+    agent.request("b", 1, 0);
+    let start = agent.starts.pop().expect("a start was sent");
+    agent.handle(Event::StartAnswered(start.key, StartReply::NoAnswer));
+    let resent = agent.starts.pop().expect("the start was sent again");
+    agent.handle(Event::StartAnswered(resent.key.clone(), StartReply::Accepted { clock_ms: 0 }));
+    agent.answer_outstanding_hold(&[&run, &resent.key], &[]);
+    agent.run_for(20);
+    adopt_next_instance(&mut agent, "t2");
+    assert_eq!(agent.ends(), [TaskEnd::Lost, TaskEnd::Lost]);
+    assert_eq!(agent.suspicions, [suspicion(SESSION, 1), (SESSION, "b".to_owned(), 1)]);
+}
+
+/// Guards against crashes that nobody counts: the entry stops the task after the crash, but before
+/// the agent notices the crash.
+#[test]
+fn a_task_that_was_stopped_before_the_crash_was_noticed_is_a_suspect() {
+    let (mut agent, run) = agent_with_running_task();
+    agent.run_for(50);
+    agent.handle(Event::FromEntry(SESSION, ToAgent::Stop(vec![run.task])));
+    agent.run_for(50);
+    agent.handle(Event::NoListener(target("t1")));
+    agent.run_for(LEASE_MS);
+    assert_eq!(agent.ends(), [TaskEnd::Lost]);
+    assert_eq!(agent.suspicions, [suspicion(SESSION, 1)]);
+}
+
+/// As above, but the next instance of the target, which has the same id, acknowledges the stop.
+#[test]
+fn a_stop_that_the_next_instance_acknowledges_does_not_hide_the_crash() {
+    let (mut agent, run) = agent_with_running_task();
+    agent.run_for(50);
+    agent.handle(Event::FromEntry(SESSION, ToAgent::Stop(vec![run.task])));
+    agent.run_for(10);
+    agent.handle(Event::NoListener(target("t1")));
+    let stop = agent.stops.pop().expect("a stop was sent");
+    agent.handle(Event::StopAnswered(stop.key, StopReply::Acknowledged));
+    agent.run_for(100);
+    assert_eq!(agent.ends(), [TaskEnd::Lost]);
+    assert_eq!(agent.suspicions, [suspicion(SESSION, 1)]);
+}
+
+/// As above, but the target acknowledges the stop and crashes before it lists the end.
+#[test]
+fn a_run_that_was_lost_before_the_crash_was_noticed_is_a_suspect_once() {
+    let (mut agent, run) = agent_with_running_task();
+    agent.run_for(50);
+    agent.handle(Event::FromEntry(SESSION, ToAgent::Stop(vec![run.task])));
+    let stop = agent.stops.pop().expect("a stop was sent");
+    agent.handle(Event::StopAnswered(stop.key, StopReply::Acknowledged));
+    agent.run_for(100);
+    assert_eq!(agent.ends(), [TaskEnd::Lost]);
+    assert!(agent.suspicions.is_empty(), "the target may be healthy");
+    agent.handle(Event::NoListener(target("t1")));
+    agent.run_for(20);
+    assert_eq!(agent.suspicions, [suspicion(SESSION, 1)]);
+    adopt_next_instance(&mut agent, "t2");
+    assert_eq!(agent.suspicions.len(), 1, "each crash counts once");
+}
+
+/// A target that only leaves commands unanswered has not crashed.
+#[test]
+fn tasks_of_a_silent_target_are_no_suspects() {
+    let (mut agent, _) = agent_with_running_task();
+    agent.run_for(HOLD_TIMEOUT_MS);
+    assert!(answer(&mut agent, "t1", HoldReply::NoAnswer));
+    agent.run_for(LEASE_MS);
+    assert_eq!(agent.ends(), [TaskEnd::Lost]);
+    assert!(agent.suspicions.is_empty());
+}
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -30,6 +30,6 @@
     WatchReply, WatchRequest,
 };
 pub use session::{
-    AgentProfile, Demand, Load, MAX_DEMAND_ROWS, Refusal, StartTask, TaskEnd, TaskReport, ToAgent,
-    ToEntry,
+    AgentProfile, Demand, Load, MAX_DEMAND_ROWS, Refusal, StartTask, SuspectedTask, TaskEnd,
+    TaskReport, ToAgent, ToEntry,
 };
--- a/components/wire/src/session.rs
+++ b/components/wire/src/session.rs
@@ -183,7 +183,17 @@
     pub ran_ms: u32,
 }
 
-/// A message from an agent to an entry.
+/// A task that may have run when the target crashed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectedTask {
+    /// The id of the task.
+    pub task: TaskId,
+    /// Number of recent crashes of this agent's target at which the task may have run.
+    pub crashes: u32,
+}
+
+/// A message from an agent to an entry. As with [`ToAgent`], variants that were added later are sent
+/// only to an entry that has announced that it can read them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ToEntry {
     /// Opens the session; sent again when the agent's target changes.
@@ -214,6 +224,10 @@
     /// The target has crashed while these tasks, of any entry, were running. Sent to all entries,
     /// since clients may resubmit the jobs anywhere.
     TargetCrashed(Vec<TaskId>),
+    /// The target has crashed, and these tasks, of any entry, may have been running: it had left
+    /// commands unanswered before, so that they may have ended unreported. Sent to all entries that
+    /// have announced by an empty first batch that they read this message.
+    CrashSuspected(Vec<SuspectedTask>),
 }
 
 impl ToAgent {
@@ -242,6 +256,7 @@
             Self::DocumentPart(_) => "document-part",
             Self::Halls(_) => "halls",
             Self::TargetCrashed(_) => "target-crashed",
+            Self::CrashSuspected(_) => "crash-suspected",
         }
     }
 }
--- a/daemon/src/capacity/agent.rs
+++ b/daemon/src/capacity/agent.rs
@@ -286,6 +286,7 @@
         for (end, count) in ends {
             page.value("tasks_ended_total", &format!("{{end=\"{end}\"}}"), count);
         }
+        page.value("crashes_suspected_total", "", counters.suspected_crashes);
         page.value("starts_without_room_total", "", counters.starts_without_capacity);
         page.value("starts_unanswered_total", "", counters.unanswered_starts);
         page.value("offers_total", "", counters.offers);
--- a/daemon/src/capacity/agent_log.rs
+++ b/daemon/src/capacity/agent_log.rs
@@ -105,6 +105,11 @@
             Budget::Full,
             || json!({"job": task.job.as_str(), "task": task.index}),
         ),
+        LogEvent::CrashSuspected(task) => log.line(
+            "crash-suspected",
+            Budget::Full,
+            || json!({"job": task.job.as_str(), "task": task.index}),
+        ),
         LogEvent::Orphan(task) => log.line(
             "orphan",
             Budget::Full,
--- a/daemon/src/capacity/agent_sessions.rs
+++ b/daemon/src/capacity/agent_sessions.rs
@@ -121,7 +121,9 @@
         self.record_session(address, Some(id));
         let receiver = self.clone();
         let on_received = move |received: Received<ToAgent>| {
-            let Received::Message(message) = received else { return };
+            let Received::Message(message) = received else {
+                return receiver.handle_event(Event::EntryReadsSuspicions(id));
+            };
             receiver.message_counters.record_received(message.kind());
             receiver.handle_event(Event::FromEntry(id, message));
         };
--- a/daemon/src/capacity/entry.rs
+++ b/daemon/src/capacity/entry.rs
@@ -166,7 +166,7 @@
                     message => Event::FromAgent(id, message),
                 });
             };
-            session::run(stream, queue, on_received).await;
+            session::run(stream, queue.announced(), on_received).await;
             entry.agent_sessions.borrow_mut().remove(&id);
             entry.handle_event(Event::AgentClosed(id));
             entry.notify_watch(id, AgentEvent::Gone);
--- a/daemon/tests/session_builds.rs
+++ b/daemon/tests/session_builds.rs
@@ -9,11 +9,14 @@
 use async_io::Async;
 use futures::{SinkExt, StreamExt};
 use futures_lite::FutureExt;
-use model::{JobId, Resources, TaskId, Time};
+use model::{JobId, NodeName, Resources, TaskId, Time};
 use net::FramedTransport;
 use serde::{Deserialize, Serialize};
 use session::{Received, SessionSender};
-use wire::{Demand, EmptiedHalls, PartRequest, StartTask, ToAgent, ToEntry};
+use wire::{
+    AgentProfile, Demand, DocumentPart, EmptiedHalls, Load, PartRequest, StartTask, SuspectedTask,
+    TaskEnd, TaskReport, ToAgent, ToEntry,
+};
 
 // A private module of the daemon, included to test it directly.
 #[path = "../src/capacity/session.rs"]
@@ -33,6 +36,18 @@
     Halls(EmptiedHalls),
 }
 
+/// The messages to entries in builds that know no suspected crashes.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum OldToEntry {
+    Hello { profile: AgentProfile, document: u64, halls: EmptiedHalls },
+    Load(Load),
+    Ended { reports: Vec<TaskReport>, load: Load },
+    Cancelled(JobId),
+    DocumentPart(Option<DocumentPart>),
+    Halls(EmptiedHalls),
+    TargetCrashed(Vec<TaskId>),
+}
+
 const CLOCK: Time = Time::from_millis(7);
 
 fn listener() -> (TcpListener, SocketAddr) {
@@ -160,6 +175,95 @@
     });
 }
 
+/// Guards against an old agent that closes the session of a new entry because it cannot read the
+/// announcement, or that reads other messages than were sent.
+#[test]
+fn an_old_agent_reads_the_session_of_a_new_entry() {
+    let (listener, address) = listener();
+    net::block_on(|tasks| async move {
+        let stream = Async::<std::net::TcpStream>::connect(address).await.expect("connects");
+        let (accepted, _) = listener.accept().expect("the connection is accepted");
+        let accepted = Async::new(accepted).expect("the socket is usable");
+        let (to_agent, from_agent) = received::<ToEntry>(accepted, &tasks, true);
+        let mut agent: FramedTransport<Vec<OldToAgent>, Vec<OldToEntry>> =
+            net::framed_transport(stream);
+        // What an old agent does with a batch: it passes on each message, of which there are none.
+        let first = within_timeout(agent.next()).await;
+        assert_eq!(first.expect("the session is open").expect("it is readable"), Vec::new());
+        assert!(to_agent.send(ToAgent::Heartbeat { agent_clock: CLOCK }));
+        let second = within_timeout(agent.next()).await;
+        let second = second.expect("the session is open").expect("it is readable");
+        assert_eq!(second, [OldToAgent::Heartbeat { agent_clock: CLOCK }]);
+        let task = TaskId { job: JobId::new("a"), index: 2 };
+        let crashed = vec![OldToEntry::TargetCrashed(vec![task.clone()])];
+        within_timeout(agent.send(crashed)).await.expect("the message is sent");
+        let heard = within_timeout(from_agent.recv()).await;
+        assert_eq!(heard, Ok(Some(ToEntry::TargetCrashed(vec![task]))));
+    });
+}
+
+/// Guards against an announcement of an entry that a new agent misses, and against reports of
+/// suspected crashes that a new entry cannot read.
+#[test]
+fn a_new_agent_reads_the_announcement_of_a_new_entry() {
+    let (listener, address) = listener();
+    net::block_on(|tasks| async move {
+        let stream = Async::<std::net::TcpStream>::connect(address).await.expect("connects");
+        let (accepted, _) = listener.accept().expect("the connection is accepted");
+        let accepted = Async::new(accepted).expect("the socket is usable");
+        let (to_agent, from_agent) = received::<ToEntry>(accepted, &tasks, true);
+        let (to_entry, from_entry) = received::<ToAgent>(stream, &tasks, true);
+        assert!(to_agent.send(ToAgent::Heartbeat { agent_clock: CLOCK }));
+        let heard = [
+            within_timeout(from_entry.recv()).await.expect("the session is open"),
+            within_timeout(from_entry.recv()).await.expect("the session is open"),
+        ];
+        assert_eq!(heard, [None, Some(ToAgent::Heartbeat { agent_clock: CLOCK })]);
+        let task = TaskId { job: JobId::new("a"), index: 2 };
+        let suspected = ToEntry::CrashSuspected(vec![SuspectedTask { task, crashes: 1 }]);
+        assert!(to_entry.send(suspected.clone()));
+        assert_eq!(within_timeout(from_agent.recv()).await, Ok(None), "the agent's announcement");
+        assert_eq!(within_timeout(from_agent.recv()).await, Ok(Some(suspected)));
+    });
+}
+
+/// As below, for messages to entries.
+#[test]
+fn messages_to_old_entries_keep_their_encoding() {
+    let profile = AgentProfile {
+        node: NodeName::new("agent"),
+        service: "service".into(),
+        hall: "hall".into(),
+        labels: vec!["label".into()],
+        capacity: Resources { cpu_milli: 1_600, memory_mb: 64, gpu: 0 },
+    };
+    let (job, halls, load) = (JobId::new("a"), EmptiedHalls::default(), Load::default());
+    let tasks = vec![TaskId { job: job.clone(), index: 2 }];
+    let report =
+        TaskReport { task: tasks[0].clone(), sequence: 1, end: TaskEnd::Crashed, ran_ms: 5 };
+    let reports = vec![report];
+    let pairs = [
+        (
+            ToEntry::Hello { profile: profile.clone(), document: 3, halls: halls.clone() },
+            OldToEntry::Hello { profile, document: 3, halls: halls.clone() },
+        ),
+        (ToEntry::Load(load), OldToEntry::Load(load)),
+        (ToEntry::Ended { reports: reports.clone(), load }, OldToEntry::Ended { reports, load }),
+        (ToEntry::Cancelled(job.clone()), OldToEntry::Cancelled(job)),
+        (ToEntry::DocumentPart(None), OldToEntry::DocumentPart(None)),
+        (ToEntry::Halls(halls.clone()), OldToEntry::Halls(halls)),
+        (ToEntry::TargetCrashed(tasks.clone()), OldToEntry::TargetCrashed(tasks.clone())),
+    ];
+    for (new, old) in pairs {
+        let encoded = bincode::serialize(&new).expect("messages can be encoded");
+        assert_eq!(encoded, bincode::serialize(&old).expect("messages can be encoded"), "{new:?}");
+    }
+    let suspected = vec![SuspectedTask { task: tasks[0].clone(), crashes: 1 }];
+    let encoded = bincode::serialize(&ToEntry::CrashSuspected(suspected));
+    let encoded = encoded.expect("messages can be encoded");
+    assert!(bincode::deserialize::<OldToEntry>(&encoded).is_err(), "old builds cannot read it");
+}
+
 /// Guards against a variant or a field that is inserted among the known ones, which old builds
 /// would read as other messages.
 #[test]
--- a/soak/src/capacity/entry_link.rs
+++ b/soak/src/capacity/entry_link.rs
@@ -86,7 +86,7 @@
                 None
             }
             // A few bytes that precede all messages of the session.
-            Packet::ReadsDemand => Some(packet),
+            Packet::ReadsDemand | Packet::ReadsSuspicions => Some(packet),
             Packet::CloseAtEntry | Packet::CloseAtAgent => {
                 link.drop_session(number);
                 Some(packet)
--- a/soak/src/capacity/session.rs
+++ b/soak/src/capacity/session.rs
@@ -22,7 +22,15 @@
     ToEntry(ToEntry),
     /// The empty first batch of an agent that reads reports of waiting work.
     ReadsDemand,
+    /// The empty first batch of an entry that reads reports of suspected crashes.
+    ReadsSuspicions,
     /// The other side has closed the session.
     CloseAtAgent,
     CloseAtEntry,
 }
+
+impl Packet {
+    pub fn is_to_agent(&self) -> bool {
+        matches!(self, Self::ToAgent(_) | Self::ReadsSuspicions | Self::CloseAtAgent)
+    }
+}
--- a/soak/src/capacity/transport.rs
+++ b/soak/src/capacity/transport.rs
@@ -44,6 +44,7 @@
         if !self.old_builds.agents.contains(&agent) {
             self.send_packet(number, Packet::ReadsDemand);
         }
+        self.send_packet(number, Packet::ReadsSuspicions);
         self.deliver_to_agent(agent, runner::Event::SessionOpened(runner::SessionId(at_agent)));
     }
 
@@ -60,7 +61,7 @@
         let delay = self.network_delay();
         let session = self.sessions[number];
         let cut = self.cut_until.get(&(session.entry, session.agent)).copied().unwrap_or_default();
-        let to_agent = matches!(packet, Packet::ToAgent(_) | Packet::CloseAtAgent);
+        let to_agent = packet.is_to_agent();
         let session = &mut self.sessions[number];
         let last = if to_agent { &mut session.last_to_agent } else { &mut session.last_to_entry };
         let arrives = (self.now.max(cut) + delay).max(*last);
@@ -88,7 +89,7 @@
 
     pub(super) fn deliver_packet(&mut self, number: usize, packet: Packet) {
         let Session { entry, agent, open_at_entry, open_at_agent, .. } = self.sessions[number];
-        let to_agent = matches!(packet, Packet::ToAgent(_) | Packet::CloseAtAgent);
+        let to_agent = packet.is_to_agent();
         let paused_until = if to_agent {
             self.agents[agent].paused_until
         } else {
@@ -117,6 +118,11 @@
                 let event = dispatch::Event::AgentReadsDemand(dispatch::SessionId(id));
                 self.deliver_to_entry(entry, event);
             }
+            Packet::ReadsSuspicions if open_at_agent => {
+                let Some(id) = find(&self.agents[agent].sessions) else { return };
+                let event = runner::Event::EntryReadsSuspicions(runner::SessionId(id));
+                self.deliver_to_agent(agent, event);
+            }
             Packet::CloseAtAgent if open_at_agent => {
                 self.sessions[number].open_at_agent = false;
                 let Some(id) = find(&self.agents[agent].sessions) else { return };
