Soak: run on while clients still wait for an answer

Cause: all jobs had to be answered and all runs ended 24 s after the start, although a client may submit its job for the second or third time shortly before that.

Change: the run goes on until the last deadline of an open request has passed, and 2 s longer. Then all jobs have to be answered and all runs ended as before. This is as strict: each request still has to be answered by its deadline.

--- a/soak/src/capacity/simulation.rs
+++ b/soak/src/capacity/simulation.rs
@@ -37,8 +37,10 @@
 pub(super) const CALM_START: Duration = Duration::from_millis(13_500);
 /// Time by which all jobs are submitted.
 const CALM_END: Duration = Duration::from_millis(15_500);
-/// End of the run; all jobs have to be answered by then.
+/// End of the run, unless clients that have submitted again late still wait for an answer.
 const RUN_END: Duration = Duration::from_secs(24);
+/// Time after the last deadline in which nothing of the jobs may run any more.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
 /// Interval at which targets end the runs that are due.
 pub(super) const TARGET_TICK: Duration = Duration::from_millis(5);
 pub(super) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -369,6 +371,9 @@
     /// Runs to the end and returns the counters, or the violations found.
     pub fn run(mut self) -> Result<CapacitySummary, Vec<Violation>> {
         self.run_until(START + RUN_END);
+        while let Some(deadline) = self.latest_deadline() {
+            self.run_until(deadline + SETTLE_TIME);
+        }
         self.check_end();
         match self.checks.violations.is_empty() {
             true => Ok(self.checks.summary),
@@ -376,6 +381,13 @@
         }
     }
 
+    /// The latest deadline of the open requests that have not reached theirs.
+    fn latest_deadline(&self) -> Option<Time> {
+        let open = self.clients.values().filter(|client| client.pending_call.is_some());
+        let deadlines = open.map(|client| client.last_submitted + client.request.deadline);
+        deadlines.filter(|deadline| *deadline >= self.now).max()
+    }
+
     fn check_end(&mut self) {
         self.check_halls_end();
         let now = self.now;
