--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -192,6 +192,18 @@
     }
 }
 
+/// Guards against a task that crashes target after target because entries are not told of crashes at
+/// agents that don't serve them.
+#[test]
+fn seeds_of_crashes_that_an_entry_is_not_told_of_hold() {
+    let seeds = [17_184, 1_014_423, 1_027_223, 1_038_981];
+    let failed = |seed: &u64| {
+        run_capacity(&Options { unstable_targets: true, ..Options::new(*seed) }).is_err()
+    };
+    let failed: Vec<u64> = seeds.into_iter().filter(failed).collect();
+    assert!(failed.is_empty(), "{failed:?}");
+}
+
 /// Guards against broken rules where targets differ in speed and get another one with a new
 /// instance, jobs name a rack, entries receive unequal shares of the jobs, and refused clients
 /// return to another entry.
