Tell suspected crashes apart by when the agent noticed them

Callers would see: a task that crashed the same target twice was counted once if the agent was restarted in between, and started once more.

Cause: agents reported the number of crashes at which a task may have run, and entries kept the highest number of each agent. A restarted agent counts from one again.

Change: a report names the task and the agent's time of the crash, and entries count each time once.

--- a/components/dispatch/src/crashes.rs
+++ b/components/dispatch/src/crashes.rs
@@ -9,7 +9,7 @@
 //! still running. Such suspected crashes count as well, or a task could crash any number of targets,
 //! but they don't show that its job has failed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use model::{JobId, NodeName, TaskId, Time};
@@ -20,19 +20,19 @@
 
 /// Number of targets that crashed under a task after which its job has failed, as every further
 /// start may cost all tasks of another target.
-const MAX_CRASHES: u32 = 2;
+const MAX_CRASHES: usize = 2;
 /// As [`MAX_CRASHES`], with suspected crashes: one more, as the task may have run at none of them.
-const MAX_SUSPECTED_CRASHES: u32 = 3;
+const MAX_SUSPECTED_CRASHES: usize = 3;
 /// How long a crash is remembered: long enough for clients to submit the job again several times.
 const CRASH_RETENTION: Duration = Duration::from_secs(20);
 
 /// The crashes of one agent's target under a task.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Debug, Default)]
 struct AgentCrashes {
     /// Whether the task ran at a crash. The agent then refuses to start it again.
     confirmed: bool,
-    /// Number of further crashes at which the task may have run.
-    suspected: u32,
+    /// When the agent noticed further crashes at which the task may have run, by its clock.
+    suspected: BTreeSet<Time>,
 }
 
 /// The crashes under one task.
@@ -56,8 +56,8 @@
     /// How the job of a task ends; `None` if the task may start again.
     fn outcome(&self, task: &TaskId) -> Option<Outcome> {
         let by_agent = &self.0.get(task)?.by_agent;
-        let confirmed = by_agent.values().filter(|crashes| crashes.confirmed).count() as u32;
-        let suspected: u32 = by_agent.values().map(|crashes| crashes.suspected).sum();
+        let confirmed = by_agent.values().filter(|crashes| crashes.confirmed).count();
+        let suspected: usize = by_agent.values().map(|crashes| crashes.suspected.len()).sum();
         if confirmed >= MAX_CRASHES {
             return Some(Outcome::Failed(Reason::CrashesTargets));
         }
@@ -100,10 +100,9 @@
         tasks: &[SuspectedTask],
         actions: &mut Vec<Action>,
     ) {
-        for SuspectedTask { task, crashes } in tasks {
+        for SuspectedTask { task, noticed_at } in tasks {
             if let Some(agent) = self.agent_name(id) {
-                let known = self.crashes.of_agent(now, task, agent);
-                known.suspected = known.suspected.max(*crashes);
+                self.crashes.of_agent(now, task, agent).suspected.insert(*noticed_at);
             }
             self.end_crashing_job(now, &task.job, actions);
         }
--- a/components/runner/src/crashed_tasks.rs
+++ b/components/runner/src/crashed_tasks.rs
@@ -22,8 +22,8 @@
 struct TaskCrashes {
     /// Whether the task ran at one of them.
     confirmed: bool,
-    /// Number of further ones at which it may have run.
-    suspected: u32,
+    /// When further ones were noticed at which it may have run.
+    suspected: Vec<Time>,
     expires: Time,
 }
 
@@ -39,7 +39,7 @@
 
     /// Whether the target has crashed and may have run a task at that time.
     pub fn is_suspected(&self, task: &TaskId) -> bool {
-        self.0.get(task).is_some_and(|crashes| crashes.suspected > 0)
+        self.0.get(task).is_some_and(|crashes| !crashes.suspected.is_empty())
     }
 
     pub fn expire(&mut self, now: Time) {
@@ -49,7 +49,7 @@
     /// Records a crash under these tasks.
     fn record(&mut self, now: Time, confirmed: &[TaskId], suspected: &[TaskId]) {
         confirmed.iter().for_each(|task| self.of_task(now, task).confirmed = true);
-        suspected.iter().for_each(|task| self.of_task(now, task).suspected += 1);
+        suspected.iter().for_each(|task| self.of_task(now, task).suspected.push(now));
     }
 
     fn of_task(&mut self, now: Time, task: &TaskId) -> &mut TaskCrashes {
@@ -63,14 +63,13 @@
         confirmed.map(|(task, _)| task.clone()).collect()
     }
 
-    fn suspected(&self, is_wanted: impl Fn(&TaskId) -> bool) -> Vec<SuspectedTask> {
-        let suspected = self.0.iter().filter(|(_, crashes)| crashes.suspected > 0);
-        let wanted = suspected.filter(|(task, _)| is_wanted(task));
-        let report = |(task, crashes): (&TaskId, &TaskCrashes)| SuspectedTask {
-            task: task.clone(),
-            crashes: crashes.suspected,
+    fn suspected(&self) -> Vec<SuspectedTask> {
+        let of_task = |(task, crashes): (&TaskId, &TaskCrashes)| {
+            let report =
+                |noticed_at: &Time| SuspectedTask { task: task.clone(), noticed_at: *noticed_at };
+            crashes.suspected.iter().map(report).collect::<Vec<SuspectedTask>>()
         };
-        wanted.map(report).collect()
+        self.0.iter().flat_map(of_task).collect()
     }
 }
 
@@ -111,7 +110,7 @@
         let confirmed: Vec<TaskId> = crash.tasks_with(RunAtCrash::Active).collect();
         self.crashed_tasks.record(now, &confirmed, &suspected);
         self.notify_of_crashes(&confirmed, actions);
-        self.notify_of_suspected_crashes(&suspected, actions);
+        self.notify_of_suspected_crashes(now, &suspected, actions);
         for (task, run) in &crash.runs {
             let end = match run {
                 RunAtCrash::Active => TaskEnd::Crashed,
@@ -144,16 +143,22 @@
         actions.extend(self.sessions.keys().map(|id| Action::Send(*id, message())));
     }
 
-    fn notify_of_suspected_crashes(&mut self, tasks: &[TaskId], actions: &mut Vec<Action>) {
+    fn notify_of_suspected_crashes(
+        &mut self,
+        now: Time,
+        tasks: &[TaskId],
+        actions: &mut Vec<Action>,
+    ) {
         if tasks.is_empty() {
             return;
         }
         self.counters.suspected_crashes += tasks.len() as u64;
         let events = tasks.iter().map(|task| LogEvent::CrashSuspected(task.clone()));
         actions.extend(events.map(Action::Log));
-        let suspected = self.crashed_tasks.suspected(|task| tasks.contains(task));
+        let report = |task: &TaskId| SuspectedTask { task: task.clone(), noticed_at: now };
+        let reports: Vec<SuspectedTask> = tasks.iter().map(report).collect();
         let readers = self.sessions.iter().filter(|(_, session)| session.reads_suspicions);
-        let message = || ToEntry::CrashSuspected(suspected.clone());
+        let message = || ToEntry::CrashSuspected(reports.clone());
         actions.extend(readers.map(|(id, _)| Action::Send(*id, message())));
     }
 
@@ -170,7 +175,7 @@
     pub(crate) fn enable_suspicions(&mut self, id: SessionId, actions: &mut Vec<Action>) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         session.reads_suspicions = true;
-        let suspected = self.crashed_tasks.suspected(|_| true);
+        let suspected = self.crashed_tasks.suspected();
         if !suspected.is_empty() {
             actions.push(Action::Send(id, ToEntry::CrashSuspected(suspected)));
         }
--- a/components/wire/src/session.rs
+++ b/components/wire/src/session.rs
@@ -183,13 +183,14 @@
     pub ran_ms: u32,
 }
 
-/// A task that may have run when the target crashed.
+/// A task that may have run when the target crashed, once.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectedTask {
     /// The id of the task.
     pub task: TaskId,
-    /// Number of recent crashes of this agent's target at which the task may have run.
-    pub crashes: u32,
+    /// When the agent noticed the crash, by its clock. Identifies the crash, as it is reported again
+    /// to an entry that connects later.
+    pub noticed_at: Time,
 }
 
 /// A message from an agent to an entry. As with [`ToAgent`], variants that were added later are sent
