Say what the crash reason and the end of lost runs cover

Cause: the reason crashes-targets now stands for suspected crashes too, and the end of lost runs also settles runs that were lost before the crash was noticed; their comments named neither.

Change: two doc comments.

--- a/components/dispatch/src/event.rs
+++ b/components/dispatch/src/event.rs
@@ -91,7 +91,7 @@
     AttemptsExhausted,
     /// A task ended too often without a result.
     TooManyLosses,
-    /// A task has crashed the maximum number of targets.
+    /// A task has crashed the maximum number of targets, or may have.
     CrashesTargets,
     /// The client's deadline has passed.
     Deadline,
--- a/components/runner/src/hold.rs
+++ b/components/runner/src/hold.rs
@@ -93,7 +93,8 @@
     }
 
     /// Ends runs of which nothing more can be learned. The target has crashed if its address refuses
-    /// connections; one that accepts them but does not answer may be healthy, and its tasks too.
+    /// connections, also under the runs that were lost since its last answer. One that accepts
+    /// connections but does not answer may be healthy, and its tasks too.
     pub(crate) fn end_lost_runs(&mut self, now: Time, tasks: &[TaskId], actions: &mut Vec<Action>) {
         let has_crashed =
             |target: &&Target| target.unreachable_since.is_some() && !target.report.draining;
