Take back the smaller share of returning clients

Cause: with returns limited to half of the throughput, clients of a deployment whose load stays near the capacity are told to come later than they wait at all.

--- a/components/dispatch/src/retry_schedule.rs
+++ b/components/dispatch/src/retry_schedule.rs
@@ -18,9 +18,8 @@
 const MAX_DELAY_SECONDS: usize = 8;
 /// Maximum retry delay.
 pub(crate) const MAX_RETRY_AFTER: Duration = Duration::from_secs(MAX_DELAY_SECONDS as u64);
-/// Fraction of the throughput that may be assigned to each second. The rest is left to new jobs, which
-/// the returning ones would displace.
-const RETRY_FRACTION: f64 = 0.5;
+/// Fraction of the throughput that may be assigned to each second.
+const RETRY_FRACTION: f64 = 0.8;
 /// Fraction of that share that is open to all priorities. The rest is kept for the most urgent
 /// clients, so that they return first.
 const COMMON_FRACTION: f64 = 0.6;
