Shorten the head of the crash counts and give the second limit its reason

Cause: the head of the module had ten lines, half of which belong to one constant.

Change: comments only.

Measured: nothing to measure; formatting passes.

--- a/components/dispatch/src/crashes.rs
+++ b/components/dispatch/src/crashes.rs
@@ -1,13 +1,8 @@
 //! Tracks tasks that crash the targets which run them.
 //!
-//! A task may crash every target that starts it, and its client submits the job again when it gets
-//! no answer. So crashes are remembered after the job has ended, and agents report each crash to
-//! all of their entries. A task that merely ran beside the cause of a crash is unlikely to be in
-//! a second one before the first is forgotten.
-//!
-//! If a target left commands unanswered before it crashed, its agent cannot tell which tasks were
-//! still running. Such suspected crashes count as well, or a task could crash any number of targets,
-//! but they don't show that its job has failed.
+//! A task may crash every target that starts it, and its client submits the job again. So crashes
+//! are remembered after the job has ended, and agents report each one to all of their entries. A
+//! task that merely ran beside the cause is unlikely to be in a second crash soon.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -21,7 +16,9 @@
 /// Number of targets that crashed under a task after which its job has failed, as every further
 /// start may cost all tasks of another target.
 const MAX_CRASHES: usize = 2;
-/// As [`MAX_CRASHES`], with suspected crashes: one more, as the task may have run at none of them.
+/// Number of crashes, suspected or confirmed, after which a task is not started again. An agent only
+/// suspects a task that may have ended before the crash; without a limit on these, a task could
+/// crash any number of targets. They don't show that its job has failed.
 const MAX_SUSPECTED_CRASHES: usize = 3;
 /// How long a crash is remembered: long enough for clients to submit the job again several times.
 const CRASH_RETENTION: Duration = Duration::from_secs(20);
