Log a target's leave, refused connections, and what showed its end

Cause: `target-gone` was logged alike for a deregistration, for the answer of another instance to a command, and for the first answer of the next instance.

Change: `target-left` with the runs that the target may still have, `target-unreachable` once per failure, and the evidence in `target-gone` (`why`). `dockpass explain` lists both events. No decision changes.

--- a/components/explain/src/history.rs
+++ b/components/explain/src/history.rs
@@ -5,7 +5,7 @@
 use crate::Line;
 
 /// Events of nodes that can explain the outcome of a job.
-const CONTEXT_EVENTS: [&str; 16] = [
+const CONTEXT_EVENTS: [&str; 18] = [
     "start",
     "stop",
     "draining",
@@ -14,6 +14,8 @@
     "agent-lost",
     "agent-open",
     "session-lost",
+    "target-left",
+    "target-unreachable",
     "target-gone",
     "target-silent",
     "target-heard",
--- a/components/runner/src/commands.rs
+++ b/components/runner/src/commands.rs
@@ -6,7 +6,8 @@
 use wire::{Refusal, TaskEnd};
 
 use crate::event::{
-    Action, LogEvent, RunKey, StartCommand, StartRefusal, StartReply, StopCommand, StopReply,
+    Action, EndEvidence, LogEvent, RunKey, StartCommand, StartRefusal, StartReply, StopCommand,
+    StopReply,
 };
 use crate::run::{Run, RunState, Stopping};
 use crate::runner::{Runner, log_health_change};
@@ -130,7 +131,9 @@
                 }
                 self.end_run(now, &key.task, TaskEnd::NotRun(Refusal::Target), actions);
             }
-            StartReply::OtherInstance => self.target_gone(now, actions),
+            StartReply::OtherInstance => {
+                self.target_gone(now, EndEvidence::OtherAnsweredStart, actions)
+            }
             StartReply::NoAnswer => self.start_unanswered(now, &key.task, stopping, actions),
         }
     }
@@ -230,7 +233,9 @@
             (StopReply::Acknowledged, RunState::Stopping(stopping)) => {
                 stopping.acknowledged.get_or_insert(now);
             }
-            (StopReply::OtherInstance, _) => self.target_gone(now, actions),
+            (StopReply::OtherInstance, _) => {
+                self.target_gone(now, EndEvidence::OtherAnsweredStop, actions)
+            }
             _ => {}
         }
     }
--- a/components/runner/src/event.rs
+++ b/components/runner/src/event.rs
@@ -308,6 +308,34 @@
     Log(LogEvent),
 }
 
+/// What shows that a target instance has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndEvidence {
+    /// The instance announced its end.
+    Left,
+    /// Another instance listens at the target's address: it answered a start.
+    OtherAnsweredStart,
+    /// Another instance answered a stop.
+    OtherAnsweredStop,
+    /// Another instance answered a hold.
+    OtherAnsweredHold,
+    /// The next instance, which had reported, answered a hold.
+    NextAnswered,
+}
+
+impl EndEvidence {
+    /// The name in the log.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Left => "left",
+            Self::OtherAnsweredStart => "other-answered-start",
+            Self::OtherAnsweredStop => "other-answered-stop",
+            Self::OtherAnsweredHold => "other-answered-hold",
+            Self::NextAnswered => "next-answered",
+        }
+    }
+}
+
 /// A decision or a change of state, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LogEvent {
@@ -318,12 +346,26 @@
         /// Fencing token of the agent's commands to this instance.
         fencing_token: u64,
     },
+    /// The target instance has announced that it ends now.
+    TargetLeft {
+        /// The instance.
+        instance: TargetInstance,
+        /// Number of runs that the target may still have.
+        active: usize,
+        /// Number of runs that wait for capacity; they are refused.
+        waiting: usize,
+    },
+    /// A command could not be delivered: the target's address refuses connections. Not repeated
+    /// until the target answers again.
+    TargetUnreachable(TargetInstance),
     /// The target instance has ended.
     InstanceEnded {
         /// The instance.
         instance: TargetInstance,
         /// Number of runs that ended with the instance.
         lost: usize,
+        /// What showed that it has ended.
+        evidence: EndEvidence,
     },
     /// An unknown instance reported while another one is in use; it is probed with a hold.
     CandidateProbed(TargetInstance),
--- a/components/runner/src/hold.rs
+++ b/components/runner/src/hold.rs
@@ -9,8 +9,8 @@
 
 use crate::crashed_tasks::CrashVerdict;
 use crate::event::{
-    Action, EndReason, HoldCommand, HoldReply, LogEvent, RunKey, StopCommand, TargetEnd,
-    TargetInstance, TargetRun,
+    Action, EndEvidence, EndReason, HoldCommand, HoldReply, LogEvent, RunKey, StopCommand,
+    TargetEnd, TargetInstance, TargetRun,
 };
 use crate::run::{Run, RunState};
 use crate::runner::Runner;
@@ -158,7 +158,9 @@
                 target.next_hold_at = now + HOLD_RETRY_DELAY;
                 target.raise_fencing_token(now);
             }
-            HoldReply::OtherInstance => self.target_gone(now, actions),
+            HoldReply::OtherInstance => {
+                self.target_gone(now, EndEvidence::OtherAnsweredHold, actions)
+            }
             HoldReply::NoAnswer => {
                 target.record_unanswered(now, &self.timing);
                 target.next_hold_at = sent + HOLD_RETRY_DELAY;
--- a/components/runner/src/instances.rs
+++ b/components/runner/src/instances.rs
@@ -8,7 +8,9 @@
 use model::{TaskId, Time};
 use wire::Refusal;
 
-use crate::event::{Action, HoldReply, LogEvent, TargetInstance, TargetReport, TargetRun};
+use crate::event::{
+    Action, EndEvidence, HoldReply, LogEvent, TargetInstance, TargetReport, TargetRun,
+};
 use crate::hold::LISTING_DELAY;
 use crate::run::{Run, RunState};
 use crate::runner::Runner;
@@ -127,7 +129,8 @@
     ) {
         if let Some(target) = self.target.as_mut().filter(|target| target.instance() == instance) {
             target.report.draining = true;
-            return self.target_gone(now, actions);
+            self.log_leave(actions);
+            return self.target_gone(now, EndEvidence::Left, actions);
         }
         if let Some(target) = &mut self.target
             && target.instance().may_match(instance)
@@ -135,6 +138,7 @@
             // The leave may be a late one of an earlier instance. If the current instance has
             // ended, it answers no more holds, and its lease expires.
             target.unconfirmed_leave = Some(now);
+            self.log_leave(actions);
             self.refuse_waiting(now, Refusal::Closed, actions);
             return self.mark_load_changed();
         }
@@ -142,13 +146,29 @@
         self.remember_ended_instance(instance.clone());
     }
 
+    fn log_leave(&self, actions: &mut Vec<Action>) {
+        let Some(target) = &self.target else { return };
+        let (waiting, active) = self.run_counts();
+        let instance = target.instance().clone();
+        actions.push(Action::Log(LogEvent::TargetLeft { instance, active, waiting }));
+    }
+
     /// Records that the target's address refused a connection.
-    pub(crate) fn target_unreachable(&mut self, now: Time, instance: &TargetInstance) {
-        if let Some(target) =
+    pub(crate) fn target_unreachable(
+        &mut self,
+        now: Time,
+        instance: &TargetInstance,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(target) =
             self.target.as_mut().filter(|target| target.instance().may_match(instance))
-        {
-            target.record_refused_connection(now, &self.timing);
+        else {
+            return;
+        };
+        if target.unreachable_since.is_none() {
+            actions.push(Action::Log(LogEvent::TargetUnreachable(target.instance().clone())));
         }
+        target.record_refused_connection(now, &self.timing);
     }
 
     /// Sends a hold to each candidate that has none outstanding.
@@ -296,7 +316,7 @@
         }
         let next_instance =
             if shares_id { NextInstance::SameId(running) } else { NextInstance::Unrelated };
-        self.end_instance(now, next_instance, actions);
+        self.end_instance(now, next_instance, EndEvidence::NextAnswered, actions);
         self.adopt_instance(next, actions);
         let remaining: Vec<TaskId> = self.runs.keys().cloned().collect();
         for task in remaining {
@@ -305,8 +325,13 @@
     }
 
     /// Ends the current instance, and adopts the newest candidate if there is one.
-    pub(crate) fn target_gone(&mut self, now: Time, actions: &mut Vec<Action>) {
-        self.end_instance(now, NextInstance::Unrelated, actions);
+    pub(crate) fn target_gone(
+        &mut self,
+        now: Time,
+        evidence: EndEvidence,
+        actions: &mut Vec<Action>,
+    ) {
+        self.end_instance(now, NextInstance::Unrelated, evidence, actions);
         if let Some(candidate) = self.candidates.pop() {
             self.adopt_instance(candidate, actions);
         }
--- a/components/runner/src/lib.rs
+++ b/components/runner/src/lib.rs
@@ -23,9 +23,9 @@
 mod timing;
 
 pub use event::{
-    Action, EndReason, Event, HallsSource, HoldCommand, HoldReply, LogEvent, RunKey, SessionId,
-    SessionOffers, StartCommand, StartRefusal, StartReply, StopCommand, StopReply, TargetEnd,
-    TargetInstance, TargetReport, TargetRun,
+    Action, EndEvidence, EndReason, Event, HallsSource, HoldCommand, HoldReply, LogEvent, RunKey,
+    SessionId, SessionOffers, StartCommand, StartRefusal, StartReply, StopCommand, StopReply,
+    TargetEnd, TargetInstance, TargetReport, TargetRun,
 };
 pub use load_reports::MAX_LOGGED_OFFERS;
 pub use runner::{Runner, RunnerCounters};
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -9,7 +9,7 @@
 use wire::{Document, EmptiedHalls, Refusal, TaskEnd, TaskReport};
 
 use crate::crashed_tasks::{CrashVerdict, CrashedTasks};
-use crate::event::{Action, Event, HallsSource, LogEvent, SessionId, TargetInstance};
+use crate::event::{Action, EndEvidence, Event, HallsSource, LogEvent, SessionId, TargetInstance};
 use crate::health::HealthChange;
 use crate::instances::NextInstance;
 use crate::load_reports::Sharing;
@@ -144,7 +144,7 @@
             }
             Event::TargetReported(report) => self.target_reported(now, report, actions),
             Event::TargetLeft(instance) => self.target_left(now, &instance, actions),
-            Event::NoListener(instance) => self.target_unreachable(now, &instance),
+            Event::NoListener(instance) => self.target_unreachable(now, &instance, actions),
             Event::StartAnswered(key, reply) => self.start_answered(now, &key, reply, actions),
             Event::StopAnswered(key, reply) => self.stop_answered(now, &key, reply, actions),
             Event::HoldAnswered(instance, reply) => {
@@ -266,6 +266,7 @@
         &mut self,
         now: Time,
         next: NextInstance,
+        evidence: EndEvidence,
         actions: &mut Vec<Action>,
     ) {
         let Some(target) = self.target.take() else { return };
@@ -283,6 +284,7 @@
         actions.push(Action::Log(LogEvent::InstanceEnded {
             instance: target.instance().clone(),
             lost: waiting.len() + lost.len(),
+            evidence,
         }));
         for task in waiting {
             self.end_run(now, &task, TaskEnd::NotRun(Refusal::Closed), actions);
--- a/daemon/src/capacity/agent_log.rs
+++ b/daemon/src/capacity/agent_log.rs
@@ -21,10 +21,22 @@
             Budget::Full,
             || json!({"target": instance.to_string(), "fencing_token": fencing_token}),
         ),
-        LogEvent::InstanceEnded { instance, lost } => log.line(
+        LogEvent::TargetLeft { instance, active, waiting } => log.line(
+            "target-left",
+            Budget::Full,
+            || json!({"target": instance.to_string(), "running": active, "waiting": waiting}),
+        ),
+        LogEvent::TargetUnreachable(instance) => {
+            log.line(
+                "target-unreachable",
+                Budget::Full,
+                || json!({"target": instance.to_string()}),
+            );
+        }
+        LogEvent::InstanceEnded { instance, lost, evidence } => log.line(
             "target-gone",
             Budget::Full,
-            || json!({"target": instance.to_string(), "lost": lost}),
+            || json!({"target": instance.to_string(), "lost": lost, "why": evidence.as_str()}),
         ),
         LogEvent::CandidateProbed(instance) => {
             log.line("target-asked", Budget::Full, || json!({"target": instance.to_string()}));
