Keep the runs of a leaving target until they have ended

Cause: the agent took a deregistration for the end of the instance and of all its runs and reported them as lost; entries start lost tasks again at once.

Evidence: `target-left` with 6 running, 18 to 21 us later `target-gone` with 6 lost and `left`, 0.3 ms later `placed` with run 2 at another agent; the record of the first target shows its runs at work for 20 ms more. No other evidence of an end is logged.

Change: a leave closes the target, refuses waiting tasks, stops the active runs and ends the renewal of the lease. Each run ends by its listed end, by an acknowledged stop, by the end of the lease or by another instance's answer; the instance is gone once none is active. A refused connection is no proof, as a process may close its listener before its tasks have ended. A leave that may be of an earlier instance (no start time) uses the same state: it does not renew the lease either, and a later answer withdraws it.

`planned_leave_is_not_a_crash` asserted over a list that could be empty and read it 20 ms after the leave; it now demands both lost runs and that no crash is reported. The other tests that send a leave have no runs at that time.

--- a/components/runner/src/hold.rs
+++ b/components/runner/src/hold.rs
@@ -55,7 +55,7 @@
         // Without renewal, the lease of a target that does not answer is sure to expire.
         let renewable = now.since(target.last_hold_answer) <= timing.hold_wait + RENEWAL_CUTOFF;
         let orphans_only = target.has_orphans && self.runs.is_empty();
-        let renews = renewable && !orphans_only && !unanswered_stop;
+        let renews = renewable && !orphans_only && !unanswered_stop && target.leave.is_none();
         if renews {
             target.extend_lease(now, timing.lease);
         }
@@ -139,15 +139,12 @@
             HoldReply::Runs { clock_ms, running, ended, .. } => {
                 target.sync_clock(now, clock_ms);
                 target.record_hold_answer(now);
-                // The target still answers, so a leave received before the hold was sent came from
-                // an earlier instance.
-                let had_unconfirmed_leave =
-                    target.unconfirmed_leave.take_if(|left| *left < sent).is_some();
+                let leave_withdrawn = target.withdraw_disproved_leave(sent);
                 let was_silent = std::mem::take(&mut target.silent);
                 if was_silent {
                     actions.push(Action::Log(LogEvent::TargetAnsweredAgain(instance.clone())));
                 }
-                if was_silent || had_unconfirmed_leave {
+                if was_silent || leave_withdrawn {
                     self.mark_load_changed();
                 }
                 self.apply_ends(now, ended, actions);
--- a/components/runner/src/instances.rs
+++ b/components/runner/src/instances.rs
@@ -120,30 +120,39 @@
         self.mark_load_changed();
     }
 
-    /// Processes a leave: later messages of this instance are late.
+    /// Processes a leave. The instance may still work on its runs, so each of them is stopped and
+    /// ends by what shows that it is over: its listed end, an acknowledged stop, the end of the
+    /// lease or another instance at the address.
     pub(crate) fn target_left(
         &mut self,
         now: Time,
         instance: &TargetInstance,
         actions: &mut Vec<Action>,
     ) {
-        if let Some(target) = self.target.as_mut().filter(|target| target.instance() == instance) {
-            target.report.draining = true;
-            self.log_leave(actions);
-            return self.target_gone(now, EndEvidence::Left, actions);
-        }
-        if let Some(target) = &mut self.target
-            && target.instance().may_match(instance)
-        {
-            // The leave may be a late one of an earlier instance. If the current instance has
-            // ended, it answers no more holds, and its lease expires.
-            target.unconfirmed_leave = Some(now);
+        let Some(target) =
+            self.target.as_mut().filter(|target| target.instance().may_match(instance))
+        else {
+            self.candidates.retain(|candidate| candidate.instance() != instance);
+            return self.remember_ended_instance(instance.clone());
+        };
+        let is_certain = target.instance() == instance;
+        if target.record_leave(now, is_certain) {
             self.log_leave(actions);
             self.refuse_waiting(now, Refusal::Closed, actions);
-            return self.mark_load_changed();
+            self.mark_load_changed();
+        }
+        if is_certain {
+            let tasks: Vec<TaskId> = self.runs.keys().cloned().collect();
+            tasks.iter().for_each(|task| self.stop_run(now, task, actions));
+        }
+    }
+
+    /// Ends an instance that has left once none of its runs can be active.
+    pub(crate) fn end_left_instance(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let has_left = self.target.as_ref().is_some_and(Target::has_left);
+        if has_left && !self.runs.values().any(Run::holds_capacity) {
+            self.target_gone(now, EndEvidence::Left, actions);
         }
-        self.candidates.retain(|candidate| candidate.instance() != instance);
-        self.remember_ended_instance(instance.clone());
     }
 
     fn log_leave(&self, actions: &mut Vec<Action>) {
--- a/components/runner/src/runner.rs
+++ b/components/runner/src/runner.rs
@@ -225,7 +225,7 @@
                 || target.health.is_excluded(now)
                 || orphans_only
                 || target.is_report_outdated(self.started_at)
-                || target.unconfirmed_leave.is_some()
+                || target.leave.is_some()
                 || target.awaits_report
                 || target.unreachable_since.is_some()
         };
@@ -245,6 +245,7 @@
         self.stop_overdue(now, actions);
         self.expire_waiting(now, actions);
         self.resend_stops(now, actions);
+        self.end_left_instance(now, actions);
         self.admit_waiting(now, actions);
         self.report_loads(now, actions);
     }
--- a/components/runner/src/target.rs
+++ b/components/runner/src/target.rs
@@ -43,9 +43,9 @@
     pub last_end: Time,
     /// For a candidate: whether another instance was adopted after the outstanding hold was sent.
     pub is_overtaken: bool,
-    /// When a leave arrived that had the target's id and no start time. The target gets no new work
-    /// until it answers a hold that was sent later.
-    pub unconfirmed_leave: Option<Time>,
+    /// The target's announcement that it ends now. It then gets no new work, and its lease is left
+    /// to expire.
+    pub leave: Option<Leave>,
     /// What is known of a target that has stopped answering; `None` while it answers holds.
     failure: Option<Failure>,
     /// Whether the target has answered but not reported yet, so that its capacity is unknown.
@@ -56,6 +56,17 @@
     token_refusals: u32,
 }
 
+/// The announcement of a target that it ends now.
+///
+/// An announced end is not an end: until the target has ended, its runs are active.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Leave {
+    pub received_at: Time,
+    /// Whether the announcement names this instance. If it lacks the start time, an earlier
+    /// instance with the same id may have sent it, so an answer to a later hold disproves it.
+    pub is_certain: bool,
+}
+
 /// A token higher than those of earlier agent processes, without storage: the monotonic clock of an
 /// instance only increases, and so does the start time where a target keeps its id.
 fn fencing_token(instance: &TargetInstance, clock_ms: u64) -> u64 {
@@ -106,7 +117,7 @@
             speed: TargetSpeed::default(),
             last_end: now,
             is_overtaken: false,
-            unconfirmed_leave: None,
+            leave: None,
             failure: None,
             awaits_report: false,
             unreachable_since: None,
@@ -147,6 +158,29 @@
         *self.instance() == *instance || omits_start_time
     }
 
+    /// Records a leave. Returns false if the target had announced its end before.
+    pub fn record_leave(&mut self, received_at: Time, is_certain: bool) -> bool {
+        self.report.draining |= is_certain;
+        if let Some(leave) = &mut self.leave {
+            leave.is_certain |= is_certain;
+            return false;
+        }
+        self.leave = Some(Leave { received_at, is_certain });
+        true
+    }
+
+    /// Whether this instance has certainly announced its end.
+    pub fn has_left(&self) -> bool {
+        self.leave.is_some_and(|leave| leave.is_certain)
+    }
+
+    /// Forgets a leave that an answer to a hold sent at this time disproves. Returns whether there
+    /// was one.
+    pub fn withdraw_disproved_leave(&mut self, hold_sent: Time) -> bool {
+        let is_disproved = |leave: &mut Leave| !leave.is_certain && leave.received_at < hold_sent;
+        self.leave.take_if(is_disproved).is_some()
+    }
+
     /// Sets the start time from an answer, because the reports lack it. Any report that has it then
     /// counts as newer.
     pub fn set_start_time(&mut self, now: Time, started_ms: u64) {
--- a/components/runner/tests/crashes.rs
+++ b/components/runner/tests/crashes.rs
@@ -7,7 +7,9 @@
 use runner::{Event, HoldReply, StartReply};
 use wire::{Refusal, TaskEnd};
 
-use support::{Agent, answer, draining_report, no_runs, numbered_report, start_task, target};
+use support::{
+    Agent, SESSION, answer, draining_report, no_runs, numbered_report, start_task, target,
+};
 
 /// An agent with a running task and one whose start is not answered yet.
 fn agent_with_running_and_starting_task() -> Agent {
@@ -67,15 +69,17 @@
 
 #[test]
 fn planned_leave_is_not_a_crash() {
-    let mut agent = agent_with_running_and_starting_task();
-    agent.handle(Event::TargetReported(draining_report("t1", 5)));
-    agent.handle(Event::NoListener(target("t1")));
-    agent.run_for(1_000);
-    assert!(agent.ends().iter().all(|end| *end == TaskEnd::Lost));
-    let mut agent = agent_with_running_and_starting_task();
-    agent.handle(Event::TargetLeft(target("t1")));
-    agent.run_for(20);
-    assert!(agent.ends().iter().all(|end| *end == TaskEnd::Lost));
+    let announcements =
+        [Event::TargetReported(draining_report("t1", 5)), Event::TargetLeft(target("t1"))];
+    for announcement in announcements {
+        let mut agent = agent_with_running_and_starting_task();
+        agent.handle(Event::EntryReadsSuspicions(SESSION));
+        agent.handle(announcement);
+        agent.handle(Event::NoListener(target("t1")));
+        agent.run_for(1_000);
+        assert_eq!(agent.ends(), [TaskEnd::Lost, TaskEnd::Lost]);
+        assert!(agent.crashes.is_empty() && agent.suspicions.is_empty());
+    }
 }
 
 #[test]
