Soak: draw targets that deregister while tasks run on them

Cause: no randomised run deregistered a target. Targets that drained then crashed in silence, all runs with them, so that neither a leave beside another fault nor a target that works on after its leave was ever drawn.

Change: `--leaves` (with `--room`): targets drain for up to 1.2 s, deregister, and end 0 to 2.5 s later; some close their listener first. Deregistrations get lost, come late or twice, or lack the start time.

--- a/soak/src/capacity/checks.rs
+++ b/soak/src/capacity/checks.rs
@@ -54,6 +54,10 @@
     pub named_racks: u64,
     /// Submissions of clients that returned after an answer "not run".
     pub returned: u64,
+    /// Targets that deregistered.
+    pub leaves: u64,
+    /// Targets that deregistered while tasks ran on them.
+    pub leaves_with_runs: u64,
 }
 
 impl CapacitySummary {
@@ -74,6 +78,8 @@
         self.capacity_reductions += other.capacity_reductions;
         self.named_racks += other.named_racks;
         self.returned += other.returned;
+        self.leaves += other.leaves;
+        self.leaves_with_runs += other.leaves_with_runs;
     }
 }
 
--- a/soak/src/capacity/commands.rs
+++ b/soak/src/capacity/commands.rs
@@ -24,7 +24,7 @@
             return;
         };
         let now = self.now;
-        let Some(target) = &mut self.agents[agent].target else { return };
+        let Some(target) = self.agents[agent].listening_target() else { return };
         let (reply, started) = target.start(now, &command, resources, work, fails);
         if matches!(reply, StartReply::Refused { reason: runner::StartRefusal::NoCapacity, .. }) {
             self.checks.summary.refused_no_capacity += 1;
@@ -76,7 +76,7 @@
             return;
         }
         let now = self.now;
-        let Some(target) = &mut self.agents[agent].target else { return };
+        let Some(target) = self.agents[agent].listening_target() else { return };
         let reply = target.stop(now, command);
         if !late {
             let delay = self.network_delay();
@@ -87,7 +87,7 @@
     pub(super) fn hold_at_target(&mut self, call: Call, command: HoldCommand) {
         let agent = call.agent;
         let now = self.now;
-        let Some(target) = &mut self.agents[agent].target else { return };
+        let Some(target) = self.agents[agent].listening_target() else { return };
         match target.hold(now, &command, false) {
             Some(reply) => {
                 let delay = self.network_delay();
@@ -111,7 +111,7 @@
     pub(super) fn answer_hold(&mut self, agent: usize) {
         let now = self.now;
         let Some((call, command)) = self.agents[agent].waiting_hold.take() else { return };
-        let Some(target) = &mut self.agents[agent].target else { return };
+        let Some(target) = self.agents[agent].listening_target() else { return };
         if let Some(reply) = target.hold(now, &command, true) {
             let delay = self.network_delay();
             self.schedule_after(delay, SimEvent::HoldAnswered(call, command, reply));
--- a/soak/src/capacity/mod.rs
+++ b/soak/src/capacity/mod.rs
@@ -11,6 +11,7 @@
 mod fault_injection;
 mod faults;
 mod halls;
+mod leaves;
 mod load;
 mod load_jobs;
 mod load_results;
--- a/soak/src/capacity/simulation.rs
+++ b/soak/src/capacity/simulation.rs
@@ -21,6 +21,7 @@
 use super::entry_link::EntryLink;
 use super::faults::Fault;
 use super::halls::HallCommands;
+use super::leaves::{Leave, LeaveStep};
 use super::load_results::LoadStats;
 use super::session::{Packet, Session};
 use super::subsets::EntrySubsets;
@@ -116,6 +117,10 @@
     Resize(usize, u64),
     /// An agent, with its incarnation, finds that its target does not listen.
     NoListener(usize, u64, TargetInstance),
+    /// A step in the leave of a target instance.
+    Leave(Leave, Option<TargetInstance>, LeaveStep),
+    /// A deregistration, perhaps a late one, arrives at an agent.
+    Deregistration(usize, TargetInstance),
     /// Crashes the target instance that started a task.
     CrashTarget(usize, TargetInstance),
     /// Sets the run time of tasks at a target, relative to the usual one.
@@ -168,6 +173,13 @@
     pub waiting_hold: Option<(Call, HoldCommand)>,
 }
 
+impl AgentProcess {
+    /// The target, if it accepts commands.
+    pub fn listening_target(&mut self) -> Option<&mut Target> {
+        self.target.as_mut().filter(|target| !target.is_closed)
+    }
+}
+
 pub(super) struct Simulation {
     pub(super) now: Time,
     pub(super) rng: ChaCha8Rng,
@@ -250,6 +262,9 @@
         if options.uneven {
             simulation.set_up_uneven(options.seed);
         }
+        if options.leaves {
+            simulation.set_up_leaves(options.seed);
+        }
         simulation
     }
 
@@ -582,6 +597,10 @@
             SimEvent::SetSpeed(agent, factor) => self.agents[agent].speed_factor = factor,
             SimEvent::Resize(agent, percent) => self.resize_target(agent, percent),
             SimEvent::CrashTarget(agent, instance) => self.crash_target(agent, &instance),
+            SimEvent::Leave(leave, instance, step) => self.leave(leave, instance, step),
+            SimEvent::Deregistration(agent, instance) => {
+                self.deliver_deregistration(agent, instance)
+            }
             SimEvent::RestoreBehavior(agent) => {
                 if let Some(target) = &mut self.agents[agent].target {
                     target.behavior = Behavior::Normal;
--- a/soak/src/capacity/target.rs
+++ b/soak/src/capacity/target.rs
@@ -57,6 +57,10 @@
     pub draining: bool,
     /// Whether part of the commands is carried out late, without an answer.
     pub unresponsive: bool,
+    /// Whether the target has begun to leave.
+    pub has_left: bool,
+    /// Whether the target refuses connections, although its runs go on.
+    pub is_closed: bool,
     started_at: Time,
     slow_clock: bool,
     /// The highest token of a command; commands with a lower one are refused.
@@ -90,6 +94,8 @@
             behavior: Behavior::Normal,
             draining: false,
             unresponsive: false,
+            has_left: false,
+            is_closed: false,
             started_at: now,
             slow_clock,
             fencing_token: 0,
--- a/soak/src/capacity/unstable_targets.rs
+++ b/soak/src/capacity/unstable_targets.rs
@@ -151,9 +151,13 @@
         self.inject_fault(Fault::CrashTarget { agent, downtime });
     }
 
-    /// Schedules the connection error of a command to a target that is down.
+    /// Schedules the connection error of a command to a target that does not listen.
     pub(super) fn report_no_listener(&mut self, agent: usize, instance: &TargetInstance) {
-        if self.unstable_targets.is_some() && self.agents[agent].target.is_none() {
+        let refuses = match &self.agents[agent].target {
+            Some(target) => target.is_closed,
+            None => self.unstable_targets.is_some(),
+        };
+        if refuses {
             self.schedule_after(
                 Duration::ZERO,
                 SimEvent::NoListener(agent, self.agents[agent].incarnation, instance.clone()),
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -57,6 +57,9 @@
         .arg(Arg::new("uneven").long("uneven").action(ArgAction::SetTrue).help(
             "Let targets differ in speed, entries in their share of the jobs, jobs name a rack and refused clients return; needs --room",
         ))
+        .arg(Arg::new("leaves").long("leaves").action(ArgAction::SetTrue).help(
+            "Let targets deregister while tasks run on them, and end some time later; needs --room",
+        ))
         .arg(
             Arg::new("load")
                 .long("load")
@@ -155,6 +158,7 @@
         moves: arguments.get_flag("moves"),
         unstable_targets: arguments.get_flag("restless"),
         uneven: arguments.get_flag("uneven"),
+        leaves: arguments.get_flag("leaves"),
         trace,
         ..Options::new(0)
     };
--- a/soak/src/simulation.rs
+++ b/soak/src/simulation.rs
@@ -46,6 +46,8 @@
     /// Whether targets differ in speed, entries in their share of the jobs, jobs name a rack, and
     /// refused clients return; only for runs of capacity.
     pub uneven: bool,
+    /// Whether targets leave while tasks may run on them; only for runs of capacity.
+    pub leaves: bool,
     /// Prints all events that contain this text, such as the id of a submission; not for runs of
     /// keepers.
     pub trace: Option<String>,
@@ -62,6 +64,7 @@
             moves: false,
             unstable_targets: false,
             uneven: false,
+            leaves: false,
             trace: None,
         }
     }
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -227,6 +227,28 @@
     assert!(total.target_crashes > 100 && total.returned > 300, "{total:?}");
 }
 
+/// Guards against tasks that start elsewhere while a target that has deregistered works on them.
+#[test]
+fn capacity_runs_with_leaves_keep_invariants() {
+    let runner = |options| run_capacity(&Options { leaves: true, ..options });
+    let total = run_all(CAPACITY_SEEDS, runner, CapacitySummary::add);
+    // The runs must cover these events.
+    assert!(total.completed > 15_000 && total.completed_after_faults > 2_000, "{total:?}");
+    assert!(total.leaves > 800 && total.leaves_with_runs > 300, "{total:?}");
+}
+
+/// Guards against the same where targets also restart under the same id, so that a deregistration
+/// may name the next instance, and crash under some tasks.
+#[test]
+fn capacity_runs_with_leaves_of_unstable_targets_keep_invariants() {
+    let runner = |options| {
+        run_capacity(&Options { leaves: true, unstable_targets: true, uneven: true, ..options })
+    };
+    let total = run_all(UNEVEN_UNSTABLE_SEEDS, runner, CapacitySummary::add);
+    // The runs must cover these events.
+    assert!(total.target_crashes > 100 && total.leaves_with_runs > 80, "{total:?}");
+}
+
 #[test]
 fn entry_and_agent_runs_are_deterministic() {
     assert_eq!(run(Options::new(7)), run(Options::new(7)));
