Test real processes with targets that leave while tasks run on them

Cause: no test of real processes had such a target; a fake one could only crash, all of its runs with it.

Change: the fake target leaves: it announces that it drains, deregisters, and ends with its runs 0 to 1.2 s later, in some leaves with its listener closed before. In the fault runs each target leaves and returns over and over while agents, entries and the keeper are killed, terminated and suspended. `DOCKPASS_LEAVE_SEEDS` selects seeds, `DOCKPASS_LEAVE_AGENTS` and `DOCKPASS_LEAVE_CLIENTS` the size. The settings of a run of faults are now one struct.

--- a/daemon/tests/fault_injection.rs
+++ b/daemon/tests/fault_injection.rs
@@ -1,19 +1,21 @@
 //! Seeded runs of real processes under overlapping faults: signals to processes, link faults,
-//! silent connections, and large configurations over slow links.
+//! silent connections, large configurations over slow links, and targets that leave.
 
 // Tests measure wall-clock time and sleep.
 #![allow(clippy::disallowed_methods)]
 
 mod support;
 
+use std::ops::Range;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use support::checks::{self, ObservedRuns};
+use support::fake_target::Leave;
 use support::process::FaultyProcess;
 use support::proxy::{Direction, Fault, Proxy, Silence};
 use support::{FakeTarget, Fleet, eventually, number_from_env, seeds_from_env, unix_seconds};
@@ -40,6 +42,8 @@
 const SILENT_REGRESSIONS: [u64; 0] = [];
 /// Seeds that failed with large configurations.
 const LARGE_REGRESSIONS: [u64; 0] = [];
+/// Seeds that failed when an agent took a deregistration for the end of the target's runs.
+const LEAVE_REGRESSIONS: [u64; 2] = [2, 6];
 
 /// Kind of faults injected into the links of a fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,13 +57,42 @@
     Slow,
 }
 
+/// The clients of a run, and its faults besides signals to processes.
+struct Scenario {
+    link_faults: LinkFaults,
+    /// Whether targets leave and are replaced, over and over.
+    leaves: bool,
+    clients: u64,
+    /// Run time of tasks in milliseconds.
+    work_ms: Range<u64>,
+}
+
+impl Default for Scenario {
+    fn default() -> Self {
+        Self { link_faults: LinkFaults::None, leaves: false, clients: CLIENTS, work_ms: 20..300 }
+    }
+}
+
 #[test]
 fn jobs_get_correct_answers_under_signals() {
     for seed in seeds_from_env("DOCKPASS_FAULT_SEEDS", &REGRESSIONS) {
-        run(seed, &Fleet::new(AGENTS), LinkFaults::None, CLIENTS);
+        run(seed, &Fleet::new(AGENTS), &Scenario::default());
     }
 }
 
+/// Guards against tasks that start elsewhere while a target that has deregistered works on them.
+#[test]
+fn jobs_get_correct_answers_under_signals_and_leaves() {
+    let mut lost_runs = 0;
+    for seed in seeds_from_env("DOCKPASS_LEAVE_SEEDS", &LEAVE_REGRESSIONS) {
+        let agents = number_from_env("DOCKPASS_LEAVE_AGENTS", AGENTS);
+        let clients = number_from_env("DOCKPASS_LEAVE_CLIENTS", CLIENTS as usize) as u64;
+        let scenario = Scenario { leaves: true, clients, work_ms: 100..900, ..Scenario::default() };
+        lost_runs += run(seed, &Fleet::with_entries(ENTRIES, agents), &scenario);
+    }
+    assert!(lost_runs > 0, "no target left with active runs");
+}
+
 #[test]
 fn jobs_get_correct_answers_under_signals_and_faulty_links() {
     for seed in seeds_from_env("DOCKPASS_LINK_SEEDS", &LINK_REGRESSIONS) {
@@ -84,13 +117,15 @@
 fn run_with_proxies(seed: u64, link_faults: LinkFaults) {
     let entries = number_from_env("DOCKPASS_LINK_ENTRIES", ENTRIES);
     let agents = number_from_env("DOCKPASS_LINK_AGENTS", AGENTS);
-    let clients = number_from_env("DOCKPASS_LINK_CLIENTS", CLIENTS as usize);
-    run(seed, &Fleet::with_proxies(entries, agents), link_faults, clients as u64);
+    let clients = number_from_env("DOCKPASS_LINK_CLIENTS", CLIENTS as usize) as u64;
+    let scenario = Scenario { link_faults, clients, ..Scenario::default() };
+    run(seed, &Fleet::with_proxies(entries, agents), &scenario);
 }
 
-fn run(seed: u64, fleet: &Fleet, link_faults: LinkFaults, clients: u64) {
+/// Runs a seed and checks its answers; returns the number of runs that targets had when they left.
+fn run(seed: u64, fleet: &Fleet, scenario: &Scenario) -> usize {
     let agents = fleet.names().iter().filter(|name| name.starts_with("agent")).count();
-    let targets: Vec<FakeTarget> = (0..agents)
+    let mut targets: Vec<FakeTarget> = (0..agents)
         .map(|number| {
             FakeTarget::start(
                 fleet.target_address(number),
@@ -106,11 +141,17 @@
     fleet.wait_until_ready();
     let finished = AtomicBool::new(false);
     let answers = Answers::default();
+    let lost_runs = AtomicUsize::new(0);
     thread::scope(|scope| {
-        for client in 0..clients {
-            let (finished, answers) = (&finished, &answers);
-            scope.spawn(move || submit_jobs(fleet, seed, client, finished, answers));
+        for client in 0..scenario.clients {
+            let (finished, answers, work_ms) = (&finished, &answers, &scenario.work_ms);
+            scope.spawn(move || submit_jobs(fleet, seed, client, work_ms, finished, answers));
+        }
+        for (number, target) in targets.iter_mut().enumerate().filter(|_| scenario.leaves) {
+            let (finished, lost_runs) = (&finished, &lost_runs);
+            scope.spawn(move || leave_repeatedly(target, seed, number, finished, lost_runs));
         }
+        let link_faults = scenario.link_faults;
         inject_faults(fleet, &mut processes, seed, link_faults, &mut configurations);
         finished.store(true, Ordering::Relaxed);
     });
@@ -138,6 +179,7 @@
     }
     let overlapping = checks::overlapping_runs(&targets);
     assert!(overlapping.is_empty(), "seed {seed}: tasks with overlapping runs: {overlapping:?}");
+    lost_runs.into_inner()
 }
 
 /// Answers that clients received.
@@ -150,13 +192,20 @@
 }
 
 /// Submits jobs one after the other; retries those without an answer or that may have run.
-fn submit_jobs(fleet: &Fleet, seed: u64, client: u64, finished: &AtomicBool, answers: &Answers) {
+fn submit_jobs(
+    fleet: &Fleet,
+    seed: u64,
+    client: u64,
+    work_ms: &Range<u64>,
+    finished: &AtomicBool,
+    answers: &Answers,
+) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed * 1_000 + client);
     let mut number = 0;
     while !finished.load(Ordering::Relaxed) {
         number += 1;
         let id = (seed << 32) | (client << 16) | number;
-        let (count, work_ms) = (rng.random_range(1..5), rng.random_range(20..300));
+        let (count, work_ms) = (rng.random_range(1..5), rng.random_range(work_ms.clone()));
         for attempt in 0..MAX_TRIES {
             let entry = (client as usize + attempt as usize) % fleet.entry_count();
             let answer = fleet.submit_job_within(entry, id, count, work_ms, CLIENT_TIMEOUT);
@@ -182,6 +231,44 @@
     }
 }
 
+/// Times from the deregistration of a target to its end, in milliseconds; the last one exceeds the
+/// lease of its runs.
+const END_DELAYS_MS: [u64; 4] = [0, 20, 300, 1_200];
+
+/// How long a target that is to leave waits for runs.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(1);
+
+/// Lets a target leave and start again as the next instance until the run is finished; counts the
+/// runs that it had when it deregistered.
+fn leave_repeatedly(
+    target: &mut FakeTarget,
+    seed: u64,
+    number: usize,
+    finished: &AtomicBool,
+    lost_runs: &AtomicUsize,
+) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed * 1_000 + 500 + number as u64);
+    let mut instance = 0;
+    while !finished.load(Ordering::Relaxed) {
+        thread::sleep(Duration::from_millis(rng.random_range(200..1_200)));
+        let asked = Instant::now();
+        while target.active_runs() == 0 && asked.elapsed() < MAX_IDLE_TIME {
+            thread::sleep(Duration::from_millis(10));
+        }
+        let end_delay_ms = END_DELAYS_MS[rng.random_range(0..END_DELAYS_MS.len())];
+        let leave = Leave {
+            drain: Duration::from_millis(rng.random_range(0..400)),
+            end_delay: Duration::from_millis(end_delay_ms),
+            closes_listener: rng.random_bool(0.3),
+        };
+        println!("{:.3}: target {number}: {leave:?}", unix_seconds());
+        lost_runs.fetch_add(target.leave(leave), Ordering::Relaxed);
+        thread::sleep(Duration::from_millis(rng.random_range(100..800)));
+        instance += 1;
+        target.restart(&format!("i-{number}-{instance}"));
+    }
+}
+
 /// Injects faults one after the other, without waiting for recovery.
 fn inject_faults(
     fleet: &Fleet,
--- a/daemon/tests/support/fake_target.rs
+++ b/daemon/tests/support/fake_target.rs
@@ -1,6 +1,6 @@
 //! A fake target: it accepts commands over HTTP, runs tasks for the time in their spec, and sends
-//! heartbeats to its agent. It can crash and restart as a new instance at the same address, and
-//! replay a late heartbeat of an earlier instance.
+//! heartbeats to its agent. It can crash or leave, restart as a new instance at the same address,
+//! and replay a late heartbeat of an earlier instance.
 //!
 //! A spec is the run time in milliseconds; with the prefix `FAILS_PREFIX` the task then fails.
 
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
+use futures_lite::FutureExt;
 use hyper::body::Bytes;
 use hyper::{Request, Response, StatusCode};
 use net::{Body, BodyError, Limits};
@@ -35,8 +36,10 @@
 const EXPECTED_INSTANCE_HEADER: &str = "x-dockpass-expected-instance";
 /// Status of the answer to a command for another instance.
 const MISDIRECTED: u16 = 421;
-/// Timeout of a heartbeat.
+/// Timeout of a heartbeat or a deregistration.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a target that leaves waits for the acknowledgement that it drains.
+const MAX_DRAIN_NOTICE: Duration = Duration::from_secs(2);
 
 /// One run of a task as observed by a target.
 #[derive(Clone, Debug)]
@@ -64,14 +67,39 @@
     pub stalled_at: Option<Instant>,
 }
 
+/// What a target says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Ready,
+    Draining,
+    /// It has deregistered and sends no more heartbeats.
+    Left,
+}
+
+/// How a target leaves.
+#[derive(Clone, Copy, Debug)]
+pub struct Leave {
+    /// Time from the announcement that it drains to the deregistration.
+    pub drain: Duration,
+    /// Time from the answer to the deregistration until the target and its runs end.
+    pub end_delay: Duration,
+    /// Whether the target closes its listener after the deregistration.
+    pub closes_listener: bool,
+}
+
 /// A running fake target; stops when dropped.
 pub struct FakeTarget {
     pub observed: Arc<Mutex<Observations>>,
     address: SocketAddr,
     agent: SocketAddr,
     hall: &'static str,
+    id: String,
     started: Instant,
+    phase: Arc<Mutex<Phase>>,
+    /// Ends the instance when dropped.
     stop: Option<async_channel::Sender<()>>,
+    /// Closes the listener when dropped.
+    listener: Option<async_channel::Sender<()>>,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -112,8 +140,11 @@
             address,
             agent,
             hall,
+            id: String::new(),
             started: Instant::now(),
+            phase: Arc::new(Mutex::new(Phase::Ready)),
             stop: None,
+            listener: None,
             threads: vec![],
         };
         target.start_instance(id);
@@ -123,18 +154,25 @@
     /// Starts the server and the heartbeats of a new instance.
     fn start_instance(&mut self, id: &str) {
         let (stop, stopped) = async_channel::bounded::<()>(1);
+        let (listener, closed) = async_channel::bounded::<()>(1);
+        self.id = id.to_owned();
         self.started = Instant::now();
+        self.phase = Arc::new(Mutex::new(Phase::Ready));
         self.observed.lock().expect("the mutex is not poisoned").acknowledged = None;
         let (address, started) = (self.address, self.started);
         let instance = Instance { id: id.to_owned(), started, observed: self.observed.clone() };
         let server_stopped = stopped.clone();
-        let serve = std::thread::spawn(move || serve(address, instance, server_stopped));
+        let serve = std::thread::spawn(move || serve(address, instance, server_stopped, closed));
         let (agent, hall) = (self.agent, self.hall);
-        let (observed, id) = (self.observed.clone(), id.to_owned());
+        let (observed, id, phase) = (self.observed.clone(), id.to_owned(), self.phase.clone());
         let heartbeats = std::thread::spawn(move || {
             while !stopped.is_closed() {
+                let state = *phase.lock().expect("the mutex is not poisoned");
+                if state == Phase::Left {
+                    break;
+                }
                 // The agent may be down; the next heartbeat retries.
-                if send_heartbeat(agent, hall, &id, clock_ms(started)) {
+                if send_heartbeat(agent, hall, &id, clock_ms(started), state) {
                     let mut observed = observed.lock().expect("the mutex is not poisoned");
                     observed.acknowledged.get_or_insert_with(Instant::now);
                 }
@@ -142,13 +180,52 @@
             }
         });
         self.stop = Some(stop);
+        self.listener = Some(listener);
         self.threads = vec![serve, heartbeats];
     }
 
+    /// Leaves: announces that it drains, deregisters, and ends with all of its runs. Returns the
+    /// number of runs that were active at the deregistration.
+    pub fn leave(&mut self, leave: Leave) -> usize {
+        self.set_phase(Phase::Draining);
+        let noticed_by = Instant::now() + MAX_DRAIN_NOTICE;
+        while !send_heartbeat(self.agent, self.hall, &self.id, self.clock_ms(), Phase::Draining)
+            && Instant::now() < noticed_by
+        {
+            std::thread::sleep(HEARTBEAT_INTERVAL);
+        }
+        std::thread::sleep(leave.drain);
+        self.set_phase(Phase::Left);
+        let active = self.active_runs();
+        let path = format!("/instances/{}/deregister", self.id);
+        // The target ends all the same if its agent is down.
+        let _ = call(self.agent, "POST", &path, "", HEARTBEAT_TIMEOUT);
+        if leave.closes_listener {
+            self.listener.take();
+        }
+        std::thread::sleep(leave.end_delay);
+        self.shut_down();
+        active
+    }
+
+    fn set_phase(&self, phase: Phase) {
+        *self.phase.lock().expect("the mutex is not poisoned") = phase;
+    }
+
+    fn clock_ms(&self) -> u64 {
+        clock_ms(self.started)
+    }
+
+    /// Number of active runs.
+    pub fn active_runs(&self) -> usize {
+        let observed = self.observed.lock().expect("the mutex is not poisoned");
+        observed.runs.iter().filter(|run| run.ended.is_none()).count()
+    }
+
     /// Crashes and restarts as a new instance at the same address, ending all runs. Returns the
     /// clock of the previous instance.
     pub fn restart(&mut self, id: &str) -> u64 {
-        let clock_ms = clock_ms(self.started);
+        let clock_ms = self.clock_ms();
         self.shut_down();
         self.start_instance(id);
         clock_ms
@@ -156,7 +233,7 @@
 
     /// Sends a heartbeat of an earlier instance; returns whether the agent acknowledged it.
     pub fn send_late_heartbeat(&self, id: &str, clock_ms: u64) -> bool {
-        send_heartbeat(self.agent, self.hall, id, clock_ms)
+        send_heartbeat(self.agent, self.hall, id, clock_ms, Phase::Ready)
     }
 
     fn shut_down(&mut self) {
@@ -187,8 +264,9 @@
 }
 
 /// Sends a heartbeat to an agent; returns whether it was acknowledged.
-fn send_heartbeat(agent: SocketAddr, hall: &str, id: &str, clock_ms: u64) -> bool {
-    let body = json!({"service": "work", "zone": hall, "state": "ready", "labels": ["a"],
+fn send_heartbeat(agent: SocketAddr, hall: &str, id: &str, clock_ms: u64, phase: Phase) -> bool {
+    let state = if phase == Phase::Ready { "ready" } else { "draining" };
+    let body = json!({"service": "work", "zone": hall, "state": state, "labels": ["a"],
         "capacity": {"cpu": CPU_MILLI, "mem_mb": 32_768, "gpu": 0},
         "clock_ms": clock_ms, "sequence": clock_ms});
     let path = format!("/instances/{id}/heartbeat");
@@ -196,7 +274,13 @@
         .is_some_and(|answer| answer.status == 200)
 }
 
-fn serve(address: SocketAddr, instance: Instance, stopped: async_channel::Receiver<()>) {
+/// Serves until `stopped` is closed; accepts connections until `closed` is.
+fn serve(
+    address: SocketAddr,
+    instance: Instance,
+    stopped: async_channel::Receiver<()>,
+    closed: async_channel::Receiver<()>,
+) {
     let limits = Limits {
         max_header_bytes: net::DEFAULT_MAX_HEADER_BYTES,
         max_body_bytes: 1 << 20,
@@ -219,7 +303,12 @@
             let state = state.clone();
             async move { handle(&state, request).await }
         };
-        tasks.spawn(net::serve(listener, tasks.clone(), move || limits, handler));
+        let accept = net::serve(listener, tasks.clone(), move || limits, handler);
+        let until_closed = async move {
+            // Returns when the sender is dropped.
+            let _ = closed.recv().await;
+        };
+        tasks.spawn(accept.or(until_closed));
         tasks.spawn(async move {
             // Ends completed runs and runs with expired leases even without incoming commands.
             loop {
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -6,7 +6,7 @@
 pub mod balancer;
 pub mod checks;
 pub mod exchange;
-mod fake_target;
+pub mod fake_target;
 mod http;
 pub mod keep_alive;
 pub mod process;
