Leave targets more tasks in the runs of leaves, with rarer faults of processes

Change: the time between faults of processes and links is part of the scenario; runs of leaves have one each 0.3 to 1 s instead of each 50 to 400 ms. The other scenarios keep theirs.

--- a/daemon/tests/fault_injection.rs
+++ b/daemon/tests/fault_injection.rs
@@ -65,11 +65,19 @@
     clients: u64,
     /// Run time of tasks in milliseconds.
     work_ms: Range<u64>,
+    /// Time between faults of processes and links in milliseconds.
+    fault_gap_ms: Range<u64>,
 }
 
 impl Default for Scenario {
     fn default() -> Self {
-        Self { link_faults: LinkFaults::None, leaves: false, clients: CLIENTS, work_ms: 20..300 }
+        Self {
+            link_faults: LinkFaults::None,
+            leaves: false,
+            clients: CLIENTS,
+            work_ms: 20..300,
+            fault_gap_ms: 50..400,
+        }
     }
 }
 
@@ -87,7 +95,13 @@
     for seed in seeds_from_env("DOCKPASS_LEAVE_SEEDS", &LEAVE_REGRESSIONS) {
         let agents = number_from_env("DOCKPASS_LEAVE_AGENTS", AGENTS);
         let clients = number_from_env("DOCKPASS_LEAVE_CLIENTS", CLIENTS as usize) as u64;
-        let scenario = Scenario { leaves: true, clients, work_ms: 100..900, ..Scenario::default() };
+        let scenario = Scenario {
+            leaves: true,
+            clients,
+            work_ms: 100..900,
+            fault_gap_ms: 300..1_000,
+            ..Scenario::default()
+        };
         lost_runs += run(seed, &Fleet::with_entries(ENTRIES, agents), &scenario);
     }
     assert!(lost_runs > 0, "no target left with active runs");
@@ -151,8 +165,7 @@
             let (finished, lost_runs) = (&finished, &lost_runs);
             scope.spawn(move || leave_repeatedly(target, seed, number, finished, lost_runs));
         }
-        let link_faults = scenario.link_faults;
-        inject_faults(fleet, &mut processes, seed, link_faults, &mut configurations);
+        inject_faults(fleet, &mut processes, seed, scenario, &mut configurations);
         finished.store(true, Ordering::Relaxed);
     });
     recover_all(fleet, &mut processes);
@@ -274,13 +287,14 @@
     fleet: &Fleet,
     processes: &mut [FaultyProcess],
     seed: u64,
-    link_faults: LinkFaults,
+    scenario: &Scenario,
     configurations: &mut Configurations,
 ) {
+    let link_faults = scenario.link_faults;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let started = Instant::now();
     while started.elapsed() < FAULTS_TIME {
-        thread::sleep(Duration::from_millis(rng.random_range(50..400)));
+        thread::sleep(Duration::from_millis(rng.random_range(scenario.fault_gap_ms.clone())));
         for process in processes.iter_mut() {
             process.recover(fleet, Instant::now());
         }
