--- a/components/runner/src/event.rs
+++ b/components/runner/src/event.rs
@@ -311,7 +311,7 @@
 /// What shows that a target instance has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndEvidence {
-    /// The instance announced its end.
+    /// The instance announced its end, and none of its runs can be active any more.
     Left,
     /// Another instance listens at the target's address: it answered a start.
     OtherAnsweredStart,
