Test that a leave without a start time suspends renewal of the lease

Change: two tests in `reused_ids.rs`: renewal stops and resumes, and a leave with the start time that follows confirms the one without.

--- a/components/runner/tests/reused_ids.rs
+++ b/components/runner/tests/reused_ids.rs
@@ -218,6 +218,45 @@
     assert_eq!(agent.ends(), [TaskEnd::Lost], "the target has left: its lease has expired");
 }
 
+/// Guards against a lease that is renewed although the target may have announced its end, and one
+/// that is not renewed any more after a late leave of an earlier instance.
+#[test]
+fn leave_without_start_time_suspends_renewal_until_it_is_disproved() {
+    let mut agent = agent_with_first_instance();
+    agent.request("a", 1, 0);
+    let start = agent.take_starts().pop().expect("a start was sent");
+    agent.run_for(20);
+    agent.handle(Event::TargetLeft(TargetInstance::from_id("t1")));
+    assert!(agent.stops.is_empty(), "the runs may be those of a healthy instance");
+    agent.run_for(20);
+    // The first answer is to the hold that was outstanding when the leave arrived.
+    for renews in [false, true] {
+        answer(&mut agent, FIRST_START, hold_reply(FIRST_START, &[&start.key], &[]));
+        agent.run_for(20);
+        let hold = agent.holds.last().expect("a hold is outstanding");
+        assert_eq!(hold.deadline_ms.is_some(), renews);
+    }
+    assert!(agent.reports.is_empty());
+}
+
+#[test]
+fn leave_with_start_time_confirms_one_without() {
+    let mut agent = agent_with_first_instance();
+    agent.request("a", 1, 0);
+    let start = agent.take_starts().pop().expect("a start was sent");
+    agent.run_for(20);
+    agent.handle(Event::TargetLeft(TargetInstance::from_id("t1")));
+    agent.handle(Event::TargetLeft(instance(FIRST_START)));
+    assert_eq!(agent.stops.len(), 1);
+    for _ in 0..5 {
+        answer(&mut agent, FIRST_START, hold_reply(FIRST_START, &[&start.key], &[]));
+        agent.run_for(20);
+        assert!(!agent.open && agent.reports.is_empty());
+    }
+    agent.run_for(1_000);
+    assert_eq!(agent.ends(), [TaskEnd::Lost]);
+}
+
 #[test]
 fn late_leave_of_earlier_instance_is_ignored() {
     let mut agent = agent_with_first_instance();
