Soak: name the shares of leaves and draw their arrivals apart

Cause: on reading the diff again, two probabilities stood without a name and the draw of a leave was hard to follow.

Change: named shares, one value drawn for each choice, the check for outdated steps spelled out; names in the runs of real processes. The draws of a seed change with it.

--- a/daemon/tests/fault_injection.rs
+++ b/daemon/tests/fault_injection.rs
@@ -91,7 +91,7 @@
 /// Guards against tasks that start elsewhere while a target that has deregistered works on them.
 #[test]
 fn jobs_get_correct_answers_under_signals_and_leaves() {
-    let mut lost_runs = 0;
+    let mut runs_at_leave = 0;
     for seed in seeds_from_env("DOCKPASS_LEAVE_SEEDS", &LEAVE_REGRESSIONS) {
         let agents = number_from_env("DOCKPASS_LEAVE_AGENTS", AGENTS);
         let clients = number_from_env("DOCKPASS_LEAVE_CLIENTS", CLIENTS as usize) as u64;
@@ -102,9 +102,9 @@
             fault_gap_ms: 300..1_000,
             ..Scenario::default()
         };
-        lost_runs += run(seed, &Fleet::with_entries(ENTRIES, agents), &scenario);
+        runs_at_leave += run(seed, &Fleet::with_entries(ENTRIES, agents), &scenario);
     }
-    assert!(lost_runs > 0, "no target left with active runs");
+    assert!(runs_at_leave > 0, "no target left with active runs");
 }
 
 #[test]
@@ -155,15 +155,15 @@
     fleet.wait_until_ready();
     let finished = AtomicBool::new(false);
     let answers = Answers::default();
-    let lost_runs = AtomicUsize::new(0);
+    let runs_at_leave = AtomicUsize::new(0);
     thread::scope(|scope| {
         for client in 0..scenario.clients {
             let (finished, answers, work_ms) = (&finished, &answers, &scenario.work_ms);
             scope.spawn(move || submit_jobs(fleet, seed, client, work_ms, finished, answers));
         }
         for (number, target) in targets.iter_mut().enumerate().filter(|_| scenario.leaves) {
-            let (finished, lost_runs) = (&finished, &lost_runs);
-            scope.spawn(move || leave_repeatedly(target, seed, number, finished, lost_runs));
+            let (finished, runs_at_leave) = (&finished, &runs_at_leave);
+            scope.spawn(move || leave_repeatedly(target, seed, number, finished, runs_at_leave));
         }
         inject_faults(fleet, &mut processes, seed, scenario, &mut configurations);
         finished.store(true, Ordering::Relaxed);
@@ -192,7 +192,7 @@
     }
     let overlapping = checks::overlapping_runs(&targets);
     assert!(overlapping.is_empty(), "seed {seed}: tasks with overlapping runs: {overlapping:?}");
-    lost_runs.into_inner()
+    runs_at_leave.into_inner()
 }
 
 /// Answers that clients received.
@@ -258,14 +258,14 @@
     seed: u64,
     number: usize,
     finished: &AtomicBool,
-    lost_runs: &AtomicUsize,
+    runs_at_leave: &AtomicUsize,
 ) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed * 1_000 + 500 + number as u64);
     let mut instance = 0;
     while !finished.load(Ordering::Relaxed) {
         thread::sleep(Duration::from_millis(rng.random_range(200..1_200)));
-        let asked = Instant::now();
-        while target.active_runs() == 0 && asked.elapsed() < MAX_IDLE_TIME {
+        let idle_since = Instant::now();
+        while target.active_runs() == 0 && idle_since.elapsed() < MAX_IDLE_TIME {
             thread::sleep(Duration::from_millis(10));
         }
         let end_delay_ms = END_DELAYS_MS[rng.random_range(0..END_DELAYS_MS.len())];
@@ -275,7 +275,7 @@
             closes_listener: rng.random_bool(0.3),
         };
         println!("{:.3}: target {number}: {leave:?}", unix_seconds());
-        lost_runs.fetch_add(target.leave(leave), Ordering::Relaxed);
+        runs_at_leave.fetch_add(target.leave(leave), Ordering::Relaxed);
         thread::sleep(Duration::from_millis(rng.random_range(100..800)));
         instance += 1;
         target.restart(&format!("i-{number}-{instance}"));
--- a/soak/src/capacity/leaves.rs
+++ b/soak/src/capacity/leaves.rs
@@ -29,10 +29,14 @@
 const DELAYED_SHARE: f64 = 0.15;
 /// Delay of such deregistrations, in milliseconds.
 const DELAY_MS: std::ops::Range<u64> = 20..4_000;
+/// Delay of the others, in microseconds.
+const USUAL_DELAY_US: std::ops::Range<u64> = 100..2_500;
 /// Share of deregistrations that are sent again.
 const REPEATED_SHARE: f64 = 0.2;
-/// Share of deregistrations without the start time of the instance.
-const UNTIMED_SHARE: f64 = 0.5;
+/// Share of deregistrations that name the start time of the instance, if it has one.
+const TIMED_SHARE: f64 = 0.5;
+/// Share of targets that refuse connections between their deregistration and their end.
+const CLOSED_SHARE: f64 = 0.3;
 
 /// One leave of a target.
 #[derive(Clone, Copy, Debug)]
@@ -55,22 +59,22 @@
     fn draw(rng: &mut ChaCha8Rng, agents: usize) -> Self {
         let millis = |rng: &mut ChaCha8Rng, range| Duration::from_millis(rng.random_range(range));
         let end_delays = END_DELAYS_MS[rng.random_range(0..END_DELAYS_MS.len())].clone();
-        let first = if rng.random_bool(LOST_SHARE) {
-            None
-        } else if rng.random_bool(DELAYED_SHARE) {
-            Some(millis(rng, DELAY_MS))
-        } else {
-            Some(Duration::from_micros(rng.random_range(100..2_500)))
+        let is_lost = rng.random_bool(LOST_SHARE);
+        let is_delayed = rng.random_bool(DELAYED_SHARE);
+        let is_repeated = rng.random_bool(REPEATED_SHARE);
+        let first = match is_delayed {
+            true => millis(rng, DELAY_MS),
+            false => Duration::from_micros(rng.random_range(USUAL_DELAY_US)),
         };
-        let second = rng.random_bool(REPEATED_SHARE).then(|| millis(rng, DELAY_MS));
+        let second = millis(rng, DELAY_MS);
         Self {
             agent: rng.random_range(0..agents),
             drain: millis(rng, DRAIN_MS),
             end_delay: millis(rng, end_delays),
             downtime: millis(rng, DOWNTIME_MS),
-            closes_early: rng.random_bool(0.3),
-            is_timed: !rng.random_bool(UNTIMED_SHARE),
-            arrivals: [first, second],
+            closes_early: rng.random_bool(CLOSED_SHARE),
+            is_timed: rng.random_bool(TIMED_SHARE),
+            arrivals: [(!is_lost).then_some(first), is_repeated.then_some(second)],
         }
     }
 }
@@ -110,7 +114,11 @@
         let agent = leave.agent;
         let Some(target) = &mut self.agents[agent].target else { return };
         let instance = instance.unwrap_or_else(|| target.instance.clone());
-        if target.instance != instance || target.has_left && matches!(step, LeaveStep::Drain) {
+        let is_outdated = match step {
+            LeaveStep::Drain => target.has_left,
+            LeaveStep::Deregister | LeaveStep::End => target.instance != instance,
+        };
+        if is_outdated {
             return;
         }
         self.trace_event(|| format!("target {agent}: {step:?} of {leave:?}"));
