--- a/soak/src/capacity/commands.rs
+++ b/soak/src/capacity/commands.rs
@@ -6,7 +6,8 @@
 use rand::Rng;
 use runner::{EndReason, HoldCommand, StartCommand, StartReply, StopCommand, TargetReport};
 
-use super::simulation::{Call, HEARTBEAT_INTERVAL, SimEvent, Simulation, TARGET_TICK};
+use super::event::{Call, SimEvent};
+use super::simulation::{HEARTBEAT_INTERVAL, Simulation, TARGET_TICK};
 
 /// Share of reports that are delayed.
 const DELAYED_REPORT_SHARE: f64 = 0.1;
--- a/soak/src/capacity/documents.rs
+++ b/soak/src/capacity/documents.rs
@@ -4,8 +4,9 @@
 use model::Time;
 use wire::ToAgent;
 
+use super::event::SimEvent;
 use super::session::Packet;
-use super::simulation::{SimEvent, Simulation};
+use super::simulation::Simulation;
 
 impl Simulation {
     /// Applies an event to the document fetch of an entry and carries out the steps that follow.
--- a/soak/src/capacity/entry_link.rs
+++ b/soak/src/capacity/entry_link.rs
@@ -4,8 +4,9 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use super::event::SimEvent;
 use super::session::Packet;
-use super::simulation::{SimEvent, Simulation};
+use super::simulation::Simulation;
 
 /// Bytes that one session sends before the next session has its turn.
 const SEGMENT_BYTES: u64 = 16 * 1024;
--- a/soak/src/capacity/fault_injection.rs
+++ b/soak/src/capacity/fault_injection.rs
@@ -5,9 +5,10 @@
 
 use model::JobId;
 
+use super::event::SimEvent;
 use super::faults::Fault;
 use super::session::{Packet, Session};
-use super::simulation::{SimEvent, Simulation};
+use super::simulation::Simulation;
 
 impl Simulation {
     pub(super) fn inject_fault(&mut self, fault: Fault) {
--- a/soak/src/capacity/halls.rs
+++ b/soak/src/capacity/halls.rs
@@ -10,8 +10,9 @@
 use rand_chacha::ChaCha8Rng;
 use wire::{EmptiedHalls, HallCommand, HallName};
 
+use super::event::SimEvent;
 use super::faults::Fault;
-use super::simulation::{CALM_START, FAULT_PERIOD, SimEvent, Simulation};
+use super::simulation::{CALM_START, FAULT_PERIOD, Simulation};
 
 /// Separates this random stream from the others of the seed, so that runs without hall commands
 /// stay unchanged.
--- a/soak/src/capacity/leaves.rs
+++ b/soak/src/capacity/leaves.rs
@@ -9,7 +9,8 @@
 use rand_chacha::ChaCha8Rng;
 use runner::{Event, TargetInstance};
 
-use super::simulation::{FAULT_PERIOD, SimEvent, Simulation};
+use super::event::SimEvent;
+use super::simulation::{FAULT_PERIOD, Simulation};
 
 /// Separates this random stream from the others of the seed.
 const RNG_STREAM: u64 = 0x1eaf;
--- a/soak/src/capacity/load.rs
+++ b/soak/src/capacity/load.rs
@@ -14,10 +14,11 @@
 use wire::Document;
 
 use super::CapacityTiming;
+use super::event::SimEvent;
 use super::faults::Fault;
 use super::load_jobs::{Workload, schedule_clients};
 use super::load_results::{LoadResult, Measured, collect_result};
-use super::simulation::{START, SimEvent, Simulation};
+use super::simulation::{START, Simulation};
 use super::subsets::EntrySubsets;
 
 /// Time before the first job, in which sessions open.
--- a/soak/src/capacity/load_jobs.rs
+++ b/soak/src/capacity/load_jobs.rs
@@ -9,8 +9,9 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::client::{Client, queue_name};
+use super::event::SimEvent;
 use super::load::{Load, WARM_UP, rack_label};
-use super::simulation::{START, SimEvent, Simulation};
+use super::simulation::{START, Simulation};
 
 /// Standard deviation of the logarithm of the task count, the task duration and the estimate error.
 const LOG_STD_DEV: f64 = 0.4;
--- a/soak/src/capacity/mod.rs
+++ b/soak/src/capacity/mod.rs
@@ -8,6 +8,7 @@
 mod commands;
 mod documents;
 mod entry_link;
+mod event;
 mod fault_injection;
 mod faults;
 mod halls;
--- a/soak/src/capacity/processes.rs
+++ b/soak/src/capacity/processes.rs
@@ -6,8 +6,9 @@
 use rand::Rng;
 use runner::{HoldCommand, HoldReply, StartReply, StopReply};
 
+use super::event::{Call, SimEvent};
 use super::session::Packet;
-use super::simulation::{Call, SimEvent, Simulation};
+use super::simulation::Simulation;
 
 /// Share of commands that an unresponsive target leaves unanswered.
 const UNRESPONSIVE_SHARE: f64 = 0.6;
--- a/soak/src/capacity/submissions.rs
+++ b/soak/src/capacity/submissions.rs
@@ -7,7 +7,8 @@
 use rand::Rng;
 
 use super::client::{Client, RESEND_DELAY};
-use super::simulation::{SimEvent, Simulation};
+use super::event::SimEvent;
+use super::simulation::Simulation;
 
 impl Simulation {
     pub(super) fn submit_job(&mut self, id: &JobId) {
--- a/soak/src/capacity/subsets.rs
+++ b/soak/src/capacity/subsets.rs
@@ -9,7 +9,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::simulation::{CALM_START, FAULT_PERIOD, SimEvent, Simulation};
+use super::event::SimEvent;
+use super::simulation::{CALM_START, FAULT_PERIOD, Simulation};
 
 /// Separates this random stream from the others of the seed.
 const RNG_STREAM: u64 = 0x5e70_fe77_1e55;
--- a/soak/src/capacity/transport.rs
+++ b/soak/src/capacity/transport.rs
@@ -5,8 +5,9 @@
 use keeper::DocumentSource;
 use wire::ToAgent;
 
+use super::event::SimEvent;
 use super::session::{Packet, Session};
-use super::simulation::{DIAL_INTERVAL, SimEvent, Simulation};
+use super::simulation::{DIAL_INTERVAL, Simulation};
 
 impl Simulation {
     /// Opens a session if the agent serves the entry and both are reachable; schedules the next
--- a/soak/src/capacity/unstable_targets.rs
+++ b/soak/src/capacity/unstable_targets.rs
@@ -10,8 +10,9 @@
 use rand_chacha::ChaCha8Rng;
 use runner::{Event, TargetInstance};
 
+use super::event::{Call, SimEvent};
 use super::faults::Fault;
-use super::simulation::{Call, FAULT_PERIOD, HEARTBEAT_INTERVAL, SimEvent, Simulation};
+use super::simulation::{FAULT_PERIOD, HEARTBEAT_INTERVAL, Simulation};
 
 /// Separates this random stream from the others of the seed.
 const RNG_STREAM: u64 = 0x5e57;
