--- a/components/runner/tests/leaves.rs
+++ b/components/runner/tests/leaves.rs
@@ -18,15 +18,11 @@
     let mut agent = Agent::new();
     agent.request("a", 2, 0);
     let keys: Vec<RunKey> = agent.take_starts().into_iter().map(|start| start.key).collect();
-    answer_hold(&mut agent, &[&keys[0], &keys[1]], &[]);
+    agent.answer_outstanding_hold(&[&keys[0], &keys[1]], &[]);
     agent.run_for(20);
     (agent, keys)
 }
 
-fn answer_hold(agent: &mut Agent, running: &[&RunKey], ended: &[(u64, &RunKey, EndReason)]) {
-    agent.answer_outstanding_hold(running, ended);
-}
-
 /// The earliest time by which a lease renewed at `renewed_at` is certainly over, by a clock that is
 /// 2% slow.
 fn lease_end(renewed_at: Time) -> Time {
@@ -67,10 +63,10 @@
 fn end_that_a_left_target_lists_counts() {
     let (mut agent, keys) = agent_with_two_runs();
     agent.handle(Event::TargetLeft(target("t1")));
-    answer_hold(&mut agent, &[&keys[1]], &[(1, &keys[0], EndReason::Done)]);
+    agent.answer_outstanding_hold(&[&keys[1]], &[(1, &keys[0], EndReason::Done)]);
     agent.run_for(20);
     assert_eq!(agent.ends(), [TaskEnd::Done]);
-    answer_hold(&mut agent, &[], &[(2, &keys[1], EndReason::Stopped)]);
+    agent.answer_outstanding_hold(&[], &[(2, &keys[1], EndReason::Stopped)]);
     agent.run_for(20);
     assert_eq!(agent.ends(), [TaskEnd::Done, TaskEnd::Stopped]);
     agent.holds.clear();
@@ -99,7 +95,7 @@
     let (mut agent, keys) = agent_with_two_runs();
     agent.handle(Event::TargetLeft(target("t1")));
     for _ in 0..40 {
-        answer_hold(&mut agent, &[&keys[0], &keys[1]], &[]);
+        agent.answer_outstanding_hold(&[&keys[0], &keys[1]], &[]);
         agent.run_for(20);
         let Some(hold) = agent.holds.last() else { break };
         assert_eq!(hold.deadline_ms, None);
--- a/soak/src/capacity/event.rs
+++ b/soak/src/capacity/event.rs
@@ -80,7 +80,7 @@
     /// An agent, with its incarnation, finds that its target does not listen.
     NoListener(usize, u64, TargetInstance),
     /// A step in the leave of a target instance.
-    Leave(Leave, Option<TargetInstance>, LeaveStep),
+    Leave(Leave, LeaveStep),
     /// A deregistration, perhaps a late one, arrives at an agent.
     Deregistration(usize, TargetInstance),
     /// Crashes the target instance that started a task.
--- a/soak/src/capacity/leaves.rs
+++ b/soak/src/capacity/leaves.rs
@@ -81,14 +81,14 @@
 }
 
 /// A step of a leave. It is dropped if the instance has crashed since the leave began.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) enum LeaveStep {
     /// The target sends its first draining report.
     Drain,
-    /// The target deregisters.
-    Deregister,
-    /// The target ends with all of its runs.
-    End,
+    /// The instance deregisters.
+    Deregister(TargetInstance),
+    /// The instance ends with all of its runs.
+    End(TargetInstance),
 }
 
 impl Simulation {
@@ -100,24 +100,19 @@
             let leave = Leave::draw(&mut rng, self.agents.len());
             let after =
                 Duration::from_millis(rng.random_range(500..FAULT_PERIOD.as_millis() as u64));
-            self.schedule_after(after, SimEvent::Leave(leave, None, LeaveStep::Drain));
+            self.schedule_after(after, SimEvent::Leave(leave, LeaveStep::Drain));
         }
     }
 
-    /// Performs a step of a leave of this instance, or of the current one in the first step, and
-    /// schedules the next step.
-    pub(super) fn leave(
-        &mut self,
-        leave: Leave,
-        instance: Option<TargetInstance>,
-        step: LeaveStep,
-    ) {
+    /// Performs a step of a leave and schedules the next one.
+    pub(super) fn leave(&mut self, leave: Leave, step: LeaveStep) {
         let agent = leave.agent;
-        let Some(target) = &mut self.agents[agent].target else { return };
-        let instance = instance.unwrap_or_else(|| target.instance.clone());
-        let is_outdated = match step {
-            LeaveStep::Drain => target.has_left,
-            LeaveStep::Deregister | LeaveStep::End => target.instance != instance,
+        let Some(target) = &self.agents[agent].target else { return };
+        let is_outdated = match &step {
+            LeaveStep::Drain => target.is_leaving,
+            LeaveStep::Deregister(instance) | LeaveStep::End(instance) => {
+                target.instance != *instance
+            }
         };
         if is_outdated {
             return;
@@ -125,23 +120,23 @@
         self.trace_event(|| format!("target {agent}: {step:?} of {leave:?}"));
         match step {
             LeaveStep::Drain => {
+                let next = LeaveStep::Deregister(target.instance.clone());
                 self.start_draining(agent);
-                let next = SimEvent::Leave(leave, Some(instance), LeaveStep::Deregister);
-                self.schedule_after(leave.drain, next);
+                self.schedule_after(leave.drain, SimEvent::Leave(leave, next));
             }
-            LeaveStep::Deregister => {
+            LeaveStep::Deregister(instance) => {
                 self.deregister(leave, &instance);
-                let next = SimEvent::Leave(leave, Some(instance), LeaveStep::End);
-                self.schedule_after(leave.end_delay, next);
+                let next = LeaveStep::End(instance);
+                self.schedule_after(leave.end_delay, SimEvent::Leave(leave, next));
             }
-            LeaveStep::End => self.end_target(leave),
+            LeaveStep::End(_) => self.end_target(leave),
         }
     }
 
     fn start_draining(&mut self, agent: usize) {
         let now = self.now;
         let Some(target) = &mut self.agents[agent].target else { return };
-        target.has_left = true;
+        target.is_leaving = true;
         target.draining = true;
         let report = target.report(now);
         self.deliver_report(agent, report);
--- a/soak/src/capacity/simulation.rs
+++ b/soak/src/capacity/simulation.rs
@@ -511,7 +511,7 @@
             SimEvent::SetSpeed(agent, factor) => self.agents[agent].speed_factor = factor,
             SimEvent::Resize(agent, percent) => self.resize_target(agent, percent),
             SimEvent::CrashTarget(agent, instance) => self.crash_target(agent, &instance),
-            SimEvent::Leave(leave, instance, step) => self.leave(leave, instance, step),
+            SimEvent::Leave(leave, step) => self.leave(leave, step),
             SimEvent::Deregistration(agent, instance) => {
                 self.deliver_deregistration(agent, instance)
             }
--- a/soak/src/capacity/target.rs
+++ b/soak/src/capacity/target.rs
@@ -58,7 +58,7 @@
     /// Whether part of the commands is carried out late, without an answer.
     pub unresponsive: bool,
     /// Whether the target has begun to leave.
-    pub has_left: bool,
+    pub is_leaving: bool,
     /// Whether the target refuses connections, although its runs go on.
     pub is_closed: bool,
     started_at: Time,
@@ -94,7 +94,7 @@
             behavior: Behavior::Normal,
             draining: false,
             unresponsive: false,
-            has_left: false,
+            is_leaving: false,
             is_closed: false,
             started_at: now,
             slow_clock,
