--- a/components/api/src/body.rs
+++ b/components/api/src/body.rs
@@ -2,13 +2,15 @@
 
 use std::sync::Arc;
 
-use model::{Code, Failure, Verdict};
+use model::{Code, Failure, Verdict, has_more_json_values};
 use serde::{Deserialize, Serialize};
 
 /// Maximum size of a request body, in bytes.
 pub const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
 /// Maximum number of tasks in a job, independent of the settings.
 pub const TASKS_MAX: usize = 690;
+/// Maximum number of values in a body, more than a job with [`TASKS_MAX`] tasks has.
+const VALUES_MAX: usize = TASKS_MAX + 310;
 /// Maximum `deadline_ms`, in milliseconds.
 const DEADLINE_MAX_MS: u64 = 600_000;
 
@@ -64,6 +66,7 @@
 ///
 /// Fails with [`Code::BadBody`] or [`Code::TooLarge`].
 pub fn parse_job(body: &[u8]) -> Result<Submission, Failure> {
+    check_values(body)?;
     let job: JobBody = serde_json::from_slice(body).map_err(invalid_json)?;
     validate(Submission {
         service: job.service,
@@ -76,8 +79,9 @@
 
 /// Parses and validates the body of a single-task request.
 ///
-/// Fails with [`Code::BadBody`].
+/// Fails with [`Code::BadBody`] or [`Code::TooLarge`].
 pub fn parse_request(body: &[u8]) -> Result<Submission, Failure> {
+    check_values(body)?;
     let request: RequestBody = serde_json::from_slice(body).map_err(invalid_json)?;
     validate(Submission {
         service: request.service,
@@ -88,6 +92,15 @@
     })
 }
 
+/// Rejects a body with far more values than a valid one has, before they are built.
+fn check_values(body: &[u8]) -> Result<(), Failure> {
+    if has_more_json_values(body, VALUES_MAX) {
+        let message = format!("more than {VALUES_MAX} values, at most {TASKS_MAX} tasks");
+        return Err(Failure::new(Code::TooLarge, Verdict::NotRun, message));
+    }
+    Ok(())
+}
+
 fn validate(submission: Submission) -> Result<Submission, Failure> {
     let bad_body = |message: &str| Err(Failure::new(Code::BadBody, Verdict::NotRun, message));
     if submission.tasks.is_empty() {
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -64,6 +64,9 @@
     pub cpu_milli: u64,
 }
 
+/// Memory of a waiting task in the queue, whose tree nodes are half full or more, in bytes.
+pub(crate) const QUEUED_TASK_BYTES: usize = 2 * size_of::<QueuedTask>();
+
 /// Places the tasks of one entry's jobs at agents and answers the jobs.
 #[derive(Debug)]
 pub struct Dispatcher {
--- a/components/dispatch/src/event.rs
+++ b/components/dispatch/src/event.rs
@@ -61,6 +61,9 @@
 /// (`docs/design/policy.md`).
 const MAX_RUN_TIME_OBJECTIVES: f64 = 2.5;
 
+/// Memory of a job without its texts and tasks, in bytes.
+const JOB_BYTES: usize = 1_024;
+
 impl JobRequest {
     /// Estimated CPU time of all tasks, in core-seconds.
     pub fn estimated_work(&self) -> f64 {
@@ -69,6 +72,15 @@
         f64::from(shape.count) * task
     }
 
+    /// Estimated memory that the job takes at its entry until it is answered, in bytes.
+    pub fn memory_bytes(&self) -> u64 {
+        let labels = [&self.shape.requirement, &self.shape.affinity];
+        let texts =
+            labels.into_iter().flatten().map(|label| label.len()).sum::<usize>() + self.spec.len();
+        let task = crate::job::TASK_BYTES + crate::dispatcher::QUEUED_TASK_BYTES;
+        (JOB_BYTES + texts) as u64 + u64::from(self.shape.count) * task as u64
+    }
+
     /// Whether the job certainly ends within `left`, because its client stops waiting or because
     /// even an estimate far too low leaves enough time. A stopping entry admits only such jobs.
     pub fn ends_within(&self, left: Duration) -> bool {
--- a/components/dispatch/src/job.rs
+++ b/components/dispatch/src/job.rs
@@ -41,6 +41,9 @@
     pub completed_run: Option<(Duration, f64)>,
 }
 
+/// Memory of a task in its job, in bytes.
+pub(crate) const TASK_BYTES: usize = size_of::<Task>();
+
 /// A job and the calls that wait for its answer.
 #[derive(Debug)]
 pub(crate) struct Job {
--- a/components/fakes/src/target.rs
+++ b/components/fakes/src/target.rs
@@ -9,9 +9,8 @@
 
 use async_io::{Async, Timer};
 use futures_lite::future;
-use hyper::body::Bytes;
 use hyper::{HeaderMap, Request, Response};
-use net::{Body, BodyError, Limits};
+use net::{Body, Clients, Limits, RequestBody};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// How long the fake target takes to answer a task.
@@ -116,29 +115,39 @@
     let limits = Limits {
         max_header_bytes: net::DEFAULT_MAX_HEADER_BYTES,
         max_body_bytes: 1 << 20,
-        read_timeout: Duration::from_secs(10),
+        head_timeout: Duration::from_secs(10),
+        body_timeout: Duration::from_secs(10),
+        idle_timeout: Duration::from_secs(10),
         max_connections: 1_000,
+        socket_buffer_bytes: net::DEFAULT_SOCKET_BUFFER_BYTES,
     };
-    let handler = move |request: Request<Result<Bytes, BodyError>>| {
+    let handler = move |request: Request<RequestBody>| {
         let start_counts = start_counts.clone();
         async move { handle_request(request, service_time, behaviour, &start_counts).await }
     };
     net::block_on(|tasks| async move {
-        tasks.spawn(net::serve(listener, tasks.clone(), move || limits, handler));
+        tasks.spawn(net::serve(
+            listener,
+            tasks.clone(),
+            Clients::default(),
+            move || limits,
+            handler,
+        ));
         // Returns an error once the `Target` has been dropped.
         let _ = stopped.recv().await;
     });
 }
 
 async fn handle_request(
-    request: Request<Result<Bytes, BodyError>>,
+    request: Request<RequestBody>,
     service_time: ServiceTime,
     behaviour: Behaviour,
     start_counts: &StartCounts,
 ) -> Response<Body> {
     let (head, body) = request.into_parts();
-    let Ok(body) = body else { return response(400, "no body".to_owned()) };
+    let Ok(body) = body.read().await else { return response(400, "no body".to_owned()) };
     let task = String::from_utf8_lossy(&body).into_owned();
+    drop(body);
     record_start(&head.headers, start_counts);
     match behaviour {
         Behaviour::Succeed => {
--- a/components/net/src/connections.rs
+++ b/components/net/src/connections.rs
@@ -10,6 +10,9 @@
 use async_io::Timer;
 use clock::BootInstant;
 
+use crate::client_table::Stage;
+use crate::clients::{ClientSlot, Hold};
+
 /// The progress of a connection's current request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -56,6 +59,8 @@
 /// The state of one connection, shared by its stream, its service and the registry.
 #[derive(Debug)]
 pub(crate) struct ConnectionTracker {
+    /// Its place among the clients of the process.
+    pub slot: ClientSlot,
     peer: Option<SocketAddr>,
     phase: Cell<Phase>,
     phase_since: Cell<BootInstant>,
@@ -65,19 +70,36 @@
     last_received: Cell<BootInstant>,
     /// Whether bytes of a further request were received during the current one (pipelining).
     next_request_started: Cell<bool>,
+    /// Whether the current request was started before the last answer was written.
+    sent_ahead: Cell<bool>,
+    /// Whether the handler reads the request's body.
+    reading_body: Cell<bool>,
+    /// Whether a part of the request's body stays unread, so that the connection can't be reused.
+    body_unread: Cell<bool>,
+    /// Memory of the answer that is being written.
+    answer_hold: RefCell<Option<Hold>>,
     /// When the server last accepted a connection or received the start of a request.
     last_arrival: Rc<Cell<BootInstant>>,
 }
 
 impl ConnectionTracker {
-    fn new(peer: Option<SocketAddr>, last_arrival: Rc<Cell<BootInstant>>) -> Self {
+    fn new(
+        slot: ClientSlot,
+        peer: Option<SocketAddr>,
+        last_arrival: Rc<Cell<BootInstant>>,
+    ) -> Self {
         Self {
+            slot,
             peer,
             phase: Cell::new(Phase::Fresh),
             phase_since: Cell::new(BootInstant::now()),
             answered: Cell::new(0),
             last_received: Cell::new(BootInstant::now()),
             next_request_started: Cell::new(false),
+            sent_ahead: Cell::new(false),
+            reading_body: Cell::new(false),
+            body_unread: Cell::new(false),
+            answer_hold: RefCell::default(),
             last_arrival,
         }
     }
@@ -89,13 +111,64 @@
     pub fn set_phase(&self, phase: Phase) {
         if self.phase.replace(phase) != phase {
             self.phase_since.set(BootInstant::now());
+            self.slot.set_stage(match phase {
+                Phase::Fresh => Stage::New,
+                Phase::Idle => Stage::Idle,
+                Phase::Reading => Stage::Head,
+                Phase::Handling => Stage::Handling,
+                Phase::Answering => Stage::Answering,
+            });
+        }
+    }
+
+    /// Records the head of a request; returns whether the client sent it before it had the answer to
+    /// the last one.
+    pub fn record_head(&self) -> bool {
+        // Bytes that arrived with the last request were read before its answer was written.
+        let was_buffered = matches!(self.phase(), Phase::Fresh | Phase::Idle);
+        if was_buffered {
+            self.set_phase(Phase::Reading);
         }
+        self.sent_ahead.take() || was_buffered
+    }
+
+    /// Records that the handler reads the request's body.
+    pub fn start_body(&self) {
+        self.reading_body.set(true);
+        self.slot.set_stage(Stage::Body);
+    }
+
+    /// Records that the body is complete or has failed, and that the handler continues.
+    pub fn end_body(&self) {
+        self.reading_body.set(false);
+        self.set_phase(Phase::Handling);
+    }
+
+    /// Whether the handler reads the request's body.
+    pub fn is_reading_body(&self) -> bool {
+        self.reading_body.get()
+    }
+
+    /// Records that a part of the request's body stays unread.
+    pub fn set_body_unread(&self) {
+        self.body_unread.set(true);
+    }
+
+    /// Whether a part of the request's body stays unread.
+    pub fn is_body_unread(&self) -> bool {
+        self.body_unread.get()
+    }
+
+    /// Keeps the memory of an answer until it is written.
+    pub fn hold_answer(&self, hold: Hold) {
+        self.answer_hold.replace(Some(hold));
     }
 
     /// Records received bytes, which start a new request unless one is being read.
-    pub fn record_received_bytes(&self) {
+    pub fn record_received_bytes(&self, bytes: usize) {
         let now = BootInstant::now();
         self.last_received.set(now);
+        self.slot.record_progress(bytes);
         match self.phase() {
             Phase::Fresh | Phase::Idle => {
                 self.set_phase(Phase::Reading);
@@ -106,12 +179,19 @@
         }
     }
 
+    /// Records bytes that were passed to the kernel.
+    pub fn record_written_bytes(&self, bytes: usize) {
+        self.slot.record_progress(bytes);
+    }
+
     /// Records that all written bytes were passed to the kernel, which completes a response.
     pub fn record_flush(&self) {
         if self.phase() == Phase::Answering {
+            self.answer_hold.take();
             self.answered.set(self.answered.get() + 1);
-            let next = if self.next_request_started.take() { Phase::Reading } else { Phase::Idle };
-            self.set_phase(next);
+            let sent_ahead = self.next_request_started.take();
+            self.sent_ahead.set(sent_ahead);
+            self.set_phase(if sent_ahead { Phase::Reading } else { Phase::Idle });
         }
     }
 
@@ -125,6 +205,11 @@
         self.phase() == Phase::Reading && self.last_received.get().elapsed() >= STALL_TIMEOUT
     }
 
+    /// Whether the client stopped sending within a request's head.
+    pub fn is_head_stalled(&self) -> bool {
+        self.is_stalled() && !self.is_reading_body()
+    }
+
     /// Waits until no request is expected or partly received. A request whose client stalls is
     /// given up only after the server has stopped accepting connections.
     pub async fn no_request_incoming(&self, connections: &Connections) {
@@ -166,6 +251,8 @@
     next_number: Cell<u64>,
     /// Open connections by number, so oldest first.
     open: RefCell<BTreeMap<u64, Rc<ConnectionTracker>>>,
+    /// Receives a notice after a connection was opened.
+    opened: (Sender<()>, Receiver<()>),
     /// When a connection was last accepted or the start of a request received.
     last_arrival: Rc<Cell<BootInstant>>,
     /// Set once connections close after their response and idle ones immediately.
@@ -209,6 +296,7 @@
         Self {
             next_number: Cell::default(),
             open: RefCell::default(),
+            opened: async_channel::bounded(1),
             last_arrival: Rc::new(Cell::new(BootInstant::now())),
             keep_alive_stop: OnceFlag::default(),
             accepting_stop: OnceFlag::default(),
@@ -286,18 +374,32 @@
         self.keep_alive_stop.wait().await;
     }
 
+    /// Waits until a connection is open.
+    pub(crate) async fn wait_until_open(&self) {
+        while self.is_empty() {
+            // The sender is never dropped before the receiver.
+            let _ = self.opened.1.recv().await;
+        }
+    }
+
     /// Waits until [`Self::close`] is called.
     pub(crate) async fn accepting_stopped(&self) {
         self.accepting_stop.wait().await;
     }
 
     /// Registers a connection until the returned guard is dropped.
-    pub(crate) fn register(self: &Rc<Self>, peer: Option<SocketAddr>) -> ConnectionGuard {
+    pub(crate) fn register(
+        self: &Rc<Self>,
+        peer: Option<SocketAddr>,
+        slot: ClientSlot,
+    ) -> ConnectionGuard {
         let number = self.next_number.get();
         self.next_number.set(number + 1);
         self.last_arrival.set(BootInstant::now());
-        let tracker = Rc::new(ConnectionTracker::new(peer, self.last_arrival.clone()));
+        let tracker = Rc::new(ConnectionTracker::new(slot, peer, self.last_arrival.clone()));
         self.open.borrow_mut().insert(number, tracker.clone());
+        // A full channel already holds the notice.
+        let _ = self.opened.0.try_send(());
         ConnectionGuard { connections: self.clone(), number, tracker }
     }
 }
--- a/components/net/src/tracked_stream.rs
+++ b/components/net/src/tracked_stream.rs
@@ -19,6 +19,17 @@
     pub fn new(stream: S, tracker: Rc<ConnectionTracker>) -> Self {
         Self { stream, tracker }
     }
+
+    /// Returns the stream itself.
+    pub fn into_inner(self) -> S {
+        self.stream
+    }
+
+    fn record_written(&self, result: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(bytes)) = result {
+            self.tracker.record_written_bytes(*bytes);
+        }
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for TrackedStream<S> {
@@ -28,8 +39,10 @@
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        if matches!(result, Poll::Ready(Ok(bytes)) if bytes > 0) {
-            self.tracker.record_received_bytes();
+        if let Poll::Ready(Ok(bytes)) = result
+            && bytes > 0
+        {
+            self.tracker.record_received_bytes(bytes);
         }
         result
     }
@@ -41,7 +54,9 @@
         cx: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buffer)
+        let result = Pin::new(&mut self.stream).poll_write(cx, buffer);
+        self.record_written(&result);
+        result
     }
 
     fn poll_write_vectored(
@@ -49,7 +64,9 @@
         cx: &mut Context<'_>,
         buffers: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, buffers)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, buffers);
+        self.record_written(&result);
+        result
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/components/net/tests/support/mod.rs
+++ b/components/net/tests/support/mod.rs
@@ -11,16 +11,18 @@
 
 use async_io::{Async, Timer};
 use futures_lite::future;
-use hyper::body::Bytes;
 use hyper::{Request, Response, StatusCode};
-use net::{Body, BodyError, Connections, Limits, Spawner};
+use net::{Body, Clients, Connections, Limits, RequestBody, Spawner};
 
 /// Limits that no test reaches.
 pub const LIMITS: Limits = Limits {
     max_header_bytes: net::DEFAULT_MAX_HEADER_BYTES,
     max_body_bytes: 1_000,
-    read_timeout: Duration::from_secs(5),
+    head_timeout: Duration::from_secs(5),
+    body_timeout: Duration::from_secs(5),
+    idle_timeout: Duration::from_secs(5),
     max_connections: 100,
+    socket_buffer_bytes: net::DEFAULT_SOCKET_BUFFER_BYTES,
 };
 /// A complete request.
 pub const REQUEST: &[u8] = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab";
@@ -37,19 +39,49 @@
     pub serving: Rc<Cell<bool>>,
 }
 
+/// What the handler of a test server does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    /// Reads the body and answers with a word.
+    All,
+    /// Answers with a word without reading the body.
+    Nothing,
+    /// Reads the body and answers with this many bytes.
+    AnswerBytes(usize),
+}
+
 /// Starts a server whose handler responds after `handler_delay`.
 pub fn start(spawner: &Spawner, handler_delay: Duration, limits: Limits) -> Server {
+    start_with(spawner, handler_delay, limits, Clients::default(), Reading::All)
+}
+
+/// Starts a server for the given clients.
+pub fn start_with(
+    spawner: &Spawner,
+    handler_delay: Duration,
+    limits: Limits,
+    clients: Clients,
+    reading: Reading,
+) -> Server {
     let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
     let address = listener.get_ref().local_addr().unwrap();
     let connections = Rc::new(Connections::default());
     let (handled, serving) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(true)));
     let handled_count = handled.clone();
-    let handler = move |request: Request<Result<Bytes, BodyError>>| {
-        handled_count.set(handled_count.get() + 1);
+    let handler = move |request: Request<RequestBody>| {
+        let handled_count = handled_count.clone();
         async move {
+            let body_failed = match reading {
+                Reading::Nothing => false,
+                _ => request.into_body().read().await.is_err(),
+            };
+            handled_count.set(handled_count.get() + 1);
             Timer::after(handler_delay).await;
-            let mut response = Response::new(Body::from("done"));
-            if request.body().is_err() {
+            let mut response = Response::new(match reading {
+                Reading::AnswerBytes(bytes) => Body::from("x".repeat(bytes)),
+                _ => Body::from("done"),
+            });
+            if body_failed {
                 *response.status_mut() = StatusCode::REQUEST_TIMEOUT;
             }
             response
@@ -58,7 +90,8 @@
     let (registered, server_spawner, ended) =
         (connections.clone(), spawner.clone(), serving.clone());
     spawner.spawn(async move {
-        net::serve_until_closed(listener, server_spawner, registered, move || limits, handler)
+        let limits = move || limits;
+        net::serve_until_closed(listener, server_spawner, clients, registered, limits, handler)
             .await;
         ended.set(false);
     });
--- a/daemon/src/capacity/agent.rs
+++ b/daemon/src/capacity/agent.rs
@@ -10,7 +10,7 @@
 
 use async_io::{Async, Timer};
 use hyper::Method;
-use net::{Client, ClientError, Spawner};
+use net::{Client, ClientError, Clients, Spawner};
 use platform::{HttpCommand, InvalidHeartbeat};
 use runner::{
     Action, Event, HoldCommand, HoldReply, Runner, SessionId, StartCommand, StartReply,
@@ -61,6 +61,10 @@
     stop_grace: Cell<Duration>,
     /// The service that the target must report; empty accepts any.
     service: String,
+    /// The clients of all servers of the process.
+    pub(super) clients: Clients,
+    /// Maximum number of values in a target's report.
+    pub(super) max_body_values: usize,
     /// Rejected target reports, counted by reason.
     rejected_reports: RefCell<BTreeMap<&'static str, u64>>,
 }
@@ -93,15 +97,19 @@
         last_session: Cell::new(0),
         stop_grace: Cell::new(node.stop_grace),
         service: config.service.clone(),
+        clients: context.clients.clone(),
+        max_body_values: node.max_body_values,
         rejected_reports: RefCell::default(),
     });
     let listener =
         Async::<TcpListener>::bind(config.listen).map_err(io_error(config.listen.to_string()))?;
-    target_http::serve(listener, &tasks, agent.clone());
+    target_http::serve(listener, &tasks, context.clients.clone(), agent.clone());
     if let Some(address) = node.metrics {
         let metrics_source = agent.clone();
-        metrics::serve(address, &tasks, move |page| metrics_source.write_metrics(page))
-            .map_err(io_error(address.to_string()))?;
+        metrics::serve(address, &tasks, &context.clients, move |page| {
+            metrics_source.write_metrics(page);
+        })
+        .map_err(io_error(address.to_string()))?;
     }
     tasks.spawn(run_timers(agent.clone()));
     tasks.spawn(agent_sessions::poll_selection(agent.clone()));
--- a/daemon/src/capacity/entry.rs
+++ b/daemon/src/capacity/entry.rs
@@ -12,7 +12,7 @@
 use async_io::{Async, Timer};
 use dispatch::{Action, CallId, Dispatcher, Event, Outcome, SessionId, Timing};
 use keeper::DocumentSource;
-use net::Spawner;
+use net::{Clients, Spawner};
 use routing::RouteTable;
 use serde_json::json;
 use wire::{Document, NodeInfo, NodeRole, ToAgent, ToEntry};
@@ -59,6 +59,10 @@
     /// Whether the callers' port is bound.
     listening: Cell<bool>,
     pub stop: StopProgress,
+    /// The clients of all servers of the process.
+    pub(super) clients: Clients,
+    pub(super) max_body_values: usize,
+    pub(super) max_job_tasks: u32,
     pub(super) message_counters: MessageCounters,
     peers: Rc<EntryPeers>,
     watch: RefCell<Option<Rc<KeeperWatch>>>,
@@ -91,6 +95,9 @@
         last_id: Cell::new(0),
         listening: Cell::new(false),
         stop: StopProgress::new(context.config.node.stop_grace),
+        clients: context.clients.clone(),
+        max_body_values: context.config.node.max_body_values,
+        max_job_tasks: config.max_job_tasks,
         message_counters: MessageCounters::default(),
         peers: EntryPeers::new(peer_address, tasks.clone(), context.log.clone(), clock),
         watch: RefCell::default(),
@@ -104,8 +111,10 @@
     }
     if let Some(address) = context.config.node.metrics {
         let metrics_source = entry.clone();
-        metrics::serve(address, &tasks, move |page| metrics_source.write_metrics(page))
-            .map_err(io_error(address.to_string()))?;
+        metrics::serve(address, &tasks, &context.clients, move |page| {
+            metrics_source.write_metrics(page);
+        })
+        .map_err(io_error(address.to_string()))?;
     }
     tasks.spawn(accept_agents(entry.clone(), agent_listener, tasks.clone()));
     tasks.spawn(run_timers(entry.clone()));
--- a/daemon/src/capacity/entry_http.rs
+++ b/daemon/src/capacity/entry_http.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use async_io::Async;
-use dispatch::Outcome;
-use hyper::body::Bytes;
+use dispatch::{JobRequest, Outcome};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
+use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use net::{Body, BodyError, Limits, Spawner};
+use model::JobId;
+use net::{Body, BodyError, HeldBody, LimitReason, Limits, RequestBody, Spawner};
 use platform::{ClientRequest, InvalidJob, InvalidRequest, Reply};
-use routing::{HttpLimits, Route};
+use routing::{HttpLimits, Route, RouteTable};
 use serde_json::json;
 
 use super::entry::Entry;
@@ -23,49 +24,60 @@
 const READY_LIMITS: Limits = Limits {
     max_header_bytes: net::DEFAULT_MAX_HEADER_BYTES,
     max_body_bytes: 4_096,
-    read_timeout: Duration::from_secs(30),
+    head_timeout: Duration::from_secs(3),
+    body_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(30),
     max_connections: 64,
+    socket_buffer_bytes: net::DEFAULT_SOCKET_BUFFER_BYTES,
 };
+/// `Retry-After` while the memory for clients is used up.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// `Retry-After` while a configuration is still being fetched.
 const CONFIGURATION_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Serves callers until the entry closes its intake.
 pub(super) fn serve_callers(listener: Async<TcpListener>, tasks: &Spawner, entry: Rc<Entry>) {
     let limits_source = entry.clone();
-    let connections = entry.stop.connections.clone();
+    let (connections, clients) = (entry.stop.connections.clone(), entry.clients.clone());
     let limits = move || {
         let limits =
             limits_source.route_table().map_or_else(HttpLimits::default, |table| table.limits);
         Limits {
             max_header_bytes: limits.max_header_bytes,
             max_body_bytes: limits.max_body_bytes,
-            // The server starts the header timeout at the previous response, so it has to cover the
-            // idle time.
-            read_timeout: limits.idle_timeout.max(limits.header_timeout),
+            head_timeout: limits.header_timeout,
+            body_timeout: limits.idle_timeout.max(limits.header_timeout),
+            idle_timeout: limits.idle_timeout,
             max_connections: MAX_CONNECTIONS,
+            socket_buffer_bytes: net::DEFAULT_SOCKET_BUFFER_BYTES,
         }
     };
     let handler = move |request| {
         let entry = entry.clone();
         async move { handle_request(&entry, request).await }
     };
-    tasks.spawn(net::serve_until_closed(listener, tasks.clone(), connections, limits, handler));
+    tasks.spawn(net::serve_until_closed(
+        listener,
+        tasks.clone(),
+        clients,
+        connections,
+        limits,
+        handler,
+    ));
 }
 
 /// Answers readiness checks until the process ends.
 pub(super) fn serve_ready(listener: Async<TcpListener>, tasks: &Spawner, entry: Rc<Entry>) {
-    let handler = move |_: Request<Result<Bytes, BodyError>>| {
+    let clients = entry.clients.clone();
+    let handler = move |_: Request<RequestBody>| {
         let status = if entry.is_ready() { 200 } else { 503 };
         entry.stop.record_readiness_check(entry.now());
         async move { plain_response(status, "") }
     };
-    tasks.spawn(net::serve(listener, tasks.clone(), || READY_LIMITS, handler));
+    tasks.spawn(net::serve(listener, tasks.clone(), clients, || READY_LIMITS, handler));
 }
 
-async fn handle_request(
-    entry: &Rc<Entry>,
-    request: Request<Result<Bytes, BodyError>>,
-) -> Response<Body> {
+async fn handle_request(entry: &Rc<Entry>, request: Request<RequestBody>) -> Response<Body> {
     let mut response = route_request(entry, request).await;
     if entry.is_draining() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -74,14 +86,34 @@
     response
 }
 
-async fn route_request(
-    entry: &Rc<Entry>,
-    request: Request<Result<Bytes, BodyError>>,
-) -> Response<Body> {
+/// Answers a request. What the head decides is answered without reading the body.
+async fn route_request(entry: &Rc<Entry>, request: Request<RequestBody>) -> Response<Body> {
     let (head, body) = request.into_parts();
-    let Some(table) = entry.route_table() else {
+    let table = entry.route_table();
+    let (route, call) = match find_route(entry, table.as_deref(), &head) {
+        Ok(found) => found,
+        Err(reply) => return json_response(&reply),
+    };
+    match call {
+        ClientRequest::Submit(id) => match body.read().await {
+            Ok(body) => submit_body(entry, id, &head, body).await,
+            Err(error) => json_response(&body_error_reply(entry, &head, error)),
+        },
+        ClientRequest::Get(id) => json_response(&platform::state_reply(entry.has_job(&id))),
+        ClientRequest::Cancel(id) => cancel(entry, id),
+        ClientRequest::CountWaiting => json_response(&queue_count(entry, route)),
+    }
+}
+
+/// Finds the route of a request and parses what it asks for; fails with the reply to the client.
+fn find_route<'t>(
+    entry: &Entry,
+    table: Option<&'t RouteTable>,
+    head: &Parts,
+) -> Result<(&'t Route, ClientRequest), Reply> {
+    let Some(table) = table else {
         let reply = error_reply(503, "no configuration yet");
-        return json_response(&Reply { retry_after: Some(CONFIGURATION_RETRY_AFTER), ..reply });
+        return Err(Reply { retry_after: Some(CONFIGURATION_RETRY_AFTER), ..reply });
     };
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let host = head.uri.host().unwrap_or(host);
@@ -92,38 +124,57 @@
             json!({"host": host, "path": path, "version": version,
                 "behind": entry.is_behind()})
         });
-        return json_response(&queue_not_found(entry));
+        return Err(queue_not_found(entry));
     };
-    let call = match ClientRequest::parse(route, &head.method, path) {
-        Ok(call) => call,
+    match ClientRequest::parse(route, &head.method, path) {
+        Ok(call) => Ok((route, call)),
         Err(error) => {
             let status = if error == InvalidRequest::UnsupportedMethod { 405 } else { 400 };
-            return json_response(&reject(entry, path, status, &error.to_string()));
+            Err(reject(entry, path, status, &error.to_string()))
         }
+    }
+}
+
+fn body_error_reply(entry: &Entry, head: &Parts, error: BodyError) -> Reply {
+    let status = match error {
+        BodyError::TooLong => 413,
+        BodyError::Timeout => 408,
+        BodyError::Disconnected => 400,
+        BodyError::Refused => return no_memory(),
     };
-    match (call, body) {
-        (ClientRequest::Submit(id), Ok(body)) => {
-            match platform::parse_job(route, id, &head.headers, &body) {
-                Ok(job) => submit(entry, job).await,
-                Err(error) => json_response(&reject(
-                    entry,
-                    path,
-                    job_error_status(&error),
-                    &error.to_string(),
-                )),
-            }
-        }
-        (ClientRequest::Submit(_), Err(error)) => {
-            let status = match error {
-                BodyError::TooLong => 413,
-                BodyError::Timeout => 408,
-                BodyError::Disconnected => 400,
-            };
-            json_response(&reject(entry, path, status, &error.to_string()))
+    reject(entry, head.uri.path(), status, &error.to_string())
+}
+
+/// Submits the job in a body, unless it is invalid or too large.
+async fn submit_body(entry: &Rc<Entry>, id: JobId, head: &Parts, body: HeldBody) -> Response<Body> {
+    if model::has_more_json_values(&body, entry.max_body_values) {
+        entry.clients.count_refused(LimitReason::BodyValues);
+        let reason = format!("not taken: more than {} values", entry.max_body_values);
+        return json_response(&error_reply(413, &reason));
+    }
+    // The routes may have changed while the body was read.
+    let table = entry.route_table();
+    let route = match find_route(entry, table.as_deref(), head) {
+        Ok((route, _)) => route,
+        Err(reply) => return json_response(&reply),
+    };
+    let job = match platform::parse_job(route, id, &head.headers, &body) {
+        Ok(job) => job,
+        Err(error) => {
+            let status = job_error_status(&error);
+            let reply = reject(entry, head.uri.path(), status, &error.to_string());
+            return json_response(&reply);
         }
-        (ClientRequest::Get(id), _) => json_response(&platform::state_reply(entry.has_job(&id))),
-        (ClientRequest::Cancel(id), _) => cancel(entry, id),
-        (ClientRequest::CountWaiting, _) => json_response(&queue_count(entry, route)),
+    };
+    if job.shape.count > entry.max_job_tasks {
+        entry.clients.count_refused(LimitReason::JobTasks);
+        let reason = format!("not taken: more than {} tasks", entry.max_job_tasks);
+        return json_response(&error_reply(413, &reason));
+    }
+    // Held until the job is answered.
+    match body.replace(job.memory_bytes()) {
+        Ok(_hold) => submit(entry, job).await,
+        Err(_) => json_response(&no_memory()),
     }
 }
 
@@ -134,11 +185,17 @@
     }
 }
 
+/// Refuses a request for lack of memory. Nothing of it has run.
+fn no_memory() -> Reply {
+    let reply = error_reply(503, "not run: too many clients send large requests");
+    Reply { retry_after: Some(NO_MEMORY_RETRY_AFTER), ..reply }
+}
+
 fn queue_count(entry: &Entry, route: &Route) -> Reply {
     platform::count_reply(entry.waiting_jobs(&route.name))
 }
 
-async fn submit(entry: &Rc<Entry>, job: dispatch::JobRequest) -> Response<Body> {
+async fn submit(entry: &Rc<Entry>, job: JobRequest) -> Response<Body> {
     log_late_request(entry, &job);
     let (receiver, _guard) = entry.submit(job);
     // The sender is dropped without an outcome only when the entry ends.
@@ -148,7 +205,7 @@
 }
 
 /// Logs a job that arrives after the load balancer has noticed the planned stop.
-fn log_late_request(entry: &Entry, job: &dispatch::JobRequest) {
+fn log_late_request(entry: &Entry, job: &JobRequest) {
     let Some(time_left) = entry.stop.time_left(entry.now()) else { return };
     entry.log.line("late-request", Budget::Full, || {
         json!({"job": job.id.as_str(), "left_ms": time_left.as_millis() as u64,
@@ -158,7 +215,7 @@
 }
 
 /// Cancels a job, also if another entry has it.
-fn cancel(entry: &Entry, id: model::JobId) -> Response<Body> {
+fn cancel(entry: &Entry, id: JobId) -> Response<Body> {
     let known = entry.has_job(&id);
     entry.log.line("cancel", Budget::Full, || json!({"job": id.as_str(), "here": known}));
     entry.handle_event(dispatch::Event::Cancel(id));
--- a/daemon/src/capacity/keeper.rs
+++ b/daemon/src/capacity/keeper.rs
@@ -14,12 +14,16 @@
 pub(super) fn run(context: NodeContext) -> Result<(), CapacityNodeError> {
     let Some(keeper) = context.config.keeper.clone() else { return Ok(()) };
     let log = Some(context.log.clone());
-    let options = KeeperOptions { log, ..KeeperOptions::new(context.config.node.clone(), keeper) };
+    let options = KeeperOptions {
+        log,
+        clients: context.clients.clone(),
+        ..KeeperOptions::new(context.config.node.clone(), keeper)
+    };
     let handle = KeeperHandle::start(options)?;
     net::block_on(|tasks| async move {
         if let Some(address) = context.config.node.metrics {
             let status = handle.status_reader();
-            metrics::serve(address, &tasks, move |page| {
+            metrics::serve(address, &tasks, &context.clients, move |page| {
                 let Some(status) = status.read() else { return };
                 page.value("keeper_leads", "", u64::from(status.leads));
                 page.value("keeper_term", "", status.term);
--- a/daemon/src/capacity/metrics.rs
+++ b/daemon/src/capacity/metrics.rs
@@ -1,7 +1,6 @@
 //! Serves counters, gauges and latencies in the Prometheus text format.
 
 use std::borrow::Cow;
-use std::cell::RefCell;
 use std::fmt::Write as _;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -10,15 +9,20 @@
 use async_io::Async;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use net::{Body, Limits, Spawner};
+use net::{Body, Clients, Limits, Spawner};
 use telemetry::LatencyHistogram;
 
+use super::client_log;
+
 /// Limits for the connections of the monitoring system.
 const LIMITS: Limits = Limits {
     max_header_bytes: net::DEFAULT_MAX_HEADER_BYTES,
     max_body_bytes: 4_096,
-    read_timeout: Duration::from_secs(10),
+    head_timeout: Duration::from_secs(3),
+    body_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(10),
     max_connections: 16,
+    socket_buffer_bytes: net::DEFAULT_SOCKET_BUFFER_BYTES,
 };
 /// Quantiles reported for each latency.
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 0.999];
@@ -67,15 +71,20 @@
 pub(crate) fn serve(
     address: SocketAddr,
     tasks: &Spawner,
+    clients: &Clients,
     write_page: impl Fn(&mut MetricsPage) + 'static,
 ) -> std::io::Result<()> {
     let listener = Async::<TcpListener>::bind(address)?;
-    let write_page = Rc::new(RefCell::new(write_page));
+    let page_clients = clients.clone();
+    let write_page = Rc::new(move |page: &mut MetricsPage| {
+        write_page(page);
+        client_log::write_metrics(&page_clients, page);
+    });
     let handler = move |request: Request<_>| {
         let write_page = write_page.clone();
-        async move { respond(&request, &*write_page.borrow()) }
+        async move { respond(&request, &*write_page) }
     };
-    tasks.spawn(net::serve(listener, tasks.clone(), || LIMITS, handler));
+    tasks.spawn(net::serve(listener, tasks.clone(), clients.clone(), || LIMITS, handler));
     Ok(())
 }
 
--- a/daemon/src/capacity/mod.rs
+++ b/daemon/src/capacity/mod.rs
@@ -6,6 +6,7 @@
 mod agent;
 mod agent_log;
 mod agent_sessions;
+mod client_log;
 mod entry;
 mod entry_http;
 mod entry_log;
@@ -27,11 +28,13 @@
 use async_channel::Receiver;
 use async_io::Timer;
 use model::Incarnation;
+use net::Clients;
 use serde_json::json;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use thiserror::Error;
 
+use self::client_log::ClientLog;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::event_log::{Budget, EventLog};
@@ -92,6 +95,7 @@
         log,
         control_events,
         incarnation,
+        clients: Clients::new(config.node.client_limits),
     };
     let log = context.log.clone();
     let result = if config.entry.is_some() {
@@ -115,6 +119,8 @@
     log: EventLog,
     control_events: Receiver<ControlEvent>,
     incarnation: Incarnation,
+    /// The clients of all servers of the process.
+    clients: Clients,
 }
 
 /// Draws a random incarnation number, which with near certainty no earlier process of the node had.
@@ -150,6 +156,7 @@
 /// checked and passed to `on_reload`; an invalid one is logged and changes nothing.
 async fn reload_until_stopped(context: &NodeContext, mut on_reload: impl FnMut(&Config)) {
     let mut current = context.config.clone();
+    let mut client_log = ClientLog::default();
     loop {
         let event = async { context.control_events.recv().await.unwrap_or(ControlEvent::Stop) };
         let poll = async {
@@ -160,6 +167,7 @@
             ControlEvent::Stop => return,
             ControlEvent::Reload => {}
         }
+        client_log.write_changes(&context.clients, &context.log);
         match Config::load(&context.path) {
             Ok(config) if config == current => {}
             Ok(config) => {
--- a/daemon/src/capacity/target_http.rs
+++ b/daemon/src/capacity/target_http.rs
@@ -5,9 +5,8 @@
 use std::time::Duration;
 
 use async_io::Async;
-use hyper::body::Bytes;
 use hyper::{Request, Response, StatusCode};
-use net::{Body, BodyError, Limits, Spawner};
+use net::{Body, BodyError, Clients, HeldBody, LimitReason, Limits, RequestBody, Spawner};
 use platform::TargetRequest;
 use runner::Event;
 use serde_json::json;
@@ -19,51 +18,71 @@
 const LIMITS: Limits = Limits {
     max_header_bytes: net::DEFAULT_MAX_HEADER_BYTES,
     max_body_bytes: 256 * 1024,
-    read_timeout: Duration::from_secs(30),
+    head_timeout: Duration::from_secs(3),
+    body_timeout: Duration::from_secs(10),
+    idle_timeout: Duration::from_secs(30),
     max_connections: 64,
+    socket_buffer_bytes: net::DEFAULT_SOCKET_BUFFER_BYTES,
 };
 
 /// Serves the target until the process ends.
-pub(super) fn serve(listener: Async<TcpListener>, tasks: &Spawner, agent: Rc<Agent>) {
+pub(super) fn serve(
+    listener: Async<TcpListener>,
+    tasks: &Spawner,
+    clients: Clients,
+    agent: Rc<Agent>,
+) {
     let handler = move |request| {
         let agent = agent.clone();
-        async move { handle_request(&agent, request) }
+        async move { handle_request(&agent, request).await }
     };
-    tasks.spawn(net::serve(listener, tasks.clone(), || LIMITS, handler));
+    tasks.spawn(net::serve(listener, tasks.clone(), clients, || LIMITS, handler));
 }
 
-fn handle_request(agent: &Rc<Agent>, request: Request<Result<Bytes, BodyError>>) -> Response<Body> {
+async fn handle_request(agent: &Rc<Agent>, request: Request<RequestBody>) -> Response<Body> {
     let (head, body) = request.into_parts();
-    match (TargetRequest::parse(&head.method, head.uri.path()), body) {
-        (Some(TargetRequest::Heartbeat(id)), Ok(body)) => match agent.read_report(&id, &body) {
-            Ok(report) => {
-                // Responds only after the report is processed. A late report is acknowledged too:
-                // an instance that has ended ignores the response, while the current one would
-                // count a refusal as a failed report and miss the acknowledgement that it is
-                // leaving.
-                agent.handle_event(Event::TargetReported(report));
-                build_response(200, "{}".to_owned())
-            }
+    match TargetRequest::parse(&head.method, head.uri.path()) {
+        Some(TargetRequest::Heartbeat(id)) => match body.read().await {
+            Ok(body) => handle_heartbeat(agent, &id, &body),
             Err(error) => {
-                let reason = error.to_string();
-                agent.log.line(
-                    "target-report-refused",
-                    Budget::Full,
-                    || json!({"target": id, "reason": reason}),
-                );
-                build_response(400, json!({"error": reason}).to_string())
+                let status = if error == BodyError::Refused { 503 } else { 400 };
+                build_response(status, json!({"error": error.to_string()}).to_string())
             }
         },
-        (Some(TargetRequest::Deregister(id)), body) => {
+        Some(TargetRequest::Deregister(id)) => {
             // Without a readable body the instance is unknown, as with an empty body.
-            let body = body.unwrap_or_default();
-            agent.handle_event(Event::TargetLeft(platform::parse_deregistration(&id, &body)));
+            let body = body.read().await;
+            let body = body.as_deref().unwrap_or_default();
+            agent.handle_event(Event::TargetLeft(platform::parse_deregistration(&id, body)));
+            build_response(200, "{}".to_owned())
+        }
+        None => build_response(404, "{}".to_owned()),
+    }
+}
+
+fn handle_heartbeat(agent: &Rc<Agent>, id: &str, body: &HeldBody) -> Response<Body> {
+    if model::has_more_json_values(body, agent.max_body_values) {
+        agent.clients.count_refused(LimitReason::BodyValues);
+        let error = format!("a heartbeat of more than {} values", agent.max_body_values);
+        return build_response(413, json!({"error": error}).to_string());
+    }
+    match agent.read_report(id, body) {
+        Ok(report) => {
+            // Responds only after the report is processed. A late report is acknowledged too: an
+            // instance that has ended ignores the response, while the current one would count a
+            // refusal as a failed report and miss the acknowledgement that it is leaving.
+            agent.handle_event(Event::TargetReported(report));
             build_response(200, "{}".to_owned())
         }
-        (Some(TargetRequest::Heartbeat(_)), Err(error)) => {
-            build_response(400, json!({"error": error.to_string()}).to_string())
+        Err(error) => {
+            let reason = error.to_string();
+            agent.log.line(
+                "target-report-refused",
+                Budget::Full,
+                || json!({"target": id, "reason": reason}),
+            );
+            build_response(400, json!({"error": reason}).to_string())
         }
-        (None, _) => build_response(404, "{}".to_owned()),
     }
 }
 
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -9,6 +9,7 @@
 
 use membership::Role;
 use model::NodeName;
+use net::ClientLimits;
 use settings::{SettingsError, Value, parse_ini};
 use subset::SubsetSizes;
 use thiserror::Error;
@@ -16,6 +17,8 @@
 pub use keys::print_reference;
 use keys::{AGENT, ENTRY, EXPERIMENT, KEEPER, NODE, Sections};
 
+const BYTES_PER_MB: u64 = 1 << 20;
+
 /// Why the configuration file can't be used.
 #[derive(Debug, Error)]
 pub enum ConfigError {
@@ -80,6 +83,10 @@
     pub logs: Option<PathBuf>,
     /// How often the counters are logged.
     pub counters_interval: Duration,
+    /// Limits on the clients of all servers of the process.
+    pub client_limits: ClientLimits,
+    /// With capacity scheduling: maximum number of values in the body of a job or a target's report.
+    pub max_body_values: usize,
 }
 
 /// The configuration of the entry role.
@@ -101,6 +108,8 @@
     pub remote_penalty_milli: u64,
     /// With capacity scheduling: the enabled parts of the policy.
     pub policy: dispatch::Policy,
+    /// With capacity scheduling: maximum number of tasks of a job.
+    pub max_job_tasks: u32,
 }
 
 /// The configuration of the agent role.
@@ -223,9 +232,23 @@
         stop_grace: sections.value(NODE, "stop_grace_s")?.duration(),
         logs: (!logs.is_empty()).then(|| PathBuf::from(logs)),
         counters_interval: duration("counters_every_ms")?,
+        client_limits: ClientLimits {
+            memory_bytes: client_memory_bytes(sections)?,
+            stall_timeout: duration("client_stall_ms")?,
+            answer_timeout: duration("answer_timeout_ms")?,
+            large_body_interval: duration("large_body_interval_ms")?,
+        },
+        max_body_values: sections.value(NODE, "max_body_values")?.integer() as usize,
     })
 }
 
+/// Returns the clients' share of the memory, in bytes.
+fn client_memory_bytes(sections: &Sections) -> Result<u64, SettingsError> {
+    let memory_mb = sections.value(NODE, "memory_mb")?.integer();
+    let percent = sections.value(NODE, "client_memory_percent")?.integer();
+    Ok(memory_mb * BYTES_PER_MB * percent / 100)
+}
+
 fn read_role(word: &str) -> Result<Role, SettingsError> {
     match word {
         "entry" => Ok(Role::Entry),
@@ -248,6 +271,7 @@
         drain_notice: Duration::from_millis(notice),
         remote_penalty_milli: sections.value(ENTRY, "remote_penalty")?.thousandths(),
         policy: read_policy(sections)?,
+        max_job_tasks: sections.value(ENTRY, "max_job_tasks")?.integer() as u32,
     })
 }
 
--- a/daemon/src/config/keys.rs
+++ b/daemon/src/config/keys.rs
@@ -80,6 +80,42 @@
         default: "10000",
         help: "How often the counters are logged.",
     },
+    Key {
+        name: "memory_mb",
+        value_type: ValueType::Integer { min: 32, max: 1_048_576, unit: "MB" },
+        default: "128",
+        help: "Memory of the host that the process may use; the limits on clients follow from it.",
+    },
+    Key {
+        name: "client_memory_percent",
+        value_type: ValueType::Integer { min: 10, max: 90, unit: "percent" },
+        default: "60",
+        help: "Share of memory_mb for clients over HTTP: their connections, bodies, jobs and answers. Bodies, jobs and answers over 16 KiB take at most half of it.",
+    },
+    Key {
+        name: "client_stall_ms",
+        value_type: ValueType::Integer { min: 100, max: 600_000, unit: "ms" },
+        default: "1500",
+        help: "Time without progress after which a client's body gives way to other clients.",
+    },
+    Key {
+        name: "answer_timeout_ms",
+        value_type: ValueType::Integer { min: 100, max: 600_000, unit: "ms" },
+        default: "10000",
+        help: "Time without progress after which the connection of a client that does not read its answer is closed.",
+    },
+    Key {
+        name: "large_body_interval_ms",
+        value_type: ValueType::Integer { min: 0, max: 10_000, unit: "ms" },
+        default: "10",
+        help: "Least time between two bodies over 16 KiB that a server of the process passes on.",
+    },
+    Key {
+        name: "max_body_values",
+        value_type: ValueType::Integer { min: 100, max: 10_000_000, unit: "values" },
+        default: "10000",
+        help: "With scheduling = room: most values (fields and list items) in the body of a job or of a target's report.",
+    },
 ];
 
 const ENTRY_KEYS: &[Key] = &[
@@ -119,6 +155,12 @@
         default: "1",
         help: "With scheduling = room: how many times as long a task takes away from the data that its job names; with 1 the data is only a preference.",
     },
+    Key {
+        name: "max_job_tasks",
+        value_type: ValueType::Integer { min: 1, max: 100_000, unit: "tasks" },
+        default: "10000",
+        help: "With scheduling = room: most tasks of a job.",
+    },
 ];
 
 const AGENT_KEYS: &[Key] = &[
--- a/daemon/src/entry_role/listen.rs
+++ b/daemon/src/entry_role/listen.rs
@@ -12,11 +12,10 @@
 use futures::StreamExt;
 use futures::channel::oneshot;
 use futures_lite::{FutureExt, future};
-use hyper::body::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use model::{Code, Failure, SubmissionId, Verdict};
-use net::{Body, BodyError, Connections, Limits, Spawner};
+use net::{Body, BodyError, Clients, Connections, Limits, RequestBody, Spawner};
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use wire::{EntryService, RelayReply, RelayRequest};
@@ -28,16 +27,23 @@
 const CALLER_LIMITS: Limits = Limits {
     max_header_bytes: net::DEFAULT_MAX_HEADER_BYTES,
     max_body_bytes: BODY_BYTES_MAX,
-    read_timeout: Duration::from_secs(10),
+    head_timeout: Duration::from_secs(3),
+    body_timeout: Duration::from_secs(10),
+    idle_timeout: Duration::from_secs(10),
     max_connections: 20_000,
+    socket_buffer_bytes: net::DEFAULT_SOCKET_BUFFER_BYTES,
 };
 
+/// Delay after which a client should retry whose body there was no memory for, in milliseconds.
+const NO_MEMORY_RETRY_AFTER_MS: u64 = 1_000;
+
 /// Accepts connections until the other side of `stopped` is dropped, then counts the callers that
 /// still wait for a response until the state machine's thread ends.
 pub(crate) async fn run(
     tasks: Spawner,
     listener: Async<TcpListener>,
     peer_listener: Async<TcpListener>,
+    clients: Clients,
     input_sender: Sender<Input>,
     shared: Arc<SharedState>,
     stopped: Receiver<()>,
@@ -51,6 +57,7 @@
     let serve = net::serve_until_closed(
         listener,
         tasks.clone(),
+        clients,
         callers.clone(),
         || CALLER_LIMITS,
         handler,
@@ -129,7 +136,7 @@
 }
 
 impl CallerService {
-    async fn handle(&self, request: Request<Result<Bytes, BodyError>>) -> Response<Body> {
+    async fn handle(&self, request: Request<RequestBody>) -> Response<Body> {
         let (head, body) = request.into_parts();
         let route = api::parse_route(head.method.as_str(), head.uri.path());
         match route {
@@ -145,13 +152,18 @@
     async fn submit(
         &self,
         id: SubmissionId,
-        body: Result<Bytes, BodyError>,
+        body: RequestBody,
         read: fn(&[u8]) -> Result<Submission, Failure>,
     ) -> Response<Body> {
-        let parsed = body.map_err(body_failure).and_then(|body| read(&body));
+        let parsed = body.read().await.map_err(body_failure).and_then(|body| {
+            let parsed = read(&body)?;
+            let bytes = body.len() as u64;
+            Ok((parsed, body.replace(bytes).map_err(|refused| body_failure(refused.into()))?))
+        });
         match parsed {
             Err(failure) => failure_response(Some(id), failure),
-            Ok(parsed) => {
+            // The memory of the body covers its tasks until they are answered.
+            Ok((parsed, _hold)) => {
                 let request = RelayRequest {
                     submission: id,
                     service: parsed.service,
@@ -192,9 +204,14 @@
 fn body_failure(error: BodyError) -> Failure {
     let code = match error {
         BodyError::TooLong => Code::TooLarge,
+        BodyError::Refused => Code::Overloaded,
         BodyError::Timeout | BodyError::Disconnected => Code::BadBody,
     };
-    Failure::new(code, Verdict::NotRun, error.to_string())
+    let failure = Failure::new(code, Verdict::NotRun, error.to_string());
+    match error {
+        BodyError::Refused => failure.retry_after(NO_MEMORY_RETRY_AFTER_MS),
+        _ => failure,
+    }
 }
 
 fn failure_response(id: Option<SubmissionId>, failure: Failure) -> Response<Body> {
--- a/daemon/src/entry_role/mod.rs
+++ b/daemon/src/entry_role/mod.rs
@@ -16,6 +16,7 @@
 use async_io::Async;
 use membership::{HostList, HostState, Liveness, Role};
 use model::{NodeName, NodeRef};
+use net::Clients;
 use telemetry::EntryCounters;
 
 use crate::clock::Clock;
@@ -44,6 +45,8 @@
     pub node_ref: NodeRef,
     /// The log of routing and placement decisions.
     pub decisions: DecisionLog,
+    /// The clients of all servers of the process.
+    pub clients: Clients,
 }
 
 /// State shared by the threads of an entry.
@@ -101,9 +104,10 @@
             agent_links::run(node_ref, tasks, link_inputs, events)
         })?;
         let listen_inputs = input_sender.clone();
-        let listen_shared = shared.clone();
+        let (listen_shared, clients) = (shared.clone(), options.clients.clone());
         let listen_thread = spawn("entry-listen", move |tasks| {
-            listen::run(tasks, listener, peer_listener, listen_inputs, listen_shared, stopped)
+            let inputs = listen_inputs;
+            listen::run(tasks, listener, peer_listener, clients, inputs, listen_shared, stopped)
         })?;
         Ok(Self {
             address,
--- a/daemon/src/keeper_role/listen.rs
+++ b/daemon/src/keeper_role/listen.rs
@@ -9,12 +9,11 @@
 use async_io::{Async, Timer};
 use futures::StreamExt;
 use futures_lite::future;
-use hyper::body::Bytes;
-use hyper::header::{CONTENT_TYPE, HeaderValue, LOCATION};
+use hyper::header::{CONTENT_TYPE, HeaderValue, LOCATION, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use keeper::Reply;
 use model::NodeName;
-use net::{Body, BodyError, Connections, Limits, Spawner};
+use net::{Body, BodyError, Clients, Connections, HeldBody, Limits, RequestBody, Spawner};
 use platform::OperatorRequest;
 use serde::Serialize;
 use tarpc::context::Context;
@@ -30,9 +29,17 @@
 const OPERATOR_LIMITS: Limits = Limits {
     max_header_bytes: net::DEFAULT_MAX_HEADER_BYTES,
     max_body_bytes: 4 * 1024 * 1024,
-    read_timeout: Duration::from_secs(10),
+    head_timeout: Duration::from_secs(3),
+    body_timeout: Duration::from_secs(10),
+    idle_timeout: Duration::from_secs(10),
     max_connections: 1_000,
+    socket_buffer_bytes: OPERATOR_SOCKET_BUFFER_BYTES,
 };
+/// Size of the socket buffers of an operator's connection, in bytes. A document of the largest size
+/// arrives within a second over the distance of two regions.
+const OPERATOR_SOCKET_BUFFER_BYTES: usize = 64 * 1024;
+/// `Retry-After` in seconds while the memory for clients is used up.
+const NO_MEMORY_RETRY_AFTER: u64 = 1;
 
 /// Idle time after which a connection of a node or another keeper is closed, as it may be
 /// half-open. Longer than the interval of a watching node's requests, which is at most 2 s; others
@@ -72,6 +79,7 @@
     tasks: Spawner,
     listener: Async<TcpListener>,
     node_listener: Async<TcpListener>,
+    clients: Clients,
     context: OperatorContext,
 ) {
     let input_sender = context.input_sender.clone();
@@ -83,6 +91,7 @@
     let serve = net::serve_until_closed(
         listener,
         tasks.clone(),
+        clients,
         connections.clone(),
         || OPERATOR_LIMITS,
         handler,
@@ -189,7 +198,7 @@
 
 async fn handle_request(
     context: &OperatorContext,
-    request: Request<Result<Bytes, BodyError>>,
+    request: Request<RequestBody>,
 ) -> Response<Body> {
     let input_sender = &context.input_sender;
     let (head, body) = request.into_parts();
@@ -210,9 +219,9 @@
             reply_response(submit(input_sender, KeeperRequest::ReadHalls).await)
         }
         ("POST", path) if path.starts_with(HALLS_PATH) => command_hall(context, path).await,
-        ("POST", "/v1/changes") => match body {
-            Ok(body) => handle_change(input_sender, &body).await,
-            Err(error) => error_response(400, "bad-body", &error.to_string()),
+        ("POST", "/v1/changes") => match body.read().await {
+            Ok(body) => handle_change(input_sender, body).await,
+            Err(error) => body_error_response(error),
         },
         _ => error_response(404, "no-such-path", "see the operators' pages"),
     }
@@ -257,19 +266,24 @@
     context: &OperatorContext,
     call: OperatorRequest,
     path: &str,
-    body: Result<Bytes, BodyError>,
+    body: RequestBody,
 ) -> Response<Body> {
-    let request = match (call, body) {
-        (OperatorRequest::FetchConfig, _) => KeeperRequest::ReadDocument,
-        (OperatorRequest::CommandHall(Ok(command)), _) => KeeperRequest::HallCommand(command),
-        (OperatorRequest::CommandHall(Err(error)), _) => return invalid_hall_response(error),
-        (OperatorRequest::ReplaceConfig, Ok(body)) => match platform::parse_document(&body) {
-            Ok(document) => KeeperRequest::ReplaceDocument(document),
-            Err(error) => return error_response(400, "invalid", &error.to_string()),
-        },
-        (OperatorRequest::ReplaceConfig, Err(error)) => {
-            let status = if error == BodyError::TooLong { 413 } else { 400 };
-            return error_response(status, "bad-body", &error.to_string());
+    // The memory of a document's body covers the document until the call is answered.
+    let (request, _hold) = match call {
+        OperatorRequest::FetchConfig => (KeeperRequest::ReadDocument, None),
+        OperatorRequest::CommandHall(Ok(command)) => (KeeperRequest::HallCommand(command), None),
+        OperatorRequest::CommandHall(Err(error)) => return invalid_hall_response(error),
+        OperatorRequest::ReplaceConfig => {
+            let body = match body.read().await {
+                Ok(body) => body,
+                Err(error) => return body_error_response(error),
+            };
+            let document = match platform::parse_document(&body) {
+                Ok(document) => document,
+                Err(error) => return error_response(400, "invalid", &error.to_string()),
+            };
+            let bytes = document.body.len() as u64;
+            (KeeperRequest::ReplaceDocument(document), body.replace(bytes).ok())
         }
     };
     match submit(&context.input_sender, request).await {
@@ -281,6 +295,20 @@
     }
 }
 
+/// The response to a request whose body can't be read.
+fn body_error_response(error: BodyError) -> Response<Body> {
+    let status = match error {
+        BodyError::TooLong => 413,
+        BodyError::Refused => 503,
+        BodyError::Timeout | BodyError::Disconnected => 400,
+    };
+    let mut response = error_response(status, "bad-body", &error.to_string());
+    if error == BodyError::Refused {
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(NO_MEMORY_RETRY_AFTER));
+    }
+    response
+}
+
 /// Returns the stored document unchanged.
 fn document_response(body: &str) -> Response<Body> {
     let mut response = Response::new(Body::from(body.to_owned()));
@@ -340,11 +368,15 @@
     }
 }
 
-async fn handle_change(input_sender: &Sender<Input>, body: &[u8]) -> Response<Body> {
-    match serde_json::from_slice::<ChangeRequest>(body) {
-        Ok(request) => reply_response(submit(input_sender, KeeperRequest::Change(request)).await),
-        Err(error) => error_response(400, "bad-body", &error.to_string()),
-    }
+async fn handle_change(input_sender: &Sender<Input>, body: HeldBody) -> Response<Body> {
+    let request = match serde_json::from_slice::<ChangeRequest>(&body) {
+        Ok(request) => request,
+        Err(error) => return error_response(400, "bad-body", &error.to_string()),
+    };
+    // The memory of the body covers the change until it is answered.
+    let bytes = body.len() as u64;
+    let _hold = body.replace(bytes);
+    reply_response(submit(input_sender, KeeperRequest::Change(request)).await)
 }
 
 fn change_status(result: &ChangeResult) -> u16 {
--- a/daemon/src/keeper_role/mod.rs
+++ b/daemon/src/keeper_role/mod.rs
@@ -20,6 +20,7 @@
 use keeper::{Keeper, Roster};
 use membership::HostList;
 use model::{NodeName, Time};
+use net::Clients;
 use settings::Tree;
 use spdlog::warn;
 use thiserror::Error;
@@ -50,12 +51,15 @@
     pub(crate) log: Option<EventLog>,
     /// The disk that the journal is written to.
     pub disk: Disk,
+    /// The clients of all servers of the process.
+    pub clients: Clients,
 }
 
 impl KeeperOptions {
     /// Returns options without an event log.
     pub fn new(node: NodeConfig, keeper: KeeperConfig) -> Self {
-        Self { node, keeper, log: None, disk: Disk::default() }
+        let clients = Clients::new(node.client_limits);
+        Self { node, keeper, log: None, disk: Disk::default(), clients }
     }
 }
 
@@ -117,7 +121,7 @@
 impl KeeperHandle {
     /// Recovers the state and starts the threads.
     pub fn start(options: KeeperOptions) -> Result<Self, KeeperError> {
-        let KeeperOptions { mut node, keeper: config, log, disk } = options;
+        let KeeperOptions { mut node, keeper: config, log, disk, clients } = options;
         let capacity_scheduling = node.scheduling == Scheduling::Capacity;
         if capacity_scheduling {
             // Keepers find each other by address, so the address is also their name.
@@ -155,7 +159,7 @@
         let context =
             listen::OperatorContext { input_sender: listen_inputs, address, capacity_scheduling };
         let listen_thread = spawn("keeper-listen", move |tasks| {
-            listen::run(tasks, listener, node_listener, context)
+            listen::run(tasks, listener, node_listener, clients, context)
         })?;
         let others: HashMap<NodeName, SocketAddr> =
             config.peers.iter().filter(|(name, _)| *name != node.name).cloned().collect();
--- a/daemon/src/node.rs
+++ b/daemon/src/node.rs
@@ -5,6 +5,7 @@
 
 use async_channel::{Receiver, Sender};
 use model::{Incarnation, NodeRef};
+use net::Clients;
 use spdlog::{info, warn};
 use thiserror::Error;
 
@@ -56,7 +57,8 @@
         let io = |component| move |source| NodeError::Io { component, source };
         let node_ref = NodeRef { name: config.node.name.clone(), incarnation: new_incarnation() };
         let (log, decisions) = decision_log(config).map_err(io("decision log"))?;
-        let keeper = start_keeper(config)?;
+        let clients = Clients::new(config.node.client_limits);
+        let keeper = start_keeper(config, clients.clone())?;
         let mut node = Self {
             entry: None,
             agent: None,
@@ -71,6 +73,7 @@
                 entry,
                 node_ref: node_ref.clone(),
                 decisions: log,
+                clients: clients.clone(),
             };
             node.entry = Some(EntryHandle::start(options).map_err(io("entry"))?);
         }
@@ -205,8 +208,8 @@
     }
 }
 
-fn start_keeper(config: &Config) -> Result<Option<KeeperHandle>, NodeError> {
+fn start_keeper(config: &Config, clients: Clients) -> Result<Option<KeeperHandle>, NodeError> {
     let Some(keeper) = config.keeper.clone() else { return Ok(None) };
-    let options = KeeperOptions::new(config.node.clone(), keeper);
+    let options = KeeperOptions { clients, ..KeeperOptions::new(config.node.clone(), keeper) };
     Ok(Some(KeeperHandle::start(options)?))
 }
--- a/daemon/tests/support/fake_target.rs
+++ b/daemon/tests/support/fake_target.rs
@@ -14,9 +14,8 @@
 
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
-use hyper::body::Bytes;
 use hyper::{Request, Response, StatusCode};
-use net::{Body, BodyError, Limits};
+use net::{Body, Clients, Limits, RequestBody};
 use serde_json::{Value, json};
 
 use super::call;
@@ -284,8 +283,11 @@
     let limits = Limits {
         max_header_bytes: net::DEFAULT_MAX_HEADER_BYTES,
         max_body_bytes: 1 << 20,
-        read_timeout: Duration::from_secs(10),
+        head_timeout: Duration::from_secs(10),
+        body_timeout: Duration::from_secs(10),
+        idle_timeout: Duration::from_secs(10),
         max_connections: 100,
+        socket_buffer_bytes: net::DEFAULT_SOCKET_BUFFER_BYTES,
     };
     let state = Rc::new(RefCell::new(State {
         instance,
@@ -299,11 +301,12 @@
     let polled_state = state.clone();
     net::block_on(|tasks| async move {
         let listener = Async::<TcpListener>::bind(address).expect("the address is free");
-        let handler = move |request: Request<Result<Bytes, BodyError>>| {
+        let handler = move |request: Request<RequestBody>| {
             let state = state.clone();
             async move { handle(&state, request).await }
         };
-        let accept = net::serve(listener, tasks.clone(), move || limits, handler);
+        let accept =
+            net::serve(listener, tasks.clone(), Clients::default(), move || limits, handler);
         let until_closed = async move {
             // Returns when the sender is dropped.
             let _ = closed.recv().await;
@@ -325,13 +328,14 @@
 }
 
 /// Executes a command unless it is for another instance or its fencing token is too low.
-async fn handle(
-    state: &Rc<RefCell<State>>,
-    request: Request<Result<Bytes, BodyError>>,
-) -> Response<Body> {
+async fn handle(state: &Rc<RefCell<State>>, request: Request<RequestBody>) -> Response<Body> {
     let (head, body) = request.into_parts();
-    let command: Value =
-        body.ok().and_then(|body| serde_json::from_slice(&body).ok()).unwrap_or_default();
+    let command: Value = body
+        .read()
+        .await
+        .ok()
+        .and_then(|body| serde_json::from_slice(&body).ok())
+        .unwrap_or_default();
     let number = |name: &str| command[name].as_u64().unwrap_or_default();
     let expected = head.headers.get(EXPECTED_INSTANCE_HEADER).and_then(|id| id.to_str().ok());
     if let Some(other) = expected.filter(|id| *id != state.borrow().instance.id) {
--- a/daemon/tests/support/http.rs
+++ b/daemon/tests/support/http.rs
@@ -19,12 +19,24 @@
     path: &str,
     body: &str,
     timeout: Duration,
+) -> Option<Answer> {
+    call_with_headers(to, method, path, "", body, timeout)
+}
+
+/// Like [`call`], with further headers, each followed by a line break.
+pub fn call_with_headers(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &str,
+    timeout: Duration,
 ) -> Option<Answer> {
     let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
     stream.set_read_timeout(Some(timeout)).ok()?;
     let request = format!(
         "{method} {path} HTTP/1.1\r\nHost: queue.example\r\nConnection: close\r\n\
-         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+         Content-Type: application/json\r\n{headers}Content-Length: {}\r\n\r\n{body}",
         body.len()
     );
     stream.write_all(request.as_bytes()).ok()?;
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -7,7 +7,7 @@
 pub mod checks;
 pub mod exchange;
 pub mod fake_target;
-mod http;
+pub mod http;
 pub mod keep_alive;
 pub mod process;
 pub mod proxy;
--- a/daemon/tests/support/process.rs
+++ b/daemon/tests/support/process.rs
@@ -24,7 +24,7 @@
 
 impl Process {
     /// Starts a process that appends to a log.
-    pub(super) fn start(config: &Path, log: &Path) -> Self {
+    pub fn start(config: &Path, log: &Path) -> Self {
         let file = OpenOptions::new().create(true).append(true).open(log);
         let file = file.expect("the log is opened");
         let log_offset = file.metadata().expect("the log exists").len();
@@ -56,6 +56,18 @@
         assert!(sent.is_ok_and(|status| status.success()));
     }
 
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        // Fails if the process has already exited.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     /// Whether the process is running.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
@@ -83,9 +95,7 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
-        // Fails if the process has already exited.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
