Bound the refusals that an entry keeps by the host's memory

What callers saw: beside 300 connections that send valid small jobs ahead, at the product's own interface, the entry passed 160 MB within 10 s (208 MB) and was stopped.

Cause: an entry keeps a record of each submission that it has refused or that found no quorum, for the ten minutes of `retention_ms`, so that it can be retried. `answer_bytes_max` bounds the answers kept, but these records were in no sum; a kept submission was estimated at 512 bytes and takes some 900.

Change: records of submissions that have not started count towards the same bound and are dropped first, the oldest before. The holders of their claims still know them, so one that is submitted again doesn't start and gets `answer-dropped`, as after a dropped answer. The bound is also a share of the host's memory (`[entry] kept_answers_percent`). Connections are not judged by time that passed while the process was paused.

--- a/components/entry/src/claim_rounds.rs
+++ b/components/entry/src/claim_rounds.rs
@@ -123,7 +123,8 @@
         self.answer_waiters(id, &reply, actions);
         if let Some(catalog) = &self.catalog {
             let until = Self::window(catalog.fleet()).kept_until(id);
-            self.table.deactivate(id, Phase::Undecided, until);
+            let max = self.max_kept_bytes(catalog.fleet());
+            self.table.deactivate(id, Phase::Undecided, until, max);
         }
     }
 
@@ -155,7 +156,8 @@
         if let Some(catalog) = &self.catalog {
             let until = Self::window(catalog.fleet()).kept_until(id);
             let phase = Phase::Refused { failure, until: now + REFUSAL_VALIDITY };
-            self.table.deactivate(id, phase, until);
+            let max = self.max_kept_bytes(catalog.fleet());
+            self.table.deactivate(id, phase, until, max);
         }
     }
 
--- a/components/entry/src/entry.rs
+++ b/components/entry/src/entry.rs
@@ -30,6 +30,8 @@
 #[derive(Debug)]
 pub struct Entry {
     pub(crate) setup: Setup,
+    /// What the host's memory allows for the submissions kept, in bytes.
+    host_kept_bytes: usize,
     pub(crate) catalog: Option<Arc<Catalog>>,
     pub(crate) views: Views,
     /// When the settings in force were last known to be the newest.
@@ -61,6 +63,7 @@
     pub fn new(setup: Setup) -> Self {
         Self {
             setup,
+            host_kept_bytes: usize::MAX,
             catalog: None,
             views: Views::default(),
             settings_confirmed: Time::default(),
@@ -80,6 +83,11 @@
         }
     }
 
+    /// Limits the memory for submissions that are kept to what the host has, in bytes.
+    pub fn with_host_kept_bytes(self, bytes: usize) -> Self {
+        Self { host_kept_bytes: bytes, ..self }
+    }
+
     /// Processes an event at `now` and appends the resulting actions.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
@@ -243,7 +251,13 @@
         }
         let Some(fleet) = self.catalog.as_ref().map(|catalog| catalog.fleet()) else { return };
         let until = Self::window(fleet).kept_until(id);
-        self.table.finish(id, reply, until, fleet.answer_bytes_max);
+        let max = self.max_kept_bytes(fleet);
+        self.table.finish(id, reply, until, max);
+    }
+
+    /// Maximum size of the submissions kept, in bytes.
+    pub(crate) fn max_kept_bytes(&self, fleet: &FleetSettings) -> usize {
+        fleet.answer_bytes_max.min(self.host_kept_bytes)
     }
 
     /// Corrects a "not run" verdict on a submission that may have run and reports the invariant
--- a/components/entry/src/table.rs
+++ b/components/entry/src/table.rs
@@ -7,9 +7,9 @@
 
 use crate::job::{Job, Phase};
 
-/// Estimated memory of a kept outcome without its texts, in bytes: the job, and its id in three
+/// Estimated memory of a kept submission without its texts, in bytes: the job, and its id in three
 /// indexes.
-const OUTCOME_OVERHEAD_BYTES: usize = 512;
+const SUBMISSION_BYTES: usize = 1_024;
 
 /// The timers of a submission.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -32,11 +32,14 @@
     expiry: Expiry<SubmissionId>,
     /// Submissions with an outcome, oldest first.
     done: VecDeque<SubmissionId>,
+    /// Submissions that have not started and are not in progress, oldest first. Some are in progress
+    /// again or removed.
+    inactive: VecDeque<SubmissionId>,
     /// Estimated size of the kept outcomes, in bytes.
     done_bytes: usize,
     /// Submissions in progress.
     active: usize,
-    /// Outcomes dropped for the memory limit.
+    /// Submissions dropped for the memory limit.
     dropped: u64,
 }
 
@@ -65,8 +68,8 @@
         Some(job)
     }
 
-    /// Stores the outcome of a submission until `until`; drops the oldest outcomes while their size
-    /// exceeds `bytes_max`.
+    /// Stores the outcome of a submission until `until`; drops the oldest submissions while the size
+    /// of those kept exceeds `bytes_max`.
     pub fn finish(&mut self, id: SubmissionId, reply: RelayReply, until: Time, bytes_max: usize) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         debug_assert!(!job.is_done(), "a submission gets a second outcome");
@@ -76,21 +79,39 @@
         job.phase = Phase::Done(reply);
         self.done.push_back(id);
         self.expiry.insert(id, until);
-        while self.done_bytes > bytes_max {
-            let Some(oldest) = self.done.pop_front() else { break };
-            if self.remove_done(oldest) {
-                self.dropped += 1;
-            }
-        }
+        self.drop_oldest(bytes_max);
     }
 
     /// Keeps a submission that has not started in an inactive phase until `until`, when its id is
-    /// too old.
-    pub fn deactivate(&mut self, id: SubmissionId, phase: Phase, until: Time) {
+    /// too old; drops the oldest submissions while the size of those kept exceeds `bytes_max`.
+    pub fn deactivate(&mut self, id: SubmissionId, phase: Phase, until: Time, bytes_max: usize) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         self.active -= usize::from(job.is_active());
         job.phase = phase;
+        self.inactive.push_back(id);
         self.expiry.insert(id, until);
+        self.drop_oldest(bytes_max);
+    }
+
+    /// Drops submissions that have not started before outcomes. If one is submitted again, the
+    /// holders of its claim still know it, so that it does not start.
+    fn drop_oldest(&mut self, bytes_max: usize) {
+        while self.kept_bytes() > bytes_max {
+            let is_dropped = if let Some(oldest) = self.inactive.pop_front() {
+                self.remove_inactive(oldest)
+            } else if let Some(oldest) = self.done.pop_front() {
+                self.remove_done(oldest)
+            } else {
+                return;
+            };
+            self.dropped += u64::from(is_dropped);
+        }
+    }
+
+    /// Removes a submission that has not started and is not in progress; false if there is none.
+    fn remove_inactive(&mut self, id: SubmissionId) -> bool {
+        let phase = self.jobs.get(&id).map(|job| &job.phase);
+        matches!(phase, Some(Phase::Undecided | Phase::Refused { .. })) && self.remove(id).is_some()
     }
 
     /// Moves an inactive submission to an active phase with a new deadline.
@@ -120,6 +141,9 @@
                 _ => {}
             }
         }
+        while self.inactive.front().is_some_and(|id| !self.jobs.contains_key(id)) {
+            self.inactive.pop_front();
+        }
         while self.done.front().is_some_and(|id| !self.jobs.contains_key(id)) {
             self.done.pop_front();
         }
@@ -164,12 +188,12 @@
         self.jobs.len() - self.active
     }
 
-    /// The size of the kept outcomes, in bytes.
+    /// The estimated size of the submissions kept, in bytes.
     pub fn kept_bytes(&self) -> usize {
-        self.done_bytes
+        self.done_bytes + self.inactive.len() * SUBMISSION_BYTES
     }
 
-    /// The number of outcomes dropped for the memory limit.
+    /// The number of submissions dropped for the memory limit.
     pub fn dropped(&self) -> u64 {
         self.dropped
     }
@@ -180,5 +204,5 @@
         Ok(answers) => answers.iter().map(|text| text.len() + size_of::<usize>() * 4).sum(),
         Err(failure) => failure.message.len(),
     };
-    texts + OUTCOME_OVERHEAD_BYTES
+    texts + SUBMISSION_BYTES
 }
--- a/components/net/src/client_table.rs
+++ b/components/net/src/client_table.rs
@@ -118,7 +118,7 @@
 /// How often limits were applied, by reason.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LimitCounters {
-    /// Connections closed, or refused on arrival.
+    /// Connections closed.
     pub closed: BTreeMap<LimitReason, u64>,
     /// Requests refused before they were handled, or answers replaced by a refusal.
     pub refused: BTreeMap<LimitReason, u64>,
@@ -167,7 +167,7 @@
     Closing,
 }
 
-/// The connections of a server that may have to give way, by what they wait for.
+/// The connections of a server that may have to give way, by what the server waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Queue {
     Head,
@@ -270,7 +270,7 @@
     clients: BTreeMap<ClientId, Client>,
     /// The connections that may have to give way, those that wait longest first.
     queues: BTreeMap<(ServerId, Queue), BTreeSet<(Time, ClientId)>>,
-    /// Number of connections by server, including those that are being closed.
+    /// Number of connections by server that are not being closed.
     server_sizes: BTreeMap<ServerId, usize>,
     next_id: u64,
     next_server: u64,
--- a/components/net/src/server.rs
+++ b/components/net/src/server.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use async_io::{Async, Timer};
+use clock::BootInstant;
 use futures_lite::{AsyncReadExt, FutureExt, future};
 use http_body_util::Full;
 use hyper::body::{Body as _, Bytes, Incoming};
@@ -36,6 +37,8 @@
 /// Bounds of the interval at which expired connections are closed.
 const MIN_EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
 const MAX_EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Delay of a timer beyond which the process counts as paused.
+const MAX_OVERSLEEP: Duration = Duration::from_millis(300);
 /// Time for the refusal of a request whose connection has to give way.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Answers above this size close the connection, as its write buffer keeps their size.
@@ -185,10 +188,21 @@
     loop {
         connections.wait_until_open().await;
         let next = clients.close_expired().unwrap_or(MAX_EXPIRY_INTERVAL);
-        Timer::after(next.clamp(MIN_EXPIRY_INTERVAL, MAX_EXPIRY_INTERVAL)).await;
+        let mut interval = next.clamp(MIN_EXPIRY_INTERVAL, MAX_EXPIRY_INTERVAL);
+        while sleeps_too_long(interval).await {
+            interval = MIN_EXPIRY_INTERVAL;
+        }
     }
 }
 
+/// Sleeps; returns whether the process was paused meanwhile. What clients have sent during a pause
+/// has to be read before their time is judged.
+async fn sleeps_too_long(interval: Duration) -> bool {
+    let started = BootInstant::now();
+    Timer::after(interval).await;
+    started.elapsed() > interval + MAX_OVERSLEEP
+}
+
 async fn serve_connection<H, F>(
     stream: Async<TcpStream>,
     guard: ConnectionGuard,
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -108,6 +108,8 @@
     pub remote_penalty_milli: u64,
     /// With capacity scheduling: the enabled parts of the policy.
     pub policy: dispatch::Policy,
+    /// With slots: maximum size of kept answers and refusals, in bytes.
+    pub max_kept_bytes: usize,
     /// With capacity scheduling: maximum number of tasks of a job.
     pub max_job_tasks: u32,
 }
@@ -233,7 +235,7 @@
         logs: (!logs.is_empty()).then(|| PathBuf::from(logs)),
         counters_interval: duration("counters_every_ms")?,
         client_limits: ClientLimits {
-            memory_bytes: client_memory_bytes(sections)?,
+            memory_bytes: memory_share(sections, NODE, "client_memory_percent")?,
             stall_timeout: duration("client_stall_ms")?,
             answer_timeout: duration("answer_timeout_ms")?,
             large_body_interval: duration("large_body_interval_ms")?,
@@ -242,10 +244,10 @@
     })
 }
 
-/// Returns the clients' share of the memory, in bytes.
-fn client_memory_bytes(sections: &Sections) -> Result<u64, SettingsError> {
+/// Returns a share of the host's memory that a key names in percent, in bytes.
+fn memory_share(sections: &Sections, section: &str, key: &str) -> Result<u64, SettingsError> {
     let memory_mb = sections.value(NODE, "memory_mb")?.integer();
-    let percent = sections.value(NODE, "client_memory_percent")?.integer();
+    let percent = sections.value(section, key)?.integer();
     Ok(memory_mb * BYTES_PER_MB * percent / 100)
 }
 
@@ -271,6 +273,7 @@
         drain_notice: Duration::from_millis(notice),
         remote_penalty_milli: sections.value(ENTRY, "remote_penalty")?.thousandths(),
         policy: read_policy(sections)?,
+        max_kept_bytes: memory_share(sections, ENTRY, "kept_answers_percent")? as usize,
         max_job_tasks: sections.value(ENTRY, "max_job_tasks")?.integer() as u32,
     })
 }
--- a/daemon/src/config/keys.rs
+++ b/daemon/src/config/keys.rs
@@ -155,6 +155,12 @@
         default: "1",
         help: "With scheduling = room: how many times as long a task takes away from the data that its job names; with 1 the data is only a preference.",
     },
+    Key {
+        name: "kept_answers_percent",
+        value_type: ValueType::Integer { min: 1, max: 50, unit: "percent" },
+        default: "20",
+        help: "With scheduling = slots: most of memory_mb for kept answers and refusals, if the settings tree's answer_bytes_max is larger; the oldest are dropped over it.",
+    },
     Key {
         name: "max_job_tasks",
         value_type: ValueType::Integer { min: 1, max: 100_000, unit: "tasks" },
--- a/daemon/src/entry_role/driver.rs
+++ b/daemon/src/entry_role/driver.rs
@@ -89,7 +89,7 @@
         let setup = Setup { node: options.node_ref.clone(), hall: options.node.hall.clone() };
         Self {
             name: options.node.name.to_string(),
-            entry: Entry::new(setup),
+            entry: Entry::new(setup).with_host_kept_bytes(options.entry.max_kept_bytes),
             shared,
             agent_links,
             decisions: options.decisions.clone(),
--- a/daemon/src/entry_role/listen.rs
+++ b/daemon/src/entry_role/listen.rs
@@ -204,14 +204,16 @@
 fn body_failure(error: BodyError) -> Failure {
     let code = match error {
         BodyError::TooLong => Code::TooLarge,
-        BodyError::Refused => Code::Overloaded,
         BodyError::Timeout | BodyError::Disconnected => Code::BadBody,
+        BodyError::Refused => return no_memory(),
     };
-    let failure = Failure::new(code, Verdict::NotRun, error.to_string());
-    match error {
-        BodyError::Refused => failure.retry_after(NO_MEMORY_RETRY_AFTER_MS),
-        _ => failure,
-    }
+    Failure::new(code, Verdict::NotRun, error.to_string())
+}
+
+/// Refuses a request for lack of memory. Its submission may run elsewhere since an earlier request.
+fn no_memory() -> Failure {
+    let message = BodyError::Refused.to_string();
+    Failure::new(Code::NotReady, Verdict::MayHaveRun, message).retry_after(NO_MEMORY_RETRY_AFTER_MS)
 }
 
 fn failure_response(id: Option<SubmissionId>, failure: Failure) -> Response<Body> {
--- a/daemon/tests/crowds/mod.rs
+++ b/daemon/tests/crowds/mod.rs
@@ -114,8 +114,13 @@
 /// Plays each crowd against the process, beside ordinary requests, and prints a table. Fails if the
 /// process ends, needs more memory than its machine has or leaves ordinary requests unserved.
 pub fn play(door: &Door, crowds: Vec<CrowdSpec>) {
-    let only = std::env::var(ONLY_VARIABLE).ok();
     let press = Duration::from_secs(number_from_env(PRESS_VARIABLE, PRESS_SECONDS) as u64);
+    play_for(door, crowds, press);
+}
+
+/// Like [`play`]; each crowd presses for the given time.
+pub fn play_for(door: &Door, crowds: Vec<CrowdSpec>, press: Duration) {
+    let only = std::env::var(ONLY_VARIABLE).ok();
     println!(
         "| door | connections | clients | peak MB | of it unread MB | served | median ms | checks |"
     );
--- a/daemon/tests/crowds/scripts.rs
+++ b/daemon/tests/crowds/scripts.rs
@@ -13,6 +13,8 @@
 const HEAD_PAUSE: Duration = Duration::from_millis(800);
 /// Requests that are sent together by clients that don't read.
 const REQUESTS_AHEAD: usize = 32;
+/// Name of the crowd that sends valid requests ahead.
+pub const VALID_JOBS_AHEAD: &str = "POSTs ahead, answers unread";
 /// A body that is announced and never sent.
 const ANNOUNCED_BYTES: u64 = 4_000_000_000;
 
@@ -101,7 +103,7 @@
             ),
             crowd("nothing sent", 3_300, Script::Silent),
             crowd("GETs ahead, answers unread", 300, Script::Unread(self.gets_ahead())),
-            crowd("POSTs ahead, answers unread", 300, Script::Unread(self.post(self.body))),
+            crowd(VALID_JOBS_AHEAD, 300, Script::Unread(self.post(self.body))),
         ]
     }
 
--- a/daemon/tests/misbehaving_clients.rs
+++ b/daemon/tests/misbehaving_clients.rs
@@ -12,9 +12,9 @@
 
 use client::new_submission_id;
 use crowds::crowd::ID_DIGITS;
-use crowds::scripts::{Target, fragmented_jobs};
+use crowds::scripts::{Target, VALID_JOBS_AHEAD, fragmented_jobs};
 use crowds::slots_fleet::SlotsFleet;
-use crowds::{Door, play, play_alone};
+use crowds::{Door, play, play_alone, play_for};
 use support::http::call_with_headers;
 use support::{FakeTarget, Fleet, Process, call, eventually};
 
@@ -32,6 +32,8 @@
 const DEADLINE: Duration = Duration::from_millis(1_500);
 /// How long the load balancer waits for the answer to a readiness check.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a crowd presses whose effect adds up.
+const LONG_PRESS: Duration = Duration::from_secs(20);
 /// Connections at a door for many clients.
 const MANY: usize = 3_300;
 
@@ -236,14 +238,13 @@
     play(&door, crowds);
 }
 
-#[test]
-fn crowds_at_the_products_own_interface() {
-    let _alone = play_alone();
-    let fleet = SlotsFleet::new();
-    let _others = ["keeper", "agent"].map(|name| fleet.start(name));
+const OWN_JOB: &str =
+    "{\"service\":\"work\",\"kind\":\"k\",\"tasks\":[\"a\",\"b\"],\"deadline_ms\":1400}";
+
+/// The entry of a fleet that schedules by slots, beside ordinary jobs there.
+fn own_interface(fleet: &SlotsFleet) -> Door<'_> {
     let entry = fleet.entry_address();
-    let job = "{\"service\":\"work\",\"kind\":\"k\",\"tasks\":[\"a\",\"b\"],\"deadline_ms\":1400}";
-    let door = Door {
+    Door {
         name: "own interface",
         address: entry,
         listens: vec![entry],
@@ -255,17 +256,30 @@
         }),
         request: Box::new(move |_| {
             let path = format!("/v1/jobs/{}", new_submission_id());
-            call(entry, "PUT", &path, job, DEADLINE).is_some_and(|answer| answer.status == 200)
+            call(entry, "PUT", &path, OWN_JOB, DEADLINE).is_some_and(|answer| answer.status == 200)
         }),
         check: Box::new(|| fleet.is_ready()),
-    };
+    }
+}
+
+/// Requests of the product's own interface.
+fn own_requests() -> Target {
     let id = new_submission_id().to_string();
     let id = format!("{}{ID_DIGITS}", &id[..id.len() - ID_DIGITS.len()]);
-    let target = Target {
-        body: job,
+    Target {
+        body: OWN_JOB,
         ..requests(&format!("PUT /v1/jobs/{id}"), &format!("GET /v1/jobs/{id}"))
-    };
+    }
+}
+
+#[test]
+fn crowds_at_the_products_own_interface() {
+    let _alone = play_alone();
+    let fleet = SlotsFleet::new();
+    let _others = ["keeper", "agent"].map(|name| fleet.start(name));
+    let target = own_requests();
     let mut crowds = target.crowds();
+    crowds.retain(|crowd| crowd.name != VALID_JOBS_AHEAD);
     let largest = Target { max_body_bytes: OWN_MAX_BODY_BYTES, connections: 100, ..target.clone() };
     crowds.extend(largest.crowds().into_iter().take(5));
     let tasks = |count: usize, text: &str| {
@@ -276,7 +290,19 @@
     crowds.push(target.repeating("50,000 tasks", 200, &tasks(50_000, "a")));
     let elsewhere = Target { post: "PUT /nowhere".to_owned(), ..largest };
     crowds.extend(elsewhere.crowds().into_iter().take(5));
-    play(&door, crowds);
+    play(&own_interface(&fleet), crowds);
+}
+
+/// Guards against an entry that keeps a record of each of very many valid submissions until its
+/// memory is used up.
+#[test]
+fn valid_jobs_sent_ahead_at_the_products_own_interface() {
+    let _alone = play_alone();
+    let fleet = SlotsFleet::new();
+    let _others = ["keeper", "agent"].map(|name| fleet.start(name));
+    let mut crowds = own_requests().crowds();
+    crowds.retain(|crowd| crowd.name == VALID_JOBS_AHEAD);
+    play_for(&own_interface(&fleet), crowds, LONG_PRESS);
 }
 
 /// Guards against a limit that refuses a single large request in calm.
