--- a/daemon/tests/crowds/mod.rs
+++ b/daemon/tests/crowds/mod.rs
@@ -13,6 +13,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+
 use crate::support::{Process, number_from_env};
 use crowd::{Crowd, Script};
 use memory::Memory;
@@ -33,8 +35,12 @@
 /// Crowds take several processors, so only one plays at a time.
 static PLAYING: Mutex<()> = Mutex::new(());
 
-/// Waits until no other test of this program plays a crowd.
+/// Waits until no other test of this program plays a crowd, and allows this process and those that
+/// it starts as many open files as the system does.
 pub fn play_alone() -> MutexGuard<'static, ()> {
+    let files = getrlimit(Resource::Nofile);
+    let raised = Rlimit { current: files.maximum, ..files };
+    setrlimit(Resource::Nofile, raised).expect("the limit may be raised to its maximum");
     PLAYING.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
