Bound the texts that log lines and error answers quote from clients

What callers saw: nothing; a process logged up to 7.6 MB/s, in lines of up to 250 KB that quote a client's text, and answered with the same text. The ring of the log holds 4,096 lines, so that with a reader that stands still such lines take hundreds of MB (computed, not run).

Cause: a line's budget counts lines, not bytes; paths, states and the errors of the JSON parser quote what was sent.

The crowds send long texts where others belong, and long paths; a row fails if its process logs over 1 MB/s.

--- a/daemon/src/capacity/entry_http.rs
+++ b/daemon/src/capacity/entry_http.rs
@@ -17,6 +17,7 @@
 
 use super::entry::Entry;
 use crate::event_log::Budget;
+use crate::text::shortened;
 
 /// Max open connections of callers.
 const MAX_CONNECTIONS: usize = 3_000;
@@ -246,7 +247,7 @@
 }
 
 fn error_reply(status: u16, reason: &str) -> Reply {
-    Reply { status, retry_after: None, body: json!({"error": reason}).to_string() }
+    Reply { status, retry_after: None, body: json!({"error": shortened(reason)}).to_string() }
 }
 
 fn json_response(reply: &Reply) -> Response<Body> {
--- a/daemon/src/capacity/target_http.rs
+++ b/daemon/src/capacity/target_http.rs
@@ -13,6 +13,7 @@
 
 use super::agent::Agent;
 use crate::event_log::Budget;
+use crate::text::shortened;
 
 /// Limits for the connections of the target.
 const LIMITS: Limits = Limits {
@@ -81,7 +82,7 @@
                 Budget::Full,
                 || json!({"target": id, "reason": reason}),
             );
-            build_response(400, json!({"error": reason}).to_string())
+            build_response(400, json!({"error": shortened(&reason)}).to_string())
         }
     }
 }
--- a/daemon/src/event_log.rs
+++ b/daemon/src/event_log.rs
@@ -15,6 +15,7 @@
 use serde_json::{Map, Value};
 
 use crate::clock::Clock;
+use crate::text::shortened;
 
 /// Capacity of the channel to the writer thread, in lines.
 const CHANNEL_CAPACITY: usize = 4_096;
@@ -105,7 +106,8 @@
             return;
         }
         counts.written += 1;
-        let fields = fields();
+        let mut fields = fields();
+        shorten_texts(&mut fields);
         inner.send(kind, fields);
     }
 
@@ -160,6 +162,16 @@
     }
 }
 
+/// Shortens the texts of a line, which may quote what a client has sent.
+fn shorten_texts(fields: &mut Value) {
+    let Value::Object(fields) = fields else { return };
+    for value in fields.values_mut() {
+        if let Value::String(text) = value {
+            text.truncate(shortened(text).len());
+        }
+    }
+}
+
 /// Writes lines in batches until the channel is closed and empty.
 fn write_lines(lines: &Receiver<String>) {
     let mut batch = String::new();
--- a/daemon/src/keeper_role/listen.rs
+++ b/daemon/src/keeper_role/listen.rs
@@ -24,6 +24,7 @@
 };
 
 use super::driver::{Input, KeeperRequest};
+use crate::text::shortened;
 
 /// Limits on the connections of operators.
 const OPERATOR_LIMITS: Limits = Limits {
@@ -388,7 +389,7 @@
 }
 
 fn error_response(status: u16, code: &str, message: &str) -> Response<Body> {
-    json_response(status, &ErrorBody { code, message })
+    json_response(status, &ErrorBody { code, message: shortened(message) })
 }
 
 fn json_response<T: Serialize>(status: u16, value: &T) -> Response<Body> {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 mod logs;
 mod node;
 mod settings_client;
+mod text;
 mod threads;
 
 pub use agent_role::{AgentHandle, AgentOptions};
--- a/daemon/tests/crowds/mod.rs
+++ b/daemon/tests/crowds/mod.rs
@@ -32,6 +32,9 @@
 /// Least share of ordinary requests that are served beside a crowd, in percent.
 const MIN_SERVED_PERCENT: usize = 90;
 
+/// Most bytes that a process may log per second: a few kinds of short lines at their budget.
+const MAX_LOG_BYTES_PER_SECOND: u64 = 1_000_000;
+
 /// Crowds take several processors, so only one plays at a time.
 static PLAYING: Mutex<()> = Mutex::new(());
 
@@ -81,12 +84,13 @@
     checks_answered: usize,
     checks: usize,
     most_missed_checks: usize,
+    log_bytes_per_second: u64,
 }
 
 impl Row {
     fn print(&self, door: &str) {
         println!(
-            "| {door} | {} | {} | {}{} | {} | {} of {} | {} | {} of {} |",
+            "| {door} | {} | {} | {}{} | {} | {} of {} | {} | {} of {} | {} |",
             self.connections,
             self.name,
             self.peak.total_mb(),
@@ -96,7 +100,8 @@
             self.sent,
             self.median.as_millis(),
             self.checks_answered,
-            self.checks
+            self.checks,
+            self.log_bytes_per_second / 1_000
         );
     }
 
@@ -110,6 +115,9 @@
         if self.served * 100 < self.sent * MIN_SERVED_PERCENT {
             record(format!("{} of {} ordinary requests served", self.served, self.sent));
         }
+        if self.log_bytes_per_second > MAX_LOG_BYTES_PER_SECOND {
+            record(format!("{} bytes logged per second", self.log_bytes_per_second));
+        }
         if self.most_missed_checks >= 2 {
             record(format!("{} checks missed in a row", self.most_missed_checks));
         }
@@ -128,7 +136,7 @@
 pub fn play_for(door: &Door, crowds: Vec<CrowdSpec>, press: Duration) {
     let only = std::env::var(ONLY_VARIABLE).ok();
     println!(
-        "| door | connections | clients | peak MB | of it unread MB | served | median ms | checks |"
+        "| door | connections | clients | peak MB | of it unread MB | served | median ms | checks | log KB/s |"
     );
     let mut process = (door.start)();
     let mut faults = Vec::new();
@@ -159,7 +167,9 @@
         let traffic = scope.spawn(|| Traffic::run(&door.request, &finished));
         let checks = scope.spawn(|| traffic::check_every_second(&door.check, &finished));
         let crowd = crowd.map(|crowd| Crowd::start(door.address, crowd.connections, crowd.script));
+        let log_before = process.log_bytes();
         let (peak, ended) = watch(door, process, press);
+        let logged = process.log_bytes() - log_before;
         finished.store(true, Ordering::Relaxed);
         let traffic = traffic.join().expect("the thread does not panic");
         let checks = checks.join().expect("the thread does not panic");
@@ -174,6 +184,7 @@
             median: traffic.median(),
             checks_answered: checks.iter().filter(|answered| **answered).count(),
             checks: checks.len(),
+            log_bytes_per_second: logged / press.as_secs().max(1),
             most_missed_checks: traffic::longest_miss(&checks),
         }
     })
--- a/daemon/tests/crowds/scripts.rs
+++ b/daemon/tests/crowds/scripts.rs
@@ -131,7 +131,10 @@
     let labels = format!("{{\"count\":1,\"requirements\":[{}\"\"]}}", "\"a\",".repeat(50_000));
     let fields: String = (0..24_000).map(|number| format!(",\"{number}\":1")).collect();
     let empty_steps = format!("{step}{}", ",{}".repeat(87_000));
+    let text = "x".repeat(250_000);
+    let quoted = format!("{{\"best_effort\":true,\"steps\":\"{text}\"}}");
     vec![
+        target.repeating("a long text where a list belongs", 60, &quoted),
         target.repeating("jobs of 100,000 tasks", 60, &job(tasks, "")),
         target.repeating("87,000 empty steps", 200, &job(&empty_steps, "")),
         target.repeating("24,000 unknown fields", 200, &job(step, &fields)),
--- a/daemon/tests/misbehaving_clients.rs
+++ b/daemon/tests/misbehaving_clients.rs
@@ -154,7 +154,11 @@
     let site = Site::new();
     let _others = site.start_others("entry");
     let target = requests("POST /nowhere/{id}", "GET /nowhere/");
-    play(&site.entry_door("no route", site.fleet.entry_address_of(0)), target.crowds());
+    let mut crowds = target.crowds();
+    let long_path = format!("POST /{}", "x".repeat(15_000));
+    let long_path = Target { post: long_path, ..target };
+    crowds.push(long_path.repeating("a long path", 200, JOB));
+    play(&site.entry_door("no route", site.fleet.entry_address_of(0)), crowds);
 }
 
 #[test]
@@ -209,6 +213,8 @@
     let services = "{\"name\":\"a\"},".repeat(300_000);
     let services = DOCUMENT.replace("\"services\":[]", &format!("\"services\":[{services}{{}}]"));
     crowds.push(largest.repeating("300,000 services, the last one invalid", 60, &services));
+    let service = DOCUMENT.replacen("[]", &format!("\"{}\"", "x".repeat(250_000)), 1);
+    crowds.push(target.repeating("a long text where a list belongs", 60, &service));
     let elsewhere = Target { post: "POST /nowhere".to_owned(), ..largest };
     crowds.extend(elsewhere.crowds().into_iter().take(5));
     play(&door, crowds);
@@ -238,6 +244,8 @@
     let mut crowds = target.crowds();
     let labels = HEARTBEAT.replace("[]", &format!("[{}\"\"]", "\"a\",".repeat(50_000)));
     crowds.push(target.repeating("heartbeats with 50,000 labels", 200, &labels));
+    let state = HEARTBEAT.replace("ready", &"x".repeat(250_000));
+    crowds.push(target.repeating("heartbeats with a long unknown state", 60, &state));
     play(&door, crowds);
 }
 
--- a/daemon/tests/support/process.rs
+++ b/daemon/tests/support/process.rs
@@ -61,6 +61,12 @@
         self.child.id()
     }
 
+    /// Length of the log in bytes; 0 if it is not read.
+    pub fn log_bytes(&self) -> u64 {
+        let Some((path, _)) = &self.log else { return 0 };
+        path.metadata().map_or(0, |metadata| metadata.len())
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         // Fails if the process has already exited.
