Count a request that waited for its turn as handled again after its body

What callers saw: at a full server, or with the clients' memory used up, the connection of a request that was being handled could be closed, its job cancelled without an answer, if the request was sent ahead of an earlier answer or its body was empty.

Cause: such a request counts as handled before its body is read. Reading the body set the connection's stage in the table alone; at the end of the body the phase was unchanged, so that the table still took the body for arriving.

Change: reading a body sets the phase as well.

--- a/components/net/src/connections.rs
+++ b/components/net/src/connections.rs
@@ -135,6 +135,8 @@
     /// Records that the handler reads the request's body.
     pub fn start_body(&self) {
         self.reading_body.set(true);
+        // A request that waited for its turn was already being handled.
+        self.set_phase(Phase::Reading);
         self.slot.set_stage(Stage::Body);
     }
 
--- a/components/net/tests/limits.rs
+++ b/components/net/tests/limits.rs
@@ -296,3 +296,26 @@
         println!("{passed_on} passed on, {given_up} given up");
     });
 }
+
+/// Guards against taking a request that is being handled for one whose body still arrives.
+#[test]
+fn a_handled_request_keeps_its_connection_at_a_full_server() {
+    let empty = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+    let ahead = REQUEST.repeat(2);
+    net::block_on(|spawner| async move {
+        for (requests, count) in [(&empty[..], 1), (REQUEST, 1), (&ahead, 2)] {
+            let idle_timeout = Duration::from_millis(200);
+            let limits = Limits { max_connections: 1, idle_timeout, ..LIMITS };
+            let delay = Duration::from_millis(400);
+            let server = start_with(&spawner, delay, limits, Clients::default(), Reading::All);
+            let mut client = connect(&server);
+            client.write_all(requests).unwrap();
+            wait_for("the last request in the handler", || server.handled.get() == count).await;
+            Timer::after(Duration::from_millis(50)).await;
+            let newer = connect(&server);
+            let (_, text) = read_to_end(client).await;
+            assert_eq!(response_count(&text), count, "{text}");
+            drop(newer);
+        }
+    });
+}
