Discard the rest of refused requests on a few connections at a time

Cause: after each answer to a request whose body was not read, the server read on for up to a second. With 600 to 1,200 clients that go on sending, this took all of the processor, up to 178 MB waited in the sockets, and each such connection kept its read buffer.

Change: 16 connections of a server discard at a time, after their buffers are freed; others are closed as before. A connection gets its signal to close under the same lock that registers it.

--- a/components/net/src/clients.rs
+++ b/components/net/src/clients.rs
@@ -32,6 +32,16 @@
     close_signals: HashMap<ClientId, Sender<()>>,
 }
 
+impl State {
+    /// Signals connections that they have to close.
+    fn signal(&mut self, closed: Vec<ClientId>) {
+        for id in closed {
+            // Dropping the sender closes the channel.
+            self.close_signals.remove(&id);
+        }
+    }
+}
+
 impl Default for Clients {
     fn default() -> Self {
         Self::new(ClientLimits::default())
@@ -73,8 +83,14 @@
     /// Registers a new connection until the returned slot is dropped.
     pub(crate) fn open(&self, server: ServerId, limits: ServerLimits) -> ClientSlot {
         let (signal, closed) = async_channel::bounded(1);
-        let id = self.decide(|table, now, others| table.open(now, server, limits, others));
-        self.lock().close_signals.insert(id, signal);
+        let now = self.now();
+        let mut others = Vec::new();
+        // One lock, so that another thread can't close the connection before it has a signal.
+        let mut state = self.lock();
+        let id = state.table.open(now, server, limits, &mut others);
+        state.close_signals.insert(id, signal);
+        state.signal(others);
+        drop(state);
         ClientSlot { clients: self.clone(), id, closed }
     }
 
@@ -97,17 +113,19 @@
         &self,
         decision: impl FnOnce(&mut ClientTable, Time, &mut Vec<ClientId>) -> T,
     ) -> T {
-        let now = Time::default() + self.0.started.elapsed();
+        let now = self.now();
         let mut closed = Vec::new();
         let mut state = self.lock();
         let result = decision(&mut state.table, now, &mut closed);
-        for id in closed {
-            // Dropping the sender closes the channel.
-            state.close_signals.remove(&id);
-        }
+        state.signal(closed);
         result
     }
 
+    /// The time of the table.
+    fn now(&self) -> Time {
+        Time::default() + self.0.started.elapsed()
+    }
+
     /// Locks the state. A panic while the lock is held leaves it usable, so poisoning is ignored.
     fn lock(&self) -> MutexGuard<'_, State> {
         self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/components/net/src/server.rs
+++ b/components/net/src/server.rs
@@ -81,6 +81,10 @@
 /// Requests of clients that send ahead, without waiting for answers, which are handled at a time.
 const MAX_REQUESTS_AHEAD: usize = 8;
 
+/// Connections on which the rest of a request is discarded at a time. Further ones are reset, as
+/// clients that go on sending would take all of the processor.
+const MAX_DISCARDS: usize = 16;
+
 /// What the connections of a server share.
 #[derive(Debug)]
 pub(crate) struct ServerState {
@@ -89,6 +93,8 @@
     pub large_bodies: PacedTurns,
     /// Taken to handle a request that was sent before the last answer was written.
     requests_ahead: Turns,
+    /// Taken to discard the rest of a request after its answer.
+    discards: Turns,
 }
 
 impl Limits {
@@ -137,6 +143,7 @@
         connections: connections.clone(),
         large_bodies: PacedTurns::new(clients.limits().large_body_interval),
         requests_ahead: Turns::new(MAX_REQUESTS_AHEAD),
+        discards: Turns::new(MAX_DISCARDS),
     });
     let server = clients.add_server();
     let start_connection = |(stream, peer): (Async<TcpStream>, SocketAddr)| {
@@ -259,10 +266,11 @@
     F: Future<Output = Response<Body>> + 'static,
 {
     let tracker = guard.tracker.clone();
-    let (connections, service_tracker) = (state.connections.clone(), tracker.clone());
+    let connections = state.connections.clone();
+    let (service_state, service_tracker) = (state.clone(), tracker.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let handler = handler.clone();
-        let (state, tracker) = (state.clone(), service_tracker.clone());
+        let (state, tracker) = (service_state.clone(), service_tracker.clone());
         Box::pin(async move {
             let response = answer(request, state, tracker, limits, &*handler).await;
             Ok::<_, Infallible>(response)
@@ -295,9 +303,13 @@
         let _ = future::poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
     }
     drop(guard);
-    if tracker.is_body_unread() {
+    // Only the stream remains; the buffers of the connection are freed.
+    let stream = connection.into_parts().io.into_inner().into_inner();
+    if tracker.is_body_unread()
+        && let Some(_turn) = state.discards.try_take()
+    {
         tracker.slot.set_stage(Stage::Closing);
-        discard_rest(connection.into_parts().io.into_inner().into_inner()).await;
+        discard_rest(stream).await;
     }
 }
 
--- a/components/net/src/turns.rs
+++ b/components/net/src/turns.rs
@@ -29,6 +29,11 @@
         Self { free, returned }
     }
 
+    /// Takes a turn if one is free.
+    pub fn try_take(&self) -> Option<Turn> {
+        self.free.try_recv().ok().map(|()| Turn(self.returned.clone()))
+    }
+
     /// Waits for a turn.
     pub async fn take(&self) -> Turn {
         // Doesn't fail: this handle keeps a sender.
