Read new connections before newer ones take their place

What callers saw: at an address with few connections, a check could go unanswered beside clients that reconnect all the time (1 of 3 at the metrics address, in a build without full optimization).

Cause: up to 128 connections were accepted in a row, more than the 16 or 64 that such an address keeps, so that a connection could give way before it was read.

Change: at most a quarter of an address's connections are accepted in a row.

--- a/components/net/src/server.rs
+++ b/components/net/src/server.rs
@@ -156,7 +156,8 @@
         let mut accepted = 0;
         loop {
             // With a request in each connection, further ones wait in the listen queue.
-            if !clients.can_open(server, limits().connection_limits()) {
+            let limits = limits().connection_limits();
+            if !clients.can_open(server, limits) {
                 Timer::after(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
@@ -167,7 +168,9 @@
                 }
             }
             accepted += 1;
-            if accepted % MAX_ACCEPTS_IN_A_ROW == 0 {
+            // A new connection is read before it may have to give way to newer ones.
+            if accepted >= MAX_ACCEPTS_IN_A_ROW.min(limits.max_connections / 4) {
+                accepted = 0;
                 future::yield_now().await;
             }
         }
