Wait for a shutdown in one place, and drop a shadowed copy

Cause: on reading the change again, the wait for a graceful shutdown stood twice in the server, once for a connection without a request and once within HTTP, and the table copied a connection through two names to close it.

Change: one function for both waits, which keeps the reason for its order; one name for the copy. No behaviour changes.

--- a/components/net/src/client_table.rs
+++ b/components/net/src/client_table.rs
@@ -24,6 +24,7 @@
 const LARGE_SHARE_DIVISOR: u64 = 2;
 /// Number of connections of each queue that are compared, those that wait longest.
 const MAX_CANDIDATES: usize = 16;
+
 /// The connections of a process and the bytes held for them.
 #[derive(Debug)]
 pub struct ClientTable {
@@ -290,9 +291,8 @@
         let Some(client) = self.clients.get_mut(&id) else { return };
         let before = *client;
         client.leaving = true;
-        let client = before;
-        self.subtract(id, &client);
-        self.shrink_server(client.server);
+        self.subtract(id, &before);
+        self.shrink_server(before.server);
         *self.counters.closed.entry(reason).or_default() += 1;
         closed.push(id);
     }
--- a/components/net/src/server.rs
+++ b/components/net/src/server.rs
@@ -249,12 +249,15 @@
     connections: &Connections,
 ) -> bool {
     let received = async { matches!(stream.peek(&mut [0]).await, Ok(bytes) if bytes > 0) };
-    let shutdown_requested = async {
-        connections.keep_alive_stopped().await;
-        tracker.no_request_incoming(connections).await;
-        false
-    };
-    received.or(shutdown_requested).await
+    received.or(shutdown_requested(tracker, connections)).await
+}
+
+/// Waits until the server closes idle connections and no request is on its way on this one; returns
+/// false. hyper treats a connection with an incomplete head as idle, so it may shut down only then.
+async fn shutdown_requested(tracker: &ConnectionTracker, connections: &Connections) -> bool {
+    connections.keep_alive_stopped().await;
+    tracker.no_request_incoming(connections).await;
+    false
 }
 
 /// Serves the requests of a connection.
@@ -288,16 +291,9 @@
         let _ = future::poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
         true
     };
-    let shutdown_requested = async {
-        connections.keep_alive_stopped().await;
-        // hyper treats a connection with an incomplete head as idle, so it may only shut down
-        // afterwards.
-        tracker.no_request_incoming(&connections).await;
-        false
-    };
     // `or` polls the connection first, so a request already in the socket buffer is read before an
     // idle connection closes; otherwise its client would get no response.
-    if !completed.or(shutdown_requested).await {
+    if !completed.or(shutdown_requested(&tracker, &connections)).await {
         if tracker.is_head_stalled() {
             return;
         }
