--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -52,6 +52,13 @@
     raise CannotRun("no free ports")
 
 
+def need_descriptors(count):
+    """Checks that the case may open so many connections."""
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    if hard != resource.RLIM_INFINITY and hard < count:
+        raise CannotRun(f"{hard} descriptors, {count} are needed")
+
+
 def fill(template, fields):
     """Fills a template of the deploy file: gaps, sections and their negation."""
 
