Review case 9: jobs of many small tasks take agents over their memory

Cause: an agent sends the start of every task that fits at once, each over a connection of its own, without a bound. What its target leaves unanswered is sent again over further connections.

Change: adds the case, and the stand-ins that the scripts of this review share. No code is changed.

--- /dev/null
+++ b/review/stand-ins-3/cases.rs
@@ -0,0 +1,18 @@
+//! The scripts of the cases.
+
+mod wide_jobs;
+
+use crate::{Record, Verdict};
+
+/// Runs a case with or without its disruption.
+pub fn run(case: &str, trouble: bool, record: &Record) -> Verdict {
+    let result = match case {
+        "wide-jobs" => wide_jobs::run(trouble, record),
+        _ => Err(format!("no case is called {case}")),
+    };
+    match result {
+        Ok(true) => Verdict::Held,
+        Ok(false) => Verdict::Broken,
+        Err(reason) => Verdict::NotRun(reason),
+    }
+}
