--- a/review/stand-ins-3/cases.rs
+++ b/review/stand-ins-3/cases.rs
@@ -1,5 +1,6 @@
 //! The scripts of the cases.
 
+mod repeated_submission;
 mod wide_jobs;
 
 use crate::{Record, Verdict};
@@ -7,6 +8,7 @@
 /// Runs a case with or without its disruption.
 pub fn run(case: &str, trouble: bool, record: &Record) -> Verdict {
     let result = match case {
+        "repeated-submission" => repeated_submission::run(trouble, record),
         "wide-jobs" => wide_jobs::run(trouble, record),
         _ => Err(format!("no case is called {case}")),
     };
