Review case 12: a late copy of an order undoes an evacuation

Cause: hall commands have no version or id and take effect in the order of the log.

Change: adds the case. No code is changed.

--- a/review/stand-ins-3/cases.rs
+++ b/review/stand-ins-3/cases.rs
@@ -1,5 +1,6 @@
 //! The scripts of the cases.
 
+mod late_copy;
 mod lost_cancel;
 mod repeated_submission;
 mod wide_jobs;
@@ -9,6 +10,7 @@
 /// Runs a case with or without its disruption.
 pub fn run(case: &str, trouble: bool, record: &Record) -> Verdict {
     let result = match case {
+        "late-copy" => late_copy::run(trouble, record),
         "lost-cancel" => lost_cancel::run(trouble, record),
         "repeated-submission" => repeated_submission::run(trouble, record),
         "wide-jobs" => wide_jobs::run(trouble, record),
