A late copy of a hall command no longer undoes an acknowledged one

The opposite copy empties a hall that nobody refills.

Cause: hall commands have neither a version nor an id and take effect in the order of the log. A keeper relied on reading the end of a gone sender's connection together with the command, but that end arrives later or never.

Fix: a command that contradicts one which was taken within hall_command_lifetime_ms (5,000 ms, from the platform's ack_timeout_ms) is not taken as it is. The leader redirects its sender to the same path with the index of the log up to which it has applied everything; the command is taken only if no command for the hall was taken after that index. Nobody follows for a copy, and a copy of the confirmed command has an outdated index at any later time. A sender that drops the query is served once no copy can be under way. Our own client confirms each command, so that no bound on a copy's delay is needed at /v1/halls.

--- a/components/client/src/operator_client.rs
+++ b/components/client/src/operator_client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hyper::body::Bytes;
+use hyper::header::LOCATION;
 use hyper::{HeaderMap, Method};
 use net::{Client, Reply, Spawner};
 use serde::Deserialize;
@@ -21,6 +22,10 @@
 const ROUNDS: usize = 30;
 /// Delay between two rounds of attempts.
 const ROUND_DELAY: Duration = Duration::from_millis(300);
+/// Most confirmations that one attempt at a keeper follows.
+const CONFIRMATIONS_MAX: usize = 3;
+/// A log index that no log reaches: a keeper answers a command with it by the index to confirm.
+const UNCONFIRMED: u64 = u64::MAX;
 
 /// A version of the settings tree.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -125,12 +130,22 @@
         outcome.unwrap_or(ChangeOutcome::Unknown)
     }
 
-    /// Sends a command for a hall, with a limited number of retries. Commands are idempotent.
+    /// Sends a command for a hall, with a limited number of retries. It is carried out once at most:
+    /// only if no other command for the hall has been taken since the first keeper asked for a
+    /// confirmation.
     pub async fn send_hall_command(&self, command: &HallCommand) -> HallOutcome {
-        let action = if command.takes_work { "refill" } else { "empty" };
-        let path = format!("/v1/halls/{}/{action}", command.hall);
-        let outcome = self.post_until_known(&path, &[], hall_outcome).await;
-        outcome.unwrap_or(HallOutcome::Unknown)
+        let mut confirmed = ConfirmedCommand::new(command);
+        for round in 0..ROUNDS {
+            if round > 0 {
+                net::sleep(ROUND_DELAY).await;
+            }
+            for keeper in &self.keepers {
+                if let Some(outcome) = confirmed.send(keeper).await {
+                    return outcome;
+                }
+            }
+        }
+        HallOutcome::Unknown
     }
 
     /// Posts to the keepers in turn until `outcome` returns a result; `None` after the last of
@@ -158,6 +173,49 @@
     }
 }
 
+/// A hall command with the log index that its sender confirms.
+struct ConfirmedCommand {
+    path: String,
+    index: u64,
+    /// Whether an attempt with a confirmed index got no clear answer.
+    may_be_taken: bool,
+}
+
+impl ConfirmedCommand {
+    fn new(command: &HallCommand) -> Self {
+        let action = if command.takes_work { "refill" } else { "empty" };
+        let path = format!("/v1/halls/{}/{action}", command.hall);
+        Self { path, index: UNCONFIRMED, may_be_taken: false }
+    }
+
+    /// Sends the command to a keeper and confirms it if the keeper asks for that; `None` if another
+    /// keeper must be tried.
+    async fn send(&mut self, keeper: &Client) -> Option<HallOutcome> {
+        for _ in 0..CONFIRMATIONS_MAX {
+            let path = format!("{}?after={}", self.path, self.index);
+            let reply = exchange(keeper, Method::POST, &path, Vec::new()).await.ok();
+            let Some(index) = reply.as_ref().and_then(index_to_confirm) else {
+                let outcome = reply.as_ref().and_then(hall_outcome);
+                self.may_be_taken |= outcome.is_none() && self.index != UNCONFIRMED;
+                return outcome;
+            };
+            // The command may have been taken before another one, and must not be taken twice.
+            if self.may_be_taken {
+                return Some(HallOutcome::Unknown);
+            }
+            self.index = index;
+        }
+        None
+    }
+}
+
+/// The log index that a keeper asks the sender of a hall command to confirm.
+fn index_to_confirm(reply: &Reply) -> Option<u64> {
+    let location = reply.headers.get(LOCATION).filter(|_| reply.status == 307)?;
+    let (_, index) = location.to_str().ok()?.rsplit_once("?after=")?;
+    index.parse().ok()
+}
+
 /// The outcome of a change in a keeper's response; `None` if another keeper must be tried.
 fn change_outcome(reply: &Reply) -> Option<ChangeOutcome> {
     if !matches!(reply.status, 200 | 400 | 409) {
--- a/components/consensus/src/lib.rs
+++ b/components/consensus/src/lib.rs
@@ -19,5 +19,5 @@
 pub use event::{Action, Event, LogEvent, ProposalId, Violation};
 pub use log::{Entry, Index, Payload, Term};
 pub use message::Message;
-pub use record::{Record, RecoverError, Snapshot, initial_records};
+pub use record::{INITIAL_INDEX, Record, RecoverError, Snapshot, initial_records};
 pub use replica::{Replica, Timing};
--- a/components/consensus/src/record.rs
+++ b/components/consensus/src/record.rs
@@ -71,7 +71,7 @@
 
 /// The index that the initial snapshot of a new cluster covers. Higher than the index 0 of a blank
 /// replica, so that the snapshot is sent to blank replicas.
-const INITIAL_INDEX: Index = 1;
+pub const INITIAL_INDEX: Index = 1;
 
 /// The journal records that a founding replica of a new cluster starts with.
 pub fn initial_records(members: Vec<NodeName>, state: Vec<u8>) -> Vec<Record> {
--- a/components/keeper/src/apply.rs
+++ b/components/keeper/src/apply.rs
@@ -60,7 +60,10 @@
             ReplicaAction::Rewrite(records) => actions.push(Action::Rewrite(records)),
             ReplicaAction::Send(to, message) => actions.push(Action::Send(to, message)),
             ReplicaAction::Proposed(id, index) => {
-                if let Some(pending) = self.proposals.remove(&id) {
+                if let Some(mut pending) = self.proposals.remove(&id) {
+                    if let Some(command) = pending.take_hall_command() {
+                        self.hall_history.proposed(index, command);
+                    }
                     self.pending_changes.insert(index, pending);
                 }
             }
@@ -73,6 +76,7 @@
             ReplicaAction::Install(snapshot) => self.install_snapshot(&snapshot, actions),
             ReplicaAction::Log(event) => {
                 if matches!(event, consensus::LogEvent::SteppedDown(_)) {
+                    self.hall_history.stepped_down();
                     self.fail_pending_changes(actions);
                 }
                 actions.push(Action::Log(LogEvent::Replica(event)));
@@ -90,6 +94,7 @@
                 Reply::Replaced
             }
             Ok(LogCommand::Hall(command)) => {
+                self.hall_history.applied(entry.index, command.hall.clone());
                 if self.state.apply_hall_command(command) {
                     self.publish_halls(actions);
                 }
@@ -135,6 +140,7 @@
         match decode_state(snapshot) {
             Ok(state) => {
                 let previous = std::mem::replace(&mut self.state, state);
+                self.hall_history.snapshot_read(snapshot.index);
                 self.keep_replaced_document(previous.document().cloned());
                 self.notify_document_watchers(actions);
                 if previous.halls() != self.state.halls() {
--- a/components/keeper/src/event.rs
+++ b/components/keeper/src/event.rs
@@ -14,6 +14,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CallId(pub u64);
 
+/// What the sender of a hall command knows: that the emptied halls are those after this index of the
+/// log. It comes from a [`Reply::ConfirmHall`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmation(pub u64);
+
 /// An input of a keeper.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -27,8 +32,8 @@
     ReplaceDocument(CallId, Document),
     /// An operator reads the document.
     ReadDocument(CallId),
-    /// An operator empties or refills a hall.
-    HallCommand(CallId, HallCommand),
+    /// An operator empties or refills a hall, with a confirmation if it was asked for one.
+    HallCommand(CallId, HallCommand, Option<Confirmation>),
     /// An operator reads the emptied halls.
     ReadHalls(CallId),
     /// A node registers and waits for updates (long poll).
@@ -69,6 +74,9 @@
     Document(Option<Document>),
     /// The emptied halls, for a read or after a committed hall command.
     Halls(EmptiedHalls),
+    /// The hall command was not taken, as it may be a late copy; its sender has to send it again
+    /// with this confirmation.
+    ConfirmHall(Confirmation),
     /// Updates for a registered node.
     Watch(WatchReply),
     /// A part of a document; `None` if this keeper does not have that version.
@@ -107,6 +115,10 @@
     DocumentVersion(u64),
     /// The set of emptied halls changed.
     EmptiedHalls(EmptiedHalls),
+    /// A hall command was added to the log.
+    HallCommandTaken(HallCommand, Option<Confirmation>),
+    /// A hall command may be a late copy; its sender has to confirm it.
+    HallCommandUnconfirmed(HallCommand, Option<Confirmation>),
     /// The number of registered nodes changed.
     RegisteredNodes(usize),
     /// The log entry at this index, or the snapshot that ends there, can't be decoded: a newer
--- a/components/keeper/src/full_disk.rs
+++ b/components/keeper/src/full_disk.rs
@@ -53,7 +53,7 @@
             | Event::ReadHistory(call)
             | Event::ReplaceDocument(call, _)
             | Event::ReadDocument(call)
-            | Event::HallCommand(call, _)
+            | Event::HallCommand(call, ..)
             | Event::ReadHalls(call)
             | Event::Pull(call, _) => self.reply_not_leader(call, actions),
             // Dropping messages is safe, as they may be lost anyway.
--- /dev/null
+++ b/components/keeper/src/hall_history.rs
@@ -0,0 +1,172 @@
+//! Decides which commands to empty or refill a hall may be late copies.
+//!
+//! A command carries neither a version nor an id, so a copy that the network held up looks like a
+//! new command. What distinguishes them is what the sender knows: a sender that still waits can be
+//! asked to confirm, with the index of the log up to which the leader has applied everything. The
+//! confirmed command is taken only if no command for the hall was taken after that index. Nobody
+//! confirms a late copy, and a late copy of a confirmed command has an outdated index.
+//!
+//! A command without a confirmation is taken as it is once no copy from before the last command for
+//! the hall can be under way any more.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use consensus::{INITIAL_INDEX, Index};
+use model::Time;
+use wire::{HallCommand, HallName};
+
+use crate::Confirmation;
+
+/// Number of halls whose last command is kept. Beyond it, all halls count as commanded just now.
+const RECENT_HALLS_MAX: usize = 1_000;
+/// Longest interval between two events of a keeper that is running. A longer one is a standstill,
+/// during which commands may have waited in the keeper's own queues.
+const EVENT_INTERVAL_MAX: Duration = Duration::from_millis(250);
+
+/// What to do with a command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// It is not a late copy, or has no effect if it is one.
+    Take,
+    /// It may be a late copy: its sender has to confirm it.
+    Unconfirmed,
+}
+
+/// The last command for a hall.
+#[derive(Clone, Copy, Debug)]
+struct LastCommand {
+    index: Index,
+    /// The running time at which this keeper applied it.
+    applied_at: Duration,
+}
+
+/// The recent hall commands, as far as this run of the process knows them.
+///
+/// Each keeper keeps its own history and measures times by its own clock, so that neither logs nor
+/// snapshots contain it and the clocks of keepers need not agree. What a keeper does not know, it
+/// takes for a command at the moment when it learned the rest.
+#[derive(Debug)]
+pub(crate) struct HallHistory {
+    /// How long a command may be under way.
+    lifetime: Duration,
+    /// How long the keeper has been running, without standstills.
+    running_time: Duration,
+    last_event_at: Time,
+    recent: HashMap<HallName, LastCommand>,
+    /// Commands that this keeper proposed as the leader and that are not committed yet.
+    uncommitted: BTreeMap<Index, HallCommand>,
+    /// `recent` may lack commands with an index up to this one.
+    unknown_up_to: Index,
+    /// The running time at which this keeper learned of the commands that `recent` lacks.
+    unknown_applied_at: Option<Duration>,
+}
+
+impl HallHistory {
+    /// A history without any command.
+    pub fn new(now: Time, lifetime: Duration) -> Self {
+        Self {
+            lifetime,
+            running_time: Duration::ZERO,
+            last_event_at: now,
+            recent: HashMap::new(),
+            uncommitted: BTreeMap::new(),
+            unknown_up_to: 0,
+            unknown_applied_at: None,
+        }
+    }
+
+    /// Sets how long a command may be under way.
+    pub fn set_lifetime(&mut self, lifetime: Duration) {
+        self.lifetime = lifetime;
+    }
+
+    /// Advances the running time; has to be called at each event of the keeper.
+    pub fn advance(&mut self, now: Time) {
+        self.running_time += now.since(self.last_event_at).min(EVENT_INTERVAL_MAX);
+        self.last_event_at = now;
+    }
+
+    /// Records that the state was read from a snapshot up to `index`, which does not contain the
+    /// commands.
+    pub fn snapshot_read(&mut self, index: Index) {
+        if index > INITIAL_INDEX {
+            self.forget_all(index);
+        }
+    }
+
+    fn forget_all(&mut self, index: Index) {
+        self.recent.clear();
+        self.unknown_up_to = self.unknown_up_to.max(index);
+        self.unknown_applied_at = Some(self.running_time);
+    }
+
+    /// Records a command that this keeper proposed as the leader.
+    pub fn proposed(&mut self, index: Index, command: HallCommand) {
+        self.uncommitted.insert(index, command);
+    }
+
+    /// Records that this keeper no longer leads, so that the next leader decides which of its
+    /// commands are committed.
+    pub fn stepped_down(&mut self) {
+        self.uncommitted.clear();
+    }
+
+    /// Records a committed command.
+    pub fn applied(&mut self, index: Index, hall: HallName) {
+        self.uncommitted.remove(&index);
+        self.forget_old();
+        if self.recent.len() >= RECENT_HALLS_MAX {
+            let last = self.recent.values().map(|command| command.index).max();
+            self.forget_all(last.unwrap_or_default());
+        }
+        let applied_at = self.running_time;
+        self.recent.insert(hall, LastCommand { index, applied_at });
+    }
+
+    fn forget_old(&mut self) {
+        let (running_time, lifetime) = (self.running_time, self.lifetime);
+        let unknown_up_to = &mut self.unknown_up_to;
+        self.recent.retain(|_, command| {
+            let kept = running_time < command.applied_at + lifetime;
+            if !kept {
+                *unknown_up_to = command.index.max(*unknown_up_to);
+            }
+            kept
+        });
+    }
+
+    /// Judges a command that arrives at the confirmed leader. `fulfilled` is whether the committed
+    /// state is the one that the command asks for, and `committed` the index of that state.
+    pub fn judge(
+        &self,
+        command: &HallCommand,
+        confirmation: Option<Confirmation>,
+        fulfilled: bool,
+        committed: Index,
+    ) -> Verdict {
+        let mut uncommitted = self.uncommitted.values().rev();
+        let last_uncommitted = uncommitted.find(|other| other.hall == command.hall);
+        let is_taken = match (last_uncommitted, confirmation) {
+            (Some(last), _) => last == command,
+            (None, _) if fulfilled => true,
+            (None, Some(Confirmation(index))) => {
+                (self.known_from(&command.hall)..=committed).contains(&index)
+            }
+            (None, None) => !self.may_have_copies(&command.hall),
+        };
+        if is_taken { Verdict::Take } else { Verdict::Unconfirmed }
+    }
+
+    /// The lowest index from which on it is known that no command for the hall was taken.
+    fn known_from(&self, hall: &HallName) -> Index {
+        self.recent.get(hall).map_or(self.unknown_up_to, |command| command.index)
+    }
+
+    /// Whether copies of commands from before the hall's last command may still be under way.
+    fn may_have_copies(&self, hall: &HallName) -> bool {
+        let applied_at = self.recent.get(hall).map(|command| command.applied_at);
+        let last_applied_at = applied_at.max(self.unknown_applied_at);
+        last_applied_at.is_some_and(|applied_at| self.running_time < applied_at + self.lifetime)
+    }
+}
--- a/components/keeper/src/keeper.rs
+++ b/components/keeper/src/keeper.rs
@@ -1,6 +1,7 @@
 //! The keeper's state machine: the replicated log with the settings state on top.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
 
 use consensus::{Index, ProposalId, Record, RecoverError, Replica, Timing};
 use model::{NodeName, Time};
@@ -9,12 +10,18 @@
 use wire::{ChangeRequest, Document, HallCommand, PartRequest, WatchRequest};
 
 use crate::apply::{decode_state, encode_state};
-use crate::pending_calls::{PendingChange, PendingPull};
+use crate::hall_history::{HallHistory, Verdict};
+use crate::pending_calls::{HeldHallCommand, PendingChange, PendingPull};
 use crate::registry::Registry;
-use crate::{Action, CallId, Event, LogCommand, Reply, SettingsChange, State, TreeReply};
+use crate::{
+    Action, CallId, Confirmation, Event, LogCommand, LogEvent, Reply, SettingsChange, State,
+    TreeReply,
+};
 
 /// Maximum number of versions in a history reply.
 const HISTORY_VERSIONS_MAX: usize = 100;
+/// Default of [`Keeper::set_hall_command_lifetime`].
+const HALL_COMMAND_LIFETIME: Duration = Duration::from_secs(5);
 
 /// Why a keeper can't start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -38,6 +45,9 @@
     /// Pending changes whose log index is not known yet.
     pub(crate) proposals: HashMap<ProposalId, PendingChange>,
     next_proposal: u64,
+    pub(crate) hall_history: HallHistory,
+    /// Hall commands that wait to be answered that they need a confirmation.
+    pub(crate) held_hall_commands: Vec<HeldHallCommand>,
     pub(crate) registry: Registry,
     /// Recently replaced documents, oldest first.
     pub(crate) replaced_documents: VecDeque<Document>,
@@ -69,6 +79,8 @@
             pending_pulls: Vec::new(),
             proposals: HashMap::new(),
             next_proposal: 0,
+            hall_history: HallHistory::new(now, HALL_COMMAND_LIFETIME),
+            held_hall_commands: Vec::new(),
             registry: Registry::new(seed),
             replaced_documents: VecDeque::new(),
             disk_full: false,
@@ -82,6 +94,7 @@
     fn apply_recovered(&mut self, now: Time) {
         self.registry.set_document_version(self.state.document_version());
         self.registry.set_halls_revision(self.state.halls().revision);
+        self.hall_history.snapshot_read(self.replica.snapshot().index);
         let mut ignored = Vec::new();
         for entry in self.replica.recovered_entries() {
             self.apply_entry(now, &entry, &mut ignored);
@@ -90,6 +103,7 @@
 
     /// Handles an event and appends the resulting actions to `actions`.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        self.hall_history.advance(now);
         if self.disk_full {
             self.handle_without_disk(now, event, actions);
         } else {
@@ -113,7 +127,9 @@
                 let reply = Reply::Document(self.state.document().cloned());
                 self.reply_if_leader(now, call, reply, actions);
             }
-            Event::HallCommand(call, command) => self.propose_hall(now, call, command, actions),
+            Event::HallCommand(call, command, confirmation) => {
+                self.handle_hall_command(now, call, command, confirmation, actions)
+            }
             Event::ReadHalls(call) => {
                 let halls = Reply::Halls(self.state.halls().clone());
                 self.reply_if_leader(now, call, halls, actions);
@@ -172,6 +188,12 @@
         self.replica.set_contacts(contacts);
     }
 
+    /// Sets how long a hall command may be under way. A command without a confirmation is not taken
+    /// within this time after another one for its hall, unless it asks for the same.
+    pub fn set_hall_command_lifetime(&mut self, lifetime: Duration) {
+        self.hall_history.set_lifetime(lifetime);
+    }
+
     /// Whether this keeper is the confirmed leader and its disk is not full, so that it accepts
     /// changes.
     pub fn is_confirmed_leader(&self, now: Time) -> bool {
@@ -218,20 +240,43 @@
         self.propose(now, call, &LogCommand::Replace(document), actions);
     }
 
-    /// Proposes to empty or refill a hall. Hall commands carry no version and take effect in log
-    /// order. A command that the committed state already satisfies is proposed as well, as the
-    /// opposite command may still be uncommitted in the log before it.
-    fn propose_hall(
+    /// Proposes to empty or refill a hall, or has the command confirmed if it may be a late copy.
+    /// Hall commands take effect in log order. One that asks for the state that the hall already has
+    /// is proposed as well: after it is acknowledged, copies of the opposite command are outdated.
+    fn handle_hall_command(
         &mut self,
         now: Time,
         call: CallId,
         command: HallCommand,
+        confirmation: Option<Confirmation>,
         actions: &mut Vec<Action>,
     ) {
         if !self.is_confirmed_leader(now) {
             return self.reply_not_leader(call, actions);
         }
-        self.propose(now, call, &LogCommand::Hall(command), actions);
+        let takes_work = !self.state.halls().contains(command.hall.as_str());
+        let is_fulfilled = takes_work == command.takes_work;
+        let committed = self.replica.committed();
+        match self.hall_history.judge(&command, confirmation, is_fulfilled, committed) {
+            Verdict::Take => self.propose_hall(now, call, command, confirmation, actions),
+            Verdict::Unconfirmed => {
+                actions.push(Action::Log(LogEvent::HallCommandUnconfirmed(command, confirmation)));
+                self.ask_for_confirmation(now, call, confirmation, actions);
+            }
+        }
+    }
+
+    fn propose_hall(
+        &mut self,
+        now: Time,
+        call: CallId,
+        command: HallCommand,
+        confirmation: Option<Confirmation>,
+        actions: &mut Vec<Action>,
+    ) {
+        actions.push(Action::Log(LogEvent::HallCommandTaken(command.clone(), confirmation)));
+        let pending = PendingChange::new(now, call).with_hall_command(command.clone());
+        self.propose_pending(now, pending, &LogCommand::Hall(command), actions);
     }
 
     fn propose(
@@ -240,11 +285,21 @@
         call: CallId,
         command: &LogCommand,
         actions: &mut Vec<Action>,
+    ) {
+        self.propose_pending(now, PendingChange::new(now, call), command, actions);
+    }
+
+    fn propose_pending(
+        &mut self,
+        now: Time,
+        pending: PendingChange,
+        command: &LogCommand,
+        actions: &mut Vec<Action>,
     ) {
         let command = serde_json::to_vec(command).expect("the value can be serialized as JSON");
         self.next_proposal += 1;
         let id = ProposalId(self.next_proposal);
-        self.proposals.insert(id, PendingChange::new(now, call));
+        self.proposals.insert(id, pending);
         self.step_replica(now, consensus::Event::Propose { id, command }, actions);
     }
 
--- a/components/keeper/src/lib.rs
+++ b/components/keeper/src/lib.rs
@@ -9,13 +9,14 @@
 mod event;
 mod fetch;
 mod full_disk;
+mod hall_history;
 mod keeper;
 mod pending_calls;
 mod registry;
 mod roster;
 mod state;
 
-pub use event::{Action, CallId, Event, LogEvent, Reply, TreeReply};
+pub use event::{Action, CallId, Confirmation, Event, LogEvent, Reply, TreeReply};
 pub use fetch::{DocumentFetch, DocumentSource, FetchStep, PART_TIMEOUT};
 pub use keeper::{Keeper, KeeperError, initial_records};
 pub use roster::{Roster, RosterWork, StoredNode};
--- a/components/keeper/src/pending_calls.rs
+++ b/components/keeper/src/pending_calls.rs
@@ -5,20 +5,32 @@
 
 use consensus::Index;
 use model::Time;
-use wire::{PullReply, PullRequest};
+use wire::{HallCommand, PullReply, PullRequest};
 
-use crate::{Action, CallId, Keeper, LogEvent, Reply};
+use crate::{Action, CallId, Confirmation, Keeper, LogEvent, Reply};
 
 /// Maximum wait of a node that already has the current version.
 const PULL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum wait of an operator for a commit; afterwards the outcome of the change is unknown.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(4);
+/// How long a hall command without a confirmation waits until its sender is asked for one. Senders
+/// that cannot confirm retry after it, rather than use up their attempts at once.
+const CONFIRM_DELAY: Duration = Duration::from_millis(250);
 
 /// An operator's call that waits for a commit.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct PendingChange {
     call: CallId,
     until: Time,
+    /// The hall command of the call, until its log index is known.
+    hall_command: Option<HallCommand>,
+}
+
+/// A hall command whose sender will be asked for a confirmation.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HeldHallCommand {
+    call: CallId,
+    until: Time,
 }
 
 /// A node's call that waits for a newer version of the settings.
@@ -32,11 +44,21 @@
 impl PendingChange {
     /// A call that starts to wait now.
     pub fn new(now: Time, call: CallId) -> Self {
-        Self { call, until: now + CHANGE_TIMEOUT }
+        Self { call, until: now + CHANGE_TIMEOUT, hall_command: None }
+    }
+
+    /// The call with a hall command.
+    pub fn with_hall_command(self, command: HallCommand) -> Self {
+        Self { hall_command: Some(command), ..self }
+    }
+
+    /// The hall command, the first time this is called.
+    pub fn take_hall_command(&mut self) -> Option<HallCommand> {
+        self.hall_command.take()
     }
 
     /// The call to answer.
-    pub fn call(self) -> CallId {
+    pub fn call(&self) -> CallId {
         self.call
     }
 }
@@ -47,8 +69,9 @@
         let replica = (!self.disk_full).then(|| self.replica.next_timer());
         let pulls = self.pending_pulls.iter().map(|pending| pending.until);
         let changes = self.pending_changes.values().map(|pending| pending.until);
+        let held = self.held_hall_commands.iter().map(|held| held.until);
         let watches = self.registry.next_timer();
-        pulls.chain(changes).chain(watches).chain(replica).min()
+        pulls.chain(changes).chain(held).chain(watches).chain(replica).min()
     }
 
     /// Answers a node's pull at once if there is a newer version; otherwise the call waits for one.
@@ -68,6 +91,28 @@
         }
     }
 
+    /// Asks the sender of a hall command for a confirmation: at once if it sent an outdated one.
+    pub(crate) fn ask_for_confirmation(
+        &mut self,
+        now: Time,
+        call: CallId,
+        outdated: Option<Confirmation>,
+        actions: &mut Vec<Action>,
+    ) {
+        let wait = if outdated.is_some() { Duration::ZERO } else { CONFIRM_DELAY };
+        self.held_hall_commands.push(HeldHallCommand { call, until: now + wait });
+        self.answer_held_hall_commands(now, actions);
+    }
+
+    /// Answers the hall commands that have waited for long enough.
+    fn answer_held_hall_commands(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let reply = Reply::ConfirmHall(Confirmation(self.replica.committed()));
+        let due = self.held_hall_commands.extract_if(.., |held| held.until <= now);
+        for held in due.collect::<Vec<_>>() {
+            self.reply_if_leader(now, held.call, reply.clone(), actions);
+        }
+    }
+
     /// Answers the pending changes without a result, as this keeper no longer leads; the next
     /// leader decides whether they are committed.
     pub(crate) fn fail_pending_changes(&mut self, actions: &mut Vec<Action>) {
@@ -99,6 +144,7 @@
         if self.pending_pulls.iter().any(|pending| pending.until <= now) {
             self.answer_pending_pulls(now, actions);
         }
+        self.answer_held_hall_commands(now, actions);
         let expired = |(_, pending): &(&Index, &PendingChange)| pending.until <= now;
         let expired: Vec<Index> =
             self.pending_changes.iter().filter(expired).map(|(index, _)| *index).collect();
--- a/daemon/src/capacity/keeper.rs
+++ b/daemon/src/capacity/keeper.rs
@@ -32,6 +32,7 @@
                 page.value("configuration_version", "", status.document);
                 page.value("halls_revision", "", status.halls_revision);
                 page.value("halls_emptied", "", status.emptied_halls.len() as u64);
+                page.value("hall_commands_unconfirmed_total", "", status.unconfirmed_hall_commands);
                 page.value("journal_bytes", "", status.journal_bytes);
                 page.value("keeper_disk_full", "", u64::from(status.disk_full));
                 page.value("nodes", "", status.nodes as u64);
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -148,6 +148,8 @@
     pub create_cluster: bool,
     /// With capacity scheduling: how many keepers may fail at once.
     pub tolerated_losses: usize,
+    /// With capacity scheduling: how long a hall command may be under way.
+    pub hall_command_lifetime: Duration,
     /// The keepers of the cluster with their addresses for nodes; empty for a single keeper.
     pub peers: Vec<(NodeName, SocketAddr)>,
 }
@@ -177,17 +179,30 @@
 }
 
 impl Config {
-    /// Reads and checks a file.
+    /// Reads and checks a file. An environment variable `DOCKPASS_SECTION_KEY` overrides the key of
+    /// that section.
     pub fn load(path: &std::path::Path) -> Result<Self, ConfigError> {
         let file = path.display().to_string();
         let text = std::fs::read_to_string(path)
             .map_err(|source| ConfigError::Unreadable { file: file.clone(), source })?;
-        Self::from_ini(&text).map_err(|source| ConfigError::Invalid { file, source })
+        Self::from_ini_and_environment(&text, |name| std::env::var(name).ok())
+            .map_err(|source| ConfigError::Invalid { file, source })
     }
 
     /// Reads and checks INI text.
     pub fn from_ini(text: &str) -> Result<Self, SettingsError> {
-        let sections = Sections::read(parse_ini(text)?)?;
+        Self::from_ini_and_environment(text, |_| None)
+    }
+
+    /// Reads and checks INI text with the values of the environment variables that `variable`
+    /// returns. An empty value counts as not given.
+    pub fn from_ini_and_environment(
+        text: &str,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, SettingsError> {
+        let mut written = parse_ini(text)?;
+        keys::override_values(&mut written, variable);
+        let sections = Sections::read(written)?;
         let node = read_node(&sections)?;
         let has_role = |role| node.roles.contains(&role);
         let config = Self {
@@ -311,6 +326,7 @@
 
 fn read_keeper(sections: &Sections) -> Result<KeeperConfig, SettingsError> {
     let initial = sections.value(KEEPER, "initial")?.text().to_owned();
+    let hall_command_lifetime = sections.value(KEEPER, "hall_command_lifetime_ms")?.integer();
     Ok(KeeperConfig {
         listen: read_address(sections, KEEPER, "listen")?,
         node_listen: read_address(sections, KEEPER, "node_listen")?,
@@ -318,6 +334,7 @@
         initial: (!initial.is_empty()).then(|| PathBuf::from(initial)),
         create_cluster: sections.value(KEEPER, "found")?.flag(),
         tolerated_losses: sections.value(KEEPER, "tolerated_losses")?.integer() as usize,
+        hall_command_lifetime: Duration::from_millis(hall_command_lifetime),
         peers: read_peers(sections)?,
     })
 }
--- a/daemon/src/config/keys.rs
+++ b/daemon/src/config/keys.rs
@@ -257,6 +257,12 @@
         default: "1",
         help: "With scheduling = room: keepers that may be lost at once; twice this number plus one vote.",
     },
+    Key {
+        name: "hall_command_lifetime_ms",
+        value_type: ValueType::Integer { min: 0, max: 60_000, unit: "ms" },
+        default: "5000",
+        help: "With scheduling = room: how long a command to empty or refill a hall may be under way. Within this time after a command, the opposite one has to be confirmed.",
+    },
     Key {
         name: "peers",
         value_type: ValueType::Members,
@@ -341,6 +347,22 @@
     }
 }
 
+/// Replaces the written values by those of environment variables named `DOCKPASS_SECTION_KEY`.
+pub(super) fn override_values(
+    written: &mut BTreeMap<String, BTreeMap<String, String>>,
+    variable: impl Fn(&str) -> Option<String>,
+) {
+    for (section, keys) in SECTIONS {
+        for key in *keys {
+            let name = format!("DOCKPASS_{section}_{}", key.name).to_uppercase();
+            if let Some(value) = variable(&name).filter(|value| !value.is_empty()) {
+                let values = written.entry((*section).to_owned()).or_default();
+                values.insert(key.name.to_owned(), value);
+            }
+        }
+    }
+}
+
 fn keys_of(section: &str) -> Option<&'static [Key]> {
     if section == EXPERIMENT {
         return Some(EXPERIMENT_KEYS);
@@ -352,7 +374,10 @@
 pub fn print_reference() -> String {
     let mut page =
         String::from("# Settings reference\n\nPrinted by `dockpassd --print-reference`.\n");
-    page.push_str("\n# The daemon's file\n");
+    page.push_str("\n# The daemon's file\n\n");
+    page.push_str(
+        "An environment variable `DOCKPASS_SECTION_KEY` overrides the key of that section.\n",
+    );
     for (section, keys) in SECTIONS {
         page.push_str(&format!("\n## `[{section}]`\n\n{}", Key::table(keys)));
     }
--- a/daemon/src/keeper_role/driver.rs
+++ b/daemon/src/keeper_role/driver.rs
@@ -8,7 +8,7 @@
 use async_channel::Sender;
 use consensus::Message;
 use journal::{Journal, JournalError};
-use keeper::{Action, CallId, Event, Keeper, Reply, Roster, RosterWork};
+use keeper::{Action, CallId, Confirmation, Event, Keeper, LogEvent, Reply, Roster, RosterWork};
 use model::{NodeName, Time};
 use spdlog::error;
 
@@ -48,8 +48,8 @@
     ReplaceDocument(wire::Document),
     /// Read the current document.
     ReadDocument,
-    /// Empty or refill a hall.
-    HallCommand(wire::HallCommand),
+    /// Empty or refill a hall, with a confirmation if the sender was asked for one.
+    HallCommand(wire::HallCommand, Option<Confirmation>),
     /// Read which halls are emptied.
     ReadHalls,
     /// Register a node and wait for changes.
@@ -79,6 +79,8 @@
     pub emptied_halls: Vec<String>,
     /// The revision of the last command that changed the emptied halls.
     pub halls_revision: u64,
+    /// The number of hall commands whose senders this process asked for a confirmation.
+    pub unconfirmed_hall_commands: u64,
     /// The number of nodes registered with this keeper.
     pub nodes: usize,
     /// The voting keepers of the cluster.
@@ -109,6 +111,7 @@
     /// The time of the last input or tick.
     now: Time,
     journal_failed: bool,
+    unconfirmed_hall_commands: u64,
     log: Option<EventLog>,
     /// `None` unless nodes schedule by capacity.
     roster: Option<RosterLink>,
@@ -134,6 +137,7 @@
             actions: Vec::new(),
             now,
             journal_failed: false,
+            unconfirmed_hall_commands: 0,
             log,
             roster: None,
         };
@@ -172,7 +176,9 @@
             KeeperRequest::Pull(request) => Event::Pull(call, request),
             KeeperRequest::ReplaceDocument(document) => Event::ReplaceDocument(call, document),
             KeeperRequest::ReadDocument => Event::ReadDocument(call),
-            KeeperRequest::HallCommand(command) => Event::HallCommand(call, command),
+            KeeperRequest::HallCommand(command, confirmation) => {
+                Event::HallCommand(call, command, confirmation)
+            }
             KeeperRequest::ReadHalls => Event::ReadHalls(call),
             KeeperRequest::Watch(request) => Event::Watch(call, request),
             KeeperRequest::FetchPart(request) => Event::FetchPart(call, request),
@@ -193,6 +199,7 @@
             document: self.keeper.state().document_version(),
             emptied_halls: halls.halls.iter().map(ToString::to_string).collect(),
             halls_revision: halls.revision,
+            unconfirmed_hall_commands: self.unconfirmed_hall_commands,
             nodes: self.keeper.registered_nodes(),
             voters: replica.voters().iter().map(ToString::to_string).collect(),
             blank: replica.is_blank(),
@@ -260,7 +267,12 @@
                         let _ = caller.try_send(reply);
                     }
                 }
-                Action::Log(event) => log_lines::log_event(self.log.as_ref(), &self.name, &event),
+                Action::Log(event) => {
+                    if matches!(event, LogEvent::HallCommandUnconfirmed(..)) {
+                        self.unconfirmed_hall_commands += 1;
+                    }
+                    log_lines::log_event(self.log.as_ref(), &self.name, &event);
+                }
             }
         }
     }
--- a/daemon/src/keeper_role/listen.rs
+++ b/daemon/src/keeper_role/listen.rs
@@ -10,7 +10,7 @@
 use futures::StreamExt;
 use futures_lite::future;
 use hyper::header::{CONTENT_TYPE, HeaderValue, LOCATION, RETRY_AFTER};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Uri};
 use keeper::Reply;
 use model::NodeName;
 use net::{Body, BodyError, Clients, Connections, HeldBody, Limits, RequestBody, Spawner};
@@ -19,11 +19,12 @@
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use wire::{
-    ChangeRequest, ChangeResult, DocumentPart, HallCommand, InvalidHallName, KeeperService,
-    PartRequest, PeerMessage, PullReply, PullRequest, WatchReply, WatchRequest,
+    ChangeRequest, ChangeResult, DocumentPart, KeeperService, PartRequest, PeerMessage, PullReply,
+    PullRequest, WatchReply, WatchRequest,
 };
 
 use super::driver::{Input, KeeperRequest};
+use super::hall_commands;
 use crate::text::shortened;
 
 /// Limits on the connections of operators.
@@ -52,8 +53,6 @@
 const STATE_MACHINE_GRACE: Duration = Duration::from_millis(200);
 /// How long the responses to operators that are still outstanding at the stop may take.
 const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_millis(400);
-/// Prefix of the paths of hall commands, followed by the hall and the action.
-const HALLS_PATH: &str = "/v1/halls/";
 /// How often a stopping keeper checks for outstanding responses.
 const RESPONSE_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -183,7 +182,7 @@
 
 /// Sends a request to the state machine and waits for the reply; `None` if its thread has ended, or
 /// does not reply in time while it ends.
-async fn submit(input_sender: &Sender<Input>, request: KeeperRequest) -> Option<Reply> {
+pub(super) async fn submit(input_sender: &Sender<Input>, request: KeeperRequest) -> Option<Reply> {
     let (reply, replies) = async_channel::bounded(1);
     let handled = async {
         input_sender.send(Input::Request(request, reply)).await.ok()?;
@@ -206,7 +205,7 @@
     if context.capacity_scheduling
         && let Some(call) = OperatorRequest::parse(&head.method, head.uri.path())
     {
-        return handle_platform_call(context, call, head.uri.path(), body).await;
+        return handle_platform_call(context, call, &head.uri, body).await;
     }
     match (head.method.as_str(), head.uri.path()) {
         ("GET", "/v1/settings") => {
@@ -219,7 +218,9 @@
         ("GET", "/v1/halls") => {
             reply_response(submit(input_sender, KeeperRequest::ReadHalls).await)
         }
-        ("POST", path) if path.starts_with(HALLS_PATH) => command_hall(context, path).await,
+        ("POST", path) if path.starts_with(hall_commands::PATH) => {
+            hall_commands::handle(context, &head.uri).await
+        }
         ("POST", "/v1/changes") => match body.read().await {
             Ok(body) => handle_change(input_sender, body).await,
             Err(error) => body_error_response(error),
@@ -228,52 +229,21 @@
     }
 }
 
-/// Handles a request to empty or refill a hall.
-async fn command_hall(context: &OperatorContext, path: &str) -> Response<Body> {
-    let Some((hall, action)) = path.strip_prefix(HALLS_PATH).and_then(|rest| rest.split_once('/'))
-    else {
-        return error_response(404, "no-such-path", "see the operators' pages");
-    };
-    let takes_work = match action {
-        "empty" => false,
-        "refill" => true,
-        _ => {
-            return error_response(404, "no-such-path", "a hall is emptied or refilled");
-        }
-    };
-    if !context.capacity_scheduling {
-        let message = "halls are emptied by order only where nodes schedule by room";
-        return error_response(409, "not-supported", message);
-    }
-    match hall.parse() {
-        Ok(hall) => reply_response(
-            submit(
-                &context.input_sender,
-                KeeperRequest::HallCommand(HallCommand { hall, takes_work }),
-            )
-            .await,
-        ),
-        Err(error) => invalid_hall_response(error),
-    }
-}
-
-fn invalid_hall_response(error: InvalidHallName) -> Response<Body> {
-    error_response(400, "bad-hall", &error.to_string())
-}
-
 /// Handles a call of the platform's operators. Redirects to the leader if only the leader can
 /// answer.
 async fn handle_platform_call(
     context: &OperatorContext,
     call: OperatorRequest,
-    path: &str,
+    uri: &Uri,
     body: RequestBody,
 ) -> Response<Body> {
     // The memory of a document's body covers the document until the call is answered.
     let (request, _hold) = match call {
         OperatorRequest::FetchConfig => (KeeperRequest::ReadDocument, None),
-        OperatorRequest::CommandHall(Ok(command)) => (KeeperRequest::HallCommand(command), None),
-        OperatorRequest::CommandHall(Err(error)) => return invalid_hall_response(error),
+        OperatorRequest::CommandHall(command) => match hall_commands::request(command, uri) {
+            Ok(request) => (request, None),
+            Err(error) => return hall_commands::error_response(error),
+        },
         OperatorRequest::ReplaceConfig => {
             let body = match body.read().await {
                 Ok(body) => body,
@@ -291,7 +261,10 @@
         Some(Reply::Replaced | Reply::Halls(_)) => json_response(200, &serde_json::json!({})),
         Some(Reply::Document(Some(document))) => document_response(&document.body),
         Some(Reply::Document(None)) => error_response(503, "no-document", "there never was one"),
-        Some(Reply::NotLeader(Some(leader))) => redirect_to_leader(context.address, &leader, path),
+        Some(Reply::ConfirmHall(confirmation)) => {
+            hall_commands::confirm_response(context, uri, confirmation)
+        }
+        Some(Reply::NotLeader(Some(leader))) => redirect_to_leader(context.address, &leader, uri),
         _ => not_leader_response(None),
     }
 }
@@ -318,14 +291,25 @@
 }
 
 /// Redirects a caller to the leader's address for operators.
-fn redirect_to_leader(own: SocketAddr, leader: &NodeName, path: &str) -> Response<Body> {
+fn redirect_to_leader(own: SocketAddr, leader: &NodeName, uri: &Uri) -> Response<Body> {
     let address = leader.as_str().parse::<SocketAddr>().ok();
     let Some(address) = address.filter(|address| address.ip() != own.ip()) else {
         return not_leader_response(None);
     };
-    let location = format!("http://{}{path}", SocketAddr::new(address.ip(), own.port()));
-    let mut response = error_response(307, "not-leader", "ask the leader");
-    match HeaderValue::from_str(&location) {
+    let leader = SocketAddr::new(address.ip(), own.port());
+    let path = uri.path_and_query().map_or(uri.path(), |path| path.as_str());
+    redirect_response(leader, path, "not-leader", "ask the leader")
+}
+
+/// Redirects a caller to a path of the keeper at an address.
+pub(super) fn redirect_response(
+    address: SocketAddr,
+    path: &str,
+    code: &str,
+    message: &str,
+) -> Response<Body> {
+    let mut response = error_response(307, code, message);
+    match HeaderValue::from_str(&format!("http://{address}{path}")) {
         Ok(location) => {
             response.headers_mut().insert(LOCATION, location);
             response
@@ -334,7 +318,7 @@
     }
 }
 
-fn reply_response(reply: Option<Reply>) -> Response<Body> {
+pub(super) fn reply_response(reply: Option<Reply>) -> Response<Body> {
     match reply {
         Some(Reply::Tree(tree)) => json_response(200, &tree),
         Some(Reply::History(versions)) => json_response(200, &versions),
@@ -344,6 +328,7 @@
         Some(
             Reply::Pull(_)
             | Reply::Replaced
+            | Reply::ConfirmHall(_)
             | Reply::Document(_)
             | Reply::Watch(_)
             | Reply::Part(_),
@@ -388,7 +373,7 @@
     }
 }
 
-fn error_response(status: u16, code: &str, message: &str) -> Response<Body> {
+pub(super) fn error_response(status: u16, code: &str, message: &str) -> Response<Body> {
     json_response(status, &ErrorBody { code, message: shortened(message) })
 }
 
--- a/daemon/src/keeper_role/log_lines.rs
+++ b/daemon/src/keeper_role/log_lines.rs
@@ -4,10 +4,11 @@
 use std::io;
 use std::time::Duration;
 
-use keeper::{Keeper, LogEvent};
+use keeper::{Confirmation, Keeper, LogEvent};
 use model::NodeName;
-use serde_json::json;
+use serde_json::{Value, json};
 use spdlog::{error, info, warn};
+use wire::HallCommand;
 
 use super::peers::{PeerStatus, PeerStatusLogger};
 use crate::event_log::{Budget, EventLog};
@@ -116,6 +117,14 @@
             Budget::Full,
             || json!({"revision": halls.revision, "emptied": halls.to_string()}),
         ),
+        LogEvent::HallCommandTaken(command, confirmation) => {
+            log.line("hall-command", Budget::Full, || hall_command_fields(command, *confirmation));
+        }
+        LogEvent::HallCommandUnconfirmed(command, confirmation) => {
+            log.line("hall-command-unconfirmed", Budget::Full, || {
+                hall_command_fields(command, *confirmation)
+            });
+        }
         LogEvent::RegisteredNodes(count) => {
             log.line("nodes", Budget::Full, || json!({"count": count}))
         }
@@ -125,6 +134,11 @@
     }
 }
 
+fn hall_command_fields(command: &HallCommand, confirmation: Option<Confirmation>) -> Value {
+    let after = confirmation.map(|Confirmation(index)| index);
+    json!({"hall": command.hall.as_str(), "takes_work": command.takes_work, "after": after})
+}
+
 fn write_text(name: &NodeName, event: &LogEvent) {
     use consensus::LogEvent as Log;
     match event {
@@ -153,6 +167,16 @@
             let revision = halls.revision;
             info!("keeper {}: emptied halls, revision {}: [{}]", name, revision, halls);
         }
+        LogEvent::HallCommandTaken(HallCommand { hall, takes_work }, _) => {
+            info!("keeper {}: took a command for hall {}: takes work: {}", name, hall, takes_work);
+        }
+        LogEvent::HallCommandUnconfirmed(HallCommand { hall, takes_work }, _) => {
+            warn!(
+                "keeper {}: a command for hall {} may be a late copy and needs a confirmation: \
+                 takes work: {}",
+                name, hall, takes_work
+            );
+        }
         LogEvent::RegisteredNodes(count) => {
             info!("keeper {}: {} nodes are registered", name, count)
         }
--- a/daemon/src/keeper_role/mod.rs
+++ b/daemon/src/keeper_role/mod.rs
@@ -2,6 +2,7 @@
 //! machine and writes the journal, one sends messages to the other keepers.
 
 mod driver;
+mod hall_commands;
 mod listen;
 mod log_lines;
 mod peers;
@@ -140,6 +141,7 @@
         let now = clock.now();
         let mut keeper = Keeper::recover(node.name.clone(), records, timing, seed, now)?;
         keeper.set_contacts(contacts);
+        keeper.set_hall_command_lifetime(config.hall_command_lifetime);
         if keeper.is_only_voter() {
             // A single keeper with a full disk can't accept changes, and no other keeper replaces
             // it.
--- a/daemon/tests/config.rs
+++ b/daemon/tests/config.rs
@@ -21,6 +21,22 @@
     assert_eq!(Config::from_ini(&text).unwrap().effective_settings(), text);
 }
 
+/// The deploy file passes a bound of the platform to keepers in this way.
+#[test]
+fn an_environment_variable_overrides_a_setting() {
+    let variable = |name: &str| match name {
+        "DOCKPASS_AGENT_SLOTS" => Some("3".to_owned()),
+        "DOCKPASS_AGENT_SERVICE" => Some(String::new()),
+        _ => None,
+    };
+    let config = Config::from_ini_and_environment(AGENT, variable).unwrap();
+    let text = config.effective_settings();
+    assert!(text.contains("slots = 3\n") && text.contains("service = booking\n"), "{text}");
+    let invalid = |name: &str| (name == "DOCKPASS_AGENT_SLOTS").then(|| "many".to_owned());
+    let error = Config::from_ini_and_environment(AGENT, invalid).expect_err("it is rejected");
+    assert!(error.to_string().starts_with("[agent] slots: 'many'"), "{error}");
+}
+
 #[test]
 fn errors_name_section_key_and_reason() {
     let with = |from: &str, to: &str| AGENT.replace(from, to);
--- a/daemon/tests/keeper_cluster/mod.rs
+++ b/daemon/tests/keeper_cluster/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use rustix::process::{Pid, Resource, Rlimit, prlimit};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use tempfile::TempDir;
 
 use crate::support::{Answer, call, eventually};
@@ -189,6 +189,20 @@
             .is_some_and(|process| process.try_wait().expect("the process state is read").is_none())
     }
 
+    /// Sends a signal to a keeper.
+    pub fn signal(&self, number: usize, signal: Signal) {
+        let process = self.processes[number].as_ref().expect("the keeper is running");
+        let pid = Pid::from_raw(process.id().cast_signed()).expect("a process has an id");
+        kill_process(pid, signal).expect("the signal is sent");
+    }
+
+    /// Kills a keeper and waits for its end.
+    pub fn kill(&mut self, number: usize) {
+        let mut process = self.processes[number].take().expect("the keeper is running");
+        process.kill().expect("the process is killed");
+        process.wait().expect("the process is waited for");
+    }
+
     pub fn kill_all(&mut self) {
         let mut killed: Vec<Child> = self.processes.iter_mut().filter_map(Option::take).collect();
         // Kill all processes before waiting for any of them.
--- a/daemon/tests/support/http.rs
+++ b/daemon/tests/support/http.rs
@@ -23,6 +23,32 @@
     call_with_headers(to, method, path, "", body, timeout)
 }
 
+/// Like [`call`], follows redirects as operators do: twice at most.
+pub fn call_as_operator(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    timeout: Duration,
+) -> Option<Answer> {
+    let (mut to, mut path) = (to, path.to_owned());
+    for _ in 0..2 {
+        let answer = call(to, method, &path, "", timeout)?;
+        let Some(location) = answer.location() else { return Some(answer) };
+        (to, path) = location;
+    }
+    call(to, method, &path, "", timeout)
+}
+
+impl Answer {
+    /// The address and the path that a redirect names.
+    pub fn location(&self) -> Option<(SocketAddr, String)> {
+        let line = self.head.lines().find_map(|line| line.strip_prefix("location: http://"))?;
+        let (address, path) = line.split_once('/')?;
+        let address = address.parse().ok().filter(|_| self.status == 307)?;
+        Some((address, format!("/{path}")))
+    }
+}
+
 /// Like [`call`], with further headers, each followed by a line break.
 pub fn call_with_headers(
     to: SocketAddr,
--- a/soak/src/keepers/checks.rs
+++ b/soak/src/keepers/checks.rs
@@ -33,6 +33,8 @@
     pub faults: u64,
     /// Hall commands that were acknowledged.
     pub hall_commands: u64,
+    /// Acknowledged hall commands without faults, whose time was checked.
+    pub timed_hall_commands: u64,
     /// Keepers that were replaced by one on another host.
     pub moves: u64,
     /// Replaced keepers that returned with their old disk.
@@ -55,6 +57,7 @@
         self.refused_writes += other.refused_writes;
         self.faults += other.faults;
         self.hall_commands += other.hall_commands;
+        self.timed_hall_commands += other.timed_hall_commands;
         self.moves += other.moves;
         self.returned_keepers += other.returned_keepers;
         self.disks_lost_twice += other.disks_lost_twice;
--- a/soak/src/keepers/operators.rs
+++ b/soak/src/keepers/operators.rs
@@ -7,6 +7,7 @@
 use settings::{Edit, SectionPath, Tree};
 use wire::{ChangeRequest, ChangeResult};
 
+use super::halls::HallAttempt;
 use super::simulation::{KeeperSimulation, SimEvent};
 
 /// Time before the end in which operators make no changes, so that nodes catch up.
@@ -20,8 +21,8 @@
     Change { operator: usize, request: ChangeRequest, newest: u64, tries: u32 },
     /// An operator that reads the settings.
     Read { operator: usize, newest: u64 },
-    /// The operator of a hall, with the number of its command.
-    Hall { hall: usize, command: u64 },
+    /// The operator of a hall, with its attempt at sending a command.
+    Hall(HallAttempt),
     /// A read of the emptied halls, with the command number and the known state of each hall, and
     /// the highest reported revision at the time of sending.
     ReadHalls { known: Vec<(u64, Option<bool>)>, newest: u64 },
@@ -64,9 +65,7 @@
             (Some(Requester::Change { operator, request, newest, tries }), reply) => {
                 self.change_replied(operator, request, newest, tries, reply);
             }
-            (Some(Requester::Hall { hall, command }), reply) => {
-                self.hall_command_answered(hall, command, reply)
-            }
+            (Some(Requester::Hall(attempt)), reply) => self.hall_command_answered(&attempt, reply),
             (Some(Requester::ReadHalls { known, newest }), reply) => {
                 self.halls_read(&known, newest, reply);
             }
--- a/soak/src/keepers/simulation.rs
+++ b/soak/src/keepers/simulation.rs
@@ -49,6 +49,8 @@
     StartHallCommand(usize),
     /// The timeout of a hall command, with its number.
     HallCommandTimeout(usize, u64),
+    /// An observer reads the emptied halls.
+    ReadHalls,
     /// Injects faults.
     Fault,
     /// A stopped keeper starts.
@@ -270,6 +272,7 @@
             SimEvent::RestartNode(node) => self.restart_node(node),
             SimEvent::StartHallCommand(hall) => self.start_hall_command(hall),
             SimEvent::HallCommandTimeout(hall, command) => self.retry_hall_command(hall, command),
+            SimEvent::ReadHalls => self.read_halls(),
             SimEvent::Fault => self.inject_faults(),
             SimEvent::StartKeeper(keeper) => self.start_keeper(keeper),
             SimEvent::Reconnect(keeper) => self.keepers[keeper].isolated = false,
@@ -338,10 +341,6 @@
             }
             return self.schedule_tick(number);
         }
-        if matches!(event, Event::HallCommand(call_id, _) if self.has_sender_disconnected(call_id))
-        {
-            return;
-        }
         let Some(machine) = &mut self.keepers[number].keeper else { return };
         let mut actions = Vec::new();
         machine.handle(now, event, &mut actions);
@@ -420,21 +419,30 @@
         to: usize,
         requester: Requester,
         event: impl FnOnce(CallId) -> Event,
-    ) -> CallId {
+    ) {
+        self.send_delayed_request(to, requester, Duration::ZERO, event);
+    }
+
+    /// Sends a request that the network holds up for `held`; the sender is not told.
+    pub fn send_delayed_request(
+        &mut self,
+        to: usize,
+        requester: Requester,
+        held: Duration,
+        event: impl FnOnce(CallId) -> Event,
+    ) {
         self.last_call_id += 1;
         let call_id = CallId(self.last_call_id);
         self.open_requests.insert(call_id, requester);
-        let message_delay = self.message_delay();
+        let message_delay = held + self.message_delay();
         // An isolated keeper is still reachable for clients, and may believe that it leads.
         let unreachable = self.keepers[to].keeper.is_none();
         if unreachable || self.loses_message() {
-            self.schedule_after(message_delay, SimEvent::RequestLost { call_id });
-            return call_id;
+            return self.schedule_after(message_delay, SimEvent::RequestLost { call_id });
         }
         self.schedule_after(message_delay, SimEvent::Request { to, event: event(call_id) });
         // A keeper that crashes with the request never replies.
-        self.schedule_after(Duration::from_secs(6), SimEvent::RequestLost { call_id });
-        call_id
+        self.schedule_after(held + Duration::from_secs(6), SimEvent::RequestLost { call_id });
     }
 
     /// Checks that a leader exists at the end, and that it and all nodes have every accepted
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -75,6 +75,7 @@
     let total = run_all(HALL_SEEDS, runner, KeeperSummary::add);
     // The runs must cover these events.
     assert!(total.hall_commands > 1_500 && total.power_losses > 150, "{total:?}");
+    assert!(total.timed_hall_commands > 500, "{total:?}");
     assert!(total.disks_lost > 100 && total.refused_writes > 200, "{total:?}");
 }
 
