--- a/components/client/src/operator_client.rs
+++ b/components/client/src/operator_client.rs
@@ -130,8 +130,8 @@
         outcome.unwrap_or(ChangeOutcome::Unknown)
     }
 
-    /// Sends a command for a hall, with a limited number of retries. It is carried out once at most:
-    /// only if no other command for the hall has been taken since the first keeper asked for a
+    /// Sends a command for a hall, with a limited number of retries. It is accepted once at most, and
+    /// only if no other command for the hall has been accepted since a keeper asked for a
     /// confirmation.
     pub async fn send_hall_command(&self, command: &HallCommand) -> HallOutcome {
         let mut confirmed = ConfirmedCommand::new(command);
@@ -178,14 +178,14 @@
     path: String,
     index: u64,
     /// Whether an attempt with a confirmed index got no clear answer.
-    may_be_taken: bool,
+    may_be_accepted: bool,
 }
 
 impl ConfirmedCommand {
     fn new(command: &HallCommand) -> Self {
         let action = if command.takes_work { "refill" } else { "empty" };
         let path = format!("/v1/halls/{}/{action}", command.hall);
-        Self { path, index: UNCONFIRMED, may_be_taken: false }
+        Self { path, index: UNCONFIRMED, may_be_accepted: false }
     }
 
     /// Sends the command to a keeper and confirms it if the keeper asks for that; `None` if another
@@ -196,11 +196,11 @@
             let reply = exchange(keeper, Method::POST, &path, Vec::new()).await.ok();
             let Some(index) = reply.as_ref().and_then(index_to_confirm) else {
                 let outcome = reply.as_ref().and_then(hall_outcome);
-                self.may_be_taken |= outcome.is_none() && self.index != UNCONFIRMED;
+                self.may_be_accepted |= outcome.is_none() && self.index != UNCONFIRMED;
                 return outcome;
             };
-            // The command may have been taken before another one, and must not be taken twice.
-            if self.may_be_taken {
+            // The command may have been accepted before another one, and must not take effect again.
+            if self.may_be_accepted {
                 return Some(HallOutcome::Unknown);
             }
             self.index = index;
--- a/components/keeper/src/event.rs
+++ b/components/keeper/src/event.rs
@@ -74,7 +74,7 @@
     Document(Option<Document>),
     /// The emptied halls, for a read or after a committed hall command.
     Halls(EmptiedHalls),
-    /// The hall command was not taken, as it may be a late copy; its sender has to send it again
+    /// The hall command was not accepted, as it may be a late copy; its sender has to send it again
     /// with this confirmation.
     ConfirmHall(Confirmation),
     /// Updates for a registered node.
@@ -116,7 +116,7 @@
     /// The set of emptied halls changed.
     EmptiedHalls(EmptiedHalls),
     /// A hall command was added to the log.
-    HallCommandTaken(HallCommand, Option<Confirmation>),
+    HallCommandAccepted(HallCommand, Option<Confirmation>),
     /// A hall command may be a late copy; its sender has to confirm it.
     HallCommandUnconfirmed(HallCommand, Option<Confirmation>),
     /// The number of registered nodes changed.
--- a/components/keeper/src/hall_history.rs
+++ b/components/keeper/src/hall_history.rs
@@ -3,11 +3,11 @@
 //! A command carries neither a version nor an id, so a copy that the network held up looks like a
 //! new command. What distinguishes them is what the sender knows: a sender that still waits can be
 //! asked to confirm, with the index of the log up to which the leader has applied everything. The
-//! confirmed command is taken only if no command for the hall was taken after that index. Nobody
-//! confirms a late copy, and a late copy of a confirmed command has an outdated index.
+//! confirmed command is accepted only if no command for the hall was accepted after that index.
+//! Nobody confirms a late copy, and a late copy of a confirmed command has an outdated index.
 //!
-//! A command without a confirmation is taken as it is once no copy from before the last command for
-//! the hall can be under way any more.
+//! A command without a confirmation is accepted once no copy from before the last command for its
+//! hall can be in transit any more.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -18,7 +18,7 @@
 
 use crate::Confirmation;
 
-/// Number of halls whose last command is kept. Beyond it, all halls count as commanded just now.
+/// Number of halls whose last command is kept. With more, every hall counts as commanded now.
 const RECENT_HALLS_MAX: usize = 1_000;
 /// Longest interval between two events of a keeper that is running. A longer one is a standstill,
 /// during which commands may have waited in the keeper's own queues.
@@ -26,11 +26,11 @@
 
 /// What to do with a command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Verdict {
+pub(crate) enum Decision {
     /// It is not a late copy, or has no effect if it is one.
-    Take,
+    Accept,
     /// It may be a late copy: its sender has to confirm it.
-    Unconfirmed,
+    Confirm,
 }
 
 /// The last command for a hall.
@@ -44,11 +44,11 @@
 /// The recent hall commands, as far as this run of the process knows them.
 ///
 /// Each keeper keeps its own history and measures times by its own clock, so that neither logs nor
-/// snapshots contain it and the clocks of keepers need not agree. What a keeper does not know, it
-/// takes for a command at the moment when it learned the rest.
+/// snapshots contain it and the clocks of keepers need not agree. Commands that are hidden by a
+/// snapshot count as applied when the keeper read the snapshot.
 #[derive(Debug)]
 pub(crate) struct HallHistory {
-    /// How long a command may be under way.
+    /// How long a command may be in transit.
     lifetime: Duration,
     /// How long the keeper has been running, without standstills.
     running_time: Duration,
@@ -58,7 +58,7 @@
     uncommitted: BTreeMap<Index, HallCommand>,
     /// `recent` may lack commands with an index up to this one.
     unknown_up_to: Index,
-    /// The running time at which this keeper learned of the commands that `recent` lacks.
+    /// The running time at which this keeper read the state with the commands that `recent` lacks.
     unknown_applied_at: Option<Duration>,
 }
 
@@ -76,7 +76,7 @@
         }
     }
 
-    /// Sets how long a command may be under way.
+    /// Sets how long a command may be in transit.
     pub fn set_lifetime(&mut self, lifetime: Duration) {
         self.lifetime = lifetime;
     }
@@ -136,18 +136,18 @@
         });
     }
 
-    /// Judges a command that arrives at the confirmed leader. `fulfilled` is whether the committed
-    /// state is the one that the command asks for, and `committed` the index of that state.
-    pub fn judge(
+    /// Decides on a command that arrives at the confirmed leader. `fulfilled` is whether the
+    /// committed state is the one that the command asks for, and `committed` the index of that state.
+    pub fn decide(
         &self,
         command: &HallCommand,
         confirmation: Option<Confirmation>,
         fulfilled: bool,
         committed: Index,
-    ) -> Verdict {
+    ) -> Decision {
         let mut uncommitted = self.uncommitted.values().rev();
         let last_uncommitted = uncommitted.find(|other| other.hall == command.hall);
-        let is_taken = match (last_uncommitted, confirmation) {
+        let is_current = match (last_uncommitted, confirmation) {
             (Some(last), _) => last == command,
             (None, _) if fulfilled => true,
             (None, Some(Confirmation(index))) => {
@@ -155,15 +155,15 @@
             }
             (None, None) => !self.may_have_copies(&command.hall),
         };
-        if is_taken { Verdict::Take } else { Verdict::Unconfirmed }
+        if is_current { Decision::Accept } else { Decision::Confirm }
     }
 
-    /// The lowest index from which on it is known that no command for the hall was taken.
+    /// The lowest index after which no command for the hall was accepted, as far as it is known.
     fn known_from(&self, hall: &HallName) -> Index {
         self.recent.get(hall).map_or(self.unknown_up_to, |command| command.index)
     }
 
-    /// Whether copies of commands from before the hall's last command may still be under way.
+    /// Whether copies of commands from before the hall's last command may still be in transit.
     fn may_have_copies(&self, hall: &HallName) -> bool {
         let applied_at = self.recent.get(hall).map(|command| command.applied_at);
         let last_applied_at = applied_at.max(self.unknown_applied_at);
--- a/components/keeper/src/keeper.rs
+++ b/components/keeper/src/keeper.rs
@@ -10,7 +10,7 @@
 use wire::{ChangeRequest, Document, HallCommand, PartRequest, WatchRequest};
 
 use crate::apply::{decode_state, encode_state};
-use crate::hall_history::{HallHistory, Verdict};
+use crate::hall_history::{Decision, HallHistory};
 use crate::pending_calls::{HeldHallCommand, PendingChange, PendingPull};
 use crate::registry::Registry;
 use crate::{
@@ -188,8 +188,8 @@
         self.replica.set_contacts(contacts);
     }
 
-    /// Sets how long a hall command may be under way. A command without a confirmation is not taken
-    /// within this time after another one for its hall, unless it asks for the same.
+    /// Sets how long a hall command may be in transit. Within this time after a command for a hall,
+    /// the opposite one is accepted only with a confirmation.
     pub fn set_hall_command_lifetime(&mut self, lifetime: Duration) {
         self.hall_history.set_lifetime(lifetime);
     }
@@ -257,9 +257,9 @@
         let takes_work = !self.state.halls().contains(command.hall.as_str());
         let is_fulfilled = takes_work == command.takes_work;
         let committed = self.replica.committed();
-        match self.hall_history.judge(&command, confirmation, is_fulfilled, committed) {
-            Verdict::Take => self.propose_hall(now, call, command, confirmation, actions),
-            Verdict::Unconfirmed => {
+        match self.hall_history.decide(&command, confirmation, is_fulfilled, committed) {
+            Decision::Accept => self.propose_hall(now, call, command, confirmation, actions),
+            Decision::Confirm => {
                 actions.push(Action::Log(LogEvent::HallCommandUnconfirmed(command, confirmation)));
                 self.ask_for_confirmation(now, call, confirmation, actions);
             }
@@ -274,7 +274,7 @@
         confirmation: Option<Confirmation>,
         actions: &mut Vec<Action>,
     ) {
-        actions.push(Action::Log(LogEvent::HallCommandTaken(command.clone(), confirmation)));
+        actions.push(Action::Log(LogEvent::HallCommandAccepted(command.clone(), confirmation)));
         let pending = PendingChange::new(now, call).with_hall_command(command.clone());
         self.propose_pending(now, pending, &LogCommand::Hall(command), actions);
     }
--- a/components/keeper/tests/late_hall_commands.rs
+++ b/components/keeper/tests/late_hall_commands.rs
@@ -10,7 +10,7 @@
 
 use support::{SingleKeeper, hall_command};
 
-/// How long a command may be under way, as set for these keepers.
+/// How long a command may be in transit, by default.
 const LIFETIME: Duration = Duration::from_secs(5);
 /// Both directions: the acknowledged command takes work away from the hall, or gives it back.
 const DIRECTIONS: [bool; 2] = [false, true];
@@ -86,7 +86,7 @@
         north.send_acknowledged(takes_work);
         north.send_acknowledged(!takes_work);
         north.send_acknowledged(takes_work);
-        // Several copies of the opposite command, each up to its longest time under way.
+        // Several copies arrive within the time for which they may be in transit.
         for _ in 0..4 {
             north.deliver_copy(!takes_work, None);
             assert_eq!(north.takes_work(), takes_work);
@@ -94,7 +94,7 @@
     }
 }
 
-/// All copies of a command were late, so that the keepers never took it, before its operator sent
+/// All copies of a command were late, so that the keepers never accepted it, before its operator sent
 /// the opposite one, which changed nothing.
 #[test]
 fn late_copies_of_a_command_that_was_never_taken_do_not_undo_its_opposite() {
@@ -146,7 +146,7 @@
 }
 
 /// A copy that was read before, or that lay in a queue of the process, is handled after a standstill
-/// that is longer than any copy is under way.
+/// that is longer than any copy is in transit.
 #[test]
 fn copies_that_waited_during_a_standstill_do_not_undo_an_acknowledged_command() {
     for takes_work in DIRECTIONS {
@@ -172,7 +172,7 @@
 }
 
 #[test]
-fn an_operator_that_drops_confirmations_is_acknowledged_once_no_copy_is_under_way() {
+fn an_operator_that_drops_confirmations_is_acknowledged_once_no_copy_is_in_transit() {
     let mut north = North::new();
     assert!(matches!(north.send(false, None), Some(Reply::Halls(_))), "the first one at once");
     let acknowledged_at = north.0.now;
@@ -183,7 +183,7 @@
     assert!(north.0.now.since(acknowledged_at) >= LIFETIME);
 }
 
-/// The time for which a command may be under way is a setting.
+/// The time for which a command may be in transit is a setting.
 #[test]
 fn the_lifetime_of_commands_can_be_set() {
     let mut north = North::new();
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -148,7 +148,7 @@
     pub create_cluster: bool,
     /// With capacity scheduling: how many keepers may fail at once.
     pub tolerated_losses: usize,
-    /// With capacity scheduling: how long a hall command may be under way.
+    /// With capacity scheduling: how long a hall command may be in transit.
     pub hall_command_lifetime: Duration,
     /// The keepers of the cluster with their addresses for nodes; empty for a single keeper.
     pub peers: Vec<(NodeName, SocketAddr)>,
--- a/daemon/src/config/keys.rs
+++ b/daemon/src/config/keys.rs
@@ -261,7 +261,7 @@
         name: "hall_command_lifetime_ms",
         value_type: ValueType::Integer { min: 0, max: 60_000, unit: "ms" },
         default: "5000",
-        help: "With scheduling = room: how long a command to empty or refill a hall may be under way. Within this time after a command, the opposite one has to be confirmed.",
+        help: "With scheduling = room: how long a command to empty or refill a hall may be in transit. Within this time after a command, the opposite one needs a confirmation.",
     },
     Key {
         name: "peers",
--- a/daemon/src/keeper_role/log_lines.rs
+++ b/daemon/src/keeper_role/log_lines.rs
@@ -117,7 +117,7 @@
             Budget::Full,
             || json!({"revision": halls.revision, "emptied": halls.to_string()}),
         ),
-        LogEvent::HallCommandTaken(command, confirmation) => {
+        LogEvent::HallCommandAccepted(command, confirmation) => {
             log.line("hall-command", Budget::Full, || hall_command_fields(command, *confirmation));
         }
         LogEvent::HallCommandUnconfirmed(command, confirmation) => {
@@ -167,8 +167,11 @@
             let revision = halls.revision;
             info!("keeper {}: emptied halls, revision {}: [{}]", name, revision, halls);
         }
-        LogEvent::HallCommandTaken(HallCommand { hall, takes_work }, _) => {
-            info!("keeper {}: took a command for hall {}: takes work: {}", name, hall, takes_work);
+        LogEvent::HallCommandAccepted(HallCommand { hall, takes_work }, _) => {
+            info!(
+                "keeper {}: accepted a command for hall {}: takes work: {}",
+                name, hall, takes_work
+            );
         }
         LogEvent::HallCommandUnconfirmed(HallCommand { hall, takes_work }, _) => {
             warn!(
--- a/daemon/tests/emptied_halls.rs
+++ b/daemon/tests/emptied_halls.rs
@@ -283,7 +283,8 @@
 }
 
 /// Guards against a delayed command that is executed after its operator has closed the connection
-/// and sent the opposite one.
+/// and sent the opposite one. Here the end of the connection arrives with the command; the tests of
+/// `late_hall_commands` deliver it later or never.
 #[test]
 fn a_command_from_a_disconnected_operator_is_not_executed() {
     let fleet = Fleet::new(1);
--- a/daemon/tests/late_hall_commands.rs
+++ b/daemon/tests/late_hall_commands.rs
@@ -25,7 +25,7 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Port of the keepers for operators.
 const PORT: u16 = 7_100;
-/// Longest time for which an operator sends a command again; a copy is not under way for longer.
+/// Longest time for which an operator sends a command again; a copy is not in transit for longer.
 const MAX_SEND_TIME: Duration = Duration::from_secs(5);
 /// Times from the arrival of a copy to that of the end of its connection; it never arrives at last.
 const ENDS: [Option<Duration>; 5] = [
@@ -210,7 +210,7 @@
     check_halls(&operators, "copies of confirmed commands");
 }
 
-/// The copies lie in the socket of a process that stands still for longer than a copy is under way.
+/// The copies lie in the socket of a process that stands still for longer than a copy is in transit.
 #[test]
 fn copies_that_are_read_after_a_standstill_do_not_undo_an_acknowledged_hall_command() {
     let fleet = Fleet::new(1);
--- a/soak/src/keepers/halls.rs
+++ b/soak/src/keepers/halls.rs
@@ -21,7 +21,7 @@
 /// Separates this random stream from the others of the seed.
 const RNG_STREAM: u64 = 0x4a11_5eed_0bad;
 const HALLS: [&str; 2] = ["north", "south"];
-/// Time without an answer after which an operator sends a command again, to any keeper.
+/// Time without an answer after which an operator sends a command again, to the next keeper.
 const RETRY_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time after which an operator gives up a command, whose outcome is then unknown.
 const MAX_SEND_TIME: Duration = Duration::from_secs(5);
