Soak of keepers: a redirect to the leader keeps the confirmation

Real keepers keep the query of a hall command when they redirect it; the model's operators dropped it.

--- a/soak/src/keepers/halls.rs
+++ b/soak/src/keepers/halls.rs
@@ -74,6 +74,7 @@
     hall: usize,
     command: u64,
     keeper: usize,
+    confirmation: Option<Confirmation>,
     sent_at: Time,
     /// Number of redirects that led to this attempt.
     redirects: u32,
@@ -154,12 +155,18 @@
         let listed = next_keepers.find(|keeper| !self.keepers[*keeper].removed);
         hall.keeper = listed.unwrap_or(hall.keeper);
         let (command, keeper) = (hall.command, hall.keeper);
-        let (sent_at, redirects) = (self.now, 0);
-        self.send_attempt(HallAttempt { hall: number, command, keeper, sent_at, redirects }, None);
+        self.send_attempt(HallAttempt {
+            hall: number,
+            command,
+            keeper,
+            confirmation: None,
+            sent_at: self.now,
+            redirects: 0,
+        });
         self.schedule_after(RETRY_INTERVAL, SimEvent::HallCommandTimeout(number, command));
     }
 
-    fn send_attempt(&mut self, attempt: HallAttempt, confirmation: Option<Confirmation>) {
+    fn send_attempt(&mut self, attempt: HallAttempt) {
         let Some(halls) = &mut self.halls else { return };
         let hall = &mut halls.halls[attempt.hall];
         let command = HallCommand { hall: hall_name(attempt.hall), takes_work: hall.takes_work };
@@ -169,7 +176,7 @@
             hall.is_disturbed = true;
         }
         self.send_delayed_request(attempt.keeper, Requester::Hall(attempt), held, |call_id| {
-            Event::HallCommand(call_id, command, confirmation)
+            Event::HallCommand(call_id, command, attempt.confirmation)
         });
     }
 
@@ -183,7 +190,7 @@
         let (keeper, confirmation) = match reply {
             Reply::NotLeader(Some(leader)) => {
                 let leader = self.keepers.iter().position(|keeper| keeper.name == *leader);
-                (leader, None)
+                (leader, attempt.confirmation)
             }
             Reply::ConfirmHall(confirmation) => {
                 (Some(attempt.keeper), Some(*confirmation).filter(|_| follows))
@@ -192,7 +199,7 @@
         };
         let Some(keeper) = keeper else { return };
         let (sent_at, redirects) = (self.now, attempt.redirects + 1);
-        self.send_attempt(HallAttempt { keeper, sent_at, redirects, ..attempt }, confirmation);
+        self.send_attempt(HallAttempt { keeper, confirmation, sent_at, redirects, ..attempt });
     }
 
     /// Sends a command again after a timeout, or gives it up.
