--- a/components/client/src/operator_client.rs
+++ b/components/client/src/operator_client.rs
@@ -126,7 +126,13 @@
     /// gets the result of the first submission.
     pub async fn submit_change(&self, request: &ChangeRequest) -> ChangeOutcome {
         let body = serde_json::to_vec(request).expect("the request type always serializes");
-        let outcome = self.post_until_known("/v1/changes", &body, change_outcome).await;
+        let attempt = async |keeper: &Client| {
+            let reply = exchange(keeper, Method::POST, "/v1/changes", body.clone()).await;
+            // A keeper that gave no response may have accepted the request; the next attempt
+            // returns the outcome in that case.
+            reply.ok().and_then(|reply| change_outcome(&reply))
+        };
+        let outcome = self.try_until_known(attempt).await;
         outcome.unwrap_or(ChangeOutcome::Unknown)
     }
 
@@ -135,36 +141,22 @@
     /// confirmation.
     pub async fn send_hall_command(&self, command: &HallCommand) -> HallOutcome {
         let mut confirmed = ConfirmedCommand::new(command);
-        for round in 0..ROUNDS {
-            if round > 0 {
-                net::sleep(ROUND_DELAY).await;
-            }
-            for keeper in &self.keepers {
-                if let Some(outcome) = confirmed.send(keeper).await {
-                    return outcome;
-                }
-            }
-        }
-        HallOutcome::Unknown
+        let outcome = self.try_until_known(async |keeper| confirmed.send(keeper).await).await;
+        outcome.unwrap_or(HallOutcome::Unknown)
     }
 
-    /// Posts to the keepers in turn until `outcome` returns a result; `None` after the last of
+    /// Tries the keepers in turn until an attempt returns a result; `None` after the last of
     /// [`ROUNDS`] rounds.
-    async fn post_until_known<T>(
+    async fn try_until_known<T>(
         &self,
-        path: &str,
-        body: &[u8],
-        outcome: impl Fn(&Reply) -> Option<T>,
+        mut attempt: impl AsyncFnMut(&Client) -> Option<T>,
     ) -> Option<T> {
         for round in 0..ROUNDS {
             if round > 0 {
                 net::sleep(ROUND_DELAY).await;
             }
             for keeper in &self.keepers {
-                let reply = exchange(keeper, Method::POST, path, body.to_vec()).await;
-                // A keeper that gave no response may have accepted the request; the next attempt
-                // returns the outcome in that case.
-                if let Some(known) = reply.ok().and_then(|reply| outcome(&reply)) {
+                if let Some(known) = attempt(keeper).await {
                     return Some(known);
                 }
             }
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -127,6 +127,11 @@
         entries.into_iter().filter(|entry| entry.index <= self.commit).collect()
     }
 
+    /// The entries of the log that are not known to be committed, oldest first.
+    pub fn uncommitted_entries(&self) -> Vec<Entry> {
+        self.log.entries_from(self.commit + 1)
+    }
+
     /// Handles an event and appends the resulting actions to `actions`.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         match event {
--- a/components/keeper/src/apply.rs
+++ b/components/keeper/src/apply.rs
@@ -29,6 +29,12 @@
     serde_json::from_slice(&snapshot.state).map_err(|_| KeeperError::Snapshot)
 }
 
+/// The command of a log entry; `None` if it has none or can't be decoded.
+pub(crate) fn decode_command(entry: &Entry) -> Option<LogCommand> {
+    let Payload::Command(bytes) = &entry.payload else { return None };
+    serde_json::from_slice(bytes).ok()
+}
+
 impl Keeper {
     /// Passes an event to the replica and executes the resulting actions.
     pub(crate) fn step_replica(
@@ -60,10 +66,7 @@
             ReplicaAction::Rewrite(records) => actions.push(Action::Rewrite(records)),
             ReplicaAction::Send(to, message) => actions.push(Action::Send(to, message)),
             ReplicaAction::Proposed(id, index) => {
-                if let Some(mut pending) = self.proposals.remove(&id) {
-                    if let Some(command) = pending.take_hall_command() {
-                        self.hall_history.proposed(index, command);
-                    }
+                if let Some(pending) = self.proposals.remove(&id) {
                     self.pending_changes.insert(index, pending);
                 }
             }
@@ -76,7 +79,6 @@
             ReplicaAction::Install(snapshot) => self.install_snapshot(&snapshot, actions),
             ReplicaAction::Log(event) => {
                 if matches!(event, consensus::LogEvent::SteppedDown(_)) {
-                    self.hall_history.stepped_down();
                     self.fail_pending_changes(actions);
                 }
                 actions.push(Action::Log(LogEvent::Replica(event)));
@@ -85,22 +87,24 @@
     }
 
     pub(crate) fn apply_entry(&mut self, now: Time, entry: &Entry, actions: &mut Vec<Action>) {
-        let Payload::Command(bytes) = &entry.payload else { return };
+        if !matches!(entry.payload, Payload::Command(_)) {
+            return;
+        }
         let previous = self.state.version();
-        let reply = match serde_json::from_slice::<LogCommand>(bytes) {
-            Ok(LogCommand::Change(change)) => Reply::Change(self.state.apply_change(&change)),
-            Ok(LogCommand::Replace(document)) => {
+        let reply = match decode_command(entry) {
+            Some(LogCommand::Change(change)) => Reply::Change(self.state.apply_change(&change)),
+            Some(LogCommand::Replace(document)) => {
                 self.apply_document(document, actions);
                 Reply::Replaced
             }
-            Ok(LogCommand::Hall(command)) => {
+            Some(LogCommand::Hall(command)) => {
                 self.hall_history.applied(entry.index, command.hall.clone());
                 if self.state.apply_hall_command(command) {
                     self.publish_halls(actions);
                 }
                 Reply::Halls(self.state.halls().clone())
             }
-            Err(_) => return actions.push(Action::Log(LogEvent::UnreadableEntry(entry.index))),
+            None => return actions.push(Action::Log(LogEvent::UnreadableEntry(entry.index))),
         };
         if let Some(pending) = self.pending_changes.remove(&entry.index) {
             actions.push(Action::Respond(pending.call(), reply));
--- a/components/keeper/src/hall_history.rs
+++ b/components/keeper/src/hall_history.rs
@@ -1,20 +1,16 @@
 //! Decides which commands to empty or refill a hall may be late copies.
 //!
-//! A command carries neither a version nor an id, so a copy that the network held up looks like a
-//! new command. What distinguishes them is what the sender knows: a sender that still waits can be
-//! asked to confirm, with the index of the log up to which the leader has applied everything. The
-//! confirmed command is accepted only if no command for the hall was accepted after that index.
-//! Nobody confirms a late copy, and a late copy of a confirmed command has an outdated index.
-//!
-//! A command without a confirmation is accepted once no copy from before the last command for its
-//! hall can be in transit any more.
+//! A command carries neither a version nor an id, so that a late copy looks like a new command. But a
+//! sender that still waits can confirm it with the index of the log up to which the leader has
+//! applied everything: then it is accepted only if no command for its hall was accepted after that
+//! index. Nobody confirms a late copy, and one of a confirmed command has an outdated index.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use consensus::{INITIAL_INDEX, Index};
 use model::Time;
-use wire::{HallCommand, HallName};
+use wire::HallName;
 
 use crate::Confirmation;
 
@@ -24,15 +20,6 @@
 /// during which commands may have waited in the keeper's own queues.
 const EVENT_INTERVAL_MAX: Duration = Duration::from_millis(250);
 
-/// What to do with a command.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Decision {
-    /// It is not a late copy, or has no effect if it is one.
-    Accept,
-    /// It may be a late copy: its sender has to confirm it.
-    Confirm,
-}
-
 /// The last command for a hall.
 #[derive(Clone, Copy, Debug)]
 struct LastCommand {
@@ -54,8 +41,6 @@
     running_time: Duration,
     last_event_at: Time,
     recent: HashMap<HallName, LastCommand>,
-    /// Commands that this keeper proposed as the leader and that are not committed yet.
-    uncommitted: BTreeMap<Index, HallCommand>,
     /// `recent` may lack commands with an index up to this one.
     unknown_up_to: Index,
     /// The running time at which this keeper read the state with the commands that `recent` lacks.
@@ -70,7 +55,6 @@
             running_time: Duration::ZERO,
             last_event_at: now,
             recent: HashMap::new(),
-            uncommitted: BTreeMap::new(),
             unknown_up_to: 0,
             unknown_applied_at: None,
         }
@@ -101,20 +85,8 @@
         self.unknown_applied_at = Some(self.running_time);
     }
 
-    /// Records a command that this keeper proposed as the leader.
-    pub fn proposed(&mut self, index: Index, command: HallCommand) {
-        self.uncommitted.insert(index, command);
-    }
-
-    /// Records that this keeper no longer leads, so that the next leader decides which of its
-    /// commands are committed.
-    pub fn stepped_down(&mut self) {
-        self.uncommitted.clear();
-    }
-
     /// Records a committed command.
     pub fn applied(&mut self, index: Index, hall: HallName) {
-        self.uncommitted.remove(&index);
         self.forget_old();
         if self.recent.len() >= RECENT_HALLS_MAX {
             let last = self.recent.values().map(|command| command.index).max();
@@ -136,26 +108,19 @@
         });
     }
 
-    /// Decides on a command that arrives at the confirmed leader. `fulfilled` is whether the
-    /// committed state is the one that the command asks for, and `committed` the index of that state.
-    pub fn decide(
+    /// Whether a command for a hall that contradicts the committed state is not a late copy.
+    /// `committed` is the index of that state. Without a confirmation, no copy from before the last
+    /// command for the hall may be in transit.
+    pub fn is_current(
         &self,
-        command: &HallCommand,
+        hall: &HallName,
         confirmation: Option<Confirmation>,
-        fulfilled: bool,
         committed: Index,
-    ) -> Decision {
-        let mut uncommitted = self.uncommitted.values().rev();
-        let last_uncommitted = uncommitted.find(|other| other.hall == command.hall);
-        let is_current = match (last_uncommitted, confirmation) {
-            (Some(last), _) => last == command,
-            (None, _) if fulfilled => true,
-            (None, Some(Confirmation(index))) => {
-                (self.known_from(&command.hall)..=committed).contains(&index)
-            }
-            (None, None) => !self.may_have_copies(&command.hall),
-        };
-        if is_current { Decision::Accept } else { Decision::Confirm }
+    ) -> bool {
+        match confirmation {
+            Some(Confirmation(index)) => (self.known_from(hall)..=committed).contains(&index),
+            None => !self.may_have_copies(hall),
+        }
     }
 
     /// The lowest index after which no command for the hall was accepted, as far as it is known.
--- a/components/keeper/src/keeper.rs
+++ b/components/keeper/src/keeper.rs
@@ -7,10 +7,10 @@
 use model::{NodeName, Time};
 use settings::Tree;
 use thiserror::Error;
-use wire::{ChangeRequest, Document, HallCommand, PartRequest, WatchRequest};
+use wire::{ChangeRequest, Document, HallCommand, HallName, PartRequest, WatchRequest};
 
-use crate::apply::{decode_state, encode_state};
-use crate::hall_history::{Decision, HallHistory};
+use crate::apply::{decode_command, decode_state, encode_state};
+use crate::hall_history::HallHistory;
 use crate::pending_calls::{HeldHallCommand, PendingChange, PendingPull};
 use crate::registry::Registry;
 use crate::{
@@ -254,29 +254,32 @@
         if !self.is_confirmed_leader(now) {
             return self.reply_not_leader(call, actions);
         }
+        if self.may_be_late_copy(&command, confirmation) {
+            actions.push(Action::Log(LogEvent::HallCommandUnconfirmed(command, confirmation)));
+            return self.ask_for_confirmation(now, call, confirmation, actions);
+        }
+        actions.push(Action::Log(LogEvent::HallCommandAccepted(command.clone(), confirmation)));
+        self.propose(now, call, &LogCommand::Hall(command), actions);
+    }
+
+    /// Whether a hall command that arrives at the confirmed leader may be a late copy with an effect.
+    fn may_be_late_copy(&self, command: &HallCommand, confirmation: Option<Confirmation>) -> bool {
+        if let Some(last) = self.last_uncommitted_command(&command.hall) {
+            return last != *command;
+        }
         let takes_work = !self.state.halls().contains(command.hall.as_str());
-        let is_fulfilled = takes_work == command.takes_work;
         let committed = self.replica.committed();
-        match self.hall_history.decide(&command, confirmation, is_fulfilled, committed) {
-            Decision::Accept => self.propose_hall(now, call, command, confirmation, actions),
-            Decision::Confirm => {
-                actions.push(Action::Log(LogEvent::HallCommandUnconfirmed(command, confirmation)));
-                self.ask_for_confirmation(now, call, confirmation, actions);
-            }
-        }
+        takes_work != command.takes_work
+            && !self.hall_history.is_current(&command.hall, confirmation, committed)
     }
 
-    fn propose_hall(
-        &mut self,
-        now: Time,
-        call: CallId,
-        command: HallCommand,
-        confirmation: Option<Confirmation>,
-        actions: &mut Vec<Action>,
-    ) {
-        actions.push(Action::Log(LogEvent::HallCommandAccepted(command.clone(), confirmation)));
-        let pending = PendingChange::new(now, call).with_hall_command(command.clone());
-        self.propose_pending(now, pending, &LogCommand::Hall(command), actions);
+    /// The last command for a hall among the entries of the log that are not committed yet.
+    fn last_uncommitted_command(&self, hall: &HallName) -> Option<HallCommand> {
+        let entries = self.replica.uncommitted_entries();
+        entries.iter().rev().find_map(|entry| match decode_command(entry)? {
+            LogCommand::Hall(command) => (command.hall == *hall).then_some(command),
+            _ => None,
+        })
     }
 
     fn propose(
@@ -285,21 +288,11 @@
         call: CallId,
         command: &LogCommand,
         actions: &mut Vec<Action>,
-    ) {
-        self.propose_pending(now, PendingChange::new(now, call), command, actions);
-    }
-
-    fn propose_pending(
-        &mut self,
-        now: Time,
-        pending: PendingChange,
-        command: &LogCommand,
-        actions: &mut Vec<Action>,
     ) {
         let command = serde_json::to_vec(command).expect("the value can be serialized as JSON");
         self.next_proposal += 1;
         let id = ProposalId(self.next_proposal);
-        self.proposals.insert(id, pending);
+        self.proposals.insert(id, PendingChange::new(now, call));
         self.step_replica(now, consensus::Event::Propose { id, command }, actions);
     }
 
--- a/components/keeper/src/pending_calls.rs
+++ b/components/keeper/src/pending_calls.rs
@@ -5,7 +5,7 @@
 
 use consensus::Index;
 use model::Time;
-use wire::{HallCommand, PullReply, PullRequest};
+use wire::{PullReply, PullRequest};
 
 use crate::{Action, CallId, Confirmation, Keeper, LogEvent, Reply};
 
@@ -18,12 +18,10 @@
 const CONFIRM_DELAY: Duration = Duration::from_millis(250);
 
 /// An operator's call that waits for a commit.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct PendingChange {
     call: CallId,
     until: Time,
-    /// The hall command of the call, until its log index is known.
-    hall_command: Option<HallCommand>,
 }
 
 /// A hall command whose sender will be asked for a confirmation.
@@ -44,21 +42,11 @@
 impl PendingChange {
     /// A call that starts to wait now.
     pub fn new(now: Time, call: CallId) -> Self {
-        Self { call, until: now + CHANGE_TIMEOUT, hall_command: None }
-    }
-
-    /// The call with a hall command.
-    pub fn with_hall_command(self, command: HallCommand) -> Self {
-        Self { hall_command: Some(command), ..self }
-    }
-
-    /// The hall command, the first time this is called.
-    pub fn take_hall_command(&mut self) -> Option<HallCommand> {
-        self.hall_command.take()
+        Self { call, until: now + CHANGE_TIMEOUT }
     }
 
     /// The call to answer.
-    pub fn call(&self) -> CallId {
+    pub fn call(self) -> CallId {
         self.call
     }
 }
--- a/components/keeper/tests/halls.rs
+++ b/components/keeper/tests/halls.rs
@@ -15,15 +15,7 @@
 impl SingleKeeper {
     /// Sends a hall command, confirms it if asked to, and returns the emptied halls after it.
     fn command(&mut self, hall: &str, takes_work: bool) -> EmptiedHalls {
-        let command = hall_command(hall, takes_work);
-        let mut reply = self.send_hall_command(&command, None);
-        if let Some(Reply::ConfirmHall(confirmation)) = reply {
-            reply = self.send_hall_command(&command, Some(confirmation));
-        }
-        match reply {
-            Some(Reply::Halls(halls)) => halls,
-            other => panic!("unexpected reply: {other:?}"),
-        }
+        self.send_acknowledged(&hall_command(hall, takes_work)).0
     }
 
     fn empty(&mut self, hall: &str) -> EmptiedHalls {
--- a/components/keeper/tests/late_hall_commands.rs
+++ b/components/keeper/tests/late_hall_commands.rs
@@ -27,21 +27,11 @@
         self.0.send_hall_command(&hall_command("north", takes_work), confirmation)
     }
 
-    /// Sends a command until it is acknowledged, as an operator does that follows redirects. Returns
-    /// the confirmation that it needed.
+    /// Sends a command until it is acknowledged; returns the confirmation that it needed.
     fn send_acknowledged(&mut self, takes_work: bool) -> Option<Confirmation> {
-        let mut confirmation = None;
-        for _ in 0..3 {
-            match self.send(takes_work, confirmation) {
-                Some(Reply::Halls(halls)) => {
-                    assert_eq!(halls.contains("north"), !takes_work);
-                    return confirmation;
-                }
-                Some(Reply::ConfirmHall(asked)) => confirmation = Some(asked),
-                reply => panic!("unexpected reply: {reply:?}"),
-            }
-        }
-        panic!("the command is not acknowledged");
+        let (halls, confirmation) = self.0.send_acknowledged(&hall_command("north", takes_work));
+        assert_eq!(halls.contains("north"), !takes_work);
+        confirmation
     }
 
     /// Delivers a copy whose sender does not read the answer.
@@ -62,15 +52,9 @@
 
     /// Adds commands for another hall until the log is compacted.
     fn compact(&mut self) {
-        let south = |takes_work| hall_command("south", takes_work);
         for _ in 0..600 {
             for takes_work in [false, true] {
-                let Some(Reply::ConfirmHall(asked)) =
-                    self.0.send_hall_command(&south(takes_work), None)
-                else {
-                    continue;
-                };
-                self.0.send_hall_command(&south(takes_work), Some(asked));
+                self.0.send_acknowledged(&hall_command("south", takes_work));
             }
         }
         let is_snapshot =
--- a/components/keeper/tests/support/mod.rs
+++ b/components/keeper/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use keeper::{Action, CallId, Confirmation, Event, Keeper, Reply, initial_records};
 use model::{Incarnation, NodeName, Time};
 use settings::Tree;
-use wire::{HallCommand, NodeInfo, NodeRole};
+use wire::{EmptiedHalls, HallCommand, NodeInfo, NodeRole};
 
 pub const START: Time = Time::from_millis(1_000_000);
 
@@ -93,6 +93,24 @@
         })
     }
 
+    /// Sends a hall command until it is acknowledged, as an operator does that follows redirects.
+    /// Returns the emptied halls after it and the confirmation that it needed.
+    pub fn send_acknowledged(
+        &mut self,
+        command: &HallCommand,
+    ) -> (EmptiedHalls, Option<Confirmation>) {
+        let mut reply = self.send_hall_command(command, None);
+        let mut confirmation = None;
+        if let Some(Reply::ConfirmHall(asked)) = reply {
+            confirmation = Some(asked);
+            reply = self.send_hall_command(command, confirmation);
+        }
+        match reply {
+            Some(Reply::Halls(halls)) => (halls, confirmation),
+            other => panic!("unexpected reply: {other:?}"),
+        }
+    }
+
     /// Makes a call and returns its reply, if it arrives in time.
     fn reply_within(
         &mut self,
--- a/soak/src/keepers/halls.rs
+++ b/soak/src/keepers/halls.rs
@@ -3,9 +3,6 @@
 //! Each hall has one operator, who resends a command until it is acknowledged, and may then send
 //! the opposite one. Commands have no version and no id, their answers may be lost, and the network
 //! may hold a copy up until its sender has moved on. No keeper learns that a sender has given up.
-//! One of the operators follows redirects as they are, the other one drops what confirms a command.
-//!
-//! A separate random stream keeps runs without hall commands unchanged.
 
 use std::time::Duration;
 
@@ -18,7 +15,8 @@
 use super::operators::Requester;
 use super::simulation::{KeeperSimulation, SimEvent};
 
-/// Separates this random stream from the others of the seed.
+/// Separates this random stream from the others of the seed, so that runs without hall commands stay
+/// unchanged.
 const RNG_STREAM: u64 = 0x4a11_5eed_0bad;
 const HALLS: [&str; 2] = ["north", "south"];
 /// Time without an answer after which an operator sends a command again, to the next keeper.
